--- /dev/null
+++ b/src/base/internal/text.cpp
@@ -0,0 +1,133 @@
+#include "base/text.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <span>
+#include <stdexcept>
+
+namespace rosemaryshift {
+
+namespace {
+
+constexpr std::size_t RandomIdBytes = 16;
+
+std::string hex(std::span<const unsigned char> bytes)
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(bytes.size() * 2);
+    for (const unsigned char byte : bytes) {
+        text += Digits[byte >> 4U];
+        text += Digits[byte & 15U];
+    }
+    return text;
+}
+
+}
+
+std::string_view name(TrafficClass trafficClass)
+{
+    switch (trafficClass) {
+    case TrafficClass::Question:
+        return "question";
+    case TrafficClass::Plan:
+        return "plan";
+    case TrafficClass::Lookup:
+        return "lookup";
+    case TrafficClass::Booking:
+        return "booking";
+    }
+    return "question";
+}
+
+std::optional<TrafficClass> trafficClassFromName(std::string_view text)
+{
+    for (const TrafficClass candidate : {TrafficClass::Question, TrafficClass::Plan, TrafficClass::Lookup, TrafficClass::Booking}) {
+        if (name(candidate) == text) {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string_view name(RunState state)
+{
+    switch (state) {
+    case RunState::NotRun:
+        return "not-run";
+    case RunState::Unknown:
+        return "unknown";
+    case RunState::Ran:
+        return "ran";
+    }
+    return "unknown";
+}
+
+std::string sha256Hex(std::string_view data)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned int length = 0;
+    if (EVP_Digest(data.data(), data.size(), digest.data(), &length, EVP_sha256(), nullptr) != 1) {
+        throw std::runtime_error("SHA-256 is not available");
+    }
+    return hex(std::span(digest).first(length));
+}
+
+bool equalSecrets(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string randomId()
+{
+    std::array<unsigned char, RandomIdBytes> bytes{};
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+        throw std::runtime_error("the system's random generator failed");
+    }
+    return hex(bytes);
+}
+
+std::optional<std::uint64_t> parseUnsigned(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const char *const end = text.data() + text.size();
+    const std::from_chars_result result = std::from_chars(text.data(), end, value);
+    if (text.empty() || result.ec != std::errc() || result.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::optional<std::string> readFile(const std::string &path, std::size_t maxBytes, std::string &reason)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        reason = path + ": cannot be opened";
+        return std::nullopt;
+    }
+    std::string text(maxBytes + 1, '\0');
+    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    if (text.size() > maxBytes) {
+        reason = path + ": larger than " + std::to_string(maxBytes) + " bytes";
+        return std::nullopt;
+    }
+    return text;
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view Space = " \t\r\n";
+    const std::size_t first = text.find_first_not_of(Space);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(Space) - first + 1);
+}
+
+}
--- /dev/null
+++ b/src/base/tests/texttests.cpp
@@ -0,0 +1,40 @@
+#include "base/json.h"
+#include "base/text.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+
+SCENARIO("Text helpers refuse what they cannot read")
+{
+    GIVEN("numbers from callers")
+    {
+        THEN("only whole decimal numbers that fit are taken")
+        {
+            CHECK(parseUnsigned("0") == 0U);
+            CHECK(parseUnsigned("18446744073709551615") == 18446744073709551615U);
+            CHECK_FALSE(parseUnsigned("18446744073709551616"));
+            CHECK_FALSE(parseUnsigned("-1"));
+            CHECK_FALSE(parseUnsigned("12 "));
+            CHECK_FALSE(parseUnsigned(""));
+        }
+    }
+    GIVEN("JSON that is malformed or nested too deep")
+    {
+        std::string reason;
+        THEN("parsing gives a reason instead of an exception")
+        {
+            CHECK_FALSE(parseJson("{\"a\":", reason));
+            CHECK_FALSE(reason.empty());
+            CHECK_FALSE(parseJson(std::string(10000, '['), reason));
+            CHECK_FALSE(parseJson("{} trailing", reason));
+        }
+    }
+    GIVEN("a known digest")
+    {
+        CHECK(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+        CHECK(equalSecrets("abc", "abc"));
+        CHECK_FALSE(equalSecrets("abc", "abd"));
+        CHECK_FALSE(equalSecrets("abc", "abcd"));
+    }
+}
--- /dev/null
+++ b/src/base/text.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rosemaryshift {
+
+/// Stable lower-case name of a traffic class, as in templates and headers. Thread-safe.
+std::string_view name(TrafficClass trafficClass);
+/// Reads a traffic class by its name; nothing when there is no such class. Thread-safe.
+std::optional<TrafficClass> trafficClassFromName(std::string_view text);
+/// Stable name of a run state: not-run, unknown or ran. Thread-safe.
+std::string_view name(RunState state);
+
+/// Lower-case hexadecimal SHA-256 of @p data (FIPS 180-4). Thread-safe.
+std::string sha256Hex(std::string_view data);
+/// Compares two secrets in a time that depends on their lengths only. Thread-safe.
+bool equalSecrets(std::string_view a, std::string_view b);
+/// 128 random bits from the system's generator as 32 hexadecimal digits. Thread-safe.
+std::string randomId();
+/// Whole decimal number without sign; nothing when @p text is anything else or too large. Thread-safe.
+std::optional<std::uint64_t> parseUnsigned(std::string_view text);
+/// Reads a file of at most @p maxBytes; nothing, with @p reason set, when it cannot be read or is larger.
+std::optional<std::string> readFile(const std::string &path, std::size_t maxBytes, std::string &reason);
+/// @p text without leading and trailing white space. Thread-safe.
+std::string_view trimmed(std::string_view text);
+
+}
--- /dev/null
+++ b/src/decisions/internal/decisioncore.cpp
@@ -0,0 +1,159 @@
+#include "decisions/internal/decisioncore.h"
+
+#include "decisions/internal/leastinflightchooser.h"
+#include "decisions/internal/systems.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemaryshift::decisions {
+
+DecisionCore::DecisionCore(std::vector<std::unique_ptr<ISystem>> systems)
+    : m_systems(std::move(systems))
+{
+}
+
+void DecisionCore::post(Event event)
+{
+    m_inbox.push_back(std::move(event));
+}
+
+std::span<const Action> DecisionCore::tick(TimePoint now)
+{
+    m_actions.clear();
+    for (const Event &event : m_inbox) {
+        std::visit([this](const auto &typed) { apply(typed); }, event);
+    }
+    m_inbox.clear();
+    TickContext context{now, m_actions};
+    for (const std::unique_ptr<ISystem> &system : m_systems) {
+        system->run(m_tables, context);
+    }
+    return m_actions;
+}
+
+std::optional<TimePoint> DecisionCore::nextWake() const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[id, row] : m_tables.requests) {
+        if (!earliest || row.spec.deadline < *earliest) {
+            earliest = row.spec.deadline;
+        }
+    }
+    return earliest;
+}
+
+std::size_t DecisionCore::openRequests() const
+{
+    return m_tables.requests.size();
+}
+
+void DecisionCore::apply(const UpstreamListed &event)
+{
+    UpstreamRow &row = m_tables.upstream(event.upstream);
+    if (row.state != UpstreamState::Leaving) {
+        row.state = UpstreamState::Live;
+    }
+    row.zone = event.zone;
+    row.sameZone = event.sameZone;
+    row.targets = event.targets;
+    row.slots = event.slots;
+    row.price = event.price;
+    row.checksFencing = event.checksFencing;
+}
+
+void DecisionCore::apply(const UpstreamLeaving &event)
+{
+    UpstreamRow &row = m_tables.upstream(event.upstream);
+    row.state = UpstreamState::Leaving;
+    row.goneAt = event.goneAt;
+}
+
+void DecisionCore::apply(const UpstreamGone &event)
+{
+    m_tables.upstream(event.upstream).state = UpstreamState::Gone;
+}
+
+void DecisionCore::apply(const UpstreamReported &event)
+{
+    UpstreamRow &row = m_tables.upstream(event.upstream);
+    if (event.measuredAt < row.reportedAt) {
+        return;
+    }
+    row.reportedRunning = event.running;
+    row.reportedQueued = event.queued;
+    row.reportedAt = event.measuredAt;
+}
+
+void DecisionCore::apply(const WorkspaceLimited &event)
+{
+    WorkspaceRow &row = m_tables.workspace(event.workspace);
+    row.maxInFlight = event.maxInFlight;
+    row.maxQueued = event.maxQueued;
+}
+
+void DecisionCore::apply(const RequestArrived &event)
+{
+    RequestRow row;
+    row.spec = event;
+    if (m_tables.requests.emplace(event.request, std::move(row)).second) {
+        m_tables.arrived.push_back(event.request);
+    }
+}
+
+void DecisionCore::apply(const AttemptProgressed &event)
+{
+    const std::unordered_map<AttemptId, AttemptRow>::const_iterator found = m_tables.attempts.find(event.attempt);
+    if (found == m_tables.attempts.end()) {
+        return;
+    }
+    RequestRow *const row = m_tables.request(found->second.request);
+    if (row != nullptr) {
+        row->tokens += event.tokens;
+    }
+}
+
+void DecisionCore::apply(const AttemptEnded &event)
+{
+    const std::unordered_map<AttemptId, AttemptRow>::const_iterator found = m_tables.attempts.find(event.attempt);
+    if (found == m_tables.attempts.end()) {
+        return;
+    }
+    const AttemptRow attempt = found->second;
+    m_tables.attempts.erase(found);
+    --m_tables.upstream(attempt.upstream).inFlight;
+    RequestRow *const row = m_tables.request(attempt.request);
+    if (row != nullptr && event.outcome != AttemptOutcome::Completed) {
+        row->failedAt.insert(attempt.upstream);
+    }
+    m_tables.ended.push_back({event.attempt, attempt.request, event.outcome});
+}
+
+void DecisionCore::apply(const CallerLeft &event)
+{
+    const RequestRow *const row = m_tables.request(event.request);
+    if (row == nullptr || !row->spec.idempotent) {
+        return;
+    }
+    if (row->running) {
+        m_actions.push_back(CancelAttempt{event.request, *row->running});
+    }
+    m_tables.erase(event.request);
+}
+
+void DecisionCore::apply(const HostStopping &)
+{
+    m_tables.stopping = true;
+}
+
+std::unique_ptr<IDecisionCore> makeDecisionCore(const PolicySettings &settings, std::uint64_t)
+{
+    std::vector<std::unique_ptr<ISystem>> systems;
+    systems.push_back(std::make_unique<DeadlineSystem>());
+    systems.push_back(std::make_unique<RetrySystem>(settings));
+    systems.push_back(std::make_unique<AdmissionSystem>(settings));
+    systems.push_back(std::make_unique<RoutingSystem>(std::make_unique<LeastInFlightChooser>()));
+    return std::make_unique<DecisionCore>(std::move(systems));
+}
+
+}
--- /dev/null
+++ b/src/decisions/internal/decisioncore.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "decisions/idecisioncore.h"
+#include "decisions/isystem.h"
+
+namespace rosemaryshift::decisions {
+
+/// Takes events into the tables and runs the systems over them in a fixed order.
+class DecisionCore : public IDecisionCore
+{
+public:
+    explicit DecisionCore(std::vector<std::unique_ptr<ISystem>> systems);
+
+    void post(Event event) override;
+    std::span<const Action> tick(TimePoint now) override;
+    [[nodiscard]] std::optional<TimePoint> nextWake() const override;
+    [[nodiscard]] std::size_t openRequests() const override;
+
+private:
+    void apply(const UpstreamListed &event);
+    void apply(const UpstreamLeaving &event);
+    void apply(const UpstreamGone &event);
+    void apply(const UpstreamReported &event);
+    void apply(const WorkspaceLimited &event);
+    void apply(const RequestArrived &event);
+    void apply(const AttemptProgressed &event);
+    void apply(const AttemptEnded &event);
+    void apply(const CallerLeft &event);
+    void apply(const HostStopping &event);
+
+    std::vector<std::unique_ptr<ISystem>> m_systems;
+    std::vector<Event> m_inbox;
+    std::vector<Action> m_actions;
+    Tables m_tables;
+};
+
+}
--- /dev/null
+++ b/src/decisions/internal/systems.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "decisions/idecisioncore.h"
+#include "decisions/isystem.h"
+#include "decisions/iupstreamchooser.h"
+
+#include <memory>
+
+namespace rosemaryshift::decisions {
+
+/// Ends attempts, completes requests whose answer is whole and marks the others for a retry or gives them up.
+class RetrySystem : public ISystem
+{
+public:
+    explicit RetrySystem(const PolicySettings &settings);
+    void run(Tables &tables, TickContext &context) override;
+
+private:
+    void settle(Tables &tables, TickContext &context, const EndedAttempt &ended) const;
+
+    PolicySettings m_settings;
+};
+
+/// Gives up requests whose deadline has passed.
+class DeadlineSystem : public ISystem
+{
+public:
+    void run(Tables &tables, TickContext &context) override;
+};
+
+/// Refuses what cannot be served and queues the rest by workspace.
+class AdmissionSystem : public ISystem
+{
+public:
+    explicit AdmissionSystem(const PolicySettings &settings);
+    void run(Tables &tables, TickContext &context) override;
+
+private:
+    [[nodiscard]] std::optional<RefusalCode> refusalOf(Tables &tables, const RequestRow &row) const;
+
+    PolicySettings m_settings;
+};
+
+/// Starts attempts for retrying and queued requests, one workspace after the other.
+class RoutingSystem : public ISystem
+{
+public:
+    explicit RoutingSystem(std::unique_ptr<IUpstreamChooser> chooser);
+    void run(Tables &tables, TickContext &context) override;
+
+private:
+    bool start(Tables &tables, TickContext &context, RequestId request);
+    bool startNextOf(Tables &tables, TickContext &context, WorkspaceRow &workspace);
+
+    std::unique_ptr<IUpstreamChooser> m_chooser;
+};
+
+}
--- /dev/null
+++ b/src/decisions/tests/decisioncoretests.cpp
@@ -0,0 +1,133 @@
+#include "decisions/idecisioncore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::decisions;
+
+namespace {
+
+constexpr WorkspaceId Workspace{0};
+constexpr TargetId Model{0};
+
+TimePoint at(int ms)
+{
+    return TimePoint(std::chrono::milliseconds(ms));
+}
+
+UpstreamListed engine(std::uint32_t id)
+{
+    UpstreamListed listed{};
+    listed.upstream = static_cast<UpstreamId>(id);
+    listed.targets = {Model};
+    listed.slots = 2;
+    return listed;
+}
+
+RequestArrived arrival(std::uint64_t id, bool idempotent = true)
+{
+    RequestArrived arrived{};
+    arrived.request = static_cast<RequestId>(id);
+    arrived.workspace = Workspace;
+    arrived.target = Model;
+    arrived.deadline = at(10'000);
+    arrived.idempotent = idempotent;
+    return arrived;
+}
+
+template <typename T>
+std::vector<T> only(std::span<const Action> actions)
+{
+    std::vector<T> found;
+    for (const Action &action : actions) {
+        if (const T *const typed = std::get_if<T>(&action)) {
+            found.push_back(*typed);
+        }
+    }
+    return found;
+}
+
+}
+
+SCENARIO("A request goes to an upstream and gets exactly one end")
+{
+    const std::unique_ptr<IDecisionCore> core = makeDecisionCore({}, 1);
+    core->post(WorkspaceLimited{Workspace, 2, 1});
+    core->post(engine(0));
+    core->post(engine(1));
+    core->tick(at(0));
+
+    GIVEN("a request that was routed")
+    {
+        core->post(arrival(1));
+        const std::vector<StartAttempt> started = only<StartAttempt>(core->tick(at(1)));
+        REQUIRE(started.size() == 1);
+
+        WHEN("the whole answer comes")
+        {
+            core->post(AttemptEnded{started[0].attempt, AttemptOutcome::Completed});
+            THEN("it is complete and forgotten")
+            {
+                CHECK(only<CompleteRequest>(core->tick(at(2))).size() == 1);
+                CHECK(core->openRequests() == 0);
+            }
+        }
+        WHEN("the upstream breaks")
+        {
+            core->post(AttemptEnded{started[0].attempt, AttemptOutcome::Broken});
+            const std::vector<StartAttempt> again = only<StartAttempt>(core->tick(at(2)));
+            THEN("it is tried at the other one")
+            {
+                REQUIRE(again.size() == 1);
+                CHECK(again[0].upstream != started[0].upstream);
+                CHECK(again[0].reason.retry);
+            }
+        }
+        WHEN("the deadline passes")
+        {
+            const std::vector<Action> actions(core->tick(at(10'000)).begin(), core->tick(at(10'000)).end());
+            CHECK(core->openRequests() == 0);
+        }
+    }
+    GIVEN("a call that may not be repeated and whose connection broke")
+    {
+        core->post(arrival(1, false));
+        const std::vector<StartAttempt> started = only<StartAttempt>(core->tick(at(1)));
+        core->post(AttemptEnded{started.at(0).attempt, AttemptOutcome::Broken});
+        const std::span<const Action> actions = core->tick(at(2));
+        THEN("it is never tried again and its outcome is unknown")
+        {
+            CHECK(only<StartAttempt>(actions).empty());
+            REQUIRE(only<RefuseRequest>(actions).size() == 1);
+            CHECK(only<RefuseRequest>(actions)[0].code == RefusalCode::OutcomeUnknown);
+            CHECK(only<RefuseRequest>(actions)[0].run == RunState::Unknown);
+        }
+    }
+    GIVEN("more requests than the workspace may have in flight and queued")
+    {
+        for (std::uint64_t id = 1; id <= 4; ++id) {
+            core->post(arrival(id));
+        }
+        const std::span<const Action> actions = core->tick(at(1));
+        THEN("the limit runs, one waits and one is refused as not run")
+        {
+            CHECK(only<StartAttempt>(actions).size() == 2);
+            CHECK(only<QueueRequest>(actions).size() == 1);
+            REQUIRE(only<RefuseRequest>(actions).size() == 1);
+            CHECK(only<RefuseRequest>(actions)[0].code == RefusalCode::OverLimit);
+            CHECK(only<RefuseRequest>(actions)[0].run == RunState::NotRun);
+        }
+    }
+    GIVEN("upstreams that are leaving")
+    {
+        core->post(UpstreamLeaving{static_cast<UpstreamId>(0), at(5'000)});
+        core->post(UpstreamLeaving{static_cast<UpstreamId>(1), at(5'000)});
+        core->post(arrival(1));
+        THEN("they get nothing new")
+        {
+            const std::span<const Action> actions = core->tick(at(1));
+            REQUIRE(only<RefuseRequest>(actions).size() == 1);
+            CHECK(only<RefuseRequest>(actions)[0].code == RefusalCode::NoUpstream);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/entrysettings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "http/httptypes.h"
+#include "requests/requestregistry.h"
+#include "settings/settingsdocument.h"
+#include "upstreams/upstreamtypes.h"
+
+#include <optional>
+#include <string>
+
+namespace rosemaryshift::entry {
+
+/// Settings of one entry host.
+struct EntrySettings {
+    std::string name;
+    std::string zone;
+    std::string logLevel;
+    http::Endpoint callers;
+    http::Endpoint peers;
+    http::Endpoint operators;
+    std::string peerTokenFile;
+    std::string operatorTokenFile;
+    http::Endpoint platform;
+    http::ServerLimits callerLimits;
+    upstreams::AttemptTimeouts attemptTimeouts;
+    requests::RegistryLimits retention;
+    std::uint32_t trafficThreads = 2;
+    std::size_t timelineEvents = 10'000;
+    std::uint64_t seed = 0; ///< Of the decisions' random choices; 0 means a random one.
+};
+
+/// Reads an entry host's settings; faults are noted in @p document.
+EntrySettings readEntrySettings(SettingsDocument &document);
+
+}
--- /dev/null
+++ b/src/entry/internal/callerfrontend.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "entry/internal/control.h"
+#include "http/ihttpserver.h"
+
+#include <memory>
+
+namespace rosemaryshift::entry {
+
+/// Serves callers: the chat API, reattaching, and plain services. Each call runs on the strand of its connection; the
+/// object itself is thread-safe.
+class CallerFrontend
+{
+public:
+    CallerFrontend(Control &control, std::shared_ptr<requests::RequestRegistry> registry, std::shared_ptr<TemplateView> templates);
+
+    boost::asio::awaitable<void> handle(http::Request request, http::IResponseWriter &writer);
+
+private:
+    using RecordPtr = std::shared_ptr<requests::RequestRecord>;
+    struct Options {
+        std::optional<TrafficClass> trafficClass;
+        std::optional<std::chrono::milliseconds> deadline;
+    };
+
+    boost::asio::awaitable<void> serve(TemplatePtr workspace, http::Request request, http::IResponseWriter &writer);
+    boost::asio::awaitable<void> chat(TemplatePtr workspace, http::Request request, http::IResponseWriter &writer);
+    boost::asio::awaitable<void> reattach(TemplatePtr workspace, http::Request request, http::IResponseWriter &writer);
+    boost::asio::awaitable<void> service(TemplatePtr workspace, http::Request request, http::IResponseWriter &writer);
+    boost::asio::awaitable<void> stream(RecordPtr record, std::size_t from, http::IResponseWriter &writer);
+    boost::asio::awaitable<void> endStream(RecordPtr record, std::size_t seen, const requests::TranscriptView &view, http::IResponseWriter &writer);
+    boost::asio::awaitable<void> answerWhole(RecordPtr record, http::IResponseWriter &writer);
+    boost::asio::awaitable<requests::TranscriptView> awaitEnd(RecordPtr record, http::IResponseWriter &writer);
+    void watch(const RecordPtr &record, http::IResponseWriter &writer);
+    std::optional<Options> readOptions(const http::Request &request, requests::Refusal &refusal) const;
+
+    Control &m_control;
+    const std::shared_ptr<requests::RequestRegistry> m_registry;
+    const std::shared_ptr<TemplateView> m_templates;
+};
+
+}
--- /dev/null
+++ b/src/entry/internal/chatwire.cpp
@@ -0,0 +1,184 @@
+#include "entry/internal/chatwire.h"
+
+#include "base/json.h"
+#include "entry/internal/refusals.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::entry {
+
+using requests::Piece;
+
+namespace {
+
+constexpr std::size_t BytesPerToken = 4;
+constexpr std::uint64_t MaxTokensBound = 10'000'000;
+constexpr int BadRequestStatus = 400;
+
+std::size_t contentBytes(const Json::Value &messages)
+{
+    std::size_t bytes = 0;
+    for (const Json::Value &message : messages) {
+        if (message.isObject() && message["content"].isString()) {
+            bytes += message["content"].asString().size();
+        }
+    }
+    return bytes;
+}
+
+std::uint32_t readMaxTokens(const Json::Value &body)
+{
+    for (const char *const key : {"max_completion_tokens", "max_tokens"}) {
+        const std::optional<std::uint64_t> value = unsignedMember(body, key);
+        if (value) {
+            return static_cast<std::uint32_t>(std::min(*value, MaxTokensBound));
+        }
+    }
+    return 0;
+}
+
+std::optional<std::string_view> faultOf(const Json::Value &body)
+{
+    if (!body.isObject()) {
+        return "the body must be a JSON object";
+    }
+    if (stringMember(body, "model").value_or("").empty()) {
+        return "\"model\" must be a text";
+    }
+    if (!body["messages"].isArray() || body["messages"].empty()) {
+        return "\"messages\" must be a list with at least one message";
+    }
+    if (!std::ranges::all_of(body["messages"], [](const Json::Value &message) { return message.isObject() && message["role"].isString(); })) {
+        return "each message must be an object with a \"role\"";
+    }
+    if (body.isMember("stream") && !body["stream"].isBool()) {
+        return "\"stream\" must be true or false";
+    }
+    if (body.isMember("n") && body["n"] != 1) {
+        return "\"n\" may be 1 only";
+    }
+    return std::nullopt;
+}
+
+Json::Value envelope(std::string_view requestId, std::string_view model, const char *object)
+{
+    Json::Value value;
+    value["id"] = std::string(requestId);
+    value["object"] = object;
+    value["model"] = std::string(model);
+    return value;
+}
+
+Json::Value choice(const char *key, Json::Value content, Json::Value finishReason)
+{
+    Json::Value value;
+    value["index"] = 0;
+    value[key] = std::move(content);
+    value["finish_reason"] = std::move(finishReason);
+    return value;
+}
+
+/// Joins the pieces' parts of tool calls, which come by index with their arguments in fragments.
+Json::Value mergedToolCalls(const std::vector<Piece> &pieces)
+{
+    Json::Value calls(Json::arrayValue);
+    for (const Piece &piece : pieces) {
+        std::string reason;
+        const std::optional<Json::Value> delta = parseJson(piece.delta, reason);
+        if (!delta || !delta->isObject() || !(*delta)["tool_calls"].isArray()) {
+            continue;
+        }
+        for (const Json::Value &part : (*delta)["tool_calls"]) {
+            const std::uint64_t index = unsignedMember(part, "index").value_or(0);
+            if (index > calls.size()) {
+                continue;
+            }
+            Json::Value &call = calls[static_cast<Json::ArrayIndex>(index)];
+            if (call.isNull()) {
+                call = part;
+                call.removeMember("index");
+                continue;
+            }
+            const std::string more = stringMember(part["function"], "arguments").value_or("");
+            call["function"]["arguments"] = stringMember(call["function"], "arguments").value_or("") + more;
+        }
+    }
+    return calls;
+}
+
+}
+
+std::optional<ChatRequest> parseChatRequest(std::string_view body, requests::Refusal &refusal)
+{
+    std::string reason;
+    const std::optional<Json::Value> parsed = parseJson(body, reason);
+    if (!parsed) {
+        refusal = badRequest(BadRequestStatus, "malformed_json", "the body is not JSON");
+        return std::nullopt;
+    }
+    const std::optional<std::string_view> fault = faultOf(*parsed);
+    if (fault) {
+        refusal = badRequest(BadRequestStatus, "invalid_request", *fault);
+        return std::nullopt;
+    }
+    ChatRequest request;
+    request.model = (*parsed)["model"].asString();
+    request.stream = boolMember(*parsed, "stream", false);
+    request.maxTokens = readMaxTokens(*parsed);
+    request.promptTokens = static_cast<std::uint32_t>(contentBytes((*parsed)["messages"]) / BytesPerToken) + 1;
+    return request;
+}
+
+std::string chunkText(std::string_view requestId, std::string_view model, std::size_t index, const Piece &piece)
+{
+    std::string reason;
+    Json::Value delta = parseJson(piece.delta, reason).value_or(Json::Value(Json::objectValue));
+    if (index == 0) {
+        delta["role"] = "assistant";
+    }
+    Json::Value value = envelope(requestId, model, "chat.completion.chunk");
+    value["choices"].append(choice("delta", std::move(delta), Json::Value()));
+    return toText(value);
+}
+
+std::string finishText(std::string_view requestId, std::string_view model, std::string_view finishReason)
+{
+    Json::Value value = envelope(requestId, model, "chat.completion.chunk");
+    value["choices"].append(choice("delta", Json::Value(Json::objectValue), std::string(finishReason)));
+    return toText(value);
+}
+
+std::string completionText(std::string_view requestId, std::string_view model, const requests::TranscriptView &view)
+{
+    std::string content;
+    for (const Piece &piece : view.pieces) {
+        content += piece.content;
+    }
+    Json::Value message;
+    message["role"] = "assistant";
+    message["content"] = content;
+    Json::Value calls = mergedToolCalls(view.pieces);
+    if (!calls.empty()) {
+        message["tool_calls"] = std::move(calls);
+    }
+    Json::Value value = envelope(requestId, model, "chat.completion");
+    value["choices"].append(choice("message", std::move(message), view.finishReason));
+    return toText(value);
+}
+
+std::string modelsText(const templates::WorkspaceTemplate &content)
+{
+    Json::Value list;
+    list["object"] = "list";
+    list["data"] = Json::Value(Json::arrayValue);
+    for (const templates::ModelRoute &route : content.models) {
+        Json::Value model;
+        model["id"] = route.name;
+        model["object"] = "model";
+        model["owned_by"] = content.workspace;
+        list["data"].append(model);
+    }
+    return toText(list);
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/entryhost.cpp
@@ -0,0 +1,165 @@
+#include "entry/ientryhost.h"
+
+#include "base/text.h"
+#include "entry/internal/callerfrontend.h"
+#include "entry/internal/control.h"
+#include "entry/internal/operatorfrontend.h"
+#include "entry/internal/refusals.h"
+#include "http/ihttpserver.h"
+#include "program/program.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+
+#include <thread>
+#include <vector>
+
+namespace rosemaryshift::entry {
+
+namespace net = boost::asio;
+using timeline::EventKind;
+
+namespace {
+
+constexpr std::chrono::milliseconds StopPoll{20};
+constexpr std::size_t IncarnationLength = 8;
+
+/// Wires all modules of an entry host together; the one place that knows them all.
+class EntryHost : public IEntryHost
+{
+public:
+    EntryHost(const EntrySettings &settings, std::string operatorToken, const std::string &incarnation)
+        : m_settings(settings)
+        , m_controlContext(1)
+        , m_trafficContext(static_cast<int>(settings.trafficThreads))
+        , m_timeline(timeline::makeTimeline(timeline::makeHybridClock(), settings.name, incarnation, settings.timelineEvents))
+        , m_registry(std::make_shared<requests::RequestRegistry>(settings.name + "." + incarnation, settings.retention))
+        , m_templates(std::make_shared<TemplateView>())
+        , m_control(settings, parts(), m_controlContext, m_trafficContext, settings.name + "." + incarnation)
+        , m_callerFrontend(m_control, m_registry, m_templates)
+        , m_operatorFrontend(m_control, m_timeline, std::move(operatorToken))
+    {
+    }
+
+    bool listen(std::string &reason)
+    {
+        m_callers = http::makeHttpServer(m_trafficContext, m_settings.callers, m_settings.callerLimits, handlerOf(m_callerFrontend), reason);
+        if (!m_callers) {
+            return false;
+        }
+        m_operators = http::makeHttpServer(m_trafficContext, m_settings.operators, {}, handlerOf(m_operatorFrontend), reason);
+        if (!m_operators) {
+            return false;
+        }
+        m_peers = http::makeHttpServer(m_trafficContext, m_settings.peers, {}, refusePeer, reason);
+        return m_peers != nullptr;
+    }
+
+    void run() override
+    {
+        m_timeline->record(EventKind::HostStarted, {.detail = "zone " + m_settings.zone});
+        m_control.start();
+        std::vector<std::thread> threads;
+        threads.emplace_back([this] { m_controlContext.run(); });
+        for (std::uint32_t i = 0; i < m_settings.trafficThreads; ++i) {
+            threads.emplace_back([this] { m_trafficContext.run(); });
+        }
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+        m_timeline->record(EventKind::HostStopped, {});
+    }
+
+    void stop() override
+    {
+        if (m_stopping.exchange(true)) {
+            return;
+        }
+        m_control.beginStop();
+        m_callers->stopAccepting();
+        net::co_spawn(m_trafficContext, finishStop(), net::detached);
+    }
+
+    [[nodiscard]] http::Endpoint callers() const override
+    {
+        return m_callers->endpoint();
+    }
+
+    [[nodiscard]] http::Endpoint peers() const override
+    {
+        return m_peers->endpoint();
+    }
+
+    [[nodiscard]] http::Endpoint operators() const override
+    {
+        return m_operators->endpoint();
+    }
+
+private:
+    template <typename Frontend>
+    static http::RequestHandler handlerOf(Frontend &frontend)
+    {
+        return [&frontend](http::Request request, http::IResponseWriter &writer) { return frontend.handle(std::move(request), writer); };
+    }
+
+    static net::awaitable<void> refusePeer(http::Request, http::IResponseWriter &writer)
+    {
+        http::Response response = refusalResponse(badRequest(404, "unknown_path", "there is nothing for peers here yet"), {});
+        co_await writer.respond(std::move(response));
+    }
+
+    ControlParts parts()
+    {
+        return {m_registry, m_templates, m_timeline, platform::makeHttpLog(m_settings.platform), platform::makeHttpHostDirectory(m_settings.platform)};
+    }
+
+    /// Waits until every running request has its answer and every caller has read it.
+    net::awaitable<void> finishStop()
+    {
+        net::steady_timer poll(m_trafficContext);
+        while (m_control.openRequests() > 0 || m_callers->connections() > 0) {
+            poll.expires_after(StopPoll);
+            co_await poll.async_wait(net::as_tuple(net::use_awaitable));
+        }
+        spdlog::info("event=stopped name={}", m_settings.name);
+        m_controlContext.stop();
+        m_trafficContext.stop();
+    }
+
+    const EntrySettings m_settings;
+    net::io_context m_controlContext;
+    net::io_context m_trafficContext;
+    const std::shared_ptr<timeline::ITimeline> m_timeline;
+    const std::shared_ptr<requests::RequestRegistry> m_registry;
+    const std::shared_ptr<TemplateView> m_templates;
+    Control m_control;
+    CallerFrontend m_callerFrontend;
+    OperatorFrontend m_operatorFrontend;
+    std::unique_ptr<http::IHttpServer> m_callers;
+    std::unique_ptr<http::IHttpServer> m_operators;
+    std::unique_ptr<http::IHttpServer> m_peers;
+    std::atomic<bool> m_stopping = false;
+};
+
+}
+
+std::unique_ptr<IEntryHost> makeEntryHost(const EntrySettings &settings, std::string &reason)
+{
+    std::optional<std::string> operatorToken = program::readToken(settings.operatorTokenFile, reason);
+    if (!operatorToken || !program::readToken(settings.peerTokenFile, reason)) {
+        return nullptr;
+    }
+    const std::string incarnation = randomId().substr(0, IncarnationLength);
+    std::unique_ptr<EntryHost> host = std::make_unique<EntryHost>(settings, std::move(*operatorToken), incarnation);
+    if (!host->listen(reason)) {
+        return nullptr;
+    }
+    return host;
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/entrysettings.cpp
@@ -0,0 +1,98 @@
+#include "entry/entrysettings.h"
+
+#include "settings/endpointsetting.h"
+
+namespace rosemaryshift::entry {
+
+namespace {
+
+constexpr NumberRange TimeoutMs{1, 3'600'000};
+constexpr NumberRange ThreadCount{1, 64};
+
+std::chrono::milliseconds milliseconds(SettingsTable &table, std::string_view key, std::chrono::milliseconds fallback)
+{
+    return std::chrono::milliseconds(table.number(key, TimeoutMs, static_cast<std::uint64_t>(fallback.count())));
+}
+
+void readCallers(SettingsTable &root, EntrySettings &settings)
+{
+    std::optional<SettingsTable> table = root.table("callers");
+    if (!table) {
+        root.reject("callers", "must be given");
+        return;
+    }
+    http::ServerLimits &limits = settings.callerLimits;
+    settings.callers = endpointSetting(*table, "address");
+    limits.headerBytes = static_cast<std::uint32_t>(table->number("header_bytes", {256, 1024 * 1024}, limits.headerBytes));
+    limits.bodyBytes = table->number("body_bytes", {1024, 64ULL * 1024 * 1024}, limits.bodyBytes);
+    limits.headerTimeout = milliseconds(*table, "header_timeout_ms", limits.headerTimeout);
+    limits.bodyTimeout = milliseconds(*table, "body_timeout_ms", limits.bodyTimeout);
+    limits.writeTimeout = milliseconds(*table, "write_timeout_ms", limits.writeTimeout);
+    limits.idleTimeout = milliseconds(*table, "idle_timeout_ms", limits.idleTimeout);
+    table->rejectUnknownKeys();
+}
+
+void readListener(SettingsTable &root, std::string_view key, http::Endpoint &endpoint, std::string &tokenFile)
+{
+    std::optional<SettingsTable> table = root.table(key);
+    if (!table) {
+        root.reject(key, "must be given");
+        return;
+    }
+    endpoint = endpointSetting(*table, "address");
+    tokenFile = table->text("token_file");
+    table->rejectUnknownKeys();
+}
+
+void readUpstreams(SettingsTable &root, upstreams::AttemptTimeouts &timeouts)
+{
+    std::optional<SettingsTable> table = root.table("upstreams");
+    if (!table) {
+        return;
+    }
+    timeouts.connect = milliseconds(*table, "connect_timeout_ms", timeouts.connect);
+    timeouts.firstByte = milliseconds(*table, "first_byte_timeout_ms", timeouts.firstByte);
+    timeouts.progress = milliseconds(*table, "progress_timeout_ms", timeouts.progress);
+    table->rejectUnknownKeys();
+}
+
+void readRetention(SettingsTable &root, requests::RegistryLimits &limits)
+{
+    std::optional<SettingsTable> table = root.table("retention");
+    if (!table) {
+        return;
+    }
+    limits.retention = milliseconds(*table, "finished_ms", limits.retention);
+    limits.maxFinished = table->number("max_finished", {1, 10'000'000}, limits.maxFinished);
+    table->rejectUnknownKeys();
+}
+
+}
+
+EntrySettings readEntrySettings(SettingsDocument &document)
+{
+    EntrySettings settings;
+    SettingsTable root = document.root();
+    settings.name = root.text("name");
+    settings.zone = root.text("zone");
+    settings.logLevel = root.text("log_level", "info");
+    settings.trafficThreads = static_cast<std::uint32_t>(root.number("traffic_threads", ThreadCount, settings.trafficThreads));
+    settings.timelineEvents = root.number("timeline_events", {16, 1'000'000}, settings.timelineEvents);
+    settings.seed = root.number("seed", {}, 0);
+    readCallers(root, settings);
+    readListener(root, "peers", settings.peers, settings.peerTokenFile);
+    readListener(root, "operators", settings.operators, settings.operatorTokenFile);
+    std::optional<SettingsTable> platform = root.table("platform");
+    if (platform) {
+        settings.platform = endpointSetting(*platform, "address");
+        platform->rejectUnknownKeys();
+    } else {
+        root.reject("platform", "must be given");
+    }
+    readUpstreams(root, settings.attemptTimeouts);
+    readRetention(root, settings.retention);
+    root.rejectUnknownKeys();
+    return settings;
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/logfollower.cpp
@@ -0,0 +1,82 @@
+#include "entry/internal/logfollower.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rosemaryshift::entry {
+
+namespace net = boost::asio;
+using timeline::EventKind;
+
+namespace {
+
+constexpr std::chrono::milliseconds ReadWait{5'000};
+constexpr std::chrono::milliseconds RetryDelay{200};
+
+}
+
+LogFollower::LogFollower(std::shared_ptr<platform::ILog> log, std::shared_ptr<timeline::ITimeline> timeline, RecordHandler handler)
+    : m_log(std::move(log))
+    , m_timeline(std::move(timeline))
+    , m_handler(std::move(handler))
+{
+}
+
+net::awaitable<void> LogFollower::run()
+{
+    net::steady_timer delay(co_await net::this_coro::executor);
+    while (true) {
+        platform::PlatformFailure failure;
+        const std::chrono::milliseconds wait = m_caughtUp ? ReadWait : std::chrono::milliseconds(0);
+        const std::optional<platform::LogPage> page = co_await m_log->read(m_position, wait, failure);
+        if (page) {
+            noteReachable(true, {});
+            take(*page);
+            continue;
+        }
+        noteReachable(false, failure.detail);
+        delay.expires_after(RetryDelay);
+        co_await delay.async_wait(net::as_tuple(net::use_awaitable));
+    }
+}
+
+void LogFollower::take(const platform::LogPage &page)
+{
+    for (const platform::LogRecord &record : page.records) {
+        if (record.offset < m_position) {
+            continue;
+        }
+        m_handler(record);
+        m_position = record.offset + 1;
+    }
+    m_position = std::max(m_position, page.next);
+    m_caughtUp = m_caughtUp || page.records.empty();
+}
+
+void LogFollower::noteReachable(bool reachable, std::string_view detail)
+{
+    if (reachable == m_reachable) {
+        return;
+    }
+    m_reachable = reachable;
+    m_timeline->record(reachable ? EventKind::PlatformBack : EventKind::PlatformLost, {.detail = "log " + std::string(detail)});
+}
+
+std::uint64_t LogFollower::position() const
+{
+    return m_position;
+}
+
+bool LogFollower::caughtUp() const
+{
+    return m_caughtUp;
+}
+
+bool LogFollower::reachable() const
+{
+    return m_reachable;
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/logfollower.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "platform/iplatform.h"
+#include "timeline/itimeline.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace rosemaryshift::entry {
+
+/// Reads the platform's log from its oldest record on and hands each record on in its order. Belongs to the control thread.
+class LogFollower
+{
+public:
+    using RecordHandler = std::function<void(const platform::LogRecord &record)>;
+
+    LogFollower(std::shared_ptr<platform::ILog> log, std::shared_ptr<timeline::ITimeline> timeline, RecordHandler handler);
+
+    /// Follows the log for ever.
+    boost::asio::awaitable<void> run();
+    /// Offset behind the last record handed on.
+    [[nodiscard]] std::uint64_t position() const;
+    /// True once every record that stood in the log at the start was handed on.
+    [[nodiscard]] bool caughtUp() const;
+    /// True while the log answers.
+    [[nodiscard]] bool reachable() const;
+
+private:
+    void take(const platform::LogPage &page);
+    void noteReachable(bool reachable, std::string_view detail);
+
+    const std::shared_ptr<platform::ILog> m_log;
+    const std::shared_ptr<timeline::ITimeline> m_timeline;
+    const RecordHandler m_handler;
+    std::uint64_t m_position = 0;
+    bool m_caughtUp = false;
+    bool m_reachable = true;
+};
+
+}
--- /dev/null
+++ b/src/entry/internal/operatorfrontend.cpp
@@ -0,0 +1,233 @@
+#include "entry/internal/operatorfrontend.h"
+
+#include "base/json.h"
+#include "base/text.h"
+#include "entry/internal/refusals.h"
+#include "timeline/timelinejson.h"
+
+namespace rosemaryshift::entry {
+
+namespace net = boost::asio;
+using http::Request;
+using http::Response;
+
+namespace {
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+Response jsonResponse(const Json::Value &value, int status = 200)
+{
+    Response response;
+    response.status = status;
+    response.headers.add("Content-Type", "application/json");
+    response.body = toText(value);
+    return response;
+}
+
+Response textResponse(int status, std::string body)
+{
+    Response response;
+    response.status = status;
+    response.headers.add("Content-Type", "text/plain; version=0.0.4");
+    response.body = std::move(body);
+    return response;
+}
+
+bool authorized(const Request &request, std::string_view token)
+{
+    const std::string_view field = request.headers.find("Authorization").value_or("");
+    return field.starts_with(BearerPrefix) && equalSecrets(field.substr(BearerPrefix.size()), token);
+}
+
+Json::Value toJson(const std::pair<platform::ListedHost, bool> &upstream)
+{
+    Json::Value row;
+    row["name"] = upstream.first.name;
+    row["zone"] = upstream.first.zone;
+    row["address"] = upstream.first.endpoint.text();
+    row["machine_class"] = upstream.first.machineClass;
+    row["price"] = upstream.first.price;
+    row["state"] = upstream.second ? "live" : "leaving";
+    return row;
+}
+
+Json::Value toJson(const TemplateStatus &status, bool withText)
+{
+    Json::Value row;
+    row["workspace"] = status.workspace;
+    row["revision"] = Json::UInt64(status.revision);
+    row["author"] = status.author;
+    row["change"] = status.changeId;
+    if (withText) {
+        row["text"] = status.text;
+    }
+    return row;
+}
+
+int statusOf(PublishVerdict verdict)
+{
+    switch (verdict) {
+    case PublishVerdict::Accepted:
+        return 200;
+    case PublishVerdict::Conflict:
+        return 409;
+    case PublishVerdict::Invalid:
+        return 422;
+    case PublishVerdict::PlatformDown:
+        return 503;
+    case PublishVerdict::Unknown:
+        return 504;
+    }
+    return 500;
+}
+
+std::string_view nameOf(PublishVerdict verdict)
+{
+    switch (verdict) {
+    case PublishVerdict::Accepted:
+        return "accepted";
+    case PublishVerdict::Conflict:
+        return "conflict";
+    case PublishVerdict::Invalid:
+        return "invalid";
+    case PublishVerdict::PlatformDown:
+        return "platform_down";
+    case PublishVerdict::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::optional<templates::TemplateChange> changeFromBody(std::string_view body)
+{
+    std::string reason;
+    const std::optional<Json::Value> object = parseJson(body, reason);
+    if (!object) {
+        return std::nullopt;
+    }
+    const std::optional<std::string> workspace = stringMember(*object, "workspace");
+    const std::optional<std::uint64_t> base = unsignedMember(*object, "base");
+    const std::optional<std::string> change = stringMember(*object, "change");
+    const std::optional<std::string> author = stringMember(*object, "author");
+    const std::optional<std::string> text = stringMember(*object, "text");
+    if (!workspace || !base || !change || change->empty() || !author || !text) {
+        return std::nullopt;
+    }
+    return templates::TemplateChange{*workspace, *base, *change, *author, *text};
+}
+
+}
+
+OperatorFrontend::OperatorFrontend(Control &control, std::shared_ptr<timeline::ITimeline> timeline, std::string token)
+    : m_control(control)
+    , m_timeline(std::move(timeline))
+    , m_token(std::move(token))
+{
+}
+
+net::awaitable<void> OperatorFrontend::handle(Request request, http::IResponseWriter &writer)
+{
+    const std::string path(http::path(request.target));
+    const bool open = path == "/healthz" || path == "/readyz";
+    Response response;
+    if (open || authorized(request, m_token)) {
+        response = co_await answer(std::move(request));
+    } else {
+        response = refusalResponse(badRequest(401, "invalid_token", "operators present the token of this host's token file"), {});
+    }
+    co_await writer.respond(std::move(response));
+}
+
+net::awaitable<Response> OperatorFrontend::answer(Request request)
+{
+    const std::string path(http::path(request.target));
+    if (path == "/healthz") {
+        co_return textResponse(200, "ok\n");
+    }
+    if (path == "/readyz") {
+        co_return m_control.ready() ? textResponse(200, "ready\n") : textResponse(503, "not ready\n");
+    }
+    if (path == "/metrics") {
+        co_return co_await metrics();
+    }
+    if (path == "/timeline") {
+        co_return showTimeline(request);
+    }
+    if (path == "/v1/status") {
+        co_return co_await status();
+    }
+    if (path == "/v1/templates" && request.method == "GET") {
+        co_return co_await showTemplates();
+    }
+    if (path == "/v1/templates" && request.method == "POST") {
+        co_return co_await publish(std::move(request));
+    }
+    co_return refusalResponse(badRequest(404, "unknown_path", "there is nothing at " + path), {});
+}
+
+net::awaitable<Response> OperatorFrontend::publish(Request request)
+{
+    std::optional<templates::TemplateChange> change = changeFromBody(request.body);
+    if (!change) {
+        co_return refusalResponse(badRequest(400, "invalid_request", "a change needs workspace, base, change, author and text"), {});
+    }
+    const PublishResult result = co_await m_control.publish(std::move(*change));
+    Json::Value object;
+    object["verdict"] = std::string(nameOf(result.verdict));
+    object["revision"] = Json::UInt64(result.revision);
+    object["reason"] = result.reason;
+    co_return jsonResponse(object, statusOf(result.verdict));
+}
+
+net::awaitable<Response> OperatorFrontend::status()
+{
+    const ControlStatus status = co_await m_control.status();
+    Json::Value object;
+    object["ready"] = status.ready;
+    object["stopping"] = status.stopping;
+    object["log_reachable"] = status.logReachable;
+    object["log_position"] = Json::UInt64(status.logPosition);
+    object["open_requests"] = Json::UInt64(status.openRequests);
+    object["upstreams"] = Json::Value(Json::arrayValue);
+    for (const std::pair<platform::ListedHost, bool> &upstream : status.upstreams) {
+        object["upstreams"].append(toJson(upstream));
+    }
+    object["templates"] = Json::Value(Json::arrayValue);
+    for (const TemplateStatus &row : status.templates) {
+        object["templates"].append(toJson(row, false));
+    }
+    co_return jsonResponse(object);
+}
+
+net::awaitable<Response> OperatorFrontend::showTemplates()
+{
+    const ControlStatus status = co_await m_control.status();
+    Json::Value object;
+    object["templates"] = Json::Value(Json::arrayValue);
+    for (const TemplateStatus &row : status.templates) {
+        object["templates"].append(toJson(row, true));
+    }
+    co_return jsonResponse(object);
+}
+
+net::awaitable<Response> OperatorFrontend::metrics()
+{
+    const ControlStatus status = co_await m_control.status();
+    std::string text;
+    text += "# TYPE rosemaryshift_open_requests gauge\nrosemaryshift_open_requests " + std::to_string(status.openRequests) + "\n";
+    text += "# TYPE rosemaryshift_ready gauge\nrosemaryshift_ready " + std::to_string(status.ready ? 1 : 0) + "\n";
+    text += "# TYPE rosemaryshift_log_position gauge\nrosemaryshift_log_position " + std::to_string(status.logPosition) + "\n";
+    co_return textResponse(200, std::move(text));
+}
+
+Response OperatorFrontend::showTimeline(const Request &request) const
+{
+    const std::string since = http::queryValue(request.target, "since").value_or("0");
+    const std::optional<timeline::Stamp> stamp = timeline::Stamp::parse(since);
+    if (!stamp) {
+        return refusalResponse(badRequest(400, "invalid_stamp", "since must be a stamp as in the time line"), {});
+    }
+    return jsonResponse(timeline::toJson(timeline::TimelinePage{m_timeline->since(*stamp), m_timeline->dropped()}));
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/operatorfrontend.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "entry/internal/control.h"
+#include "http/ihttpserver.h"
+
+namespace rosemaryshift::entry {
+
+/// Serves operators: health, readiness, metrics, time line, status and templates. Thread-safe.
+class OperatorFrontend
+{
+public:
+    OperatorFrontend(Control &control, std::shared_ptr<timeline::ITimeline> timeline, std::string token);
+
+    boost::asio::awaitable<void> handle(http::Request request, http::IResponseWriter &writer);
+
+private:
+    boost::asio::awaitable<http::Response> answer(http::Request request);
+    boost::asio::awaitable<http::Response> publish(http::Request request);
+    boost::asio::awaitable<http::Response> status();
+    boost::asio::awaitable<http::Response> metrics();
+    boost::asio::awaitable<http::Response> showTemplates();
+    http::Response showTimeline(const http::Request &request) const;
+
+    Control &m_control;
+    const std::shared_ptr<timeline::ITimeline> m_timeline;
+    const std::string m_token;
+};
+
+}
--- /dev/null
+++ b/src/entry/internal/refusals.cpp
@@ -0,0 +1,100 @@
+#include "entry/internal/refusals.h"
+
+#include "base/json.h"
+#include "base/text.h"
+
+namespace rosemaryshift::entry {
+
+using decisions::RefusalCode;
+using requests::Refusal;
+
+namespace {
+
+struct Wording {
+    int status;
+    std::string_view message;
+};
+
+Wording wordingOf(RefusalCode code)
+{
+    switch (code) {
+    case RefusalCode::OverLimit:
+        return {429, "the workspace is at its limit and its queue is full"};
+    case RefusalCode::Overloaded:
+        return {503, "the request would start too late for its deadline"};
+    case RefusalCode::NoUpstream:
+        return {503, "no live upstream serves the target"};
+    case RefusalCode::DeadlinePassed:
+        return {504, "the deadline passed before the whole answer was there"};
+    case RefusalCode::AttemptsFailed:
+        return {502, "every permitted attempt failed"};
+    case RefusalCode::OutcomeUnknown:
+        return {504, "the call may have run; it is not repeated"};
+    case RefusalCode::HostStopping:
+        return {503, "this host is stopping; come back to reach another"};
+    }
+    return {503, ""};
+}
+
+/// Seconds for Retry-After, rounded up so that nobody comes back too early.
+std::int64_t wholeSeconds(std::chrono::milliseconds time)
+{
+    return std::chrono::ceil<std::chrono::seconds>(time).count();
+}
+
+}
+
+Refusal refusalOf(const decisions::RefuseRequest &action)
+{
+    const Wording wording = wordingOf(action.code);
+    Refusal refusal;
+    refusal.status = wording.status;
+    refusal.code = std::string(name(action.code));
+    refusal.message = std::string(wording.message);
+    refusal.run = action.run;
+    if (action.retryAfter > Duration(0)) {
+        refusal.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(action.retryAfter);
+    }
+    if (action.code == RefusalCode::HostStopping) {
+        refusal.retryAfter = std::chrono::milliseconds(0);
+    }
+    return refusal;
+}
+
+Refusal badRequest(int status, std::string_view code, std::string_view message)
+{
+    Refusal refusal;
+    refusal.status = status;
+    refusal.code = std::string(code);
+    refusal.message = std::string(message);
+    return refusal;
+}
+
+std::string errorBody(const Refusal &refusal)
+{
+    Json::Value error;
+    error["message"] = refusal.message;
+    error["type"] = refusal.status < 500 ? "invalid_request_error" : "server_error";
+    error["code"] = refusal.code;
+    Json::Value object;
+    object["error"] = error;
+    return toText(object);
+}
+
+http::Response refusalResponse(const Refusal &refusal, std::string_view requestId)
+{
+    http::Response response;
+    response.status = refusal.status;
+    response.headers.add("Content-Type", "application/json");
+    response.headers.add("Rosemaryshift-Run", name(refusal.run));
+    if (!requestId.empty()) {
+        response.headers.add("Rosemaryshift-Request", requestId);
+    }
+    if (refusal.retryAfter) {
+        response.headers.add("Retry-After", std::to_string(wholeSeconds(*refusal.retryAfter)));
+    }
+    response.body = errorBody(refusal);
+    return response;
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/refusals.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "decisions/decisiontypes.h"
+#include "http/httptypes.h"
+#include "requests/requesttypes.h"
+
+namespace rosemaryshift::entry {
+
+/// What a caller is told when the decision core gives its request up. Thread-safe.
+requests::Refusal refusalOf(const decisions::RefuseRequest &action);
+/// A refusal for a request that the caller has to change. Thread-safe.
+requests::Refusal badRequest(int status, std::string_view code, std::string_view message);
+/// The OpenAI-shaped JSON error of a refusal. Thread-safe.
+std::string errorBody(const requests::Refusal &refusal);
+/// The whole answer that carries a refusal; @p requestId may be empty. Thread-safe.
+http::Response refusalResponse(const requests::Refusal &refusal, std::string_view requestId);
+
+}
--- /dev/null
+++ b/src/entry/internal/upstreamdirectory.cpp
@@ -0,0 +1,130 @@
+#include "entry/internal/upstreamdirectory.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::entry {
+
+using decisions::UpstreamGone;
+using decisions::UpstreamLeaving;
+using decisions::UpstreamListed;
+using platform::HostKind;
+using platform::ListedHost;
+using timeline::EventKind;
+
+UpstreamDirectory::UpstreamDirectory(std::string ownZone, std::shared_ptr<timeline::ITimeline> timeline, EventSink sink)
+    : m_ownZone(std::move(ownZone))
+    , m_timeline(std::move(timeline))
+    , m_sink(std::move(sink))
+{
+}
+
+void UpstreamDirectory::update(const platform::HostList &list, TimePoint now)
+{
+    std::set<std::string> present;
+    std::size_t entryHosts = 0;
+    for (const ListedHost &host : list.hosts) {
+        if (host.kind == HostKind::Entry) {
+            ++entryHosts;
+            continue;
+        }
+        present.insert(host.name);
+        takeUpstream(host, now);
+    }
+    m_entryHosts = std::max<std::size_t>(entryHosts, 1);
+    dropMissing(present);
+}
+
+void UpstreamDirectory::takeUpstream(const ListedHost &host, TimePoint now)
+{
+    const UpstreamId id = m_upstreamNames.intern(host.name);
+    Row &row = m_rows[id];
+    const bool moved = row.host.endpoint != host.endpoint;
+    row.host = host;
+    if (host.leavesIn) {
+        list(id, host);
+        leave(id, *host.leavesIn, now);
+        return;
+    }
+    if (row.state == State::Gone || moved) {
+        row.state = State::Live;
+        m_timeline->record(EventKind::UpstreamListed, {.upstream = host.name, .detail = host.endpoint.text()});
+    }
+    list(id, host);
+}
+
+void UpstreamDirectory::list(UpstreamId id, const ListedHost &host)
+{
+    UpstreamListed event{};
+    event.upstream = id;
+    event.zone = m_zoneNames.intern(host.zone);
+    event.sameZone = host.zone == m_ownZone;
+    for (const std::string &name : host.targets) {
+        event.targets.push_back(m_targetNames.intern(name));
+    }
+    event.slots = host.slots;
+    event.price = host.price;
+    event.checksFencing = host.checksFencing;
+    m_sink(std::move(event));
+}
+
+void UpstreamDirectory::leave(UpstreamId id, std::chrono::milliseconds leavesIn, TimePoint now)
+{
+    Row &row = m_rows[id];
+    if (row.state == State::Leaving) {
+        return;
+    }
+    row.state = State::Leaving;
+    m_sink(UpstreamLeaving{id, now + leavesIn});
+    m_timeline->record(EventKind::UpstreamLeaving, {.upstream = row.host.name, .detail = "gone in " + std::to_string(leavesIn.count()) + " ms"});
+}
+
+void UpstreamDirectory::dropMissing(const std::set<std::string> &present)
+{
+    for (auto &[id, row] : m_rows) {
+        if (row.state == State::Gone || present.contains(row.host.name)) {
+            continue;
+        }
+        row.state = State::Gone;
+        m_sink(UpstreamGone{id});
+        m_timeline->record(EventKind::UpstreamGone, {.upstream = row.host.name});
+    }
+}
+
+const ListedHost &UpstreamDirectory::host(UpstreamId upstream) const
+{
+    return m_rows.at(upstream).host;
+}
+
+TargetId UpstreamDirectory::target(std::string_view name)
+{
+    return m_targetNames.intern(name);
+}
+
+std::size_t UpstreamDirectory::entryHosts() const
+{
+    return m_entryHosts;
+}
+
+std::set<std::string> UpstreamDirectory::liveTargets() const
+{
+    std::set<std::string> names;
+    for (const auto &[id, row] : m_rows) {
+        if (row.state == State::Live) {
+            names.insert(row.host.targets.begin(), row.host.targets.end());
+        }
+    }
+    return names;
+}
+
+std::vector<std::pair<ListedHost, bool>> UpstreamDirectory::upstreams() const
+{
+    std::vector<std::pair<ListedHost, bool>> rows;
+    for (const auto &[id, row] : m_rows) {
+        if (row.state != State::Gone) {
+            rows.emplace_back(row.host, row.state == State::Live);
+        }
+    }
+    return rows;
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/upstreamdirectory.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "decisions/decisiontypes.h"
+#include "entry/internal/nametable.h"
+#include "platform/platformtypes.h"
+#include "timeline/itimeline.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace rosemaryshift::entry {
+
+/// The upstreams this host knows, from the platform's list. Turns changes of the list into events of the decision core.
+/// Not thread-safe; belongs to the control thread.
+class UpstreamDirectory
+{
+public:
+    using EventSink = std::function<void(decisions::Event)>;
+
+    UpstreamDirectory(std::string ownZone, std::shared_ptr<timeline::ITimeline> timeline, EventSink sink);
+
+    /// Takes in a list read at @p now.
+    void update(const platform::HostList &list, TimePoint now);
+    /// Where @p upstream listens.
+    [[nodiscard]] const platform::ListedHost &host(UpstreamId upstream) const;
+    /// Id of a model or service; made when it is new.
+    TargetId target(std::string_view name);
+    /// Number of entry hosts in the last list, this one included; at least 1.
+    [[nodiscard]] std::size_t entryHosts() const;
+    /// Names of models that a live upstream serves.
+    [[nodiscard]] std::set<std::string> liveTargets() const;
+    /// All known upstreams with whether they are live.
+    [[nodiscard]] std::vector<std::pair<platform::ListedHost, bool>> upstreams() const;
+
+private:
+    enum class State : std::uint8_t {
+        Live,
+        Leaving,
+        Gone,
+    };
+    struct Row {
+        platform::ListedHost host;
+        State state = State::Gone;
+    };
+
+    void takeUpstream(const platform::ListedHost &host, TimePoint now);
+    void list(UpstreamId id, const platform::ListedHost &host);
+    void leave(UpstreamId id, std::chrono::milliseconds leavesIn, TimePoint now);
+    void dropMissing(const std::set<std::string> &present);
+
+    const std::string m_ownZone;
+    const std::shared_ptr<timeline::ITimeline> m_timeline;
+    const EventSink m_sink;
+    NameTable<UpstreamId> m_upstreamNames;
+    NameTable<TargetId> m_targetNames;
+    NameTable<ZoneId> m_zoneNames;
+    std::map<UpstreamId, Row> m_rows;
+    std::size_t m_entryHosts = 1;
+};
+
+}
--- /dev/null
+++ b/src/entry/tests/chatwiretests.cpp
@@ -0,0 +1,86 @@
+#include "entry/internal/chatwire.h"
+#include "entry/internal/servicecallspec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::entry;
+
+SCENARIO("A chat request is read or refused with a stable code")
+{
+    requests::Refusal refusal;
+    GIVEN("a well-formed request")
+    {
+        const std::optional<ChatRequest> request
+            = parseChatRequest(R"({"model":"small","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"hello you"}]})", refusal);
+        REQUIRE(request);
+        CHECK(request->stream);
+        CHECK(request->maxTokens == 5);
+        CHECK(request->promptTokens == 3);
+    }
+    GIVEN("malformed ones")
+    {
+        for (const std::string_view body : {"",
+                                            "{",
+                                            "[]",
+                                            "{}",
+                                            R"({"model":"m","messages":[]})",
+                                            R"({"model":"m","messages":[1]})",
+                                            R"({"model":"m","messages":[{"role":"user"}],"n":2})"}) {
+            CHECK_FALSE(parseChatRequest(body, refusal));
+            CHECK(refusal.status == 400);
+            CHECK(refusal.run == RunState::NotRun);
+        }
+    }
+}
+
+SCENARIO("An unstreamed answer joins the pieces, tool calls included")
+{
+    requests::TranscriptView view;
+    view.finishReason = "tool_calls";
+    view.pieces.push_back({R"({"content":"Look"})", "Look"});
+    view.pieces.push_back({R"({"tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"find","arguments":"{\"a\""}}]})", ""});
+    view.pieces.push_back({R"({"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]})", ""});
+    CHECK(
+        completionText("r1", "small", view)
+        == R"({"choices":[{"finish_reason":"tool_calls","index":0,"message":{"content":"Look","role":"assistant","tool_calls":[{"function":{"arguments":"{\"a\":1}","name":"find"},"id":"c1","type":"function"}]}}],"id":"r1","model":"small","object":"chat.completion"})");
+}
+
+SCENARIO("A service call that may not be repeated needs a key")
+{
+    templates::WorkspaceTemplate workspace;
+    workspace.services.push_back({"dispatch", {"/search"}});
+    requests::Refusal refusal;
+    http::Request request;
+    request.method = "POST";
+    request.target = "/services/dispatch/pickups?van=1";
+    GIVEN("no key")
+    {
+        CHECK_FALSE(serviceSpec(workspace, request, refusal));
+        CHECK(refusal.code == "idempotency_key_required");
+    }
+    GIVEN("a key")
+    {
+        request.headers.add("Idempotency-Key", "k");
+        request.headers.add("Authorization", "Bearer secret");
+        const std::optional<requests::RequestSpec> spec = serviceSpec(workspace, request, refusal);
+        REQUIRE(spec);
+        CHECK(spec->path == "/pickups?van=1");
+        CHECK(spec->trafficClass == TrafficClass::Booking);
+        CHECK_FALSE(spec->idempotent);
+        CHECK(spec->headers.empty());
+    }
+    GIVEN("a path that the template says may be repeated")
+    {
+        request.target = "/services/dispatch/search";
+        const std::optional<requests::RequestSpec> spec = serviceSpec(workspace, request, refusal);
+        REQUIRE(spec);
+        CHECK(spec->idempotent);
+    }
+    GIVEN("a service that the template does not name")
+    {
+        request.target = "/services/other";
+        CHECK_FALSE(serviceSpec(workspace, request, refusal));
+        CHECK(refusal.status == 404);
+    }
+}
--- /dev/null
+++ b/src/http/internal/httpserver.cpp
@@ -0,0 +1,183 @@
+#include "http/internal/connection.h"
+
+#include <mutex>
+#include <vector>
+
+namespace rosemaryshift::http {
+
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds AcceptRetryDelay{100};
+
+class HttpServer : public IHttpServer, public std::enable_shared_from_this<HttpServer>
+{
+public:
+    HttpServer(net::io_context &context, const ServerLimits &limits, RequestHandler handler)
+        : m_context(context)
+        , m_acceptor(net::make_strand(context))
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+    {
+    }
+
+    bool listen(const Endpoint &endpoint, std::string &reason)
+    {
+        boost::system::error_code error;
+        const net::ip::address address = net::ip::make_address(endpoint.address, error);
+        if (error) {
+            reason = endpoint.address + " is not an IP address";
+            return false;
+        }
+        const tcp::endpoint at(address, endpoint.port);
+        m_acceptor.open(at.protocol(), error);
+        if (!error) {
+            m_acceptor.set_option(net::socket_base::reuse_address(true), error);
+        }
+        if (!error) {
+            m_acceptor.bind(at, error);
+        }
+        if (!error) {
+            m_acceptor.listen(net::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            reason = "cannot listen on " + endpoint.text() + ": " + error.message();
+            return false;
+        }
+        m_endpoint = {endpoint.address, m_acceptor.local_endpoint().port()};
+        net::co_spawn(
+            m_acceptor.get_executor(), [self = shared_from_this()] { return self->acceptLoop(); }, net::detached);
+        return true;
+    }
+
+    [[nodiscard]] Endpoint endpoint() const override
+    {
+        return m_endpoint;
+    }
+
+    void stopAccepting() override
+    {
+        m_stopping = true;
+        net::post(m_acceptor.get_executor(), [self = shared_from_this()] { self->m_acceptor.close(); });
+        for (const std::shared_ptr<Connection> &connection : liveConnections()) {
+            connection->closeIfIdle();
+        }
+    }
+
+    [[nodiscard]] std::size_t connections() const override
+    {
+        return m_open;
+    }
+
+private:
+    net::awaitable<void> acceptLoop()
+    {
+        while (!m_stopping) {
+            auto [error, socket] = co_await m_acceptor.async_accept(net::make_strand(m_context), net::as_tuple(net::use_awaitable));
+            if (error == net::error::operation_aborted || m_stopping) {
+                co_return;
+            }
+            if (error) {
+                net::steady_timer delay(m_acceptor.get_executor(), AcceptRetryDelay);
+                co_await delay.async_wait(net::as_tuple(net::use_awaitable));
+                continue;
+            }
+            start(std::move(socket));
+        }
+    }
+
+    void start(tcp::socket socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        const net::any_io_executor executor = socket.get_executor();
+        const std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(socket), m_limits, m_handler, m_stopping);
+        remember(connection);
+        ++m_open;
+        net::co_spawn(
+            executor,
+            [connection, self = shared_from_this()]() -> net::awaitable<void> {
+                co_await connection->run();
+                --self->m_open;
+            },
+            net::detached);
+    }
+
+    void remember(const std::shared_ptr<Connection> &connection)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(m_connections, [](const std::weak_ptr<Connection> &known) { return known.expired(); });
+        m_connections.push_back(connection);
+    }
+
+    std::vector<std::shared_ptr<Connection>> liveConnections()
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::shared_ptr<Connection>> live;
+        for (const std::weak_ptr<Connection> &known : m_connections) {
+            if (std::shared_ptr<Connection> connection = known.lock()) {
+                live.push_back(std::move(connection));
+            }
+        }
+        return live;
+    }
+
+    net::io_context &m_context;
+    tcp::acceptor m_acceptor;
+    const ServerLimits m_limits;
+    const RequestHandler m_handler;
+    Endpoint m_endpoint;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<std::size_t> m_open = 0;
+    std::mutex m_mutex;
+    std::vector<std::weak_ptr<Connection>> m_connections;
+};
+
+/// Keeps the server alive for its running connections and stops accepting when its owner lets go of it.
+class ServerHandle : public IHttpServer
+{
+public:
+    explicit ServerHandle(std::shared_ptr<HttpServer> server)
+        : m_server(std::move(server))
+    {
+    }
+
+    ~ServerHandle() override
+    {
+        m_server->stopAccepting();
+    }
+
+    [[nodiscard]] Endpoint endpoint() const override
+    {
+        return m_server->endpoint();
+    }
+
+    void stopAccepting() override
+    {
+        m_server->stopAccepting();
+    }
+
+    [[nodiscard]] std::size_t connections() const override
+    {
+        return m_server->connections();
+    }
+
+private:
+    std::shared_ptr<HttpServer> m_server;
+};
+
+}
+
+std::unique_ptr<IHttpServer>
+makeHttpServer(net::io_context &context, const Endpoint &endpoint, const ServerLimits &limits, RequestHandler handler, std::string &reason)
+{
+    const std::shared_ptr<HttpServer> server = std::make_shared<HttpServer>(context, limits, std::move(handler));
+    if (!server->listen(endpoint, reason)) {
+        return nullptr;
+    }
+    return std::make_unique<ServerHandle>(server);
+}
+
+}
--- /dev/null
+++ b/src/http/internal/pch.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
--- /dev/null
+++ b/src/http/tests/httptests.cpp
@@ -0,0 +1,152 @@
+#include "http/ihttpclient.h"
+#include "http/ihttpserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace rosemaryshift::http;
+namespace net = boost::asio;
+
+namespace {
+
+net::awaitable<void> echo(Request request, IResponseWriter &writer)
+{
+    if (request.target == "/stream") {
+        Headers headers;
+        headers.add("Content-Type", "text/plain");
+        co_await writer.begin(200, std::move(headers));
+        co_await writer.write("one,");
+        co_await writer.write("two");
+        co_await writer.end();
+        co_return;
+    }
+    if (request.target == "/cut") {
+        Headers headers;
+        co_await writer.begin(200, std::move(headers));
+        co_await writer.write("half");
+        writer.abort();
+        co_return;
+    }
+    Response response;
+    response.body = request.method + " " + request.body;
+    co_await writer.respond(std::move(response));
+}
+
+/// Sends @p bytes on a raw connection, closes the sending side and returns all that comes back.
+std::string rawExchange(const Endpoint &endpoint, std::string_view bytes)
+{
+    net::io_context context;
+    net::ip::tcp::socket socket(context);
+    socket.connect({net::ip::make_address(endpoint.address), endpoint.port});
+    boost::system::error_code ignored;
+    net::write(socket, net::buffer(bytes), ignored);
+    std::string answer;
+    net::read(socket, net::dynamic_buffer(answer), ignored);
+    return answer;
+}
+
+class Running
+{
+public:
+    explicit Running(const ServerLimits &limits)
+    {
+        std::string reason;
+        m_server = makeHttpServer(m_context, {"127.0.0.1", 0}, limits, echo, reason);
+        REQUIRE(m_server != nullptr);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~Running()
+    {
+        m_server.reset();
+        m_context.stop();
+        m_thread.join();
+    }
+
+    Running(const Running &) = delete;
+    Running &operator=(const Running &) = delete;
+
+    [[nodiscard]] Endpoint endpoint() const
+    {
+        return m_server->endpoint();
+    }
+
+    std::optional<Response> fetchNow(const Request &request, ClientFailure &failure) const
+    {
+        net::io_context context;
+        std::optional<Response> response;
+        net::co_spawn(
+            context, [&]() -> net::awaitable<void> { response = co_await fetch(endpoint(), request, {}, failure); }, net::detached);
+        context.run();
+        return response;
+    }
+
+private:
+    net::io_context m_context;
+    std::unique_ptr<IHttpServer> m_server;
+    std::thread m_thread;
+};
+
+}
+
+SCENARIO("A server answers well-formed requests and refuses the others clearly")
+{
+    ServerLimits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = 64;
+    limits.headerTimeout = std::chrono::milliseconds(200);
+    const Running server(limits);
+    ClientFailure failure;
+
+    GIVEN("a request with a body")
+    {
+        Request request;
+        request.method = "POST";
+        request.body = "hello";
+        const std::optional<Response> response = server.fetchNow(request, failure);
+        REQUIRE(response);
+        CHECK(response->body == "POST hello");
+    }
+    GIVEN("an answer in pieces")
+    {
+        Request request;
+        request.target = "/stream";
+        const std::optional<Response> response = server.fetchNow(request, failure);
+        REQUIRE(response);
+        CHECK(response->body == "one,two");
+    }
+    GIVEN("an answer that breaks off")
+    {
+        Request request;
+        request.target = "/cut";
+        CHECK_FALSE(server.fetchNow(request, failure));
+        CHECK(failure.error == ClientError::Closed);
+    }
+    GIVEN("bytes that are not HTTP")
+    {
+        CHECK_THAT(rawExchange(server.endpoint(), "NONSENSE\r\n\r\n"), Catch::Contains("400 Bad Request") && Catch::Contains("malformed_request"));
+    }
+    GIVEN("a header over the limit")
+    {
+        const std::string header = "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n";
+        CHECK_THAT(rawExchange(server.endpoint(), header), Catch::Contains("431") && Catch::Contains("header_too_large"));
+    }
+    GIVEN("a body over the limit")
+    {
+        const std::string request = "POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x');
+        CHECK_THAT(rawExchange(server.endpoint(), request), Catch::Contains("413") && Catch::Contains("body_too_large"));
+    }
+    GIVEN("a header that never ends")
+    {
+        CHECK_THAT(rawExchange(server.endpoint(), "GET / HTTP/1.1\r\nX:"), Catch::Contains("408") && Catch::Contains("request_timeout"));
+    }
+}
--- /dev/null
+++ b/src/platform/iplatform.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "platform/platformtypes.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <span>
+
+namespace rosemaryshift::platform {
+
+/// The platform's append-only log. Calls may run side by side; each resumes on the executor of its caller.
+class ILog
+{
+public:
+    virtual ~ILog() = default;
+
+    /// Appends @p records in their order and gives the offset of the first; nothing, with @p failure set, when that failed.
+    virtual boost::asio::awaitable<std::optional<std::uint64_t>> append(std::vector<std::string> records, PlatformFailure &failure) = 0;
+    /// Reads records from offset @p from on; waits up to @p wait for the first. A page whose @c oldest is greater than
+    /// @p from says that records were dropped.
+    virtual boost::asio::awaitable<std::optional<LogPage>> read(std::uint64_t from, std::chrono::milliseconds wait, PlatformFailure &failure) = 0;
+};
+
+/// The platform's lagging list of hosts. Same use as ILog.
+class IHostDirectory
+{
+public:
+    virtual ~IHostDirectory() = default;
+
+    /// Reads the list; waits up to @p wait for a version other than @p known.
+    virtual boost::asio::awaitable<std::optional<HostList>> list(std::uint64_t known, std::chrono::milliseconds wait, PlatformFailure &failure) = 0;
+};
+
+/// Time until the platform reclaims one host.
+class IReclaimNotices
+{
+public:
+    virtual ~IReclaimNotices() = default;
+
+    /// Waits up to @p wait for a notice to the host @p host; the value is empty when none came.
+    virtual boost::asio::awaitable<std::optional<std::vector<std::chrono::milliseconds>>>
+    notices(std::string host, std::chrono::milliseconds wait, PlatformFailure &failure) = 0;
+};
+
+std::shared_ptr<ILog> makeHttpLog(const http::Endpoint &endpoint);
+std::shared_ptr<IHostDirectory> makeHttpHostDirectory(const http::Endpoint &endpoint);
+std::shared_ptr<IReclaimNotices> makeHttpReclaimNotices(const http::Endpoint &endpoint);
+
+/// Reads a host list from JSON text; nothing when the whole is malformed. Thread-safe.
+std::optional<HostList> hostListFromJson(std::string_view text);
+/// Reads a page of the log from JSON text; nothing when malformed. Thread-safe.
+std::optional<LogPage> logPageFromJson(std::string_view text);
+
+}
--- /dev/null
+++ b/src/requests/internal/transcript.cpp
@@ -0,0 +1,187 @@
+#include "requests/transcript.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemaryshift::requests {
+
+namespace net = boost::asio;
+
+namespace {
+
+void resumeAll(std::vector<std::function<void()>> readers)
+{
+    for (const std::function<void()> &resume : readers) {
+        resume();
+    }
+}
+
+}
+
+std::vector<Transcript::Resume> Transcript::takeReaders()
+{
+    return std::exchange(m_readers, {});
+}
+
+bool Transcript::open(AttemptId attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_end != TranscriptEnd::Open || (m_writer && m_writer != attempt)) {
+        return false;
+    }
+    m_writer = attempt;
+    return true;
+}
+
+void Transcript::release(AttemptId attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_writer == attempt) {
+        m_writer.reset();
+    }
+}
+
+bool Transcript::append(AttemptId attempt, Piece piece)
+{
+    std::vector<Resume> readers;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_end != TranscriptEnd::Open || m_writer != attempt) {
+            return false;
+        }
+        m_pieces.push_back(std::move(piece));
+        readers = takeReaders();
+    }
+    resumeAll(std::move(readers));
+    return true;
+}
+
+bool Transcript::finish(AttemptId attempt, std::string finishReason)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_end != TranscriptEnd::Open || m_writer != attempt) {
+            return false;
+        }
+        m_finishReason = std::move(finishReason);
+    }
+    return endWith(TranscriptEnd::Complete);
+}
+
+bool Transcript::finish(AttemptId attempt, ServiceAnswer answer)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_end != TranscriptEnd::Open || m_writer != attempt) {
+            return false;
+        }
+        m_answer = std::move(answer);
+    }
+    return endWith(TranscriptEnd::Complete);
+}
+
+void Transcript::refuse(Refusal refusal)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_end != TranscriptEnd::Open) {
+            return;
+        }
+        m_refusal = std::move(refusal);
+    }
+    endWith(TranscriptEnd::Refused);
+}
+
+void Transcript::move()
+{
+    endWith(TranscriptEnd::Moved);
+}
+
+bool Transcript::endWith(TranscriptEnd end)
+{
+    std::vector<Resume> readers;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_end != TranscriptEnd::Open) {
+            return false;
+        }
+        m_end = end;
+        m_writer.reset();
+        readers = takeReaders();
+    }
+    resumeAll(std::move(readers));
+    return true;
+}
+
+void Transcript::restore(std::vector<Piece> pieces)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pieces = std::move(pieces);
+}
+
+std::size_t Transcript::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_pieces.size();
+}
+
+TranscriptEnd Transcript::end() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_end;
+}
+
+std::string Transcript::content() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::string text;
+    for (const Piece &piece : m_pieces) {
+        text += piece.content;
+    }
+    return text;
+}
+
+TranscriptView Transcript::view(std::size_t from) const
+{
+    const std::lock_guard lock(m_mutex);
+    TranscriptView view;
+    const std::size_t first = std::min(from, m_pieces.size());
+    view.pieces.assign(m_pieces.begin() + static_cast<std::ptrdiff_t>(first), m_pieces.end());
+    view.end = m_end;
+    view.finishReason = m_finishReason;
+    view.answer = m_answer;
+    view.refusal = m_refusal;
+    return view;
+}
+
+net::awaitable<void> Transcript::wait(std::size_t seen)
+{
+    const net::any_io_executor executor = co_await net::this_coro::executor;
+    const std::shared_ptr<net::steady_timer> timer = std::make_shared<net::steady_timer>(executor, net::steady_timer::time_point::max());
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_pieces.size() > seen || m_end != TranscriptEnd::Open) {
+            co_return;
+        }
+        m_readers.emplace_back([timer] { net::post(timer->get_executor(), [timer] { timer->cancel(); }); });
+    }
+    co_await timer->async_wait(net::as_tuple(net::use_awaitable));
+}
+
+void Transcript::wake()
+{
+    std::vector<Resume> readers;
+    {
+        const std::lock_guard lock(m_mutex);
+        readers = takeReaders();
+    }
+    resumeAll(std::move(readers));
+}
+
+}
--- /dev/null
+++ b/src/requests/transcript.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "requests/requesttypes.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace rosemaryshift::requests {
+
+enum class TranscriptEnd : std::uint8_t {
+    Open,
+    Complete,
+    Refused,
+    Moved, ///< Another host goes on with the request; callers reattach there.
+};
+
+/// What a reader finds behind the pieces it has seen.
+struct TranscriptView {
+    std::vector<Piece> pieces;
+    TranscriptEnd end = TranscriptEnd::Open;
+    std::string finishReason;
+    ServiceAnswer answer;
+    Refusal refusal;
+};
+
+/// The answer to one request as far as it has come. One attempt writes, any number of callers read. Thread-safe.
+class Transcript
+{
+public:
+    /// Gives the right to write to @p attempt, if the answer is open and no other attempt holds the right.
+    bool open(AttemptId attempt);
+    /// Takes the right to write back from @p attempt; what it wrote stays.
+    void release(AttemptId attempt);
+    /// Appends a piece; false when @p attempt may not write.
+    bool append(AttemptId attempt, Piece piece);
+    /// Ends a model's answer; false when @p attempt may not write.
+    bool finish(AttemptId attempt, std::string finishReason);
+    /// Ends a service's answer; false when @p attempt may not write.
+    bool finish(AttemptId attempt, ServiceAnswer answer);
+    /// Ends an open answer with a refusal.
+    void refuse(Refusal refusal);
+    /// Ends an open answer because another host goes on with it.
+    void move();
+
+    /// Takes in pieces written at another host. Precondition: no attempt has written yet.
+    void restore(std::vector<Piece> pieces);
+
+    [[nodiscard]] std::size_t size() const;
+    [[nodiscard]] TranscriptEnd end() const;
+    /// Text of all pieces so far.
+    [[nodiscard]] std::string content() const;
+    /// The pieces from number @p from on, and the end if there is one.
+    [[nodiscard]] TranscriptView view(std::size_t from) const;
+    /// Waits until there is a piece behind the first @p seen, or an end, or wake() was called. Resumes on the executor of the caller.
+    boost::asio::awaitable<void> wait(std::size_t seen);
+    /// Resumes all waiting readers.
+    void wake();
+
+private:
+    using Resume = std::function<void()>;
+    /// Precondition: the mutex is held.
+    [[nodiscard]] std::vector<Resume> takeReaders();
+    bool endWith(TranscriptEnd end);
+
+    mutable std::mutex m_mutex;
+    std::vector<Piece> m_pieces;
+    std::optional<AttemptId> m_writer;
+    TranscriptEnd m_end = TranscriptEnd::Open;
+    std::string m_finishReason;
+    ServiceAnswer m_answer;
+    Refusal m_refusal;
+    std::vector<Resume> m_readers;
+};
+
+}
--- /dev/null
+++ b/src/standins/internal/standinengine.cpp
@@ -0,0 +1,213 @@
+#include "standins/standinengine.h"
+
+#include "base/json.h"
+#include "base/text.h"
+#include "settings/endpointsetting.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::standins {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::uint64_t MaxTokens = 1'000'000;
+constexpr std::size_t PromptDigits = 6;
+
+std::string chunk(const std::string &id, const Json::Value &delta, const Json::Value &finishReason)
+{
+    Json::Value choice;
+    choice["index"] = 0;
+    choice["delta"] = delta;
+    choice["finish_reason"] = finishReason;
+    Json::Value value;
+    value["id"] = id;
+    value["object"] = "chat.completion.chunk";
+    value["choices"].append(choice);
+    return "data: " + toText(value) + "\n\n";
+}
+
+std::string wordChunk(const std::string &id, const std::string &word)
+{
+    Json::Value delta;
+    delta["content"] = word;
+    return chunk(id, delta, Json::Value());
+}
+
+http::Headers streamHeaders(const std::string &id)
+{
+    http::Headers headers;
+    headers.add("Content-Type", "text/event-stream");
+    headers.add("X-Request-Id", id);
+    return headers;
+}
+
+}
+
+struct StandinEngine::Job {
+    std::string id;
+    std::string prompt;
+    std::uint64_t first = 0; ///< Number of the first word to generate.
+    std::uint64_t count = 0;
+    FailureMode mode = FailureMode::None;
+    std::uint64_t epoch = 0;
+};
+
+EngineSettings readEngineSettings(SettingsDocument &document)
+{
+    EngineSettings settings;
+    SettingsTable root = document.root();
+    settings.name = root.text("name");
+    settings.logLevel = root.text("log_level", "info");
+    settings.address = endpointSetting(root, "address");
+    settings.firstToken = std::chrono::microseconds(root.number("first_token_us", {0, 60'000'000}, settings.firstToken.count()));
+    settings.perToken = std::chrono::microseconds(root.number("per_token_us", {0, 60'000'000}, settings.perToken.count()));
+    settings.slots = static_cast<std::uint32_t>(root.number("slots", {1, 10'000}, settings.slots));
+    settings.defaultTokens = static_cast<std::uint32_t>(root.number("default_tokens", {1, MaxTokens}, settings.defaultTokens));
+    root.rejectUnknownKeys();
+    return settings;
+}
+
+std::string standinWord(std::string_view prompt, std::uint64_t index)
+{
+    return "w" + sha256Hex(prompt).substr(0, PromptDigits) + "-" + std::to_string(index) + " ";
+}
+
+StandinEngine::StandinEngine(const EngineSettings &settings)
+    : m_settings(settings)
+{
+}
+
+net::awaitable<void> StandinEngine::handle(http::Request request, http::IResponseWriter &writer)
+{
+    http::Response response;
+    const std::string path(http::path(request.target));
+    if (m_failures.command(request, response)) {
+        co_await writer.respond(std::move(response));
+    } else if (path == "/v1/chat/completions") {
+        co_await chat(std::move(request), writer);
+    } else if (path == "/load") {
+        response = load();
+        co_await writer.respond(std::move(response));
+    } else if (path == "/standin/runs") {
+        response = runs();
+        co_await writer.respond(std::move(response));
+    } else {
+        response = jsonAnswer(404, R"({"error":"unknown path"})");
+        co_await writer.respond(std::move(response));
+    }
+}
+
+net::awaitable<void> StandinEngine::chat(http::Request request, http::IResponseWriter &writer)
+{
+    const FailureMode mode = m_failures.beginRequest();
+    if (mode == FailureMode::Down) {
+        writer.abort();
+        co_return;
+    }
+    std::string reason;
+    const std::optional<Json::Value> body = parseJson(request.body, reason);
+    if (!body || !body->isObject() || !(*body)["messages"].isArray() || (*body)["messages"].empty()) {
+        http::Response response = jsonAnswer(400, R"({"error":"malformed request"})");
+        co_await writer.respond(std::move(response));
+        co_return;
+    }
+    Job job;
+    job.id = std::string(request.headers.find("X-Request-Id").value_or("none"));
+    job.mode = mode;
+    job.epoch = m_failures.epoch();
+    job.count = std::min(unsignedMember(*body, "max_tokens").value_or(m_settings.defaultTokens), MaxTokens);
+    Json::Value messages = (*body)["messages"];
+    if (boolMember(*body, "continue_final_message", false)) {
+        Json::Value soFar;
+        messages.removeIndex(messages.size() - 1, &soFar);
+        const std::string text = stringMember(soFar, "content").value_or("");
+        job.first = static_cast<std::uint64_t>(std::ranges::count(text, ' '));
+        if (!body->isMember("max_tokens")) {
+            job.count = m_settings.defaultTokens - std::min<std::uint64_t>(job.first, m_settings.defaultTokens);
+        }
+    }
+    job.prompt = toText(messages);
+    ++m_running;
+    writer.onCallerGone([] {});
+    co_await generate(job, writer);
+    --m_running;
+}
+
+net::awaitable<void> StandinEngine::generate(const Job &job, http::IResponseWriter &writer)
+{
+    const std::string id = job.mode == FailureMode::Crossed ? job.id + "-other" : job.id;
+    noteRun(job.id, 0);
+    http::Headers headers = streamHeaders(id);
+    if (job.mode == FailureMode::Silent) {
+        co_await staySilent(writer);
+        co_return;
+    }
+    co_await pause(std::chrono::duration_cast<std::chrono::microseconds>(m_settings.firstToken * m_failures.factor()));
+    co_await writer.begin(200, std::move(headers));
+    const std::uint64_t cut = job.mode == FailureMode::Truncated || job.mode == FailureMode::LostAnswer ? job.count / 2 : job.count;
+    for (std::uint64_t i = 0; i < cut; ++i) {
+        if (m_failures.mode() == FailureMode::SilentOpen && m_failures.epoch() != job.epoch) {
+            co_await staySilent(writer);
+        }
+        const std::string event = wordChunk(id, standinWord(job.prompt, job.first + i));
+        if (writer.callerGone() || !co_await writer.write(event)) {
+            noteCancelled();
+            co_return;
+        }
+        noteRun(job.id, 1);
+        co_await pause(std::chrono::duration_cast<std::chrono::microseconds>(m_settings.perToken * m_failures.factor()));
+    }
+    if (job.mode == FailureMode::LostAnswer) {
+        writer.abort();
+        co_return;
+    }
+    if (job.mode != FailureMode::Truncated) {
+        const std::string end = chunk(id, Json::Value(Json::objectValue), "stop") + "data: [DONE]\n\n";
+        co_await writer.write(end);
+    }
+    co_await writer.end();
+}
+
+void StandinEngine::noteRun(const std::string &attempt, std::uint64_t tokens)
+{
+    const std::lock_guard lock(m_mutex);
+    m_tokens += tokens;
+    if (tokens == 0) {
+        ++m_started;
+    }
+    m_runs[attempt] += tokens;
+}
+
+void StandinEngine::noteCancelled()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_cancelled;
+}
+
+http::Response StandinEngine::load() const
+{
+    Json::Value value;
+    const std::uint32_t running = m_running;
+    value["running"] = std::min(running, m_settings.slots);
+    value["queued"] = running - std::min(running, m_settings.slots);
+    value["slots"] = m_settings.slots;
+    return jsonAnswer(200, toText(value));
+}
+
+http::Response StandinEngine::runs() const
+{
+    const std::lock_guard lock(m_mutex);
+    Json::Value value;
+    value["started"] = Json::UInt64(m_started);
+    value["cancelled"] = Json::UInt64(m_cancelled);
+    value["tokens"] = Json::UInt64(m_tokens);
+    value["attempts"] = Json::Value(Json::objectValue);
+    for (const auto &[attempt, tokens] : m_runs) {
+        value["attempts"][attempt] = Json::UInt64(tokens);
+    }
+    return jsonAnswer(200, toText(value));
+}
+
+}
--- /dev/null
+++ b/src/standins/standinplatform.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "standins/standinserver.h"
+
+#include <json/value.h>
+
+#include <deque>
+#include <map>
+
+namespace rosemaryshift::standins {
+
+struct PlatformSettings {
+    std::string logLevel;
+    http::Endpoint address;
+    std::size_t retainedRecords = 100'000;
+};
+
+PlatformSettings readPlatformSettings(SettingsDocument &document);
+
+/// Stands in for the platform: the log, the host list and reclaim notices. Thread-safe.
+///
+/// Besides the failures, it is driven by PUT /standin/hosts (the whole list), PUT /standin/list_frozen ({"frozen": bool},
+/// the list lags), PUT /standin/notice ({"host", "reclaim_in_ms"}) and PUT /standin/truncate ({"oldest": N}).
+class StandinPlatform
+{
+public:
+    explicit StandinPlatform(const PlatformSettings &settings);
+
+    boost::asio::awaitable<void> handle(http::Request request, http::IResponseWriter &writer);
+
+private:
+    boost::asio::awaitable<void> serve(http::Request request, http::IResponseWriter &writer);
+    bool command(const http::Request &request, http::Response &response);
+    http::Response append(const http::Request &request);
+    boost::asio::awaitable<http::Response> readLog(std::string target);
+    boost::asio::awaitable<http::Response> readHosts(std::string target);
+    boost::asio::awaitable<http::Response> readNotices(std::string target);
+    void drop(std::uint64_t oldest);
+
+    const PlatformSettings m_settings;
+    Failures m_failures;
+    mutable std::mutex m_mutex;
+    std::deque<std::string> m_records;
+    std::uint64_t m_oldest = 0;
+    Json::Value m_hosts;
+    Json::Value m_shownHosts;
+    std::uint64_t m_hostsVersion = 1;
+    bool m_listFrozen = false;
+    std::map<std::string, std::uint64_t> m_notices; ///< Milliseconds until the reclaim, by host.
+};
+
+}
--- /dev/null
+++ b/src/testmain/testmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/upstreams/internal/callfailures.cpp
@@ -0,0 +1,57 @@
+#include "upstreams/internal/callfailures.h"
+
+#include "base/text.h"
+
+namespace rosemaryshift::upstreams {
+
+using decisions::AttemptOutcome;
+
+namespace {
+
+constexpr int TooManyRequests = 429;
+constexpr int ServiceUnavailable = 503;
+
+AttemptOutcome outcomeOf(http::ClientError error)
+{
+    switch (error) {
+    case http::ClientError::ConnectFailed:
+        return AttemptOutcome::NotOffered;
+    case http::ClientError::Silent:
+        return AttemptOutcome::Silent;
+    case http::ClientError::Cancelled:
+        return AttemptOutcome::Cancelled;
+    case http::ClientError::SendFailed:
+    case http::ClientError::Closed:
+    case http::ClientError::Malformed:
+        return AttemptOutcome::Broken;
+    }
+    return AttemptOutcome::Broken;
+}
+
+}
+
+AttemptResult resultOf(const http::ClientFailure &failure)
+{
+    return {outcomeOf(failure.error), failure.detail};
+}
+
+std::optional<AttemptResult> declined(const http::Response &response)
+{
+    const bool busy = response.status == TooManyRequests || response.status == ServiceUnavailable;
+    if (!busy || response.headers.find(RunHeader) != name(RunState::NotRun)) {
+        return std::nullopt;
+    }
+    return AttemptResult{AttemptOutcome::Declined, "the upstream answered " + std::to_string(response.status) + " and did not run it"};
+}
+
+bool echoes(const http::Response &response, const AttemptSpec &spec)
+{
+    return response.headers.find(AttemptHeader) == spec.attemptName;
+}
+
+http::ClientTimeouts clientTimeouts(const AttemptTimeouts &timeouts)
+{
+    return {timeouts.connect, timeouts.firstByte, timeouts.progress};
+}
+
+}
--- /dev/null
+++ b/src/upstreams/internal/enginecall.cpp
@@ -0,0 +1,199 @@
+#include "base/json.h"
+#include "http/ihttpclient.h"
+#include "upstreams/internal/callfailures.h"
+#include "upstreams/iupstreamcall.h"
+#include "upstreams/sseparser.h"
+
+#include <atomic>
+
+namespace rosemaryshift::upstreams {
+
+namespace net = boost::asio;
+using decisions::AttemptOutcome;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr std::string_view EndMarker = "[DONE]";
+
+/// The caller's body with what this host adds: streaming, priority, and the tokens so far as the start of the answer.
+/// The prefix is continued by "continue_final_message", as in vLLM's chat API.
+std::optional<std::string> engineBody(const requests::RequestRecord &record, const std::string &soFar, std::size_t tokensSoFar)
+{
+    std::string reason;
+    std::optional<Json::Value> body = parseJson(record.spec.body, reason);
+    if (!body || !body->isObject()) {
+        return std::nullopt;
+    }
+    (*body)["stream"] = true;
+    (*body)["priority"] = record.spec.priority;
+    if (soFar.empty()) {
+        return toText(*body);
+    }
+    Json::Value prefix;
+    prefix["role"] = "assistant";
+    prefix["content"] = soFar;
+    (*body)["messages"].append(prefix);
+    (*body)["continue_final_message"] = true;
+    (*body)["add_generation_prompt"] = false;
+    if (record.spec.maxTokens > tokensSoFar) {
+        (*body)["max_tokens"] = Json::UInt64(record.spec.maxTokens - tokensSoFar);
+    }
+    return toText(*body);
+}
+
+class EngineCall : public IUpstreamCall
+{
+public:
+    EngineCall(const net::any_io_executor &executor, std::shared_ptr<requests::RequestRecord> record, AttemptSpec spec, ProgressCallback progress)
+        : m_exchange(http::makeExchange(executor))
+        , m_record(std::move(record))
+        , m_spec(std::move(spec))
+        , m_progress(std::move(progress))
+    {
+    }
+
+    net::awaitable<AttemptResult> run() override
+    {
+        AttemptResult result = co_await exchange();
+        m_record->transcript.release(m_spec.attempt);
+        if (m_cancelled) {
+            result.outcome = AttemptOutcome::Cancelled;
+        }
+        co_return result;
+    }
+
+    void cancel() override
+    {
+        m_cancelled = true;
+        m_exchange->cancel();
+    }
+
+private:
+    net::awaitable<AttemptResult> exchange()
+    {
+        std::optional<http::Request> request = makeRequest();
+        if (!request) {
+            co_return AttemptResult{AttemptOutcome::NotOffered, "the request's body cannot be read"};
+        }
+        http::ClientFailure failure;
+        const std::optional<http::Response> head = co_await m_exchange->open(m_spec.endpoint, std::move(*request), clientTimeouts(m_spec.timeouts), failure);
+        if (!head) {
+            co_return resultOf(failure);
+        }
+        const std::optional<AttemptResult> refusal = declined(*head);
+        if (refusal) {
+            co_return *refusal;
+        }
+        if (!echoes(*head, m_spec)) {
+            co_return AttemptResult{AttemptOutcome::Broken, "the answer belongs to another request"};
+        }
+        if (head->status != StatusOk) {
+            co_return AttemptResult{AttemptOutcome::Broken, "the engine answered " + std::to_string(head->status)};
+        }
+        co_return co_await readStream();
+    }
+
+    std::optional<http::Request> makeRequest()
+    {
+        const std::string soFar = m_record->transcript.content();
+        const std::size_t tokensSoFar = m_record->transcript.size();
+        std::optional<std::string> body = engineBody(*m_record, soFar, tokensSoFar);
+        if (!body) {
+            return std::nullopt;
+        }
+        http::Request request;
+        request.method = "POST";
+        request.target = "/v1/chat/completions";
+        request.headers.add("Content-Type", "application/json");
+        request.headers.add(AttemptHeader, m_spec.attemptName);
+        request.body = std::move(*body);
+        return request;
+    }
+
+    net::awaitable<AttemptResult> readStream()
+    {
+        SseParser parser;
+        while (true) {
+            http::ClientFailure failure;
+            const std::optional<std::string> bytes = co_await m_exchange->readSome(failure);
+            if (!bytes) {
+                co_return resultOf(failure);
+            }
+            if (bytes->empty()) {
+                co_return AttemptResult{AttemptOutcome::Broken, "the stream ended without its end marker"};
+            }
+            for (const std::string &data : parser.feed(*bytes)) {
+                const std::optional<AttemptResult> end = take(data);
+                if (end) {
+                    co_return *end;
+                }
+            }
+            if (parser.overflowed()) {
+                co_return AttemptResult{AttemptOutcome::Broken, "an event of the stream is too large"};
+            }
+        }
+    }
+
+    /// Takes one event in; gives the end of the attempt when it was the last or is not acceptable.
+    std::optional<AttemptResult> take(std::string_view data)
+    {
+        if (data == EndMarker) {
+            return finish();
+        }
+        std::string reason;
+        const std::optional<Json::Value> chunk = parseJson(data, reason);
+        if (!chunk || stringMember(*chunk, "id") != m_spec.attemptName) {
+            return AttemptResult{AttemptOutcome::Broken, chunk ? "a piece belongs to another request" : "a piece is not JSON"};
+        }
+        const Json::Value &choices = (*chunk)["choices"];
+        if (!choices.isArray() || choices.empty() || !choices[0].isObject()) {
+            return std::nullopt;
+        }
+        m_finishReason = stringMember(choices[0], "finish_reason").value_or(m_finishReason);
+        return takeDelta(choices[0]["delta"]);
+    }
+
+    std::optional<AttemptResult> takeDelta(const Json::Value &delta)
+    {
+        const std::optional<std::string> content = stringMember(delta, "content");
+        const bool hasTools = delta.isObject() && delta.isMember("tool_calls");
+        if (!hasTools && content.value_or("").empty()) {
+            return std::nullopt;
+        }
+        if (!m_record->transcript.open(m_spec.attempt) || !m_record->transcript.append(m_spec.attempt, {toText(delta), content.value_or("")})) {
+            return AttemptResult{AttemptOutcome::Cancelled, "another attempt answers the request"};
+        }
+        m_progress(1);
+        return std::nullopt;
+    }
+
+    AttemptResult finish()
+    {
+        if (m_finishReason.empty()) {
+            return {AttemptOutcome::Broken, "the stream ended without a finish reason"};
+        }
+        const bool written = m_record->transcript.open(m_spec.attempt) && m_record->transcript.finish(m_spec.attempt, m_finishReason);
+        if (!written) {
+            return {AttemptOutcome::Cancelled, "another attempt answered the request"};
+        }
+        return {AttemptOutcome::Completed, m_finishReason};
+    }
+
+    const std::shared_ptr<http::IExchange> m_exchange;
+    const std::shared_ptr<requests::RequestRecord> m_record;
+    const AttemptSpec m_spec;
+    const ProgressCallback m_progress;
+    std::string m_finishReason;
+    std::atomic<bool> m_cancelled = false;
+};
+
+}
+
+std::shared_ptr<IUpstreamCall>
+makeEngineCall(const net::any_io_executor &executor, std::shared_ptr<requests::RequestRecord> record, AttemptSpec spec, ProgressCallback progress)
+{
+    return std::make_shared<EngineCall>(executor, std::move(record), std::move(spec), std::move(progress));
+}
+
+}
--- /dev/null
+++ b/tests/sessions/servedtests.cpp
@@ -0,0 +1,75 @@
+#include "support/fleet.h"
+#include "support/golden.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::testing;
+
+SCENARIO("A session of questions, plans, lookups and bookings is served end to end")
+{
+    Fleet fleet;
+    GoldenSession golden("served");
+    const http::Endpoint callers = fleet.entry(0).callers;
+    const auto play = [&](const std::string &what, const http::Request &request) {
+        golden.say(what);
+        const http::Response response = exchange(callers, request);
+        golden.add(request, response);
+        return response;
+    };
+
+    play("models of the workspace", Fleet::callerRequest("GET", "/v1/models"));
+    play("streamed question", Fleet::callerRequest("POST", "/v1/chat/completions", Fleet::chatBody("yard-small", "which label?", true, 3)));
+    const http::Response plan
+        = play("unstreamed plan", Fleet::callerRequest("POST", "/v1/chat/completions", Fleet::chatBody("plan-large", "route for Monday", false, 5)));
+    play("the plan again, by its id", Fleet::callerRequest("GET", "/v1/requests/" + std::string(plan.headers.find("Rosemaryshift-Request").value())));
+    play("lookup", Fleet::callerRequest("GET", "/services/dispatch/manifests?day=1"));
+    http::Request booking = Fleet::callerRequest("POST", "/services/dispatch/pickups", "crate 7");
+    play("booking without a key", booking);
+    booking.headers.add("Idempotency-Key", "pickup-7");
+    play("booking with a key", booking);
+    play("unknown model", Fleet::callerRequest("POST", "/v1/chat/completions", Fleet::chatBody("nobody", "x", false, 1)));
+    play("malformed JSON", Fleet::callerRequest("POST", "/v1/chat/completions", "{"));
+    play("unknown service", Fleet::callerRequest("GET", "/services/nobody/x"));
+    play("unknown request", Fleet::callerRequest("GET", "/v1/requests/nobody"));
+    play("wrong key", makeRequest("GET", "/v1/models"));
+    golden.compare();
+}
+
+SCENARIO("A caller that vanishes in the middle of a stream")
+{
+    FleetOptions options;
+    options.zones = {"eger"};
+    options.engineSettings = "per_token_us = 20000\n";
+    Fleet fleet(options);
+    const http::Request request = Fleet::callerRequest("POST", "/v1/chat/completions", Fleet::chatBody("yard-small", "long", true, 400));
+    PendingExchange pending(fleet.entry(0).callers, request);
+    pending.awaitText("-2 ");
+    WHEN("it goes away")
+    {
+        pending.abandon();
+        THEN("the attempt at the upstream is cancelled")
+        {
+            awaitCondition("the cancellation", [&] { return Fleet::runs(fleet.engine(0).endpoint)["cancelled"] == 1; });
+            CHECK(exchange(fleet.entry(0).callers, Fleet::callerRequest("GET", "/v1/models")).status == 200);
+        }
+    }
+}
+
+SCENARIO("A planned stop")
+{
+    FleetOptions options;
+    options.zones = {"eger"};
+    options.engineSettings = "per_token_us = 10000\n";
+    Fleet fleet(options);
+    PendingExchange pending(fleet.entry(0).callers, Fleet::callerRequest("POST", "/v1/chat/completions", Fleet::chatBody("yard-small", "long", true, 60)));
+    pending.awaitText("-0 ");
+    fleet.entry(0).process->signal(SIGTERM);
+    fleet.entry(0).process->signal(SIGTERM);
+    const std::optional<http::Response> response = pending.awaitEnd();
+    REQUIRE(response);
+    CHECK_THAT(response->body, Catch::EndsWith("data: [DONE]\n\n"));
+    CHECK(fleet.entry(0).process->awaitExit() == 0);
+}
--- /dev/null
+++ b/tests/support/golden.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "http/httptypes.h"
+
+#include <map>
+#include <string>
+
+namespace rosemaryshift::testing {
+
+/// The record of one session on the wire, compared with a golden file.
+///
+/// Ids that differ from run to run are replaced by names in the order of their first appearance. With the environment
+/// variable ROSEMARYSHIFT_UPDATE_GOLDEN set, the file is written instead of compared.
+class GoldenSession
+{
+public:
+    explicit GoldenSession(std::string name);
+
+    /// Adds a line of comment.
+    void say(const std::string &text);
+    /// Adds a request and its answer.
+    void add(const http::Request &request, const http::Response &response);
+    /// Adds a line as it is, with ids replaced.
+    void line(const std::string &text);
+    /// Compares the record with the golden file; the test fails when they differ.
+    void compare();
+
+private:
+    std::string normalized(const std::string &text);
+
+    const std::string m_name;
+    std::string m_text;
+    std::map<std::string, std::string> m_ids;
+};
+
+}
