Let entry hosts know each other by heartbeats over JSON-RPC

Cause: tickets, reattaching through any host and fast spreading of leaving upstreams need peers. What: src/rpc serves and calls JSON-RPC through libjsonrpccpp with an own connector; each call has its own connection, so a silent link is replaced by the next beat. src/membership decides from heartbeats who is there; other modules add sections. Ruled out: methods that wait; they would hold the control thread. Long waits go over the callers' listener instead. At this size every host calls every other.

--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/httptypes.h"
+#include "membership/membershiptypes.h"
 #include "requests/requestregistry.h"
 #include "settings/settingsdocument.h"
 #include "upstreams/upstreamtypes.h"
@@ -24,6 +25,7 @@
     http::ServerLimits callerLimits;
     upstreams::AttemptTimeouts attemptTimeouts;
     requests::RegistryLimits retention;
+    membership::MembershipSettings membership;
     std::uint32_t trafficThreads = 2;
     std::size_t timelineEvents = 10'000;
     std::uint64_t seed = 0; ///< Of the decisions' random choices; 0 means a random one.
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -57,6 +57,11 @@
 {
 }
 
+void Control::join(membership::IMembership &membership)
+{
+    m_membership = &membership;
+}
+
 void Control::start()
 {
     net::co_spawn(m_context, m_follower.run(), net::detached);
@@ -155,6 +160,7 @@
     m_ready = false;
     net::post(m_context, [this] {
         m_parts.timeline->record(EventKind::HostStopping, {});
+        m_membership->leave();
         post(decisions::HostStopping{});
     });
 }
@@ -293,6 +299,7 @@
         if (list) {
             known = list->version;
             m_upstreams.update(*list, now());
+            m_membership->update(*list);
             m_hostsRead = true;
             applyLimits();
         }
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -6,6 +6,7 @@
 #include "entry/internal/logfollower.h"
 #include "entry/internal/templateview.h"
 #include "entry/internal/upstreamdirectory.h"
+#include "membership/imembership.h"
 #include "platform/iplatform.h"
 #include "requests/requestregistry.h"
 #include "templates/itemplatefold.h"
@@ -68,6 +69,8 @@
 public:
     Control(const EntrySettings &settings, ControlParts parts, boost::asio::io_context &control, boost::asio::io_context &traffic, std::string hostId);
 
+    /// Makes the membership known. Precondition: called once, before start().
+    void join(membership::IMembership &membership);
     /// Starts following the platform. Precondition: called once, before the control thread runs.
     void start();
 
@@ -118,6 +121,7 @@
     std::unique_ptr<templates::ITemplateFold> m_templates;
     UpstreamDirectory m_upstreams;
     LogFollower m_follower;
+    membership::IMembership *m_membership = nullptr;
     NameTable<WorkspaceId> m_workspaces;
     std::map<AttemptId, UpstreamId> m_attemptUpstreams;
     boost::asio::steady_timer m_wake;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -4,9 +4,10 @@
 #include "entry/internal/callerfrontend.h"
 #include "entry/internal/control.h"
 #include "entry/internal/operatorfrontend.h"
-#include "entry/internal/refusals.h"
 #include "http/ihttpserver.h"
+#include "membership/imembership.h"
 #include "program/program.h"
+#include "rpc/ipeerrpc.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -29,20 +30,30 @@
 constexpr std::chrono::milliseconds StopPoll{20};
 constexpr std::size_t IncarnationLength = 8;
 
+/// Secrets that operators and peers present.
+struct Tokens {
+    std::string operators;
+    std::string peers;
+};
+
 /// Wires all modules of an entry host together; the one place that knows them all.
 class EntryHost : public IEntryHost
 {
 public:
-    EntryHost(const EntrySettings &settings, std::string operatorToken, const std::string &incarnation)
+    EntryHost(const EntrySettings &settings, Tokens tokens, const std::string &incarnation)
         : m_settings(settings)
+        , m_incarnation(incarnation)
         , m_controlContext(1)
         , m_trafficContext(static_cast<int>(settings.trafficThreads))
-        , m_timeline(timeline::makeTimeline(timeline::makeHybridClock(), settings.name, incarnation, settings.timelineEvents))
+        , m_clock(timeline::makeHybridClock())
+        , m_timeline(timeline::makeTimeline(m_clock, settings.name, incarnation, settings.timelineEvents))
         , m_registry(std::make_shared<requests::RequestRegistry>(settings.name + "." + incarnation, settings.retention))
         , m_templates(std::make_shared<TemplateView>())
         , m_control(settings, parts(), m_controlContext, m_trafficContext, settings.name + "." + incarnation)
         , m_callerFrontend(m_control, m_registry, m_templates)
-        , m_operatorFrontend(m_control, m_timeline, std::move(operatorToken))
+        , m_operatorFrontend(m_control, m_timeline, std::move(tokens.operators))
+        , m_peerClient(rpc::makePeerClient(tokens.peers, m_clock))
+        , m_peerServer(rpc::makePeerServer(m_controlContext.get_executor(), std::move(tokens.peers), m_clock))
     {
     }
 
@@ -56,14 +67,19 @@
         if (!m_operators) {
             return false;
         }
-        m_peers = http::makeHttpServer(m_trafficContext, m_settings.peers, {}, refusePeer, reason);
-        return m_peers != nullptr;
+        m_peers = http::makeHttpServer(m_trafficContext, m_settings.peers, {}, handlerOf(*m_peerServer), reason);
+        if (!m_peers) {
+            return false;
+        }
+        join();
+        return true;
     }
 
     void run() override
     {
         m_timeline->record(EventKind::HostStarted, {.detail = "zone " + m_settings.zone});
         m_control.start();
+        m_membership->start();
         std::vector<std::thread> threads;
         threads.emplace_back([this] { m_controlContext.run(); });
         for (std::uint32_t i = 0; i < m_settings.trafficThreads; ++i) {
@@ -107,10 +123,17 @@
         return [&frontend](http::Request request, http::IResponseWriter &writer) { return frontend.handle(std::move(request), writer); };
     }
 
-    static net::awaitable<void> refusePeer(http::Request, http::IResponseWriter &writer)
+    /// Sets up the membership, which needs the addresses that the system chose.
+    void join()
     {
-        http::Response response = refusalResponse(badRequest(404, "unknown_path", "there is nothing for peers here yet"), {});
-        co_await writer.respond(std::move(response));
+        membership::Peer self;
+        self.name = m_settings.name;
+        self.incarnation = m_incarnation;
+        self.zone = m_settings.zone;
+        self.peers = m_peers->endpoint();
+        self.callers = m_callers->endpoint();
+        m_membership = membership::makeMembership(m_controlContext, m_settings.membership, std::move(self), m_peerClient, *m_peerServer, m_timeline);
+        m_control.join(*m_membership);
     }
 
     ControlParts parts()
@@ -132,14 +155,19 @@
     }
 
     const EntrySettings m_settings;
+    const std::string m_incarnation;
     net::io_context m_controlContext;
     net::io_context m_trafficContext;
+    const std::shared_ptr<timeline::IHybridClock> m_clock;
     const std::shared_ptr<timeline::ITimeline> m_timeline;
     const std::shared_ptr<requests::RequestRegistry> m_registry;
     const std::shared_ptr<TemplateView> m_templates;
     Control m_control;
     CallerFrontend m_callerFrontend;
     OperatorFrontend m_operatorFrontend;
+    const std::shared_ptr<rpc::IPeerClient> m_peerClient;
+    const std::unique_ptr<rpc::IPeerServer> m_peerServer;
+    std::unique_ptr<membership::IMembership> m_membership;
     std::unique_ptr<http::IHttpServer> m_callers;
     std::unique_ptr<http::IHttpServer> m_operators;
     std::unique_ptr<http::IHttpServer> m_peers;
@@ -151,11 +179,12 @@
 std::unique_ptr<IEntryHost> makeEntryHost(const EntrySettings &settings, std::string &reason)
 {
     std::optional<std::string> operatorToken = program::readToken(settings.operatorTokenFile, reason);
-    if (!operatorToken || !program::readToken(settings.peerTokenFile, reason)) {
+    std::optional<std::string> peerToken = operatorToken ? program::readToken(settings.peerTokenFile, reason) : std::nullopt;
+    if (!peerToken) {
         return nullptr;
     }
     const std::string incarnation = randomId().substr(0, IncarnationLength);
-    std::unique_ptr<EntryHost> host = std::make_unique<EntryHost>(settings, std::move(*operatorToken), incarnation);
+    std::unique_ptr<EntryHost> host = std::make_unique<EntryHost>(settings, Tokens{std::move(*operatorToken), std::move(*peerToken)}, incarnation);
     if (!host->listen(reason)) {
         return nullptr;
     }
--- a/src/entry/internal/entrysettings.cpp
+++ b/src/entry/internal/entrysettings.cpp
@@ -56,6 +56,17 @@
     table->rejectUnknownKeys();
 }
 
+void readMembership(SettingsTable &root, membership::MembershipSettings &settings)
+{
+    std::optional<SettingsTable> table = root.table("membership");
+    if (!table) {
+        return;
+    }
+    settings.interval = milliseconds(*table, "interval_ms", std::chrono::duration_cast<std::chrono::milliseconds>(settings.interval));
+    settings.missedBeats = static_cast<std::uint32_t>(table->number("missed_beats", {2, 1000}, settings.missedBeats));
+    table->rejectUnknownKeys();
+}
+
 void readRetention(SettingsTable &root, requests::RegistryLimits &limits)
 {
     std::optional<SettingsTable> table = root.table("retention");
@@ -91,6 +102,7 @@
     }
     readUpstreams(root, settings.attemptTimeouts);
     readRetention(root, settings.retention);
+    readMembership(root, settings.membership);
     root.rejectUnknownKeys();
     return settings;
 }
--- /dev/null
+++ b/src/membership/internal/membership.cpp
@@ -0,0 +1,224 @@
+#include "membership/heartbeatjson.h"
+#include "membership/imembership.h"
+#include "membership/peertable.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+
+namespace rosemaryshift::membership {
+
+namespace net = boost::asio;
+using timeline::EventKind;
+
+namespace {
+
+constexpr const char *HeartbeatMethod = "heartbeat";
+
+EventKind eventKindOf(PeerChange change)
+{
+    return change == PeerChange::Lost ? EventKind::PeerLost : EventKind::PeerSeen;
+}
+
+std::string_view textOf(PeerChange change)
+{
+    switch (change) {
+    case PeerChange::Appeared:
+        return "appeared";
+    case PeerChange::Leaving:
+        return "leaving";
+    case PeerChange::Lost:
+        return "lost";
+    }
+    return "";
+}
+
+class Membership : public IMembership
+{
+public:
+    Membership(net::io_context &control,
+               const MembershipSettings &settings,
+               Peer self,
+               std::shared_ptr<rpc::IPeerClient> client,
+               std::shared_ptr<timeline::ITimeline> timeline)
+        : m_control(control)
+        , m_settings(settings)
+        , m_self(std::move(self))
+        , m_client(std::move(client))
+        , m_timeline(std::move(timeline))
+        , m_table(settings)
+    {
+    }
+
+    void start() override
+    {
+        net::co_spawn(m_control, beat(), net::detached);
+    }
+
+    void update(const platform::HostList &list) override
+    {
+        for (const platform::ListedHost &host : list.hosts) {
+            if (host.kind == platform::HostKind::Entry && host.name != m_self.name) {
+                m_targets[host.name].endpoint = host.endpoint;
+            }
+        }
+        std::erase_if(m_targets, [&](const auto &target) { return !m_table.peer(target.first) && !isListed(list, target.first); });
+    }
+
+    void leave() override
+    {
+        m_self.leaving = true;
+    }
+
+    [[nodiscard]] std::vector<Peer> peers() const override
+    {
+        return m_table.peers();
+    }
+
+    [[nodiscard]] std::optional<Peer> peer(std::string_view name) const override
+    {
+        return m_table.peer(name);
+    }
+
+    [[nodiscard]] const Peer &self() const override
+    {
+        return m_self;
+    }
+
+    void addSection(std::shared_ptr<IHeartbeatSection> section) override
+    {
+        m_sections.push_back(std::move(section));
+    }
+
+    void addObserver(Observer observer) override
+    {
+        m_observers.push_back(std::move(observer));
+    }
+
+    /// Answers the heartbeat of another host with the own.
+    std::optional<Json::Value> answer(const Json::Value &params)
+    {
+        const std::optional<Peer> peer = take(params);
+        if (!peer) {
+            return std::nullopt;
+        }
+        return heartbeatFor(*peer);
+    }
+
+private:
+    struct Target {
+        http::Endpoint endpoint;
+        bool calling = false;
+    };
+
+    static bool isListed(const platform::HostList &list, const std::string &name)
+    {
+        return std::ranges::any_of(list.hosts, [&](const platform::ListedHost &host) { return host.name == name; });
+    }
+
+    [[nodiscard]] static TimePoint now()
+    {
+        return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    }
+
+    net::awaitable<void> beat()
+    {
+        net::steady_timer timer(m_control);
+        while (true) {
+            for (auto &[name, target] : m_targets) {
+                if (!target.calling) {
+                    target.calling = true;
+                    net::co_spawn(m_control, callPeer(name, target.endpoint), net::detached);
+                }
+            }
+            notify(m_table.expire(now()));
+            timer.expires_after(m_settings.interval);
+            co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+        }
+    }
+
+    net::awaitable<void> callPeer(std::string name, http::Endpoint endpoint)
+    {
+        Peer target;
+        target.name = name;
+        Json::Value params = heartbeatFor(m_table.peer(name).value_or(target));
+        rpc::RpcFailure failure;
+        const std::chrono::milliseconds timeout = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.interval);
+        const std::optional<Json::Value> result = co_await m_client->call(endpoint, HeartbeatMethod, std::move(params), timeout, failure);
+        if (result) {
+            take(*result);
+        }
+        const std::map<std::string, Target>::iterator found = m_targets.find(name);
+        if (found != m_targets.end()) {
+            found->second.calling = false;
+        }
+    }
+
+    [[nodiscard]] Json::Value heartbeatFor(const Peer &peer)
+    {
+        Json::Value value;
+        value["sender"] = toJson(m_self);
+        value["sections"] = Json::Value(Json::objectValue);
+        for (const std::shared_ptr<IHeartbeatSection> &section : m_sections) {
+            value["sections"][section->name()] = section->write(peer);
+        }
+        return value;
+    }
+
+    std::optional<Peer> take(const Json::Value &heartbeat)
+    {
+        const std::optional<Peer> peer = heartbeat.isObject() ? peerFromJson(heartbeat["sender"]) : std::nullopt;
+        if (!peer || peer->name == m_self.name) {
+            return std::nullopt;
+        }
+        m_targets[peer->name].endpoint = peer->peers;
+        notify(m_table.heard(*peer, now()));
+        const Json::Value &sections = heartbeat["sections"];
+        for (const std::shared_ptr<IHeartbeatSection> &section : m_sections) {
+            if (sections.isObject() && sections.isMember(section->name())) {
+                section->read(*peer, sections[section->name()]);
+            }
+        }
+        return peer;
+    }
+
+    void notify(const std::vector<PeerEvent> &events)
+    {
+        for (const PeerEvent &event : events) {
+            m_timeline->record(eventKindOf(event.change), {.detail = event.peer.name + " " + std::string(textOf(event.change))});
+            for (const Observer &observer : m_observers) {
+                observer(event.peer, event.change);
+            }
+        }
+    }
+
+    net::io_context &m_control;
+    const MembershipSettings m_settings;
+    Peer m_self;
+    const std::shared_ptr<rpc::IPeerClient> m_client;
+    const std::shared_ptr<timeline::ITimeline> m_timeline;
+    PeerTable m_table;
+    std::map<std::string, Target> m_targets;
+    std::vector<std::shared_ptr<IHeartbeatSection>> m_sections;
+    std::vector<Observer> m_observers;
+};
+
+}
+
+std::unique_ptr<IMembership> makeMembership(net::io_context &control,
+                                            const MembershipSettings &settings,
+                                            Peer self,
+                                            std::shared_ptr<rpc::IPeerClient> client,
+                                            rpc::IPeerServer &server,
+                                            std::shared_ptr<timeline::ITimeline> timeline)
+{
+    std::unique_ptr<Membership> membership = std::make_unique<Membership>(control, settings, std::move(self), std::move(client), std::move(timeline));
+    server.add(HeartbeatMethod, [target = membership.get()](const Json::Value &params) { return target->answer(params); });
+    return membership;
+}
+
+}
--- /dev/null
+++ b/src/membership/membershiptypes.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/types.h"
+#include "http/httptypes.h"
+
+#include <cstdint>
+#include <string>
+
+namespace rosemaryshift::membership {
+
+/// Another entry host as it describes itself in its heartbeats.
+struct Peer {
+    std::string name;
+    std::string incarnation; ///< New at every start of the host.
+    std::string zone;
+    http::Endpoint peers;   ///< Its listener for peers.
+    http::Endpoint callers; ///< Its listener for callers.
+    bool leaving = false;   ///< Takes no new work; never taken back within an incarnation.
+};
+
+enum class PeerChange : std::uint8_t {
+    Appeared,
+    Leaving,
+    Lost, ///< Silent for several heartbeats, or replaced by a later incarnation.
+};
+
+struct MembershipSettings {
+    Duration interval = std::chrono::milliseconds(500); ///< Between two heartbeats to one peer.
+    std::uint32_t missedBeats = 4;                      ///< Intervals of silence after which a peer is lost.
+};
+
+}
--- /dev/null
+++ b/src/membership/peertable.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "membership/membershiptypes.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rosemaryshift::membership {
+
+struct PeerEvent {
+    Peer peer;
+    PeerChange change;
+};
+
+/// Who is there, decided from heartbeats alone; time comes in. Not thread-safe.
+class PeerTable
+{
+public:
+    explicit PeerTable(const MembershipSettings &settings);
+
+    /// Takes in a heartbeat that came at @p now and gives the changes that follow.
+    std::vector<PeerEvent> heard(const Peer &peer, TimePoint now);
+    /// Drops the peers that were silent too long at @p now.
+    std::vector<PeerEvent> expire(TimePoint now);
+    [[nodiscard]] std::vector<Peer> peers() const;
+    [[nodiscard]] std::optional<Peer> peer(std::string_view name) const;
+
+private:
+    struct Row {
+        Peer peer;
+        TimePoint lastHeard;
+    };
+
+    const MembershipSettings m_settings;
+    std::map<std::string, Row, std::less<>> m_rows;
+};
+
+}
