Let callers reattach through any host

Cause: behind the balancer a caller that comes back reaches another host than the one that holds its request. What: a host that does not hold the id passes the request on to the one that accepted it (name and incarnation stand in the id) and the answer back piece by piece; a request is passed on once at most. Ruled out: a JSON-RPC method; it would have to wait on the control thread and could not stream.

--- a/src/entry/internal/callerfrontend.cpp
+++ b/src/entry/internal/callerfrontend.cpp
@@ -2,6 +2,7 @@
 
 #include "base/text.h"
 #include "entry/internal/chatwire.h"
+#include "entry/internal/forwarder.h"
 #include "entry/internal/refusals.h"
 #include "entry/internal/servicecallspec.h"
 
@@ -23,6 +24,7 @@
 constexpr std::string_view RequestsPath = "/v1/requests/";
 constexpr std::string_view ServicesPath = "/services/";
 constexpr std::uint64_t MaxDeadlineMs = 24ULL * 3600 * 1000;
+constexpr std::chrono::milliseconds ForwardPatience{60'000};
 
 std::string_view bearer(const http::Headers &headers)
 {
@@ -67,10 +69,14 @@
 
 }
 
-CallerFrontend::CallerFrontend(Control &control, std::shared_ptr<requests::RequestRegistry> registry, std::shared_ptr<TemplateView> templates)
+CallerFrontend::CallerFrontend(Control &control,
+                               std::shared_ptr<requests::RequestRegistry> registry,
+                               std::shared_ptr<TemplateView> templates,
+                               std::shared_ptr<PeerView> peers)
     : m_control(control)
     , m_registry(std::move(registry))
     , m_templates(std::move(templates))
+    , m_peers(std::move(peers))
 {
 }
 
@@ -166,10 +172,7 @@
     const std::string id(http::path(request.target).substr(RequestsPath.size()));
     const RecordPtr record = m_registry->find(id);
     if (!record || record->spec.workspace != workspace->workspace) {
-        Refusal refusal = badRequest(404, "unknown_request", "no request of this id is known here");
-        refusal.run = RunState::Unknown;
-        Response response = refusalResponse(refusal, id);
-        co_await writer.respond(std::move(response));
+        co_await reattachElsewhere(id, std::move(request), writer);
         co_return;
     }
     watch(record, writer);
@@ -185,6 +188,21 @@
     }
 }
 
+net::awaitable<void> CallerFrontend::reattachElsewhere(std::string id, Request request, http::IResponseWriter &writer)
+{
+    const std::optional<membership::Peer> peer = isForwarded(request) ? std::nullopt : m_peers->acceptedBy(id);
+    if (peer) {
+        const ForwardResult result = co_await forward(peer->callers, std::move(request), writer, ForwardPatience);
+        if (result == ForwardResult::Answered || result == ForwardResult::Broken) {
+            co_return;
+        }
+    }
+    Refusal refusal = badRequest(404, "unknown_request", "no request of this id is known here");
+    refusal.run = RunState::Unknown;
+    Response response = refusalResponse(refusal, id);
+    co_await writer.respond(std::move(response));
+}
+
 net::awaitable<void> CallerFrontend::service(TemplatePtr workspace, Request request, http::IResponseWriter &writer)
 {
     Refusal refusal;
--- a/src/entry/internal/callerfrontend.h
+++ b/src/entry/internal/callerfrontend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/internal/control.h"
+#include "entry/internal/peerview.h"
 #include "http/ihttpserver.h"
 
 #include <memory>
@@ -12,7 +13,10 @@
 class CallerFrontend
 {
 public:
-    CallerFrontend(Control &control, std::shared_ptr<requests::RequestRegistry> registry, std::shared_ptr<TemplateView> templates);
+    CallerFrontend(Control &control,
+                   std::shared_ptr<requests::RequestRegistry> registry,
+                   std::shared_ptr<TemplateView> templates,
+                   std::shared_ptr<PeerView> peers);
 
     boost::asio::awaitable<void> handle(http::Request request, http::IResponseWriter &writer);
 
@@ -26,6 +30,7 @@
     boost::asio::awaitable<void> serve(TemplatePtr workspace, http::Request request, http::IResponseWriter &writer);
     boost::asio::awaitable<void> chat(TemplatePtr workspace, http::Request request, http::IResponseWriter &writer);
     boost::asio::awaitable<void> reattach(TemplatePtr workspace, http::Request request, http::IResponseWriter &writer);
+    boost::asio::awaitable<void> reattachElsewhere(std::string id, http::Request request, http::IResponseWriter &writer);
     boost::asio::awaitable<void> service(TemplatePtr workspace, http::Request request, http::IResponseWriter &writer);
     boost::asio::awaitable<void> stream(RecordPtr record, std::size_t from, http::IResponseWriter &writer);
     boost::asio::awaitable<void> endStream(RecordPtr record, std::size_t seen, const requests::TranscriptView &view, http::IResponseWriter &writer);
@@ -37,6 +42,7 @@
     Control &m_control;
     const std::shared_ptr<requests::RequestRegistry> m_registry;
     const std::shared_ptr<TemplateView> m_templates;
+    const std::shared_ptr<PeerView> m_peers;
 };
 
 }
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -4,6 +4,7 @@
 #include "entry/internal/callerfrontend.h"
 #include "entry/internal/control.h"
 #include "entry/internal/operatorfrontend.h"
+#include "entry/internal/peerview.h"
 #include "http/ihttpserver.h"
 #include "membership/imembership.h"
 #include "program/program.h"
@@ -49,8 +50,9 @@
         , m_timeline(timeline::makeTimeline(m_clock, settings.name, incarnation, settings.timelineEvents))
         , m_registry(std::make_shared<requests::RequestRegistry>(settings.name + "." + incarnation, settings.retention))
         , m_templates(std::make_shared<TemplateView>())
+        , m_peerView(std::make_shared<PeerView>())
         , m_control(settings, parts(), m_controlContext, m_trafficContext, settings.name + "." + incarnation)
-        , m_callerFrontend(m_control, m_registry, m_templates)
+        , m_callerFrontend(m_control, m_registry, m_templates, m_peerView)
         , m_operatorFrontend(m_control, m_timeline, std::move(tokens.operators))
         , m_peerClient(rpc::makePeerClient(tokens.peers, m_clock))
         , m_peerServer(rpc::makePeerServer(m_controlContext.get_executor(), std::move(tokens.peers), m_clock))
@@ -133,6 +135,7 @@
         self.peers = m_peers->endpoint();
         self.callers = m_callers->endpoint();
         m_membership = membership::makeMembership(m_controlContext, m_settings.membership, std::move(self), m_peerClient, *m_peerServer, m_timeline);
+        m_membership->addObserver([view = m_peerView](const membership::Peer &peer, membership::PeerChange change) { view->note(peer, change); });
         m_control.join(*m_membership);
     }
 
@@ -162,6 +165,7 @@
     const std::shared_ptr<timeline::ITimeline> m_timeline;
     const std::shared_ptr<requests::RequestRegistry> m_registry;
     const std::shared_ptr<TemplateView> m_templates;
+    const std::shared_ptr<PeerView> m_peerView;
     Control m_control;
     CallerFrontend m_callerFrontend;
     OperatorFrontend m_operatorFrontend;
--- /dev/null
+++ b/src/entry/internal/peerview.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "membership/membershiptypes.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rosemaryshift::entry {
+
+/// The entry hosts as the traffic threads see them; the control thread keeps it up to date. Thread-safe.
+class PeerView
+{
+public:
+    /// Takes in a change that the membership has noticed.
+    void note(const membership::Peer &peer, membership::PeerChange change);
+    /// The peer @p name; nothing when it is not known or was lost.
+    [[nodiscard]] std::optional<membership::Peer> find(std::string_view name) const;
+    /// The peer that accepted the request @p requestId, if it is there in the same incarnation.
+    [[nodiscard]] std::optional<membership::Peer> acceptedBy(std::string_view requestId) const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, membership::Peer, std::less<>> m_peers;
+};
+
+}
--- a/tests/sessions/servedtests.cpp
+++ b/tests/sessions/servedtests.cpp
@@ -38,6 +38,27 @@
     golden.compare();
 }
 
+SCENARIO("A caller reattaches through another host")
+{
+    Fleet fleet;
+    const http::Request request = Fleet::callerRequest("POST", "/v1/chat/completions", Fleet::chatBody("yard-small", "q", true, 5));
+    const http::Response first = exchange(fleet.entry(0).callers, request);
+    const std::string id(first.headers.find("Rosemaryshift-Request").value());
+    http::Request again = Fleet::callerRequest("GET", "/v1/requests/" + id);
+    again.headers.add("Last-Event-ID", "3");
+    awaitCondition("the hosts to know each other", [&] { return exchange(fleet.entry(1).callers, again).status == 200; });
+    THEN("it gets the rest of the answer, and nothing twice")
+    {
+        const http::Response rest = exchange(fleet.entry(1).callers, again);
+        CHECK(rest.body == first.body.substr(first.body.find("id: 4")));
+    }
+    THEN("a stranger to the workspace gets nothing")
+    {
+        again.headers = {};
+        CHECK(exchange(fleet.entry(1).callers, again).status == 401);
+    }
+}
+
 SCENARIO("A caller that vanishes in the middle of a stream")
 {
     FleetOptions options;
