Claim bookings in the platform's log before they are dispatched

Cause: a call that may not be repeated went straight to the decision core, so that a retry through another host ran it again. What: src/bookings holds a fold over claim, release and outcome records and a coordinator (events in, actions out, time comes in). The first claim of a key in the log's order owns it; only its owner may dispatch, once, after it has read its own claim back. An append whose answer is lost is looked for, not repeated; a claim that turns up late is given back. Tickets (POST /v1/tickets) name their owner and need no append; other hosts answer from the log or pass the request on to the owner. "not run" is said only by the holder of the winning claim or by the ticket's owner, after the promise not to dispatch; a host that cannot learn who holds the key says "unknown", since an earlier try may run elsewhere. A refusal of a 5xx by the platform counts as an answer lost. Ruled out: a position of the log in each claim, so that claims of requests older than a release lose in the fold. The property test stayed green without it: a host reads the release before its own late claim, and refuses what waited for it. Window: a fold that starts behind the log's first record takes no bookings until the records kept cover the key window.

--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bookings/ibookingcoordinator.h"
 #include "http/httptypes.h"
 #include "membership/membershiptypes.h"
 #include "requests/requestregistry.h"
@@ -26,6 +27,7 @@
     upstreams::AttemptTimeouts attemptTimeouts;
     requests::RegistryLimits retention;
     membership::MembershipSettings membership;
+    bookings::BookingPolicy bookings; ///< But for its owner.
     std::uint32_t trafficThreads = 2;
     std::size_t timelineEvents = 10'000;
     std::uint64_t seed = 0; ///< Of the decisions' random choices; 0 means a random one.
--- /dev/null
+++ b/src/entry/internal/bookingrunner.cpp
@@ -0,0 +1,232 @@
+#include "entry/internal/bookingrunner.h"
+
+#include "base/text.h"
+#include "bookings/bookingkeys.h"
+#include "entry/internal/bookingrefusals.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace rosemaryshift::entry {
+
+namespace net = boost::asio;
+using bookings::AppendOutcome;
+using bookings::BookingRecord;
+using requests::RequestRecord;
+using timeline::EventKind;
+
+namespace {
+
+/// Writes answers that no attempt of this host got; attempts count from one.
+constexpr AttemptId KeptAnswer{0};
+/// Largest record of an answer that is kept, in bytes of the log.
+constexpr std::size_t MaxKeptBytes = 8 * 1024;
+
+Duration sinceMs(std::int64_t madeAtMs)
+{
+    return std::chrono::milliseconds(timeline::systemWallMs() - madeAtMs);
+}
+
+/// @p answer if the log can carry it: small enough, and text that JSON keeps as it is.
+std::optional<requests::ServiceAnswer> keepable(const requests::ServiceAnswer &answer)
+{
+    bookings::OutcomeRecord record;
+    record.outcome.run = RunState::Ran;
+    record.outcome.answer = answer;
+    const std::string text = bookings::toRecord(record);
+    const std::optional<BookingRecord> read = text.size() <= MaxKeptBytes ? bookings::bookingFromRecord(text) : std::nullopt;
+    const bookings::OutcomeRecord *const kept = read ? std::get_if<bookings::OutcomeRecord>(&*read) : nullptr;
+    if (kept == nullptr || !kept->outcome.answer || kept->outcome.answer->body != answer.body || kept->outcome.answer->headers != answer.headers) {
+        return std::nullopt;
+    }
+    return answer;
+}
+
+EventKind kindOf(bookings::BookingStep step)
+{
+    switch (step) {
+    case bookings::BookingStep::Claimed:
+        return EventKind::BookingClaimed;
+    case bookings::BookingStep::Released:
+        return EventKind::BookingReleased;
+    case bookings::BookingStep::OutcomeKept:
+        return EventKind::BookingOutcome;
+    }
+    return EventKind::BookingOutcome;
+}
+
+AppendOutcome appendOutcome(const platform::PlatformFailure &failure)
+{
+    return failure.error == platform::PlatformError::Unreachable ? AppendOutcome::NotTaken : AppendOutcome::AnswerLost;
+}
+
+}
+
+BookingRunner::BookingRunner(net::io_context &control, BookingParts parts, const bookings::BookingPolicy &policy, DispatchCallback dispatch)
+    : m_context(control)
+    , m_parts(std::move(parts))
+    , m_owner(policy.owner)
+    , m_dispatch(std::move(dispatch))
+    , m_coordinator(bookings::makeBookingCoordinator(policy))
+    , m_wake(control)
+{
+}
+
+TimePoint BookingRunner::now() const
+{
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+void BookingRunner::run(bookings::BookingEvent event)
+{
+    m_coordinator->post(std::move(event));
+    tick();
+}
+
+void BookingRunner::tick()
+{
+    for (const bookings::BookingAction &action : m_coordinator->tick(now())) {
+        std::visit([this](const auto &typed) { perform(typed); }, action);
+    }
+    m_open = m_coordinator->waiting() + (m_logTakes ? m_coordinator->unsaved() : 0);
+    armWake();
+}
+
+void BookingRunner::armWake()
+{
+    const std::optional<TimePoint> wake = m_coordinator->nextWake();
+    if (!wake) {
+        m_wake.cancel();
+        return;
+    }
+    m_wake.expires_at(std::chrono::steady_clock::time_point(wake->time_since_epoch()));
+    m_wake.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void BookingRunner::arrive(const RecordPtr &record)
+{
+    const requests::RequestSpec &spec = record->spec;
+    m_parts.timeline->record(EventKind::RequestAccepted,
+                             {.request = record->id, .workspace = spec.workspace, .detail = std::string(name(spec.trafficClass)) + " for " + spec.target});
+    const std::optional<bookings::Ticket> ticket = bookings::parseTicket(spec.idempotencyKey);
+    if (ticket && ticket->owner != m_owner) {
+        perform(bookings::RefuseBooking{record->number, bookings::BookingRefusal::OwnerSilent, RunState::Unknown, std::nullopt});
+        return;
+    }
+    bookings::BookingArrived event;
+    event.request = record->number;
+    event.key = bookings::keyDigest(spec);
+    event.digest = bookings::requestDigest(spec);
+    const std::chrono::steady_clock::time_point deadline = record->arrivedAt + spec.deadline;
+    event.deadline = TimePoint(std::chrono::duration_cast<Duration>(deadline.time_since_epoch()));
+    event.ownTicket = ticket.has_value();
+    const std::optional<std::int64_t> madeAt = bookings::keyTimeMs(spec.idempotencyKey);
+    if (madeAt) {
+        event.keyAge = sinceMs(*madeAt);
+    }
+    run(std::move(event));
+}
+
+void BookingRunner::ended(const RequestRecord &record, RunState run)
+{
+    bookings::RunEnded event{record.number, run, std::nullopt};
+    const requests::TranscriptView view = record.transcript.view(0);
+    if (view.end == requests::TranscriptEnd::Complete) {
+        event.run = RunState::Ran;
+        event.answer = keepable(view.answer);
+    }
+    this->run(std::move(event));
+}
+
+bool BookingRunner::takeRecord(const platform::LogRecord &record)
+{
+    std::optional<BookingRecord> read = bookings::bookingFromRecord(record.data);
+    if (!read) {
+        return false;
+    }
+    const Duration age = sinceMs(bookings::madeAtMs(*read));
+    run(bookings::RecordRead{record.offset, std::move(*read), age});
+    return true;
+}
+
+void BookingRunner::logRead(const bookings::LogRead &read)
+{
+    run(read);
+}
+
+void BookingRunner::logGap(std::uint64_t oldest)
+{
+    run(bookings::LogGap{oldest});
+}
+
+void BookingRunner::setHosts(std::uint32_t hosts)
+{
+    run(bookings::HostsCounted{hosts});
+}
+
+std::optional<bookings::Outcome> BookingRunner::outcomeOf(std::string_view key) const
+{
+    return m_coordinator->outcomeOf(key);
+}
+
+std::size_t BookingRunner::open() const
+{
+    return m_open;
+}
+
+void BookingRunner::perform(const bookings::AppendRecords &action)
+{
+    std::vector<std::string> records;
+    for (BookingRecord record : action.records) {
+        std::visit([](auto &typed) { typed.atMs = timeline::systemWallMs(); }, record);
+        records.push_back(bookings::toRecord(record));
+    }
+    net::co_spawn(m_context, append(action.batch, std::move(records)), net::detached);
+}
+
+net::awaitable<void> BookingRunner::append(std::uint64_t batch, std::vector<std::string> records)
+{
+    platform::PlatformFailure failure;
+    const std::optional<std::uint64_t> offset = co_await m_parts.log->append(std::move(records), failure);
+    m_logTakes = offset.has_value();
+    run(bookings::AppendEnded{batch, offset ? AppendOutcome::Appended : appendOutcome(failure)});
+}
+
+void BookingRunner::perform(const bookings::DispatchBooking &action)
+{
+    const RecordPtr record = m_parts.registry->find(action.request);
+    m_parts.timeline->record(EventKind::BookingDispatched, {.request = record->id, .workspace = record->spec.workspace});
+    m_dispatch(record);
+}
+
+void BookingRunner::perform(const bookings::AnswerBooking &action)
+{
+    const RecordPtr record = m_parts.registry->find(action.request);
+    m_parts.timeline->record(EventKind::RequestCompleted, {.request = record->id, .workspace = record->spec.workspace, .detail = "first answer under the key"});
+    record->transcript.open(KeptAnswer);
+    record->transcript.finish(KeptAnswer, action.answer);
+    m_parts.registry->finished(*record);
+}
+
+void BookingRunner::perform(const bookings::RefuseBooking &action)
+{
+    const RecordPtr record = m_parts.registry->find(action.request);
+    m_parts.timeline->record(EventKind::RequestRefused,
+                             {.request = record->id,
+                              .workspace = record->spec.workspace,
+                              .detail = std::string(bookings::name(action.code)) + ", " + std::string(name(action.run))});
+    record->transcript.refuse(refusalOf(action));
+    m_parts.registry->finished(*record);
+}
+
+void BookingRunner::perform(const bookings::NoteBooking &action)
+{
+    const RecordPtr record = action.request ? m_parts.registry->find(*action.request) : nullptr;
+    m_parts.timeline->record(kindOf(action.step), {.request = record ? record->id : std::string(), .detail = action.detail});
+}
+
+}
--- a/src/entry/internal/callerfrontend.cpp
+++ b/src/entry/internal/callerfrontend.cpp
@@ -23,6 +23,7 @@
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::string_view RequestsPath = "/v1/requests/";
 constexpr std::string_view ServicesPath = "/services/";
+constexpr std::string_view TicketsPath = "/v1/tickets";
 constexpr std::uint64_t MaxDeadlineMs = 24ULL * 3600 * 1000;
 constexpr std::chrono::milliseconds ForwardPatience{60'000};
 
@@ -72,11 +73,13 @@
 CallerFrontend::CallerFrontend(Control &control,
                                std::shared_ptr<requests::RequestRegistry> registry,
                                std::shared_ptr<TemplateView> templates,
-                               std::shared_ptr<PeerView> peers)
+                               std::shared_ptr<PeerView> peers,
+                               TicketDesk &tickets)
     : m_control(control)
     , m_registry(std::move(registry))
     , m_templates(std::move(templates))
     , m_peers(std::move(peers))
+    , m_tickets(tickets)
 {
 }
 
@@ -101,6 +104,8 @@
         co_await writer.respond(std::move(response));
     } else if (path.starts_with(RequestsPath) && request.method == "GET") {
         co_await reattach(std::move(workspace), std::move(request), writer);
+    } else if (path == TicketsPath && request.method == "POST") {
+        co_await m_tickets.mint(writer);
     } else if (path.starts_with(ServicesPath)) {
         co_await service(std::move(workspace), std::move(request), writer);
     } else {
@@ -214,6 +219,11 @@
         co_return;
     }
     spec->deadline = options->deadline.value_or(workspace->policy(spec->trafficClass).deadline);
+    std::optional<std::string> owner = spec->idempotent ? std::nullopt : m_tickets.foreignOwner(spec->idempotencyKey);
+    if (owner) {
+        co_await m_tickets.answer(std::move(*owner), std::move(*spec), std::move(request), writer);
+        co_return;
+    }
     const RecordPtr record = m_registry->add(std::move(*spec));
     watch(record, writer);
     m_control.submit(record);
@@ -254,11 +264,7 @@
         if (record->spec.kind == requests::RequestKind::Chat) {
             response = jsonResponse(completionText(record->id, record->spec.target, view));
         } else {
-            response.status = view.answer.status;
-            for (const auto &[name, value] : view.answer.headers) {
-                response.headers.add(name, value);
-            }
-            response.body = view.answer.body;
+            response = serviceResponse(view.answer, record->spec.idempotent);
         }
         response.headers.add("Rosemaryshift-Request", record->id);
         break;
--- a/src/entry/internal/callerfrontend.h
+++ b/src/entry/internal/callerfrontend.h
@@ -2,6 +2,7 @@
 
 #include "entry/internal/control.h"
 #include "entry/internal/peerview.h"
+#include "entry/internal/ticketdesk.h"
 #include "http/ihttpserver.h"
 
 #include <memory>
@@ -16,7 +17,8 @@
     CallerFrontend(Control &control,
                    std::shared_ptr<requests::RequestRegistry> registry,
                    std::shared_ptr<TemplateView> templates,
-                   std::shared_ptr<PeerView> peers);
+                   std::shared_ptr<PeerView> peers,
+                   TicketDesk &tickets);
 
     boost::asio::awaitable<void> handle(http::Request request, http::IResponseWriter &writer);
 
@@ -43,6 +45,7 @@
     const std::shared_ptr<requests::RequestRegistry> m_registry;
     const std::shared_ptr<TemplateView> m_templates;
     const std::shared_ptr<PeerView> m_peers;
+    TicketDesk &m_tickets;
 };
 
 }
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -30,6 +30,13 @@
     return setting != 0 ? setting : std::random_device()();
 }
 
+bookings::BookingPolicy bookingPolicy(const EntrySettings &settings, const std::string &hostId)
+{
+    bookings::BookingPolicy policy = settings.bookings;
+    policy.owner = hostId;
+    return policy;
+}
+
 std::string attemptText(AttemptId attempt)
 {
     return std::to_string(static_cast<std::uint64_t>(attempt));
@@ -52,7 +59,11 @@
     , m_core(decisions::makeDecisionCore({}, chosenSeed(settings.seed)))
     , m_templates(templates::makeTemplateFold())
     , m_upstreams(settings.zone, m_parts.timeline, [this](decisions::Event event) { post(std::move(event)); })
-    , m_follower(m_parts.log, m_parts.timeline, [this](const platform::LogRecord &record) { takeRecord(record); })
+    , m_bookings(control,
+                 {m_parts.registry, m_parts.timeline, m_parts.log},
+                 bookingPolicy(settings, m_hostId),
+                 [this](const std::shared_ptr<RequestRecord> &record) { decide(record); })
+    , m_follower(m_parts.log, m_parts.timeline, logHandlers())
     , m_wake(control)
 {
 }
@@ -119,7 +130,31 @@
     net::post(m_context, [this, record = std::move(record)] { arrive(record); });
 }
 
+LogHandlers Control::logHandlers()
+{
+    LogHandlers handlers;
+    handlers.record = [this](const platform::LogRecord &record) { takeRecord(record); };
+    handlers.page = [this](const platform::LogPage &page, bool caughtUp) { m_bookings.logRead({page.oldest, page.next, caughtUp}); };
+    handlers.gap = [this](std::uint64_t oldest) { m_bookings.logGap(oldest); };
+    return handlers;
+}
+
 void Control::arrive(const std::shared_ptr<RequestRecord> &record)
+{
+    if (record->spec.idempotent) {
+        m_parts.timeline->record(record->parked ? EventKind::RequestResumed : EventKind::RequestAccepted,
+                                 {.request = record->id,
+                                  .workspace = record->spec.workspace,
+                                  .detail = std::string(name(record->spec.trafficClass)) + " for " + record->spec.target});
+        decide(record);
+        return;
+    }
+    m_bookings.arrive(record);
+    scheduleTick();
+}
+
+/// Hands a request to the decision core.
+void Control::decide(const std::shared_ptr<RequestRecord> &record)
 {
     const requests::RequestSpec &spec = record->spec;
     decisions::RequestArrived event{};
@@ -133,9 +168,9 @@
     event.expectedTokens = spec.maxTokens;
     event.tokensDone = static_cast<std::uint32_t>(record->transcript.size());
     event.idempotent = spec.idempotent;
-    m_parts.timeline->record(record->parked ? EventKind::RequestResumed : EventKind::RequestAccepted,
-                             {.request = record->id, .workspace = spec.workspace, .detail = std::string(name(spec.trafficClass)) + " for " + spec.target});
     record->parked = false;
+    // The next tick counts the request; until then a stop has to wait for it.
+    ++m_openRequests;
     post(event);
 }
 
@@ -167,7 +202,7 @@
 
 std::size_t Control::openRequests() const
 {
-    return m_openRequests;
+    return m_openRequests + m_bookings.open();
 }
 
 bool Control::ready() const
@@ -233,6 +268,9 @@
         {.request = record->id, .workspace = record->spec.workspace, .detail = std::string(name(action.code)) + ", " + std::string(name(action.run))});
     record->transcript.refuse(refusalOf(action));
     m_parts.registry->finished(*record);
+    if (!record->spec.idempotent) {
+        m_bookings.ended(*record, action.run);
+    }
 }
 
 void Control::perform(const decisions::QueueRequest &action)
@@ -253,10 +291,16 @@
     }
     m_parts.timeline->record(EventKind::RequestCompleted, {.request = record->id, .attempt = attemptText(action.attempt), .workspace = record->spec.workspace});
     m_parts.registry->finished(*record);
+    if (!record->spec.idempotent) {
+        m_bookings.ended(*record, RunState::Ran);
+    }
 }
 
 void Control::takeRecord(const platform::LogRecord &record)
 {
+    if (m_bookings.takeRecord(record)) {
+        return;
+    }
     const std::optional<templates::TemplateChange> change = templates::changeFromRecord(record.data);
     if (!change) {
         m_parts.timeline->record(EventKind::RecordSkipped, {.detail = "log offset " + std::to_string(record.offset) + " cannot be read"});
@@ -282,6 +326,7 @@
 void Control::applyLimits()
 {
     const std::uint32_t hosts = static_cast<std::uint32_t>(m_upstreams.entryHosts());
+    m_bookings.setHosts(hosts);
     for (const std::string &workspace : m_templates->workspaces()) {
         const templates::WorkspaceLimits &limits = m_templates->inForce(workspace)->content.limits;
         post(decisions::WorkspaceLimited{m_workspaces.intern(workspace), limits.requestsInFlight / hosts, limits.requestsQueued / hosts});
@@ -363,6 +408,12 @@
     co_return std::nullopt;
 }
 
+net::awaitable<std::optional<bookings::Outcome>> Control::bookingOutcome(std::string key)
+{
+    const auto find = [this, key = std::move(key)]() -> net::awaitable<std::optional<bookings::Outcome>> { co_return m_bookings.outcomeOf(key); };
+    co_return co_await net::co_spawn(m_context, find, net::use_awaitable);
+}
+
 net::awaitable<ControlStatus> Control::status()
 {
     const auto collect = [this]() -> net::awaitable<ControlStatus> { co_return makeStatus(); };
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -3,6 +3,7 @@
 #include "decisions/idecisioncore.h"
 #include "entry/entrysettings.h"
 #include "entry/internal/attemptlauncher.h"
+#include "entry/internal/bookingrunner.h"
 #include "entry/internal/logfollower.h"
 #include "entry/internal/templateview.h"
 #include "entry/internal/upstreamdirectory.h"
@@ -86,6 +87,8 @@
     [[nodiscard]] bool ready() const;
     /// Publishes a change and waits until its verdict is known. Resumes on the executor of the caller. Thread-safe.
     boost::asio::awaitable<PublishResult> publish(templates::TemplateChange change);
+    /// How the booking under the digest @p key ended, if this host knows. Resumes on the executor of the caller. Thread-safe.
+    boost::asio::awaitable<std::optional<bookings::Outcome>> bookingOutcome(std::string key);
     /// State for operators. Resumes on the executor of the caller. Thread-safe.
     boost::asio::awaitable<ControlStatus> status();
 
@@ -111,6 +114,8 @@
     boost::asio::awaitable<PublishResult> publishHere(templates::TemplateChange change);
     boost::asio::awaitable<std::optional<templates::ChangeResult>> awaitVerdict(std::string changeId);
     void arrive(const std::shared_ptr<requests::RequestRecord> &record);
+    void decide(const std::shared_ptr<requests::RequestRecord> &record);
+    [[nodiscard]] LogHandlers logHandlers();
 
     const EntrySettings m_settings;
     const ControlParts m_parts;
@@ -120,6 +125,7 @@
     std::unique_ptr<decisions::IDecisionCore> m_core;
     std::unique_ptr<templates::ITemplateFold> m_templates;
     UpstreamDirectory m_upstreams;
+    BookingRunner m_bookings;
     LogFollower m_follower;
     membership::IMembership *m_membership = nullptr;
     NameTable<WorkspaceId> m_workspaces;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -52,7 +52,8 @@
         , m_templates(std::make_shared<TemplateView>())
         , m_peerView(std::make_shared<PeerView>())
         , m_control(settings, parts(), m_controlContext, m_trafficContext, settings.name + "." + incarnation)
-        , m_callerFrontend(m_control, m_registry, m_templates, m_peerView)
+        , m_tickets(m_control, m_peerView, settings.name + "." + incarnation, settings.bookings.keyWindow)
+        , m_callerFrontend(m_control, m_registry, m_templates, m_peerView, m_tickets)
         , m_operatorFrontend(m_control, m_timeline, std::move(tokens.operators))
         , m_peerClient(rpc::makePeerClient(tokens.peers, m_clock))
         , m_peerServer(rpc::makePeerServer(m_controlContext.get_executor(), std::move(tokens.peers), m_clock))
@@ -167,6 +168,7 @@
     const std::shared_ptr<TemplateView> m_templates;
     const std::shared_ptr<PeerView> m_peerView;
     Control m_control;
+    TicketDesk m_tickets;
     CallerFrontend m_callerFrontend;
     OperatorFrontend m_operatorFrontend;
     const std::shared_ptr<rpc::IPeerClient> m_peerClient;
--- a/src/entry/internal/entrysettings.cpp
+++ b/src/entry/internal/entrysettings.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr NumberRange TimeoutMs{1, 3'600'000};
+constexpr NumberRange KeyWindowMs{1, 365ULL * 24 * 3'600'000};
 constexpr NumberRange ThreadCount{1, 64};
 
 std::chrono::milliseconds milliseconds(SettingsTable &table, std::string_view key, std::chrono::milliseconds fallback)
@@ -78,6 +79,20 @@
     table->rejectUnknownKeys();
 }
 
+void readBookings(SettingsTable &root, bookings::BookingPolicy &policy)
+{
+    std::optional<SettingsTable> table = root.table("bookings");
+    if (!table) {
+        return;
+    }
+    const std::chrono::milliseconds window = std::chrono::duration_cast<std::chrono::milliseconds>(policy.keyWindow);
+    const std::chrono::milliseconds patience = std::chrono::duration_cast<std::chrono::milliseconds>(policy.patience);
+    policy.keyWindow = std::chrono::milliseconds(table->number("key_window_ms", KeyWindowMs, static_cast<std::uint64_t>(window.count())));
+    policy.patience = milliseconds(*table, "patience_ms", patience);
+    policy.appendsPerSecond = static_cast<std::uint32_t>(table->number("appends_per_second", {1, 100'000}, policy.appendsPerSecond));
+    table->rejectUnknownKeys();
+}
+
 }
 
 EntrySettings readEntrySettings(SettingsDocument &document)
@@ -103,6 +118,7 @@
     readUpstreams(root, settings.attemptTimeouts);
     readRetention(root, settings.retention);
     readMembership(root, settings.membership);
+    readBookings(root, settings.bookings);
     root.rejectUnknownKeys();
     return settings;
 }
--- a/src/entry/internal/logfollower.cpp
+++ b/src/entry/internal/logfollower.cpp
@@ -17,10 +17,10 @@
 
 }
 
-LogFollower::LogFollower(std::shared_ptr<platform::ILog> log, std::shared_ptr<timeline::ITimeline> timeline, RecordHandler handler)
+LogFollower::LogFollower(std::shared_ptr<platform::ILog> log, std::shared_ptr<timeline::ITimeline> timeline, LogHandlers handlers)
     : m_log(std::move(log))
     , m_timeline(std::move(timeline))
-    , m_handler(std::move(handler))
+    , m_handlers(std::move(handlers))
 {
 }
 
@@ -44,15 +44,19 @@
 
 void LogFollower::take(const platform::LogPage &page)
 {
+    if (page.oldest > m_position) {
+        m_handlers.gap(page.oldest);
+    }
     for (const platform::LogRecord &record : page.records) {
         if (record.offset < m_position) {
             continue;
         }
-        m_handler(record);
+        m_handlers.record(record);
         m_position = record.offset + 1;
     }
     m_position = std::max(m_position, page.next);
     m_caughtUp = m_caughtUp || page.records.empty();
+    m_handlers.page(page, m_caughtUp);
 }
 
 void LogFollower::noteReachable(bool reachable, std::string_view detail)
--- a/src/entry/internal/logfollower.h
+++ b/src/entry/internal/logfollower.h
@@ -10,13 +10,20 @@
 
 namespace rosemaryshift::entry {
 
+/// What a follower tells of the log. Called on the control thread.
+struct LogHandlers {
+    std::function<void(const platform::LogRecord &record)> record;
+    /// A page was handed on. @p caughtUp is true once every record that stood in the log at the start was.
+    std::function<void(const platform::LogPage &page, bool caughtUp)> page;
+    /// Records before @p oldest were dropped unread.
+    std::function<void(std::uint64_t oldest)> gap;
+};
+
 /// Reads the platform's log from its oldest record on and hands each record on in its order. Belongs to the control thread.
 class LogFollower
 {
 public:
-    using RecordHandler = std::function<void(const platform::LogRecord &record)>;
-
-    LogFollower(std::shared_ptr<platform::ILog> log, std::shared_ptr<timeline::ITimeline> timeline, RecordHandler handler);
+    LogFollower(std::shared_ptr<platform::ILog> log, std::shared_ptr<timeline::ITimeline> timeline, LogHandlers handlers);
 
     /// Follows the log for ever.
     boost::asio::awaitable<void> run();
@@ -33,7 +40,7 @@
 
     const std::shared_ptr<platform::ILog> m_log;
     const std::shared_ptr<timeline::ITimeline> m_timeline;
-    const RecordHandler m_handler;
+    const LogHandlers m_handlers;
     std::uint64_t m_position = 0;
     bool m_caughtUp = false;
     bool m_reachable = true;
--- a/src/entry/internal/peerview.cpp
+++ b/src/entry/internal/peerview.cpp
@@ -23,7 +23,11 @@
 
 std::optional<Peer> PeerView::acceptedBy(std::string_view requestId) const
 {
-    const std::string_view hostId = requestId.substr(0, requestId.rfind('-'));
+    return incarnation(requestId.substr(0, requestId.rfind('-')));
+}
+
+std::optional<Peer> PeerView::incarnation(std::string_view hostId) const
+{
     const std::size_t dot = hostId.rfind('.');
     if (dot == std::string_view::npos) {
         return std::nullopt;
--- a/src/entry/internal/peerview.h
+++ b/src/entry/internal/peerview.h
@@ -18,6 +18,8 @@
     void note(const membership::Peer &peer, membership::PeerChange change);
     /// The peer @p name; nothing when it is not known or was lost.
     [[nodiscard]] std::optional<membership::Peer> find(std::string_view name) const;
+    /// The peer of the host and incarnation @p hostId, "name.incarnation".
+    [[nodiscard]] std::optional<membership::Peer> incarnation(std::string_view hostId) const;
     /// The peer that accepted the request @p requestId, if it is there in the same incarnation.
     [[nodiscard]] std::optional<membership::Peer> acceptedBy(std::string_view requestId) const;
 
--- a/src/entry/internal/servicecallspec.cpp
+++ b/src/entry/internal/servicecallspec.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/servicecallspec.h"
 
+#include "bookings/bookingkeys.h"
 #include "entry/internal/refusals.h"
 
 #include <algorithm>
@@ -13,7 +14,7 @@
 constexpr std::size_t MaxIdempotencyKey = 256;
 constexpr std::array<std::string_view, 5> IdempotentMethods{"GET", "HEAD", "OPTIONS", "PUT", "DELETE"};
 /// Headers that end at this host and are not passed on to a service.
-constexpr std::array<std::string_view, 12> OwnHeaders{"Authorization",
+constexpr std::array<std::string_view, 13> OwnHeaders{"Authorization",
                                                       "Connection",
                                                       "Content-Length",
                                                       "Expect",
@@ -22,6 +23,7 @@
                                                       "Keep-Alive",
                                                       "Rosemaryshift-Class",
                                                       "Rosemaryshift-Deadline-Ms",
+                                                      "Rosemaryshift-Forwarded",
                                                       "TE",
                                                       "Transfer-Encoding",
                                                       "X-Request-Id"};
@@ -68,6 +70,10 @@
         refusal = badRequest(400, "idempotency_key_required", "a call that may not be repeated needs an Idempotency-Key of 1 to 256 characters");
         return std::nullopt;
     }
+    if (!spec.idempotent && bookings::looksLikeTicket(spec.idempotencyKey) && !bookings::parseTicket(spec.idempotencyKey)) {
+        refusal = badRequest(400, "invalid_ticket", "the Idempotency-Key begins like a ticket and is none");
+        return std::nullopt;
+    }
     for (const http::Header &field : request.headers.all()) {
         if (!isOwn(field)) {
             spec.headers.emplace_back(field.name, field.value);
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/platform/internal/httpplatform.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::chrono::milliseconds AnswerTimeout{3'000};
 constexpr int StatusOk = 200;
+constexpr int ServerErrors = 500;
 
 PlatformFailure converted(const http::ClientFailure &failure)
 {
@@ -36,6 +37,11 @@
         failure = converted(clientFailure);
         co_return std::nullopt;
     }
+    if (response->status >= ServerErrors) {
+        // Something between the two ends may have given up after the platform has acted.
+        failure = {PlatformError::AnswerLost, "the platform answered " + std::to_string(response->status)};
+        co_return std::nullopt;
+    }
     if (response->status != StatusOk) {
         failure = {PlatformError::Unreachable, "the platform answered " + std::to_string(response->status)};
         co_return std::nullopt;
