--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -8,7 +8,23 @@
 
 namespace rosemaryshift::decisions {
 
+/// How the upstream of an attempt is chosen.
+enum class RoutingPolicy : std::uint8_t {
+    LeastInFlight, ///< The smallest share of slots in use by this host.
+    RoundRobin,
+    Random,
+};
+
+/// In which order waiting requests start.
+enum class QueuePolicy : std::uint8_t {
+    FairByWorkspace, ///< One request of each workspace in turn.
+    FirstCome,       ///< One queue of all workspaces; the first holds up the others.
+};
+
+/// The decisions of a core. Each field has a plain alternative to be measured against.
 struct PolicySettings {
+    RoutingPolicy routing = RoutingPolicy::LeastInFlight;
+    QueuePolicy queue = QueuePolicy::FairByWorkspace;
     std::uint32_t maxAttempts = 3;                 ///< Of one request.
     Duration retryAfter = std::chrono::seconds(1); ///< Told to callers that are refused for want of a slot.
 };
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -1,6 +1,8 @@
 #include "decisions/internal/decisioncore.h"
 
+#include "decisions/internal/firstcomesystem.h"
 #include "decisions/internal/leastinflightchooser.h"
+#include "decisions/internal/plainchoosers.h"
 #include "decisions/internal/systems.h"
 
 #include <algorithm>
@@ -146,13 +148,38 @@
     m_tables.stopping = true;
 }
 
-std::unique_ptr<IDecisionCore> makeDecisionCore(const PolicySettings &settings, std::uint64_t)
+namespace {
+
+std::unique_ptr<IUpstreamChooser> makeChooser(const PolicySettings &settings, std::uint64_t seed)
+{
+    switch (settings.routing) {
+    case RoutingPolicy::RoundRobin:
+        return std::make_unique<RoundRobinChooser>(seed);
+    case RoutingPolicy::Random:
+        return std::make_unique<RandomChooser>(seed);
+    case RoutingPolicy::LeastInFlight:
+        break;
+    }
+    return std::make_unique<LeastInFlightChooser>();
+}
+
+std::unique_ptr<ISystem> makeRouting(const PolicySettings &settings, std::uint64_t seed)
+{
+    if (settings.queue == QueuePolicy::FirstCome) {
+        return std::make_unique<FirstComeSystem>(makeChooser(settings, seed));
+    }
+    return std::make_unique<RoutingSystem>(makeChooser(settings, seed));
+}
+
+}
+
+std::unique_ptr<IDecisionCore> makeDecisionCore(const PolicySettings &settings, std::uint64_t seed)
 {
     std::vector<std::unique_ptr<ISystem>> systems;
     systems.push_back(std::make_unique<DeadlineSystem>());
     systems.push_back(std::make_unique<RetrySystem>(settings));
     systems.push_back(std::make_unique<AdmissionSystem>(settings));
-    systems.push_back(std::make_unique<RoutingSystem>(std::make_unique<LeastInFlightChooser>()));
+    systems.push_back(makeRouting(settings, seed));
     return std::make_unique<DecisionCore>(std::move(systems));
 }
 
--- /dev/null
+++ b/src/decisions/internal/firstcomesystem.cpp
@@ -0,0 +1,47 @@
+#include "decisions/internal/firstcomesystem.h"
+
+#include "decisions/internal/systems.h"
+
+#include <utility>
+
+namespace rosemaryshift::decisions {
+
+FirstComeSystem::FirstComeSystem(std::unique_ptr<IUpstreamChooser> chooser)
+    : m_chooser(std::move(chooser))
+{
+}
+
+void FirstComeSystem::run(Tables &tables, TickContext &context)
+{
+    m_order.insert(m_order.begin(), tables.retrying.begin(), tables.retrying.end());
+    tables.retrying.clear();
+    m_order.insert(m_order.end(), tables.arrived.begin(), tables.arrived.end());
+    tables.arrived.clear();
+    while (!m_order.empty() && startFirst(tables, context)) {
+        m_order.pop_front();
+    }
+}
+
+bool FirstComeSystem::startFirst(Tables &tables, TickContext &context)
+{
+    const RequestId request = m_order.front();
+    RequestRow *const row = tables.request(request);
+    if (row == nullptr) {
+        return true;
+    }
+    WorkspaceRow &workspace = tables.workspace(row->spec.workspace);
+    if (!row->admitted && workspace.inFlight >= workspace.maxInFlight) {
+        return false;
+    }
+    if (!startAttempt(tables, context, *m_chooser, request)) {
+        return false;
+    }
+    if (!row->admitted) {
+        row->admitted = true;
+        ++workspace.inFlight;
+        std::erase(workspace.queue, request);
+    }
+    return true;
+}
+
+}
--- a/src/decisions/internal/leastinflightchooser.cpp
+++ b/src/decisions/internal/leastinflightchooser.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-bool canTake(const UpstreamRow &upstream, const RequestRow &request)
-{
-    return upstream.state == UpstreamState::Live && upstream.inFlight < upstream.slots
-        && std::ranges::find(upstream.targets, request.spec.target) != upstream.targets.end();
-}
-
 double shareInUse(const UpstreamRow &upstream)
 {
     return static_cast<double>(upstream.inFlight) / static_cast<double>(std::max(upstream.slots, 1U));
--- /dev/null
+++ b/src/decisions/internal/plainchoosers.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "decisions/iupstreamchooser.h"
+
+#include <random>
+
+namespace rosemaryshift::decisions {
+
+/// Takes the upstreams with a free slot in turn.
+class RoundRobinChooser : public IUpstreamChooser
+{
+public:
+    explicit RoundRobinChooser(std::uint64_t seed);
+    std::optional<UpstreamChoice> choose(const Tables &tables, const RequestRow &request, TimePoint now) override;
+
+private:
+    std::size_t m_next;
+};
+
+/// Takes any upstream with a free slot, each with the same probability.
+class RandomChooser : public IUpstreamChooser
+{
+public:
+    explicit RandomChooser(std::uint64_t seed);
+    std::optional<UpstreamChoice> choose(const Tables &tables, const RequestRow &request, TimePoint now) override;
+
+private:
+    std::mt19937_64 m_random;
+};
+
+}
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -132,7 +132,7 @@
 
 void RoutingSystem::run(Tables &tables, TickContext &context)
 {
-    std::erase_if(tables.retrying, [&](RequestId request) { return tables.request(request) == nullptr || start(tables, context, request); });
+    std::erase_if(tables.retrying, [&](RequestId request) { return tables.request(request) == nullptr || startAttempt(tables, context, *m_chooser, request); });
     bool progressed = true;
     while (progressed) {
         progressed = false;
@@ -156,7 +156,7 @@
         return false;
     }
     for (const RequestId request : workspace.queue) {
-        if (!start(tables, context, request)) {
+        if (!startAttempt(tables, context, *m_chooser, request)) {
             continue;
         }
         tables.request(request)->admitted = true;
@@ -167,10 +167,10 @@
     return false;
 }
 
-bool RoutingSystem::start(Tables &tables, TickContext &context, RequestId request)
+bool startAttempt(Tables &tables, TickContext &context, IUpstreamChooser &chooser, RequestId request)
 {
     RequestRow &row = *tables.request(request);
-    const std::optional<UpstreamChoice> choice = m_chooser->choose(tables, row, context.now);
+    const std::optional<UpstreamChoice> choice = chooser.choose(tables, row, context.now);
     if (!choice) {
         return false;
     }
--- a/src/decisions/internal/systems.h
+++ b/src/decisions/internal/systems.h
@@ -41,6 +41,9 @@
     PolicySettings m_settings;
 };
 
+/// Starts an attempt of @p request where @p chooser says; false when no upstream can take it now.
+bool startAttempt(Tables &tables, TickContext &context, IUpstreamChooser &chooser, RequestId request);
+
 /// Starts attempts for retrying and queued requests, one workspace after the other.
 class RoutingSystem : public ISystem
 {
@@ -49,7 +52,6 @@
     void run(Tables &tables, TickContext &context) override;
 
 private:
-    bool start(Tables &tables, TickContext &context, RequestId request);
     bool startNextOf(Tables &tables, TickContext &context, WorkspaceRow &workspace);
 
     std::unique_ptr<IUpstreamChooser> m_chooser;
--- a/src/decisions/iupstreamchooser.h
+++ b/src/decisions/iupstreamchooser.h
@@ -9,6 +9,9 @@
     RouteReason reason;
 };
 
+/// Whether @p upstream is live, serves the request's target and has a slot that this host does not use.
+bool canTake(const UpstreamRow &upstream, const RequestRow &request);
+
 /// Chooses the upstream for a request's next attempt. Not thread-safe; belongs to the core's thread.
 class IUpstreamChooser
 {
