Deliver whole answers only, and resume cut ones to the token

Cause: a stream cut behind its last token was resumed with the caller's full bound and grew past it; max_completion_tokens was not lowered at all; a late attempt could have gone on behind a prefix that another one had moved; a service answer that only the end of the connection ends was delivered though a cut looks the same; callers got no usage. What: tokens are counted by the engine's usage; the bound is lowered under the caller's own name, and an answer that has reached it is complete; an attempt writes only behind the prefix it was started with; answers with tool calls are not resumed. usage comes in unstreamed answers and with stream_options.include_usage.

--- a/src/entry/internal/bookingrunner.cpp
+++ b/src/entry/internal/bookingrunner.cpp
@@ -207,7 +207,7 @@
 {
     const RecordPtr record = m_parts.registry->find(action.request);
     m_parts.timeline->record(EventKind::RequestCompleted, {.request = record->id, .workspace = record->spec.workspace, .detail = "first answer under the key"});
-    record->transcript.open(KeptAnswer);
+    record->transcript.open(KeptAnswer, 0);
     record->transcript.finish(KeptAnswer, action.answer);
     m_parts.registry->finished(*record);
 }
--- a/src/entry/internal/callerfrontend.cpp
+++ b/src/entry/internal/callerfrontend.cpp
@@ -161,6 +161,7 @@
     spec.priority = policy.priority;
     spec.promptTokens = parsed->promptTokens;
     spec.maxTokens = parsed->maxTokens;
+    spec.includeUsage = parsed->includeUsage;
     spec.body = std::move(request.body);
     const RecordPtr record = m_registry->add(std::move(spec));
     watch(record, writer);
@@ -319,7 +320,11 @@
     }
     std::string events;
     if (view.end == TranscriptEnd::Complete) {
-        events = sseEvent(seen + 1, finishText(record->id, record->spec.target, view.finishReason)) + "data: [DONE]\n\n";
+        events = sseEvent(seen + 1, finishText(record->id, record->spec.target, view.finishReason));
+        if (record->spec.includeUsage) {
+            events += sseEvent(seen + 2, usageText(record->id, record->spec.target, view.usage));
+        }
+        events += "data: [DONE]\n\n";
     } else if (view.end == TranscriptEnd::Moved) {
         events = namedEvent("moved", errorBody(movedRefusal()));
     } else {
--- a/src/entry/internal/chatwire.cpp
+++ b/src/entry/internal/chatwire.cpp
@@ -54,6 +54,9 @@
     if (body.isMember("stream") && !body["stream"].isBool()) {
         return "\"stream\" must be true or false";
     }
+    if (body.isMember("stream_options") && !body["stream_options"].isObject() && !body["stream_options"].isNull()) {
+        return "\"stream_options\" must be an object";
+    }
     if (body.isMember("n") && body["n"] != 1) {
         return "\"n\" may be 1 only";
     }
@@ -78,6 +81,15 @@
     return value;
 }
 
+Json::Value usageJson(const requests::Usage &usage)
+{
+    Json::Value value;
+    value["prompt_tokens"] = Json::UInt64(usage.promptTokens);
+    value["completion_tokens"] = Json::UInt64(usage.completionTokens);
+    value["total_tokens"] = Json::UInt64(usage.promptTokens + usage.completionTokens);
+    return value;
+}
+
 /// Joins the pieces' parts of tool calls, which come by index with their arguments in fragments.
 Json::Value mergedToolCalls(const std::vector<Piece> &pieces)
 {
@@ -124,6 +136,8 @@
     ChatRequest request;
     request.model = (*parsed)["model"].asString();
     request.stream = boolMember(*parsed, "stream", false);
+    const Json::Value &options = (*parsed)["stream_options"];
+    request.includeUsage = options.isObject() && boolMember(options, "include_usage", false);
     request.maxTokens = readMaxTokens(*parsed);
     request.promptTokens = static_cast<std::uint32_t>(contentBytes((*parsed)["messages"]) / BytesPerToken) + 1;
     return request;
@@ -148,6 +162,14 @@
     return toText(value);
 }
 
+std::string usageText(std::string_view requestId, std::string_view model, const requests::Usage &usage)
+{
+    Json::Value value = envelope(requestId, model, "chat.completion.chunk");
+    value["choices"] = Json::Value(Json::arrayValue);
+    value["usage"] = usageJson(usage);
+    return toText(value);
+}
+
 std::string completionText(std::string_view requestId, std::string_view model, const requests::TranscriptView &view)
 {
     std::string content;
@@ -163,6 +185,7 @@
     }
     Json::Value value = envelope(requestId, model, "chat.completion");
     value["choices"].append(choice("message", std::move(message), view.finishReason));
+    value["usage"] = usageJson(view.usage);
     return toText(value);
 }
 
--- a/src/entry/internal/chatwire.h
+++ b/src/entry/internal/chatwire.h
@@ -13,6 +13,7 @@
 struct ChatRequest {
     std::string model;
     bool stream = false;
+    bool includeUsage = false;      ///< Of a streamed answer.
     std::uint32_t maxTokens = 0;    ///< Zero when the caller set no bound.
     std::uint32_t promptTokens = 0; ///< Estimated from the length of the messages.
 };
@@ -24,6 +25,8 @@
 std::string chunkText(std::string_view requestId, std::string_view model, std::size_t index, const requests::Piece &piece);
 /// Data of the streamed event that carries the finish reason. Thread-safe.
 std::string finishText(std::string_view requestId, std::string_view model, std::string_view finishReason);
+/// Data of the streamed event that carries the usage, for callers that asked for it. Thread-safe.
+std::string usageText(std::string_view requestId, std::string_view model, const requests::Usage &usage);
 /// The whole unstreamed answer. Thread-safe.
 std::string completionText(std::string_view requestId, std::string_view model, const requests::TranscriptView &view);
 /// The list of models a workspace may use. Thread-safe.
--- a/src/requests/internal/transcript.cpp
+++ b/src/requests/internal/transcript.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace rosemaryshift::requests {
@@ -22,6 +23,11 @@
     }
 }
 
+std::uint64_t tokensOf(const std::vector<Piece> &pieces)
+{
+    return std::accumulate(pieces.begin(), pieces.end(), std::uint64_t{0}, [](std::uint64_t sum, const Piece &piece) { return sum + piece.tokens; });
+}
+
 }
 
 std::vector<Transcript::Resume> Transcript::takeReaders()
@@ -29,10 +35,16 @@
     return std::exchange(m_readers, {});
 }
 
-bool Transcript::open(AttemptId attempt)
+bool Transcript::open(AttemptId attempt, std::size_t behind)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_end != TranscriptEnd::Open || (m_writer && m_writer != attempt)) {
+    if (m_end != TranscriptEnd::Open) {
+        return false;
+    }
+    if (m_writer) {
+        return m_writer == attempt;
+    }
+    if (m_pieces.size() != behind) {
         return false;
     }
     m_writer = attempt;
@@ -62,7 +74,7 @@
     return true;
 }
 
-bool Transcript::finish(AttemptId attempt, std::string finishReason)
+bool Transcript::finish(AttemptId attempt, std::string finishReason, std::uint64_t promptTokens)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -70,6 +82,7 @@
             return false;
         }
         m_finishReason = std::move(finishReason);
+        m_usage = {promptTokens, tokensOf(m_pieces)};
     }
     return endWith(TranscriptEnd::Complete);
 }
@@ -137,14 +150,17 @@
     return m_end;
 }
 
-std::string Transcript::content() const
+TranscriptPrefix Transcript::prefix() const
 {
     const std::lock_guard lock(m_mutex);
-    std::string text;
+    TranscriptPrefix prefix;
     for (const Piece &piece : m_pieces) {
-        text += piece.content;
+        prefix.content += piece.content;
+        prefix.textOnly = prefix.textOnly && !piece.content.empty();
     }
-    return text;
+    prefix.pieces = m_pieces.size();
+    prefix.tokens = tokensOf(m_pieces);
+    return prefix;
 }
 
 TranscriptView Transcript::view(std::size_t from) const
@@ -155,6 +171,7 @@
     view.pieces.assign(m_pieces.begin() + static_cast<std::ptrdiff_t>(first), m_pieces.end());
     view.end = m_end;
     view.finishReason = m_finishReason;
+    view.usage = m_usage;
     view.answer = m_answer;
     view.refusal = m_refusal;
     return view;
--- a/src/requests/requesttypes.h
+++ b/src/requests/requesttypes.h
@@ -23,6 +23,13 @@
 struct Piece {
     std::string delta;   ///< The upstream's JSON "delta" object.
     std::string content; ///< Its text part.
+    std::uint32_t tokens = 1;
+};
+
+/// Tokens of a whole answer as the upstream counted them, over all attempts.
+struct Usage {
+    std::uint64_t promptTokens = 0;
+    std::uint64_t completionTokens = 0;
 };
 
 /// Whole answer of a plain service.
@@ -49,6 +56,7 @@
     std::uint32_t priority = 0;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxTokens = 0;                              ///< Zero when the caller set no bound.
+    bool includeUsage = false;                                ///< The streamed answer ends with its usage.
     std::string method;                                       ///< Of a service call.
     std::string path;                                         ///< Of a service call, with its query.
     std::vector<std::pair<std::string, std::string>> headers; ///< Of a service call, for the upstream.
--- a/src/requests/tests/transcripttests.cpp
+++ b/src/requests/tests/transcripttests.cpp
@@ -13,24 +13,33 @@
 
     GIVEN("an attempt that has begun to write")
     {
-        REQUIRE(transcript.open(first));
-        REQUIRE(transcript.append(first, {"{}", "one "}));
+        REQUIRE(transcript.open(first, 0));
+        REQUIRE(transcript.append(first, {"{}", "one ", 1}));
         THEN("another one may neither begin nor write")
         {
-            CHECK_FALSE(transcript.open(second));
-            CHECK_FALSE(transcript.append(second, {"{}", "x"}));
+            CHECK_FALSE(transcript.open(second, 1));
+            CHECK_FALSE(transcript.append(second, {"{}", "x", 1}));
+        }
+        WHEN("it is released")
+        {
+            transcript.release(first);
+            THEN("an attempt that was started before its words came may not repeat them")
+            {
+                CHECK_FALSE(transcript.open(second, 0));
+            }
         }
         WHEN("it is released and another goes on")
         {
             transcript.release(first);
-            REQUIRE(transcript.open(second));
-            REQUIRE(transcript.append(second, {"{}", "two"}));
+            REQUIRE(transcript.open(second, 1));
+            REQUIRE(transcript.append(second, {"{}", "two", 2}));
             THEN("late words of the first are not taken")
             {
-                CHECK_FALSE(transcript.append(first, {"{}", "late"}));
-                CHECK(transcript.content() == "one two");
-                CHECK(transcript.finish(second, "stop"));
+                CHECK_FALSE(transcript.append(first, {"{}", "late", 1}));
+                CHECK(transcript.prefix().content == "one two");
+                CHECK(transcript.finish(second, "stop", 5));
                 CHECK(transcript.view(1).pieces.size() == 1);
+                CHECK(transcript.view(1).usage.completionTokens == 3);
                 CHECK(transcript.end() == TranscriptEnd::Complete);
             }
         }
@@ -40,7 +49,7 @@
         transcript.refuse({503, "no_upstream", "", RunState::NotRun, std::nullopt});
         THEN("its end does not change any more")
         {
-            CHECK_FALSE(transcript.open(first));
+            CHECK_FALSE(transcript.open(first, 0));
             transcript.move();
             CHECK(transcript.end() == TranscriptEnd::Refused);
         }
--- a/src/requests/transcript.h
+++ b/src/requests/transcript.h
@@ -25,22 +25,32 @@
     std::vector<Piece> pieces;
     TranscriptEnd end = TranscriptEnd::Open;
     std::string finishReason;
+    Usage usage;
     ServiceAnswer answer;
     Refusal refusal;
 };
 
+/// What an attempt resumes behind.
+struct TranscriptPrefix {
+    std::string content;
+    std::size_t pieces = 0;
+    std::uint64_t tokens = 0;
+    bool textOnly = true; ///< False when a piece holds more than text, so that no engine can go on behind it.
+};
+
 /// The answer to one request as far as it has come. One attempt writes, any number of callers read. Thread-safe.
 class Transcript
 {
 public:
-    /// Gives the right to write to @p attempt, if the answer is open and no other attempt holds the right.
-    bool open(AttemptId attempt);
+    /// Gives the right to write to @p attempt, if the answer is open, no other attempt holds the right and none has written
+    /// behind the first @p behind pieces.
+    bool open(AttemptId attempt, std::size_t behind);
     /// Takes the right to write back from @p attempt; what it wrote stays.
     void release(AttemptId attempt);
     /// Appends a piece; false when @p attempt may not write.
     bool append(AttemptId attempt, Piece piece);
     /// Ends a model's answer; false when @p attempt may not write.
-    bool finish(AttemptId attempt, std::string finishReason);
+    bool finish(AttemptId attempt, std::string finishReason, std::uint64_t promptTokens);
     /// Ends a service's answer; false when @p attempt may not write.
     bool finish(AttemptId attempt, ServiceAnswer answer);
     /// Ends an open answer with a refusal.
@@ -53,8 +63,7 @@
 
     [[nodiscard]] std::size_t size() const;
     [[nodiscard]] TranscriptEnd end() const;
-    /// Text of all pieces so far.
-    [[nodiscard]] std::string content() const;
+    [[nodiscard]] TranscriptPrefix prefix() const;
     /// The pieces from number @p from on, and the end if there is one.
     [[nodiscard]] TranscriptView view(std::size_t from) const;
     /// Waits until there is a piece behind the first @p seen, or an end, or wake() was called. Resumes on the executor of the caller.
@@ -73,6 +82,7 @@
     std::optional<AttemptId> m_writer;
     TranscriptEnd m_end = TranscriptEnd::Open;
     std::string m_finishReason;
+    Usage m_usage;
     ServiceAnswer m_answer;
     Refusal m_refusal;
     std::vector<Resume> m_readers;
--- a/src/standins/internal/standinengine.cpp
+++ b/src/standins/internal/standinengine.cpp
@@ -5,6 +5,8 @@
 #include "settings/endpointsetting.h"
 
 #include <algorithm>
+#include <iterator>
+#include <sstream>
 
 namespace rosemaryshift::standins {
 
@@ -15,7 +17,7 @@
 constexpr std::uint64_t MaxTokens = 1'000'000;
 constexpr std::size_t PromptDigits = 6;
 
-std::string chunk(const std::string &id, const Json::Value &delta, const Json::Value &finishReason)
+std::string chunk(const std::string &id, const Json::Value &delta, const Json::Value &finishReason, const Json::Value &usage)
 {
     Json::Value choice;
     choice["index"] = 0;
@@ -25,14 +27,27 @@
     value["id"] = id;
     value["object"] = "chat.completion.chunk";
     value["choices"].append(choice);
+    if (!usage.isNull()) {
+        value["usage"] = usage;
+    }
     return "data: " + toText(value) + "\n\n";
 }
 
-std::string wordChunk(const std::string &id, const std::string &word)
+std::string wordChunk(const std::string &id, const std::string &word, const Json::Value &usage)
 {
     Json::Value delta;
     delta["content"] = word;
-    return chunk(id, delta, Json::Value());
+    return chunk(id, delta, Json::Value(), usage);
+}
+
+std::uint64_t wordsIn(const Json::Value &messages)
+{
+    std::uint64_t words = 0;
+    for (const Json::Value &message : messages) {
+        std::istringstream text(stringMember(message, "content").value_or(""));
+        words += static_cast<std::uint64_t>(std::distance(std::istream_iterator<std::string>(text), {}));
+    }
+    return words;
 }
 
 http::Headers streamHeaders(const std::string &id)
@@ -50,6 +65,8 @@
     std::string prompt;
     std::uint64_t first = 0; ///< Number of the first word to generate.
     std::uint64_t count = 0;
+    std::uint64_t promptTokens = 0;
+    bool countsTokens = false; ///< Each piece carries the usage so far.
     FailureMode mode = FailureMode::None;
     std::uint64_t epoch = 0;
 };
@@ -117,14 +134,17 @@
     job.id = std::string(request.headers.find("X-Request-Id").value_or("none"));
     job.mode = mode;
     job.epoch = m_failures.epoch();
-    job.count = std::min(unsignedMember(*body, "max_tokens").value_or(m_settings.defaultTokens), MaxTokens);
+    const std::optional<std::uint64_t> bound = unsignedMember(*body, body->isMember("max_completion_tokens") ? "max_completion_tokens" : "max_tokens");
+    job.count = std::min(bound.value_or(m_settings.defaultTokens), MaxTokens);
     Json::Value messages = (*body)["messages"];
+    job.promptTokens = wordsIn(messages);
+    job.countsTokens = (*body)["stream_options"].isObject() && boolMember((*body)["stream_options"], "continuous_usage_stats", false);
     if (boolMember(*body, "continue_final_message", false)) {
         Json::Value soFar;
         messages.removeIndex(messages.size() - 1, &soFar);
         const std::string text = stringMember(soFar, "content").value_or("");
         job.first = static_cast<std::uint64_t>(std::ranges::count(text, ' '));
-        if (!body->isMember("max_tokens")) {
+        if (!bound) {
             job.count = m_settings.defaultTokens - std::min<std::uint64_t>(job.first, m_settings.defaultTokens);
         }
     }
@@ -137,9 +157,8 @@
 
 net::awaitable<void> StandinEngine::generate(const Job &job, http::IResponseWriter &writer)
 {
-    const std::string id = job.mode == FailureMode::Crossed ? job.id + "-other" : job.id;
     noteRun(job.id, 0);
-    http::Headers headers = streamHeaders(id);
+    http::Headers headers = streamHeaders(job.id);
     if (job.mode == FailureMode::Silent) {
         co_await staySilent(writer);
         co_return;
@@ -151,7 +170,9 @@
         if (m_failures.mode() == FailureMode::SilentOpen && m_failures.epoch() != job.epoch) {
             co_await staySilent(writer);
         }
-        const std::string event = wordChunk(id, standinWord(job.prompt, job.first + i));
+        const bool crossed = job.mode == FailureMode::Crossed && i >= job.count / 2;
+        const std::string text = standinWord(crossed ? job.prompt + "-other" : job.prompt, job.first + i);
+        const std::string event = wordChunk(crossed ? job.id + "-other" : job.id, text, usage(job, i + 1));
         if (writer.callerGone() || !co_await writer.write(event)) {
             noteCancelled();
             co_return;
@@ -163,13 +184,23 @@
         writer.abort();
         co_return;
     }
-    if (job.mode != FailureMode::Truncated) {
-        const std::string end = chunk(id, Json::Value(Json::objectValue), "stop") + "data: [DONE]\n\n";
+    if (job.mode != FailureMode::Truncated && job.mode != FailureMode::Unfinished) {
+        const std::string end = chunk(job.id, Json::Value(Json::objectValue), "stop", usage(job, job.count)) + "data: [DONE]\n\n";
         co_await writer.write(end);
     }
     co_await writer.end();
 }
 
+Json::Value StandinEngine::usage(const Job &job, std::uint64_t tokens)
+{
+    Json::Value value;
+    if (job.countsTokens) {
+        value["prompt_tokens"] = Json::UInt64(job.promptTokens);
+        value["completion_tokens"] = Json::UInt64(tokens);
+    }
+    return value;
+}
+
 void StandinEngine::noteRun(const std::string &attempt, std::uint64_t tokens)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/standins/internal/standinserver.cpp
+++ b/src/standins/internal/standinserver.cpp
@@ -28,6 +28,7 @@
     NamedMode{"silent", FailureMode::Silent},
     NamedMode{"crossed", FailureMode::Crossed},
     NamedMode{"truncated", FailureMode::Truncated},
+    NamedMode{"unfinished", FailureMode::Unfinished},
     NamedMode{"lost_answer", FailureMode::LostAnswer},
     NamedMode{"down", FailureMode::Down},
 };
@@ -53,7 +54,7 @@
     const std::optional<Json::Value> body = parseJson(request.body, reason);
     const std::optional<FailureMode> mode = body ? failureModeFromName(stringMember(*body, "mode").value_or("")) : std::nullopt;
     if (!mode) {
-        response = jsonAnswer(400, R"({"error":"mode must be none, slow, silent_open, silent, crossed, truncated, lost_answer or down"})");
+        response = jsonAnswer(400, R"({"error":"mode must be none, slow, silent_open, silent, crossed, truncated, unfinished, lost_answer or down"})");
         return true;
     }
     const std::lock_guard lock(m_mutex);
--- a/src/standins/internal/standinservice.cpp
+++ b/src/standins/internal/standinservice.cpp
@@ -66,8 +66,9 @@
         writer.abort();
         co_return;
     }
-    http::Response response = jsonAnswer(200, std::move(body));
-    response.headers.add("X-Request-Id", mode == FailureMode::Crossed ? id + "-other" : id);
+    const bool crossed = mode == FailureMode::Crossed;
+    http::Response response = jsonAnswer(200, crossed ? R"({"path":"/of/another/caller"})" : std::move(body));
+    response.headers.add("X-Request-Id", crossed ? id + "-other" : id);
     co_await writer.respond(std::move(response));
 }
 
--- a/src/standins/standinengine.h
+++ b/src/standins/standinengine.h
@@ -2,6 +2,8 @@
 
 #include "standins/standinserver.h"
 
+#include <json/value.h>
+
 #include <map>
 #include <memory>
 
@@ -33,6 +35,7 @@
 
     boost::asio::awaitable<void> chat(http::Request request, http::IResponseWriter &writer);
     boost::asio::awaitable<void> generate(const Job &job, http::IResponseWriter &writer);
+    static Json::Value usage(const Job &job, std::uint64_t tokens);
     http::Response load() const;
     http::Response runs() const;
     void noteRun(const std::string &attempt, std::uint64_t tokens);
--- a/src/standins/standinserver.h
+++ b/src/standins/standinserver.h
@@ -18,8 +18,9 @@
     Slow,       ///< Each step takes longer by a factor.
     SilentOpen, ///< Connections open at the command say nothing more; new ones work.
     Silent,     ///< Says nothing on any connection.
-    Crossed,    ///< Answers carry the id of another request.
+    Crossed,    ///< Answers become those to another request, with its id.
     Truncated,  ///< Answers break off before their end marker, with a clean end of the connection.
+    Unfinished, ///< Answers are whole but for their end marker.
     LostAnswer, ///< Acts, then closes the connection without an answer.
     Down,       ///< Closes each connection before acting.
 };
--- a/src/upstreams/internal/enginecall.cpp
+++ b/src/upstreams/internal/enginecall.cpp
@@ -4,7 +4,9 @@
 #include "upstreams/iupstreamcall.h"
 #include "upstreams/sseparser.h"
 
+#include <algorithm>
 #include <atomic>
+#include <utility>
 
 namespace rosemaryshift::upstreams {
 
@@ -16,28 +18,41 @@
 constexpr int StatusOk = 200;
 constexpr std::string_view EndMarker = "[DONE]";
 
-/// The caller's body with what this host adds: streaming, priority, and the tokens so far as the start of the answer.
-/// The prefix is continued by "continue_final_message", as in vLLM's chat API.
-std::optional<std::string> engineBody(const requests::RequestRecord &record, const std::string &soFar, std::size_t tokensSoFar)
+/// Sets the bound on tokens under the name that the caller used.
+void boundTokens(Json::Value &body, std::uint64_t tokens)
+{
+    const bool newName = body.isMember("max_completion_tokens");
+    body.removeMember("max_tokens");
+    body.removeMember("max_completion_tokens");
+    body[newName ? "max_completion_tokens" : "max_tokens"] = Json::UInt64(tokens);
+}
+
+/// The caller's body with what this host adds: streaming, usage with each piece, priority, and the tokens so far as the
+/// start of the answer. The prefix is continued by "continue_final_message", as in vLLM's chat API.
+std::optional<std::string> engineBody(const requests::RequestRecord &record, const requests::TranscriptPrefix &prefix)
 {
     std::string reason;
     std::optional<Json::Value> body = parseJson(record.spec.body, reason);
     if (!body || !body->isObject()) {
         return std::nullopt;
     }
+    Json::Value options;
+    options["include_usage"] = true;
+    options["continuous_usage_stats"] = true;
     (*body)["stream"] = true;
+    (*body)["stream_options"] = options;
     (*body)["priority"] = record.spec.priority;
-    if (soFar.empty()) {
+    if (prefix.pieces == 0) {
         return toText(*body);
     }
-    Json::Value prefix;
-    prefix["role"] = "assistant";
-    prefix["content"] = soFar;
-    (*body)["messages"].append(prefix);
+    Json::Value message;
+    message["role"] = "assistant";
+    message["content"] = prefix.content;
+    (*body)["messages"].append(message);
     (*body)["continue_final_message"] = true;
     (*body)["add_generation_prompt"] = false;
-    if (record.spec.maxTokens > tokensSoFar) {
-        (*body)["max_tokens"] = Json::UInt64(record.spec.maxTokens - tokensSoFar);
+    if (record.spec.maxTokens > 0) {
+        boundTokens(*body, record.spec.maxTokens - prefix.tokens);
     }
     return toText(*body);
 }
@@ -72,6 +87,14 @@
 private:
     net::awaitable<AttemptResult> exchange()
     {
+        m_prefix = m_record->transcript.prefix();
+        if (!m_prefix.textOnly) {
+            co_return AttemptResult{AttemptOutcome::NotOffered, "no engine can go on behind a tool call"};
+        }
+        if (m_record->spec.maxTokens > 0 && m_prefix.tokens >= m_record->spec.maxTokens) {
+            m_finishReason = "length";
+            co_return finish();
+        }
         std::optional<http::Request> request = makeRequest();
         if (!request) {
             co_return AttemptResult{AttemptOutcome::NotOffered, "the request's body cannot be read"};
@@ -94,11 +117,9 @@
         co_return co_await readStream();
     }
 
-    std::optional<http::Request> makeRequest()
+    std::optional<http::Request> makeRequest() const
     {
-        const std::string soFar = m_record->transcript.content();
-        const std::size_t tokensSoFar = m_record->transcript.size();
-        std::optional<std::string> body = engineBody(*m_record, soFar, tokensSoFar);
+        std::optional<std::string> body = engineBody(*m_record, m_prefix);
         if (!body) {
             return std::nullopt;
         }
@@ -146,25 +167,39 @@
         if (!chunk || stringMember(*chunk, "id") != m_spec.attemptName) {
             return AttemptResult{AttemptOutcome::Broken, chunk ? "a piece belongs to another request" : "a piece is not JSON"};
         }
+        const std::uint32_t tokens = takeUsage((*chunk)["usage"]);
         const Json::Value &choices = (*chunk)["choices"];
         if (!choices.isArray() || choices.empty() || !choices[0].isObject()) {
             return std::nullopt;
         }
         m_finishReason = stringMember(choices[0], "finish_reason").value_or(m_finishReason);
-        return takeDelta(choices[0]["delta"]);
+        return takeDelta(choices[0]["delta"], tokens);
+    }
+
+    /// Tokens since the last event; one when the engine does not count them.
+    std::uint32_t takeUsage(const Json::Value &usage)
+    {
+        const std::optional<std::uint64_t> completion = usage.isObject() ? unsignedMember(usage, "completion_tokens") : std::nullopt;
+        if (!completion) {
+            return 1;
+        }
+        m_promptTokens = unsignedMember(usage, "prompt_tokens").value_or(0);
+        const std::uint64_t before = std::exchange(m_completionTokens, std::max(*completion, m_completionTokens));
+        return static_cast<std::uint32_t>(m_completionTokens - before);
     }
 
-    std::optional<AttemptResult> takeDelta(const Json::Value &delta)
+    std::optional<AttemptResult> takeDelta(const Json::Value &delta, std::uint32_t tokens)
     {
         const std::optional<std::string> content = stringMember(delta, "content");
         const bool hasTools = delta.isObject() && delta.isMember("tool_calls");
         if (!hasTools && content.value_or("").empty()) {
             return std::nullopt;
         }
-        if (!m_record->transcript.open(m_spec.attempt) || !m_record->transcript.append(m_spec.attempt, {toText(delta), content.value_or("")})) {
+        requests::Piece piece{toText(delta), content.value_or(""), tokens};
+        if (!m_record->transcript.open(m_spec.attempt, m_prefix.pieces) || !m_record->transcript.append(m_spec.attempt, std::move(piece))) {
             return AttemptResult{AttemptOutcome::Cancelled, "another attempt answers the request"};
         }
-        m_progress(1);
+        m_progress(tokens);
         return std::nullopt;
     }
 
@@ -173,7 +208,8 @@
         if (m_finishReason.empty()) {
             return {AttemptOutcome::Broken, "the stream ended without a finish reason"};
         }
-        const bool written = m_record->transcript.open(m_spec.attempt) && m_record->transcript.finish(m_spec.attempt, m_finishReason);
+        const std::uint64_t prompt = m_promptTokens - std::min(m_promptTokens, m_prefix.tokens);
+        const bool written = m_record->transcript.open(m_spec.attempt, m_prefix.pieces) && m_record->transcript.finish(m_spec.attempt, m_finishReason, prompt);
         if (!written) {
             return {AttemptOutcome::Cancelled, "another attempt answered the request"};
         }
@@ -184,6 +220,9 @@
     const std::shared_ptr<requests::RequestRecord> m_record;
     const AttemptSpec m_spec;
     const ProgressCallback m_progress;
+    requests::TranscriptPrefix m_prefix;
+    std::uint64_t m_promptTokens = 0;     ///< As this attempt's engine counts, with the prefix.
+    std::uint64_t m_completionTokens = 0; ///< Of this attempt.
     std::string m_finishReason;
     std::atomic<bool> m_cancelled = false;
 };
--- a/src/upstreams/internal/servicecall.cpp
+++ b/src/upstreams/internal/servicecall.cpp
@@ -23,6 +23,15 @@
     return false;
 }
 
+/// False when only the end of the connection would end the body.
+bool showsItsEnd(const http::Response &response)
+{
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    const bool bodiless = response.status == NoContent || response.status == NotModified;
+    return bodiless || response.headers.find("Content-Length") || response.headers.find("Transfer-Encoding");
+}
+
 class ServiceCall : public IUpstreamCall
 {
 public:
@@ -65,6 +74,9 @@
         if (!echoes(*response, m_spec)) {
             co_return AttemptResult{AttemptOutcome::Broken, "the answer belongs to another request"};
         }
+        if (!showsItsEnd(*response)) {
+            co_return AttemptResult{AttemptOutcome::Broken, "the end of the answer could not be told from a cut"};
+        }
         while (true) {
             const std::optional<std::string> piece = co_await m_exchange->readSome(failure);
             if (!piece) {
@@ -104,7 +116,7 @@
             }
         }
         answer.body = std::move(response.body);
-        const bool written = m_record->transcript.open(m_spec.attempt) && m_record->transcript.finish(m_spec.attempt, std::move(answer));
+        const bool written = m_record->transcript.open(m_spec.attempt, 0) && m_record->transcript.finish(m_spec.attempt, std::move(answer));
         if (!written) {
             return {AttemptOutcome::Cancelled, "another attempt answered the request"};
         }
--- a/tests/support/wire.cpp
+++ b/tests/support/wire.cpp
@@ -21,23 +21,29 @@
     return {WaitLimit, WaitLimit, WaitLimit};
 }
 
-}
-
-std::optional<http::Response> tryExchange(const http::Endpoint &endpoint, const http::Request &request)
+std::optional<http::Response> fetchNow(const http::Endpoint &endpoint, const http::Request &request, http::ClientFailure &failure)
 {
     net::io_context context(1);
     std::optional<http::Response> response;
-    http::ClientFailure failure;
     const auto run = [&]() -> net::awaitable<void> { response = co_await http::fetch(endpoint, request, generousTimeouts(), failure); };
     net::co_spawn(context, run, net::detached);
     context.run();
     return response;
 }
 
+}
+
+std::optional<http::Response> tryExchange(const http::Endpoint &endpoint, const http::Request &request)
+{
+    http::ClientFailure failure;
+    return fetchNow(endpoint, request, failure);
+}
+
 http::Response exchange(const http::Endpoint &endpoint, const http::Request &request)
 {
-    const std::optional<http::Response> response = tryExchange(endpoint, request);
-    INFO(request.method << " " << request.target << " at " << endpoint.text());
+    http::ClientFailure failure;
+    const std::optional<http::Response> response = fetchNow(endpoint, request, failure);
+    INFO(request.method << " " << request.target << " at " << endpoint.text() << ": " << failure.detail);
     REQUIRE(response);
     return *response;
 }
