Give the tool-call test its JSON back

Cause: a search and replace had put a number into a JSON literal of the test; the expectation held only because the damaged delta is skipped. After: the test passes with the literal as it was.

--- a/src/entry/tests/chatwiretests.cpp
+++ b/src/entry/tests/chatwiretests.cpp
@@ -39,7 +39,7 @@
     requests::TranscriptView view;
     view.finishReason = "tool_calls";
     view.usage = {7, 3};
-    view.pieces.push_back({R"({"content":"Look", 1})", "Look", 1});
+    view.pieces.push_back({R"({"content":"Look"})", "Look", 1});
     view.pieces.push_back({R"({"tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"find","arguments":"{\"a\""}}]})", "", 1});
     view.pieces.push_back({R"({"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]})", "", 1});
     CHECK(
