--- /dev/null
+++ b/tests/sessions/servicecalltests.cpp
@@ -0,0 +1,112 @@
+#include "base/json.h"
+#include "support/fleet.h"
+#include "support/golden.h"
+#include "support/rawconnection.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::testing;
+
+namespace {
+
+std::string rawHeader(const std::string &firstLine, const std::string &more = {})
+{
+    return firstLine + " HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer yard-key\r\n" + more + "\r\n";
+}
+
+FleetOptions oneZone()
+{
+    FleetOptions options;
+    options.zones = {"eger"};
+    return options;
+}
+
+}
+
+SCENARIO("Plain services get every method with bodies both ways")
+{
+    Fleet fleet(oneZone());
+    const http::Endpoint callers = fleet.entry(0).callers;
+    GoldenSession golden("services");
+    const auto play = [&](const std::string &method, const std::string &target, const std::string &body, const std::string &key) {
+        http::Request request = Fleet::callerRequest(method, target, body);
+        if (!key.empty()) {
+            request.headers.add("Idempotency-Key", key);
+        }
+        const http::Response response = exchange(callers, request);
+        golden.add(request, response);
+        return response;
+    };
+    GIVEN("a call of each method")
+    {
+        golden.say("calls that may be repeated");
+        play("GET", "/services/dispatch/manifests/7?day=1", "", "");
+        CHECK(play("HEAD", "/services/dispatch/manifests/7", "", "").body.empty());
+        play("OPTIONS", "/services/dispatch/manifests", "", "");
+        play("PUT", "/services/dispatch/manifests/7", "crate", "");
+        play("DELETE", "/services/dispatch/manifests/7", "", "");
+        play("POST", "/services/dispatch/search", "tube cells", "");
+        golden.say("calls that may not be repeated");
+        play("POST", "/services/dispatch/pickups", "crate 7", "pickup-7");
+        play("PATCH", "/services/dispatch/pickups/7", "crate 8", "change-7");
+        play("PATCH", "/services/dispatch/pickups/7", "crate 8", "");
+        THEN("each reaches the service as it was sent")
+        {
+            golden.compare();
+        }
+    }
+    GIVEN("a body of a megabyte")
+    {
+        constexpr std::size_t Megabyte = 1024 * 1024;
+        const http::Response response = exchange(callers, Fleet::callerRequest("PUT", "/services/dispatch/photos/7", std::string(Megabyte, 'x')));
+        THEN("it arrives whole")
+        {
+            CHECK(response.status == 200);
+            CHECK_THAT(response.body, Catch::Contains("\"bytes\":" + std::to_string(Megabyte)));
+        }
+    }
+}
+
+SCENARIO("Callers use connections as HTTP/1.1 permits")
+{
+    Fleet fleet(oneZone());
+    RawConnection connection(fleet.entry(0).callers);
+    GIVEN("a caller who sends the next request before the answer")
+    {
+        connection.send(rawHeader("GET /services/dispatch/first") + rawHeader("GET /services/dispatch/second"));
+        THEN("both answers come, in order")
+        {
+            const std::string both = connection.awaitText("/second");
+            CHECK(both.find("/first") < both.find("/second"));
+        }
+    }
+    GIVEN("a caller who asks before sending a body")
+    {
+        connection.send(rawHeader("PUT /services/dispatch/photos", "Expect: 100-continue\r\nContent-Length: 5\r\n"));
+        connection.awaitText("HTTP/1.1 100 Continue\r\n\r\n");
+        connection.send("photo");
+        THEN("the body is taken")
+        {
+            connection.awaitText("\"bytes\":5");
+        }
+    }
+    GIVEN("a caller who uses the connection again")
+    {
+        connection.send(rawHeader("HEAD /services/dispatch/first"));
+        connection.awaitText("\r\n\r\n");
+        connection.send(rawHeader("GET /services/dispatch/second"));
+        THEN("the second request is answered on it")
+        {
+            connection.awaitText("/second");
+        }
+    }
+    GIVEN("a caller who speaks HTTP/1.0")
+    {
+        connection.send("GET /v1/models HTTP/1.0\r\nAuthorization: Bearer yard-key\r\n\r\n");
+        THEN("the connection is closed behind the answer")
+        {
+            CHECK_THAT(connection.awaitClose(), Catch::Contains("yard-small"));
+        }
+    }
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -95,9 +95,9 @@
 {
     const std::string listener = "address = \"127.0.0.1:0\"\n";
     const std::string file = m_folder.write(name + ".toml",
-                                            "name = \"" + name + "\"\nzone = \"" + zone + "\"\nseed = 1\n[callers]\n" + listener + "[peers]\n" + listener
-                                                + "token_file = \"" + m_tokenFile + "\"\n[operators]\n" + listener + "token_file = \"" + m_tokenFile
-                                                + "\"\n[platform]\naddress = \"" + m_platform.endpoint.text() + "\"\n" + m_options.entrySettings);
+                                            "name = \"" + name + "\"\nzone = \"" + zone + "\"\nseed = 1\n[callers]\n" + listener + m_options.callerSettings
+                                                + "[peers]\n" + listener + "token_file = \"" + m_tokenFile + "\"\n[operators]\n" + listener + "token_file = \""
+                                                + m_tokenFile + "\"\n[platform]\naddress = \"" + m_platform.endpoint.text() + "\"\n" + m_options.entrySettings);
     EntryProcess entry;
     entry.process = std::make_unique<Process>("rosemaryshift-entry", std::vector<std::string>{"--settings", file});
     entry.name = name;
@@ -142,6 +142,11 @@
     return m_platform.endpoint;
 }
 
+const std::string &Fleet::tokenFile() const
+{
+    return m_tokenFile;
+}
+
 std::size_t Fleet::entries() const
 {
     return m_entries.size();
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -22,8 +22,9 @@
     std::size_t servicesPerZone = 1;
     std::string engineSettings = "per_token_us = 1000\nfirst_token_us = 1000\n";
     std::string serviceSettings = "work_us = 1000\n";
-    std::string entrySettings; ///< Added at the end of each entry host's settings.
-    std::string templateText;  ///< Published at the start; a template of one workspace when empty.
+    std::string callerSettings; ///< Added to the callers' listener of each entry host.
+    std::string entrySettings;  ///< Added at the end of each entry host's settings.
+    std::string templateText;   ///< Published at the start; a template of one workspace when empty.
 };
 
 struct Listening {
@@ -57,6 +58,8 @@
     [[nodiscard]] const http::Endpoint &platform() const;
     [[nodiscard]] std::size_t entries() const;
 
+    /// File that holds the operators' and peers' token.
+    [[nodiscard]] const std::string &tokenFile() const;
     /// Starts one more entry host in @p zone and waits until it is ready.
     EntryProcess &addEntry(const std::string &zone);
     /// Waits until entry host @p index answers ready.
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -19,10 +19,11 @@
     return std::string(ROSEMARYSHIFT_PROGRAMS) + "/" + program;
 }
 
-[[noreturn]] void becomeProgram(const std::string &path, const std::vector<std::string> &arguments, int errorDescriptor)
+[[noreturn]] void becomeProgram(const std::string &path, const std::vector<std::string> &arguments, int outputDescriptor)
 {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    ::dup2(errorDescriptor, STDERR_FILENO);
+    ::dup2(outputDescriptor, STDOUT_FILENO);
+    ::dup2(outputDescriptor, STDERR_FILENO);
     std::vector<char *> words{const_cast<char *>(path.c_str())};
     for (const std::string &argument : arguments) {
         words.push_back(const_cast<char *>(argument.c_str()));
@@ -132,6 +133,11 @@
     return reap(true).value_or(-1);
 }
 
+pid_t Process::pid() const
+{
+    return m_pid;
+}
+
 std::vector<std::string> Process::lines() const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -30,7 +30,8 @@
     void signal(int number) const;
     /// Waits for the end and gives the exit code, or minus the signal that ended it.
     int awaitExit();
-    /// All log lines so far.
+    [[nodiscard]] pid_t pid() const;
+    /// All lines of log and output so far.
     [[nodiscard]] std::vector<std::string> lines() const;
 
 private:
