Explain requests from the merged time line, and count them

What: one RequestJournal notes what becomes of a request in time line, metrics and log, with request, workspace and upstream on every event of an attempt (control.cpp shrinks by its share). Ruled out: boost's extended_p_square_quantile.

--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -1,8 +1,10 @@
 #include "base/json.h"
 #include "base/text.h"
 #include "operators/operatorclient.h"
+#include "operators/timelineclient.h"
 #include "program/program.h"
 #include "templates/itemplatefold.h"
+#include "timeline/explanation.h"
 
 #include <cstdio>
 
@@ -19,6 +21,7 @@
   rosemaryshift-ctl template publish FILE --host ADDRESS --token-file FILE --author NAME --base REVISION [--change ID]
   rosemaryshift-ctl template show [WORKSPACE] --host ADDRESS --token-file FILE
   rosemaryshift-ctl status --host ADDRESS --token-file FILE [--json]
+  rosemaryshift-ctl explain REQUEST --token-file FILE HOST...
   rosemaryshift-ctl (--help | --version)
 
 Options:
@@ -31,7 +34,8 @@
   --help             Show this text.
   --version          Show the version.
 
-Exit codes: 0 done, 1 refused or not reachable, 2 wrong command line or template.
+REQUEST is the id in an answer's Rosemaryshift-Request; HOST is as ADDRESS. Name all hosts for the whole account.
+Exit codes: 0 done, 1 refused, not reachable or not known, 2 wrong command line or template.
 )";
 
 void print(std::string_view text)
@@ -166,6 +170,29 @@
     return program::Success;
 }
 
+int explain(const program::Arguments &arguments)
+{
+    std::string reason;
+    const std::optional<std::string> token = program::readToken(arguments.text("--token-file"), reason);
+    if (!token) {
+        complain(reason);
+        return program::BadUsage;
+    }
+    const operators::FleetTimeline fleet = operators::readTimelines(arguments.texts("HOST"), *token, {});
+    for (const std::string &fault : fleet.faults) {
+        complain(fault);
+    }
+    const std::vector<timeline::MergedEvent> events = timeline::mergedEvents(fleet.pages);
+    const std::vector<std::string> sentences = timeline::explainRequest(events, arguments.text("REQUEST"));
+    for (const std::string &sentence : sentences) {
+        print(sentence + "\n");
+    }
+    if (sentences.empty()) {
+        complain("no event of the hosts asked names this request");
+    }
+    return sentences.empty() || !fleet.faults.empty() ? program::Failed : program::Success;
+}
+
 }
 
 int main(int argc, char **argv)
@@ -178,5 +205,8 @@
     if (arguments.flag("publish")) {
         return publish(arguments);
     }
+    if (arguments.flag("explain")) {
+        return explain(arguments);
+    }
     return arguments.flag("status") ? status(arguments) : showTemplates(arguments);
 }
--- a/src/entry/internal/bookingrunner.cpp
+++ b/src/entry/internal/bookingrunner.cpp
@@ -110,8 +110,7 @@
 void BookingRunner::arrive(const RecordPtr &record)
 {
     const requests::RequestSpec &spec = record->spec;
-    m_parts.timeline->record(EventKind::RequestAccepted,
-                             {.request = record->id, .workspace = spec.workspace, .detail = std::string(name(spec.trafficClass)) + " for " + spec.target});
+    m_parts.journal.arrived(*record);
     const std::optional<bookings::Ticket> ticket = bookings::parseTicket(spec.idempotencyKey);
     if (ticket && ticket->owner != m_owner) {
         perform(bookings::RefuseBooking{record->number, bookings::BookingRefusal::OwnerSilent, RunState::Unknown, std::nullopt});
@@ -206,7 +205,7 @@
 void BookingRunner::perform(const bookings::AnswerBooking &action)
 {
     const RecordPtr record = m_parts.registry->find(action.request);
-    m_parts.timeline->record(EventKind::RequestCompleted, {.request = record->id, .workspace = record->spec.workspace, .detail = "first answer under the key"});
+    m_parts.journal.repeated(*record);
     record->transcript.open(KeptAnswer);
     record->transcript.finish(KeptAnswer, action.answer);
     m_parts.registry->finished(*record);
@@ -215,10 +214,7 @@
 void BookingRunner::perform(const bookings::RefuseBooking &action)
 {
     const RecordPtr record = m_parts.registry->find(action.request);
-    m_parts.timeline->record(EventKind::RequestRefused,
-                             {.request = record->id,
-                              .workspace = record->spec.workspace,
-                              .detail = std::string(bookings::name(action.code)) + ", " + std::string(name(action.run))});
+    m_parts.journal.refused(*record, bookings::name(action.code), action.run);
     record->transcript.refuse(refusalOf(action));
     m_parts.registry->finished(*record);
 }
--- a/src/entry/internal/bookingrunner.h
+++ b/src/entry/internal/bookingrunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bookings/ibookingcoordinator.h"
+#include "entry/internal/requestjournal.h"
 #include "platform/iplatform.h"
 #include "requests/requestregistry.h"
 #include "timeline/itimeline.h"
@@ -19,6 +20,7 @@
     std::shared_ptr<requests::RequestRegistry> registry;
     std::shared_ptr<timeline::ITimeline> timeline;
     std::shared_ptr<platform::ILog> log;
+    RequestJournal &journal;
 };
 
 /// Carries out what the booking coordinator decides: appends to the log, dispatches and answers callers. Belongs to the
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -37,17 +37,6 @@
     return policy;
 }
 
-std::string attemptText(AttemptId attempt)
-{
-    return std::to_string(static_cast<std::uint64_t>(attempt));
-}
-
-std::string routeText(const decisions::RouteReason &reason)
-{
-    return std::string(reason.retry ? "retry, " : "") + std::to_string(reason.candidates) + " candidates, " + std::to_string(reason.ownInFlight)
-        + " of ours in flight there";
-}
-
 }
 
 Control::Control(const EntrySettings &settings, ControlParts parts, net::io_context &control, net::io_context &traffic, std::string hostId)
@@ -55,12 +44,13 @@
     , m_parts(std::move(parts))
     , m_context(control)
     , m_hostId(std::move(hostId))
+    , m_journal(m_parts.timeline, m_parts.metrics)
     , m_launcher(traffic, *this)
     , m_core(decisions::makeDecisionCore({}, chosenSeed(settings.seed)))
     , m_templates(templates::makeTemplateFold())
     , m_upstreams(settings.zone, m_parts.timeline, [this](decisions::Event event) { post(std::move(event)); })
     , m_bookings(control,
-                 {m_parts.registry, m_parts.timeline, m_parts.log},
+                 {m_parts.registry, m_parts.timeline, m_parts.log, m_journal},
                  bookingPolicy(settings, m_hostId),
                  [this](const std::shared_ptr<RequestRecord> &record) { decide(record); })
     , m_follower(m_parts.log, m_parts.timeline, logHandlers())
@@ -142,10 +132,7 @@
 void Control::arrive(const std::shared_ptr<RequestRecord> &record)
 {
     if (record->spec.idempotent) {
-        m_parts.timeline->record(record->parked ? EventKind::RequestResumed : EventKind::RequestAccepted,
-                                 {.request = record->id,
-                                  .workspace = record->spec.workspace,
-                                  .detail = std::string(name(record->spec.trafficClass)) + " for " + record->spec.target});
+        m_journal.arrived(*record);
         decide(record);
         return;
     }
@@ -181,7 +168,7 @@
             return;
         }
         record->parked = true;
-        m_parts.timeline->record(EventKind::CallerGone, {.request = record->id, .workspace = record->spec.workspace});
+        m_journal.callerGone(*record);
         m_parts.registry->finished(*record);
         post(decisions::CallerLeft{record->number});
     });
@@ -212,18 +199,17 @@
 
 void Control::attemptProgressed(AttemptId attempt, std::uint32_t tokens)
 {
-    net::post(m_context, [this, attempt, tokens] { post(decisions::AttemptProgressed{attempt, tokens}); });
+    net::post(m_context, [this, attempt, tokens] {
+        m_journal.progressed(attempt);
+        post(decisions::AttemptProgressed{attempt, tokens});
+    });
 }
 
 void Control::attemptEnded(AttemptId attempt, upstreams::AttemptResult result)
 {
     net::post(m_context, [this, attempt, result = std::move(result)] {
         m_launcher.forget(attempt);
-        const auto found = m_attemptUpstreams.find(attempt);
-        const std::string upstream = found == m_attemptUpstreams.end() ? std::string() : m_upstreams.host(found->second).name;
-        m_attemptUpstreams.erase(attempt);
-        m_parts.timeline->record(EventKind::AttemptEnded,
-                                 {.attempt = attemptText(attempt), .upstream = upstream, .detail = std::string(name(result.outcome)) + ": " + result.reason});
+        m_journal.attemptEnded(attempt, result);
         post(decisions::AttemptEnded{attempt, result.outcome});
     });
 }
@@ -236,16 +222,10 @@
         return;
     }
     const platform::ListedHost &host = m_upstreams.host(action.upstream);
-    m_attemptUpstreams[action.attempt] = action.upstream;
-    m_parts.timeline->record(EventKind::RequestRouted,
-                             {.request = record->id,
-                              .attempt = attemptText(action.attempt),
-                              .workspace = record->spec.workspace,
-                              .upstream = host.name,
-                              .detail = routeText(action.reason)});
+    m_journal.routed(record, action.attempt, host.name, action.reason);
     upstreams::AttemptSpec spec;
     spec.attempt = action.attempt;
-    spec.attemptName = m_hostId + "." + attemptText(action.attempt);
+    spec.attemptName = m_hostId + "." + RequestJournal::attemptText(action.attempt);
     spec.endpoint = host.endpoint;
     spec.timeouts = m_settings.attemptTimeouts;
     m_launcher.launch(record, spec);
@@ -253,7 +233,7 @@
 
 void Control::perform(const decisions::CancelAttempt &action)
 {
-    m_parts.timeline->record(EventKind::AttemptCancelled, {.attempt = attemptText(action.attempt)});
+    m_journal.attemptCancelled(action.attempt);
     m_launcher.cancel(action.attempt);
 }
 
@@ -263,9 +243,7 @@
     if (!record) {
         return;
     }
-    m_parts.timeline->record(
-        EventKind::RequestRefused,
-        {.request = record->id, .workspace = record->spec.workspace, .detail = std::string(name(action.code)) + ", " + std::string(name(action.run))});
+    m_journal.refused(*record, name(action.code), action.run);
     record->transcript.refuse(refusalOf(action));
     m_parts.registry->finished(*record);
     if (!record->spec.idempotent) {
@@ -277,9 +255,7 @@
 {
     const std::shared_ptr<RequestRecord> record = m_parts.registry->find(action.request);
     if (record) {
-        m_parts.timeline->record(
-            EventKind::RequestQueued,
-            {.request = record->id, .workspace = record->spec.workspace, .detail = std::to_string(action.ahead) + " of the workspace ahead"});
+        m_journal.queued(*record, action.ahead);
     }
 }
 
@@ -289,7 +265,7 @@
     if (!record) {
         return;
     }
-    m_parts.timeline->record(EventKind::RequestCompleted, {.request = record->id, .attempt = attemptText(action.attempt), .workspace = record->spec.workspace});
+    m_journal.completed(*record, action.attempt);
     m_parts.registry->finished(*record);
     if (!record->spec.idempotent) {
         m_bookings.ended(*record, RunState::Ran);
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -5,6 +5,7 @@
 #include "entry/internal/attemptlauncher.h"
 #include "entry/internal/bookingrunner.h"
 #include "entry/internal/logfollower.h"
+#include "entry/internal/requestjournal.h"
 #include "entry/internal/templateview.h"
 #include "entry/internal/upstreamdirectory.h"
 #include "membership/imembership.h"
@@ -59,6 +60,7 @@
     std::shared_ptr<requests::RequestRegistry> registry;
     std::shared_ptr<TemplateView> templates;
     std::shared_ptr<timeline::ITimeline> timeline;
+    std::shared_ptr<metrics::IMetrics> metrics;
     std::shared_ptr<platform::ILog> log;
     std::shared_ptr<platform::IHostDirectory> hosts;
 };
@@ -121,6 +123,7 @@
     const ControlParts m_parts;
     boost::asio::io_context &m_context;
     const std::string m_hostId;
+    RequestJournal m_journal;
     AttemptLauncher m_launcher;
     std::unique_ptr<decisions::IDecisionCore> m_core;
     std::unique_ptr<templates::ITemplateFold> m_templates;
@@ -129,7 +132,6 @@
     LogFollower m_follower;
     membership::IMembership *m_membership = nullptr;
     NameTable<WorkspaceId> m_workspaces;
-    std::map<AttemptId, UpstreamId> m_attemptUpstreams;
     boost::asio::steady_timer m_wake;
     bool m_tickScheduled = false;
     bool m_hostsRead = false;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -48,13 +48,14 @@
         , m_trafficContext(static_cast<int>(settings.trafficThreads))
         , m_clock(timeline::makeHybridClock())
         , m_timeline(timeline::makeTimeline(m_clock, settings.name, incarnation, settings.timelineEvents))
+        , m_metrics(metrics::makeMetrics())
         , m_registry(std::make_shared<requests::RequestRegistry>(settings.name + "." + incarnation, settings.retention))
         , m_templates(std::make_shared<TemplateView>())
         , m_peerView(std::make_shared<PeerView>())
         , m_control(settings, parts(), m_controlContext, m_trafficContext, settings.name + "." + incarnation)
         , m_tickets(m_control, m_peerView, settings.name + "." + incarnation, settings.bookings.keyWindow)
         , m_callerFrontend(m_control, m_registry, m_templates, m_peerView, m_tickets)
-        , m_operatorFrontend(m_control, m_timeline, std::move(tokens.operators))
+        , m_operatorFrontend(m_control, m_timeline, m_metrics, std::move(tokens.operators))
         , m_peerClient(rpc::makePeerClient(tokens.peers, m_clock))
         , m_peerServer(rpc::makePeerServer(m_controlContext.get_executor(), std::move(tokens.peers), m_clock))
     {
@@ -142,7 +143,8 @@
 
     ControlParts parts()
     {
-        return {m_registry, m_templates, m_timeline, platform::makeHttpLog(m_settings.platform), platform::makeHttpHostDirectory(m_settings.platform)};
+        return {
+            m_registry, m_templates, m_timeline, m_metrics, platform::makeHttpLog(m_settings.platform), platform::makeHttpHostDirectory(m_settings.platform)};
     }
 
     /// Waits until every running request has its answer and every caller has read it.
@@ -164,6 +166,7 @@
     net::io_context m_trafficContext;
     const std::shared_ptr<timeline::IHybridClock> m_clock;
     const std::shared_ptr<timeline::ITimeline> m_timeline;
+    const std::shared_ptr<metrics::IMetrics> m_metrics;
     const std::shared_ptr<requests::RequestRegistry> m_registry;
     const std::shared_ptr<TemplateView> m_templates;
     const std::shared_ptr<PeerView> m_peerView;
--- a/src/entry/internal/operatorfrontend.cpp
+++ b/src/entry/internal/operatorfrontend.cpp
@@ -118,9 +118,13 @@
 
 }
 
-OperatorFrontend::OperatorFrontend(Control &control, std::shared_ptr<timeline::ITimeline> timeline, std::string token)
+OperatorFrontend::OperatorFrontend(Control &control,
+                                   std::shared_ptr<timeline::ITimeline> timeline,
+                                   std::shared_ptr<metrics::IMetrics> metrics,
+                                   std::string token)
     : m_control(control)
     , m_timeline(std::move(timeline))
+    , m_metrics(std::move(metrics))
     , m_token(std::move(token))
 {
 }
@@ -217,6 +221,7 @@
     text += "# TYPE rosemaryshift_open_requests gauge\nrosemaryshift_open_requests " + std::to_string(status.openRequests) + "\n";
     text += "# TYPE rosemaryshift_ready gauge\nrosemaryshift_ready " + std::to_string(status.ready ? 1 : 0) + "\n";
     text += "# TYPE rosemaryshift_log_position gauge\nrosemaryshift_log_position " + std::to_string(status.logPosition) + "\n";
+    text += m_metrics->text();
     co_return textResponse(200, std::move(text));
 }
 
--- a/src/entry/internal/operatorfrontend.h
+++ b/src/entry/internal/operatorfrontend.h
@@ -9,7 +9,7 @@
 class OperatorFrontend
 {
 public:
-    OperatorFrontend(Control &control, std::shared_ptr<timeline::ITimeline> timeline, std::string token);
+    OperatorFrontend(Control &control, std::shared_ptr<timeline::ITimeline> timeline, std::shared_ptr<metrics::IMetrics> metrics, std::string token);
 
     boost::asio::awaitable<void> handle(http::Request request, http::IResponseWriter &writer);
 
@@ -23,6 +23,7 @@
 
     Control &m_control;
     const std::shared_ptr<timeline::ITimeline> m_timeline;
+    const std::shared_ptr<metrics::IMetrics> m_metrics;
     const std::string m_token;
 };
 
--- /dev/null
+++ b/src/entry/internal/requestjournal.cpp
@@ -0,0 +1,158 @@
+#include "entry/internal/requestjournal.h"
+
+#include "base/text.h"
+
+#include <spdlog/spdlog.h>
+
+namespace rosemaryshift::entry {
+
+using metrics::RequestLabels;
+using metrics::RequestOutcome;
+using requests::RequestRecord;
+using timeline::EventFields;
+using timeline::EventKind;
+
+namespace {
+
+std::string routeText(const decisions::RouteReason &reason)
+{
+    return std::string(reason.retry ? "retry, " : "") + std::to_string(reason.candidates) + " candidates, " + std::to_string(reason.ownInFlight)
+        + " of ours in flight there";
+}
+
+RequestLabels labelsOf(const RequestRecord &record)
+{
+    return {record.spec.workspace, record.spec.trafficClass};
+}
+
+Duration sinceArrival(const RequestRecord &record)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - record.arrivedAt);
+}
+
+}
+
+RequestJournal::RequestJournal(std::shared_ptr<timeline::ITimeline> timeline, std::shared_ptr<metrics::IMetrics> metrics)
+    : m_timeline(std::move(timeline))
+    , m_metrics(std::move(metrics))
+{
+}
+
+std::string RequestJournal::attemptText(AttemptId attempt)
+{
+    return std::to_string(static_cast<std::uint64_t>(attempt));
+}
+
+void RequestJournal::arrived(const RequestRecord &record)
+{
+    const requests::RequestSpec &spec = record.spec;
+    m_timeline->record(record.parked ? EventKind::RequestResumed : EventKind::RequestAccepted,
+                       {.request = record.id, .workspace = spec.workspace, .detail = std::string(name(spec.trafficClass)) + " for " + spec.target});
+}
+
+void RequestJournal::queued(const RequestRecord &record, std::uint32_t ahead)
+{
+    if (m_queued.insert(record.number).second) {
+        m_metrics->changeQueued(labelsOf(record), 1);
+    }
+    m_timeline->record(EventKind::RequestQueued,
+                       {.request = record.id, .workspace = record.spec.workspace, .detail = std::to_string(ahead) + " of the workspace ahead"});
+}
+
+void RequestJournal::leaveQueue(const RequestRecord &record)
+{
+    if (m_queued.erase(record.number) > 0) {
+        m_metrics->changeQueued(labelsOf(record), -1);
+    }
+}
+
+void RequestJournal::routed(const RecordPtr &record, AttemptId attempt, const std::string &upstream, const decisions::RouteReason &reason)
+{
+    leaveQueue(*record);
+    const bool isChat = record->spec.kind == requests::RequestKind::Chat;
+    const std::size_t tokensSoFar = record->transcript.size();
+    m_attempts[attempt] = {record, upstream, isChat && tokensSoFar == 0};
+    if (isChat && reason.retry) {
+        m_metrics->countRecomputedTokens(record->spec.promptTokens + tokensSoFar);
+    }
+    EventFields fields = fieldsOf(attempt);
+    fields.detail = routeText(reason);
+    m_timeline->record(EventKind::RequestRouted, std::move(fields));
+}
+
+EventFields RequestJournal::fieldsOf(AttemptId attempt) const
+{
+    EventFields fields{.attempt = attemptText(attempt)};
+    const auto found = m_attempts.find(attempt);
+    if (found != m_attempts.end()) {
+        fields.request = found->second.record->id;
+        fields.workspace = found->second.record->spec.workspace;
+        fields.upstream = found->second.upstream;
+    }
+    return fields;
+}
+
+void RequestJournal::progressed(AttemptId attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end() || !found->second.awaitsFirstToken) {
+        return;
+    }
+    found->second.awaitsFirstToken = false;
+    const RequestRecord &record = *found->second.record;
+    m_metrics->noteFirstToken(labelsOf(record), sinceArrival(record));
+}
+
+void RequestJournal::attemptEnded(AttemptId attempt, const upstreams::AttemptResult &result)
+{
+    EventFields fields = fieldsOf(attempt);
+    fields.detail = std::string(name(result.outcome)) + ": " + result.reason;
+    spdlog::debug("event=attempt_ended request={} attempt={} upstream={} why=\"{}\"", fields.request, fields.attempt, fields.upstream, fields.detail);
+    m_timeline->record(EventKind::AttemptEnded, std::move(fields));
+    m_metrics->countAttempt(name(result.outcome));
+    m_attempts.erase(attempt);
+}
+
+void RequestJournal::attemptCancelled(AttemptId attempt)
+{
+    m_timeline->record(EventKind::AttemptCancelled, fieldsOf(attempt));
+}
+
+void RequestJournal::completed(const RequestRecord &record, AttemptId attempt)
+{
+    m_timeline->record(EventKind::RequestCompleted, {.request = record.id, .attempt = attemptText(attempt), .workspace = record.spec.workspace});
+    m_metrics->countRequest(labelsOf(record), RequestOutcome::Completed, {});
+    m_metrics->noteTotal(labelsOf(record), sinceArrival(record));
+}
+
+void RequestJournal::repeated(const RequestRecord &record)
+{
+    m_timeline->record(EventKind::RequestCompleted, {.request = record.id, .workspace = record.spec.workspace, .detail = "first answer under the key"});
+    m_metrics->countRequest(labelsOf(record), RequestOutcome::Completed, {});
+    m_metrics->noteTotal(labelsOf(record), sinceArrival(record));
+}
+
+void RequestJournal::refused(const RequestRecord &record, std::string_view code, RunState run)
+{
+    leaveQueue(record);
+    const std::string_view runText = name(run);
+    m_timeline->record(EventKind::RequestRefused,
+                       {.request = record.id, .workspace = record.spec.workspace, .detail = std::string(code) + ", " + std::string(runText)});
+    m_metrics->countRequest(labelsOf(record), RequestOutcome::Refused, code);
+    spdlog::info("event=request_refused request={} workspace={} class={} target={} code={} run={}",
+                 record.id,
+                 record.spec.workspace,
+                 name(record.spec.trafficClass),
+                 record.spec.target,
+                 code,
+                 runText);
+}
+
+void RequestJournal::callerGone(const RequestRecord &record)
+{
+    leaveQueue(record);
+    m_timeline->record(EventKind::CallerGone, {.request = record.id, .workspace = record.spec.workspace});
+    m_metrics->countRequest(labelsOf(record), RequestOutcome::CallerGone, {});
+}
+
+}
