--- /dev/null
+++ b/benchmarks/coreslopes.cpp
@@ -0,0 +1,198 @@
+#include "decisions/idecisioncore.h"
+#include "metrics/imetrics.h"
+#include "requests/requestregistry.h"
+#include "templates/itemplatefold.h"
+#include "timeline/itimeline.h"
+#include "timeline/timelinejson.h"
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <string>
+#include <vector>
+
+using namespace rosemaryshift;
+
+namespace {
+
+constexpr std::size_t Samples = 10'000;
+constexpr WorkspaceId Workspace{0};
+constexpr TargetId Model{0};
+
+/// Bytes that the process holds from the allocator.
+double heldBytes()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+timeline::EventFields routedFields(std::uint64_t number)
+{
+    return {.request = "entry-miskolc-1.0a1b2c3d-" + std::to_string(number),
+            .attempt = std::to_string(number),
+            .workspace = "yard",
+            .upstream = "engine-miskolc-17",
+            .detail = "12 candidates, 3 of ours in flight there"};
+}
+
+requests::RequestSpec chatSpec()
+{
+    requests::RequestSpec spec;
+    spec.workspace = "yard";
+    spec.target = "yard-small";
+    spec.body = R"({"model":"yard-small","messages":[{"role":"user","content":")" + std::string(400, 'x') + R"("}]})";
+    return spec;
+}
+
+std::string workspaceText(std::size_t number)
+{
+    return "workspace = \"w" + std::to_string(number) + "\"\nkey_sha256 = [\"" + std::string(64, 'a')
+        + "\"]\n[limits]\nrequests_in_flight = 100\nrequests_queued = 100\n[[models]]\nname = \"yard-small\"\n[[models]]\nname = \"plan-large\"\n"
+          "[[services]]\nname = \"dispatch\"\n";
+}
+
+void recordTimelineEvent(benchmark::State &state)
+{
+    const double before = heldBytes();
+    const std::shared_ptr<timeline::ITimeline> record = timeline::makeTimeline(timeline::makeHybridClock(), "entry-miskolc-1", "0a1b2c3d", Samples);
+    for (std::size_t i = 0; i < Samples; ++i) {
+        record->record(timeline::EventKind::RequestRouted, routedFields(i));
+    }
+    state.counters["bytes_per_event"] = (heldBytes() - before) / Samples;
+    state.counters["wire_bytes_per_event"] = static_cast<double>(timeline::toText(record->since({}).front()).size());
+    std::uint64_t number = Samples;
+    for (auto unused : state) {
+        record->record(timeline::EventKind::RequestRouted, routedFields(++number));
+    }
+}
+
+void keepFinishedRequest(benchmark::State &state)
+{
+    const std::size_t tokens = static_cast<std::size_t>(state.range(0));
+    requests::RequestRegistry registry("entry-miskolc-1.0a1b2c3d", {std::chrono::minutes(5), Samples});
+    const double before = heldBytes();
+    std::uint64_t attempt = 0;
+    const auto keepOne = [&] {
+        const std::shared_ptr<requests::RequestRecord> record = registry.add(chatSpec());
+        const AttemptId id{++attempt};
+        record->transcript.open(id);
+        for (std::size_t i = 0; i < tokens; ++i) {
+            record->transcript.append(id, {R"({"content":"word12 "})", "word12 "});
+        }
+        record->transcript.finish(id, "stop");
+        registry.finished(*record);
+    };
+    for (std::size_t i = 0; i < Samples / 10; ++i) {
+        keepOne();
+    }
+    state.counters["bytes_per_request"] = (heldBytes() - before) / (Samples / 10.0);
+    for (auto unused : state) {
+        keepOne();
+    }
+}
+
+void decideRequest(benchmark::State &state)
+{
+    const std::unique_ptr<decisions::IDecisionCore> core = decisions::makeDecisionCore({}, 1);
+    const double before = heldBytes();
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        decisions::UpstreamListed listed{};
+        listed.upstream = static_cast<UpstreamId>(i);
+        listed.targets = {Model};
+        listed.slots = 8;
+        core->post(listed);
+    }
+    core->post(decisions::WorkspaceLimited{Workspace, 1'000'000, 1'000'000});
+    TimePoint now{};
+    core->tick(now);
+    state.counters["bytes_per_upstream"] = (heldBytes() - before) / static_cast<double>(state.range(0));
+    std::uint64_t number = 0;
+    for (auto unused : state) {
+        now += std::chrono::microseconds(100);
+        decisions::RequestArrived arrived{};
+        arrived.request = static_cast<RequestId>(++number);
+        arrived.workspace = Workspace;
+        arrived.target = Model;
+        arrived.deadline = now + std::chrono::seconds(30);
+        core->post(arrived);
+        AttemptId attempt{};
+        for (const decisions::Action &action : core->tick(now)) {
+            if (const decisions::StartAttempt *const start = std::get_if<decisions::StartAttempt>(&action)) {
+                attempt = start->attempt;
+            }
+        }
+        core->post(decisions::AttemptEnded{attempt, decisions::AttemptOutcome::Completed});
+        core->tick(now);
+    }
+}
+
+void takeProgress(benchmark::State &state)
+{
+    const std::unique_ptr<decisions::IDecisionCore> core = decisions::makeDecisionCore({}, 1);
+    decisions::UpstreamListed listed{};
+    listed.upstream = UpstreamId{0};
+    listed.targets = {Model};
+    listed.slots = 8;
+    core->post(listed);
+    core->post(decisions::WorkspaceLimited{Workspace, 1'000, 1'000});
+    decisions::RequestArrived arrived{};
+    arrived.workspace = Workspace;
+    arrived.target = Model;
+    arrived.deadline = TimePoint(std::chrono::hours(24));
+    core->post(arrived);
+    AttemptId attempt{};
+    for (const decisions::Action &action : core->tick(TimePoint{})) {
+        if (const decisions::StartAttempt *const start = std::get_if<decisions::StartAttempt>(&action)) {
+            attempt = start->attempt;
+        }
+    }
+    TimePoint now{};
+    for (auto unused : state) {
+        now += std::chrono::microseconds(1);
+        core->post(decisions::AttemptProgressed{attempt, 1});
+        benchmark::DoNotOptimize(core->tick(now).size());
+    }
+}
+
+void foldTemplate(benchmark::State &state)
+{
+    const std::size_t workspaces = static_cast<std::size_t>(state.range(0));
+    const double before = heldBytes();
+    const std::unique_ptr<templates::ITemplateFold> fold = templates::makeTemplateFold();
+    std::uint64_t offset = 0;
+    for (std::size_t i = 0; i < workspaces; ++i) {
+        fold->apply(offset++, {"w" + std::to_string(i), 0, "c" + std::to_string(i), "committee", workspaceText(i)});
+    }
+    state.counters["bytes_per_workspace"] = (heldBytes() - before) / static_cast<double>(workspaces);
+    std::uint64_t revision = 1;
+    for (auto unused : state) {
+        fold->apply(offset, {"w0", revision, "d" + std::to_string(offset), "committee", workspaceText(0)});
+        revision = fold->inForce("w0")->revision;
+        ++offset;
+    }
+}
+
+void noteLatency(benchmark::State &state)
+{
+    const double before = heldBytes();
+    const std::shared_ptr<metrics::IMetrics> metrics = metrics::makeMetrics();
+    for (std::size_t i = 0; i < metrics::MaxWorkspaces; ++i) {
+        metrics->noteTotal({"w" + std::to_string(i), TrafficClass::Question}, std::chrono::milliseconds(5));
+    }
+    state.counters["bytes_per_series"] = (heldBytes() - before) / metrics::MaxWorkspaces;
+    std::int64_t value = 0;
+    for (auto unused : state) {
+        metrics->noteTotal({"w1", TrafficClass::Question}, std::chrono::microseconds(++value % 5'000));
+    }
+}
+
+BENCHMARK(recordTimelineEvent);
+BENCHMARK(keepFinishedRequest)->Arg(24)->Arg(316);
+BENCHMARK(decideRequest)->Arg(9)->Arg(80)->Arg(1'600);
+BENCHMARK(takeProgress);
+BENCHMARK(foldTemplate)->Arg(5)->Arg(1'000);
+BENCHMARK(noteLatency);
+
+}
+
+BENCHMARK_MAIN();
