--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <pthread.h>
 #include <spdlog/spdlog.h>
 
 #include <thread>
@@ -85,9 +86,9 @@
         m_control.start();
         m_membership->start();
         std::vector<std::thread> threads;
-        threads.emplace_back([this] { m_controlContext.run(); });
+        threads.emplace_back([this] { runNamed("control", m_controlContext); });
         for (std::uint32_t i = 0; i < m_settings.trafficThreads; ++i) {
-            threads.emplace_back([this] { m_trafficContext.run(); });
+            threads.emplace_back([this] { runNamed("traffic", m_trafficContext); });
         }
         for (std::thread &thread : threads) {
             thread.join();
@@ -121,6 +122,13 @@
     }
 
 private:
+    /// Runs @p context on this thread, which operators see under @p name.
+    static void runNamed(const char *name, net::io_context &context)
+    {
+        pthread_setname_np(pthread_self(), name);
+        context.run();
+    }
+
     template <typename Frontend>
     static http::RequestHandler handlerOf(Frontend &frontend)
     {
--- a/src/entry/internal/requestjournal.cpp
+++ b/src/entry/internal/requestjournal.cpp
@@ -70,7 +70,7 @@
 {
     leaveQueue(*record);
     const bool isChat = record->spec.kind == requests::RequestKind::Chat;
-    const std::size_t tokensSoFar = record->transcript.size();
+    const std::uint64_t tokensSoFar = record->transcript.prefix().tokens;
     m_attempts[attempt] = {record, upstream, isChat && tokensSoFar == 0};
     if (isChat && reason.retry) {
         m_metrics->countRecomputedTokens(record->spec.promptTokens + tokensSoFar);
