Keep queues by class and timers in order in the decision tables

Cause: the earliest deadline and the late requests were found by a scan of all requests at each tick, a served target by a scan of all upstreams, and a workspace's queue by a scan from its front; and within a workspace a question waited behind plans.

Change: timers, queues by workspace, target and class, and counts of live upstreams are kept as rows change; within a workspace questions go first. The old order stays as the baselines' policy.

--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -17,14 +17,15 @@
 
 /// In which order waiting requests start.
 enum class QueuePolicy : std::uint8_t {
-    FairByWorkspace, ///< One request of each workspace in turn.
+    ShortFirst,      ///< One request of each workspace in turn; within a workspace questions go before plans.
+    FairByWorkspace, ///< One request of each workspace in turn; within a workspace in the order of arrival.
     FirstCome,       ///< One queue of all workspaces; the first holds up the others.
 };
 
 /// The decisions of a core. Each field has a plain alternative to be measured against.
 struct PolicySettings {
     RoutingPolicy routing = RoutingPolicy::LeastInFlight;
-    QueuePolicy queue = QueuePolicy::FairByWorkspace;
+    QueuePolicy queue = QueuePolicy::ShortFirst;
     std::uint32_t maxAttempts = 3;                 ///< Of one request.
     Duration retryAfter = std::chrono::seconds(1); ///< Told to callers that are refused for want of a slot.
 };
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/internal/firstcomesystem.h"
 #include "decisions/internal/leastinflightchooser.h"
+#include "decisions/internal/observations.h"
 #include "decisions/internal/plainchoosers.h"
 #include "decisions/internal/systems.h"
 
@@ -23,6 +24,7 @@
 std::span<const Action> DecisionCore::tick(TimePoint now)
 {
     m_actions.clear();
+    m_now = now;
     for (const Event &event : m_inbox) {
         std::visit([this](const auto &typed) { apply(typed); }, event);
     }
@@ -36,13 +38,7 @@
 
 std::optional<TimePoint> DecisionCore::nextWake() const
 {
-    std::optional<TimePoint> earliest;
-    for (const auto &[id, row] : m_tables.requests) {
-        if (!earliest || row.spec.deadline < *earliest) {
-            earliest = row.spec.deadline;
-        }
-    }
-    return earliest;
+    return m_tables.timers.empty() ? std::nullopt : std::optional(m_tables.timers.begin()->first);
 }
 
 std::size_t DecisionCore::openRequests() const
@@ -53,27 +49,38 @@
 void DecisionCore::apply(const UpstreamListed &event)
 {
     UpstreamRow &row = m_tables.upstream(event.upstream);
-    if (row.state != UpstreamState::Leaving) {
-        row.state = UpstreamState::Live;
-    }
+    setUpstreamState(row, UpstreamState::Unlisted);
     row.zone = event.zone;
     row.sameZone = event.sameZone;
     row.targets = event.targets;
     row.slots = event.slots;
     row.price = event.price;
     row.checksFencing = event.checksFencing;
+    setUpstreamState(row, row.leaving ? UpstreamState::Leaving : UpstreamState::Live);
 }
 
 void DecisionCore::apply(const UpstreamLeaving &event)
 {
     UpstreamRow &row = m_tables.upstream(event.upstream);
-    row.state = UpstreamState::Leaving;
+    row.leaving = true;
     row.goneAt = event.goneAt;
+    setUpstreamState(row, UpstreamState::Leaving);
 }
 
 void DecisionCore::apply(const UpstreamGone &event)
 {
-    m_tables.upstream(event.upstream).state = UpstreamState::Gone;
+    UpstreamRow &row = m_tables.upstream(event.upstream);
+    row.leaving = false;
+    setUpstreamState(row, UpstreamState::Gone);
+}
+
+void DecisionCore::setUpstreamState(UpstreamRow &row, UpstreamState state)
+{
+    for (const TargetId target : row.targets) {
+        m_tables.target(target).live += state == UpstreamState::Live ? 1 : 0;
+        m_tables.target(target).live -= row.state == UpstreamState::Live ? 1 : 0;
+    }
+    row.state = state;
 }
 
 void DecisionCore::apply(const UpstreamReported &event)
@@ -98,18 +105,21 @@
 {
     RequestRow row;
     row.spec = event;
-    if (m_tables.requests.emplace(event.request, std::move(row)).second) {
+    const auto [entry, made] = m_tables.requests.emplace(event.request, std::move(row));
+    if (made) {
+        m_tables.setTimer(entry->second, event.deadline);
         m_tables.arrived.push_back(event.request);
     }
 }
 
 void DecisionCore::apply(const AttemptProgressed &event)
 {
-    const std::unordered_map<AttemptId, AttemptRow>::const_iterator found = m_tables.attempts.find(event.attempt);
-    if (found == m_tables.attempts.end()) {
+    AttemptRow *const attempt = m_tables.attempt(event.attempt);
+    if (attempt == nullptr) {
         return;
     }
-    RequestRow *const row = m_tables.request(found->second.request);
+    noteProgress(m_tables, *attempt, event.tokens, m_now);
+    RequestRow *const row = m_tables.request(attempt->request);
     if (row != nullptr) {
         row->tokens += event.tokens;
     }
@@ -117,13 +127,13 @@
 
 void DecisionCore::apply(const AttemptEnded &event)
 {
-    const std::unordered_map<AttemptId, AttemptRow>::const_iterator found = m_tables.attempts.find(event.attempt);
-    if (found == m_tables.attempts.end()) {
+    const AttemptRow *const found = m_tables.attempt(event.attempt);
+    if (found == nullptr) {
         return;
     }
-    const AttemptRow attempt = found->second;
-    m_tables.attempts.erase(found);
-    --m_tables.upstream(attempt.upstream).inFlight;
+    const AttemptRow attempt = *found;
+    noteEnd(m_tables, attempt, event.outcome, m_now);
+    m_tables.attempts.erase(event.attempt);
     RequestRow *const row = m_tables.request(attempt.request);
     if (row != nullptr && event.outcome != AttemptOutcome::Completed) {
         row->failedAt.insert(attempt.upstream);
@@ -168,7 +178,7 @@
     if (settings.queue == QueuePolicy::FirstCome) {
         return std::make_unique<FirstComeSystem>(makeChooser(settings, seed));
     }
-    return std::make_unique<RoutingSystem>(makeChooser(settings, seed));
+    return std::make_unique<RoutingSystem>(makeChooser(settings, seed), settings.queue);
 }
 
 }
--- a/src/decisions/internal/firstcomesystem.cpp
+++ b/src/decisions/internal/firstcomesystem.cpp
@@ -29,7 +29,7 @@
     if (row == nullptr) {
         return true;
     }
-    WorkspaceRow &workspace = tables.workspace(row->spec.workspace);
+    const WorkspaceRow &workspace = tables.workspace(row->spec.workspace);
     if (!row->admitted && workspace.inFlight >= workspace.maxInFlight) {
         return false;
     }
@@ -37,9 +37,7 @@
         return false;
     }
     if (!row->admitted) {
-        row->admitted = true;
-        ++workspace.inFlight;
-        std::erase(workspace.queue, request);
+        tables.admit(*row);
     }
     return true;
 }
--- /dev/null
+++ b/src/decisions/internal/observations.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "decisions/tables.h"
+
+namespace rosemaryshift::decisions {
+
+/// Counts a new attempt at its upstream and in its flow.
+void noteStart(Tables &tables, const AttemptRow &attempt);
+/// Takes in what the time between two outputs says about the upstream.
+void noteProgress(Tables &tables, AttemptRow &attempt, std::uint32_t tokens, TimePoint now);
+/// Takes the attempt out of the counts; a completed one says how long such work holds its slot.
+void noteEnd(Tables &tables, const AttemptRow &attempt, AttemptOutcome outcome, TimePoint now);
+
+}
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -1,5 +1,7 @@
 #include "decisions/internal/systems.h"
 
+#include "decisions/internal/observations.h"
+
 #include <algorithm>
 
 namespace rosemaryshift::decisions {
@@ -11,11 +13,22 @@
     return outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Silent || outcome == AttemptOutcome::Cancelled;
 }
 
-bool served(const Tables &tables, TargetId target)
+struct QueueHead {
+    QueueKey key;
+    RequestId request;
+};
+
+/// The first request of each queue of a workspace, in the order in which they are to start.
+std::vector<QueueHead> headsOf(const WorkspaceRow &workspace, QueuePolicy policy)
 {
-    return std::ranges::any_of(tables.upstreams, [target](const UpstreamRow &row) {
-        return row.state == UpstreamState::Live && std::ranges::find(row.targets, target) != row.targets.end();
-    });
+    std::vector<QueueHead> heads;
+    for (const auto &[key, queue] : workspace.queues) {
+        heads.push_back({key, *queue.begin()});
+    }
+    if (policy == QueuePolicy::FairByWorkspace) {
+        std::ranges::sort(heads, {}, &QueueHead::request);
+    }
+    return heads;
 }
 
 void refuse(Tables &tables, TickContext &context, RequestId request, RefusalCode code, Duration retryAfter)
@@ -72,20 +85,19 @@
 
 void DeadlineSystem::run(Tables &tables, TickContext &context)
 {
-    std::vector<RequestId> late;
-    for (const auto &[id, row] : tables.requests) {
-        if (row.spec.deadline <= context.now) {
-            late.push_back(id);
-        }
+    while (!tables.timers.empty() && tables.timers.begin()->first <= context.now) {
+        giveUp(tables, context, tables.timers.begin()->second);
     }
-    for (const RequestId request : late) {
-        const RequestRow &row = *tables.request(request);
-        const bool mayRun = row.running && !row.spec.idempotent;
-        if (mayRun || (row.running && row.run == RunState::NotRun)) {
-            tables.request(request)->run = RunState::Unknown;
-        }
-        refuse(tables, context, request, mayRun ? RefusalCode::OutcomeUnknown : RefusalCode::DeadlinePassed, Duration(0));
+}
+
+void DeadlineSystem::giveUp(Tables &tables, TickContext &context, RequestId request)
+{
+    RequestRow &row = *tables.request(request);
+    const bool mayRun = row.running && !row.spec.idempotent;
+    if (row.running && row.run == RunState::NotRun) {
+        row.run = RunState::Unknown;
     }
+    refuse(tables, context, request, mayRun ? RefusalCode::OutcomeUnknown : RefusalCode::DeadlinePassed, Duration(0));
 }
 
 AdmissionSystem::AdmissionSystem(const PolicySettings &settings)
@@ -98,11 +110,11 @@
     if (tables.stopping) {
         return RefusalCode::HostStopping;
     }
-    if (!served(tables, row.spec.target)) {
+    if (tables.target(row.spec.target).live == 0) {
         return RefusalCode::NoUpstream;
     }
     const WorkspaceRow &workspace = tables.workspace(row.spec.workspace);
-    if (workspace.inFlight + workspace.queue.size() >= std::size_t{workspace.maxInFlight} + workspace.maxQueued) {
+    if (workspace.inFlight + workspace.queued >= workspace.maxInFlight + workspace.maxQueued) {
         return RefusalCode::OverLimit;
     }
     return std::nullopt;
@@ -120,49 +132,59 @@
             refuse(tables, context, request, *code, m_settings.retryAfter);
             continue;
         }
-        row->state = RequestState::Queued;
-        tables.workspace(row->spec.workspace).queue.push_back(request);
+        tables.enqueue(*row);
     }
 }
 
-RoutingSystem::RoutingSystem(std::unique_ptr<IUpstreamChooser> chooser)
+RoutingSystem::RoutingSystem(std::unique_ptr<IUpstreamChooser> chooser, QueuePolicy policy)
     : m_chooser(std::move(chooser))
+    , m_policy(policy)
 {
 }
 
 void RoutingSystem::run(Tables &tables, TickContext &context)
 {
     std::erase_if(tables.retrying, [&](RequestId request) { return tables.request(request) == nullptr || startAttempt(tables, context, *m_chooser, request); });
-    bool progressed = true;
-    while (progressed) {
-        progressed = false;
-        for (WorkspaceRow &workspace : tables.workspaces) {
-            progressed = startNextOf(tables, context, workspace) || progressed;
-        }
-    }
+    startQueued(tables, context);
     for (const RequestId request : tables.arrived) {
         const RequestRow *const row = tables.request(request);
         if (row != nullptr && row->state == RequestState::Queued) {
             const WorkspaceRow &workspace = tables.workspace(row->spec.workspace);
-            context.actions.push_back(QueueRequest{request, static_cast<std::uint32_t>(workspace.queue.size() - 1)});
+            context.actions.push_back(QueueRequest{request, workspace.queued - 1});
         }
     }
     tables.arrived.clear();
 }
 
-bool RoutingSystem::startNextOf(Tables &tables, TickContext &context, WorkspaceRow &workspace)
+void RoutingSystem::startQueued(Tables &tables, TickContext &context)
+{
+    std::set<QueueKey> blocked;
+    bool progressed = true;
+    while (progressed) {
+        progressed = false;
+        const std::vector<WorkspaceId> waiting(tables.waiting.begin(), tables.waiting.end());
+        for (std::size_t i = 0; i < waiting.size(); ++i) {
+            progressed = startNextOf(tables, context, waiting[(m_turn + i) % waiting.size()], blocked) || progressed;
+        }
+        ++m_turn;
+    }
+}
+
+bool RoutingSystem::startNextOf(Tables &tables, TickContext &context, WorkspaceId id, std::set<QueueKey> &blocked)
 {
+    const WorkspaceRow &workspace = tables.workspace(id);
     if (workspace.inFlight >= workspace.maxInFlight) {
         return false;
     }
-    for (const RequestId request : workspace.queue) {
-        if (!startAttempt(tables, context, *m_chooser, request)) {
+    for (const auto &[key, request] : headsOf(workspace, m_policy)) {
+        if (blocked.contains(key)) {
             continue;
         }
-        tables.request(request)->admitted = true;
-        ++workspace.inFlight;
-        std::erase(workspace.queue, request);
-        return true;
+        if (startAttempt(tables, context, *m_chooser, request)) {
+            tables.admit(*tables.request(request));
+            return true;
+        }
+        blocked.insert(key);
     }
     return false;
 }
@@ -175,8 +197,9 @@
         return false;
     }
     const AttemptId attempt = static_cast<AttemptId>(tables.nextAttempt++);
-    tables.attempts[attempt] = {request, choice->upstream};
-    ++tables.upstream(choice->upstream).inFlight;
+    const AttemptRow started{request, choice->upstream, row.queueKey(), context.now, std::nullopt};
+    tables.attempts.emplace(attempt, started);
+    noteStart(tables, started);
     row.state = RequestState::Running;
     row.running = attempt;
     ++row.attempts;
--- a/src/decisions/internal/systems.h
+++ b/src/decisions/internal/systems.h
@@ -26,6 +26,9 @@
 {
 public:
     void run(Tables &tables, TickContext &context) override;
+
+private:
+    static void giveUp(Tables &tables, TickContext &context, RequestId request);
 };
 
 /// Refuses what cannot be served and queues the rest by workspace.
@@ -48,13 +51,16 @@
 class RoutingSystem : public ISystem
 {
 public:
-    explicit RoutingSystem(std::unique_ptr<IUpstreamChooser> chooser);
+    RoutingSystem(std::unique_ptr<IUpstreamChooser> chooser, QueuePolicy policy);
     void run(Tables &tables, TickContext &context) override;
 
 private:
-    bool startNextOf(Tables &tables, TickContext &context, WorkspaceRow &workspace);
+    void startQueued(Tables &tables, TickContext &context);
+    bool startNextOf(Tables &tables, TickContext &context, WorkspaceId id, std::set<QueueKey> &blocked);
 
     std::unique_ptr<IUpstreamChooser> m_chooser;
+    QueuePolicy m_policy;
+    std::size_t m_turn = 0; ///< Which workspace is asked first.
 };
 
 }
--- a/src/decisions/internal/tables.cpp
+++ b/src/decisions/internal/tables.cpp
@@ -68,23 +68,92 @@
     return rowAt(workspaces, workspace);
 }
 
+TargetRow &Tables::target(TargetId target)
+{
+    return rowAt(targets, target);
+}
+
+FlowRow &Tables::flow(QueueKey key)
+{
+    return target(key.target).flows.at(static_cast<std::size_t>(key.trafficClass));
+}
+
 RequestRow *Tables::request(RequestId request)
 {
-    const std::map<RequestId, RequestRow>::iterator found = requests.find(request);
+    const std::unordered_map<RequestId, RequestRow>::iterator found = requests.find(request);
     return found == requests.end() ? nullptr : &found->second;
 }
 
+AttemptRow *Tables::attempt(AttemptId attempt)
+{
+    const std::unordered_map<AttemptId, AttemptRow>::iterator found = attempts.find(attempt);
+    return found == attempts.end() ? nullptr : &found->second;
+}
+
+QueueKey RequestRow::queueKey() const
+{
+    return {spec.trafficClass, spec.target};
+}
+
+void Tables::setTimer(RequestRow &request, TimePoint at)
+{
+    timers.erase({request.timer, request.spec.request});
+    request.timer = at;
+    timers.emplace(at, request.spec.request);
+}
+
+void Tables::enqueue(RequestRow &request)
+{
+    const QueueKey key = request.queueKey();
+    WorkspaceRow &owner = workspace(request.spec.workspace);
+    std::set<RequestId> &queue = owner.queues[key];
+    FlowRow &row = flow(key);
+    row.waitingWorkspaces += queue.empty() ? 1 : 0;
+    ++row.queued;
+    ++owner.queued;
+    queue.insert(request.spec.request);
+    waiting.insert(request.spec.workspace);
+    request.state = RequestState::Queued;
+}
+
+void Tables::dequeue(const RequestRow &request)
+{
+    const QueueKey key = request.queueKey();
+    WorkspaceRow &owner = workspace(request.spec.workspace);
+    const std::map<QueueKey, std::set<RequestId>>::iterator queue = owner.queues.find(key);
+    if (queue == owner.queues.end() || queue->second.erase(request.spec.request) == 0) {
+        return;
+    }
+    FlowRow &row = flow(key);
+    --row.queued;
+    --owner.queued;
+    if (queue->second.empty()) {
+        --row.waitingWorkspaces;
+        owner.queues.erase(queue);
+    }
+    if (owner.queues.empty()) {
+        waiting.erase(request.spec.workspace);
+    }
+}
+
+void Tables::admit(RequestRow &request)
+{
+    dequeue(request);
+    request.admitted = true;
+    ++workspace(request.spec.workspace).inFlight;
+}
+
 void Tables::erase(RequestId request)
 {
-    const RequestRow *const row = this->request(request);
+    RequestRow *const row = this->request(request);
     if (row == nullptr) {
         return;
     }
-    WorkspaceRow &owner = workspace(row->spec.workspace);
     if (row->admitted) {
-        --owner.inFlight;
+        --workspace(row->spec.workspace).inFlight;
     }
-    std::erase(owner.queue, request);
+    dequeue(*row);
+    timers.erase({row->timer, request});
     requests.erase(request);
 }
 
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -2,7 +2,6 @@
 
 #include "decisions/decisiontypes.h"
 
-#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -18,6 +17,7 @@
 
 struct UpstreamRow {
     UpstreamState state = UpstreamState::Unlisted;
+    bool leaving = false; ///< Stays until the upstream is gone, whatever lists say.
     ZoneId zone{};
     bool sameZone = true;
     std::vector<TargetId> targets;
@@ -31,11 +31,34 @@
     TimePoint reportedAt;
 };
 
+/// What has been seen of one traffic class at one target.
+struct FlowRow {
+    std::uint32_t inFlight = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t waitingWorkspaces = 0; ///< That have a request queued here.
+    double holdSeconds = 0;              ///< Mean time from the start of an attempt to its end; zero until one was seen.
+    double firstTokenSeconds = 0;        ///< Mean time from the start of an attempt to its first token; zero until one was seen.
+};
+
+struct TargetRow {
+    std::uint32_t live = 0; ///< Upstreams that take new work for this target.
+    std::array<FlowRow, TrafficClassCount> flows;
+};
+
+/// The requests of one workspace that wait for the same kind of slot.
+struct QueueKey {
+    TrafficClass trafficClass = TrafficClass::Question;
+    TargetId target{};
+
+    auto operator<=>(const QueueKey &) const = default;
+};
+
 struct WorkspaceRow {
     std::uint32_t maxInFlight = 0;
     std::uint32_t maxQueued = 0;
     std::uint32_t inFlight = 0;
-    std::deque<RequestId> queue;
+    std::uint32_t queued = 0;
+    std::map<QueueKey, std::set<RequestId>> queues; ///< None is empty; ids grow with the arrival.
 };
 
 enum class RequestState : std::uint8_t {
@@ -54,11 +77,17 @@
     RunState run = RunState::NotRun;
     std::set<UpstreamId> failedAt;
     std::optional<AttemptId> running;
+    TimePoint timer; ///< When the request is looked at without an event.
+
+    [[nodiscard]] QueueKey queueKey() const;
 };
 
 struct AttemptRow {
     RequestId request;
     UpstreamId upstream;
+    QueueKey flow;
+    TimePoint startedAt;
+    std::optional<TimePoint> progressedAt;
 };
 
 struct EndedAttempt {
@@ -69,12 +98,15 @@
 
 /// All rows the systems run over. Plain data; owned by one thread.
 struct Tables {
-    std::vector<UpstreamRow> upstreams;       ///< Indexed by UpstreamId.
-    std::vector<WorkspaceRow> workspaces;     ///< Indexed by WorkspaceId.
-    std::map<RequestId, RequestRow> requests; ///< Ordered, so that every run visits them alike.
+    std::vector<UpstreamRow> upstreams;   ///< Indexed by UpstreamId.
+    std::vector<WorkspaceRow> workspaces; ///< Indexed by WorkspaceId.
+    std::vector<TargetRow> targets;       ///< Indexed by TargetId.
+    std::unordered_map<RequestId, RequestRow> requests;
     std::unordered_map<AttemptId, AttemptRow> attempts;
-    std::vector<RequestId> arrived;  ///< Since the last tick.
-    std::vector<EndedAttempt> ended; ///< Since the last tick.
+    std::set<std::pair<TimePoint, RequestId>> timers; ///< Of all requests.
+    std::set<WorkspaceId> waiting;                    ///< Workspaces with a request queued.
+    std::vector<RequestId> arrived;                   ///< Since the last tick.
+    std::vector<EndedAttempt> ended;                  ///< Since the last tick.
     std::vector<RequestId> retrying;
     std::uint64_t nextAttempt = 1;
     bool stopping = false;
@@ -83,10 +115,24 @@
     UpstreamRow &upstream(UpstreamId upstream);
     /// Row of @p workspace, made when there is none yet.
     WorkspaceRow &workspace(WorkspaceId workspace);
+    /// Row of @p target, made when there is none yet.
+    TargetRow &target(TargetId target);
+    FlowRow &flow(QueueKey key);
     /// Row of @p request; null when it has ended.
     RequestRow *request(RequestId request);
+    /// Row of @p attempt; null when it has ended.
+    AttemptRow *attempt(AttemptId attempt);
+    /// Has @p request looked at when @p at has come.
+    void setTimer(RequestRow &request, TimePoint at);
+    /// Puts an arrived request into its workspace's queue.
+    void enqueue(RequestRow &request);
+    /// Takes a queued request out of the queue and counts it as in flight.
+    void admit(RequestRow &request);
     /// Removes the row of a request that has its final answer and gives back what it held.
     void erase(RequestId request);
+
+private:
+    void dequeue(const RequestRow &request);
 };
 
 }
