Refuse at once what cannot start in time

Cause: requests were started whose first token could only come after its target. Change: admission estimates the start by Little's law from the queue of the same class and target, refuses with that time as Retry-After, and a queued request is given up as soon as it cannot start in time any more.

--- a/src/decisions/decisiontypes.h
+++ b/src/decisions/decisiontypes.h
@@ -73,6 +73,7 @@
     TrafficClass trafficClass = TrafficClass::Question;
     TargetId target;
     TimePoint deadline;
+    std::optional<TimePoint> firstTokenBy; ///< A first token after this is of no use; nothing when only the deadline counts.
     std::uint32_t promptTokens = 0;
     std::uint32_t expectedTokens = 0;
     std::uint32_t tokensDone = 0; ///< Already answered before this host took the request over.
--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -26,6 +26,7 @@
 struct PolicySettings {
     RoutingPolicy routing = RoutingPolicy::LeastInFlight;
     QueuePolicy queue = QueuePolicy::ShortFirst;
+    bool estimateStart = true;                     ///< Refuses at once, and gives up while queued, what cannot start in time.
     std::uint32_t maxAttempts = 3;                 ///< Of one request.
     Duration retryAfter = std::chrono::seconds(1); ///< Told to callers that are refused for want of a slot.
 };
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -186,7 +186,7 @@
 std::unique_ptr<IDecisionCore> makeDecisionCore(const PolicySettings &settings, std::uint64_t seed)
 {
     std::vector<std::unique_ptr<ISystem>> systems;
-    systems.push_back(std::make_unique<DeadlineSystem>());
+    systems.push_back(std::make_unique<DeadlineSystem>(settings));
     systems.push_back(std::make_unique<RetrySystem>(settings));
     systems.push_back(std::make_unique<AdmissionSystem>(settings));
     systems.push_back(makeRouting(settings, seed));
--- /dev/null
+++ b/src/decisions/internal/estimates.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "decisions/tables.h"
+
+namespace rosemaryshift::decisions {
+
+/// Latest start of an attempt that can meet the request's targets, from what the same kind of work took so far.
+TimePoint latestStart(Tables &tables, const RequestRow &request);
+/// Requests of the same kind that start before one that is queued now, while workspaces take turns.
+std::size_t queuedAhead(Tables &tables, const RequestRow &request);
+/// Time until @p ahead queued requests of the same kind have started, by Little's law; nothing before any such work ended.
+std::optional<Duration> estimatedWait(Tables &tables, const RequestRow &request, std::size_t ahead);
+
+}
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -1,5 +1,6 @@
 #include "decisions/internal/systems.h"
 
+#include "decisions/internal/estimates.h"
 #include "decisions/internal/observations.h"
 
 #include <algorithm>
@@ -83,6 +84,11 @@
     tables.retrying.push_back(ended.request);
 }
 
+DeadlineSystem::DeadlineSystem(const PolicySettings &settings)
+    : m_settings(settings)
+{
+}
+
 void DeadlineSystem::run(Tables &tables, TickContext &context)
 {
     while (!tables.timers.empty() && tables.timers.begin()->first <= context.now) {
@@ -90,9 +96,18 @@
     }
 }
 
-void DeadlineSystem::giveUp(Tables &tables, TickContext &context, RequestId request)
+void DeadlineSystem::giveUp(Tables &tables, TickContext &context, RequestId request) const
 {
     RequestRow &row = *tables.request(request);
+    if (row.state == RequestState::Queued && row.spec.deadline > context.now) {
+        const Duration wait = estimatedWait(tables, row, 0).value_or(m_settings.retryAfter);
+        refuse(tables, context, request, RefusalCode::Overloaded, std::max(wait, m_settings.retryAfter));
+        return;
+    }
+    if (row.spec.deadline > context.now) {
+        tables.setTimer(row, row.spec.deadline);
+        return;
+    }
     const bool mayRun = row.running && !row.spec.idempotent;
     if (row.running && row.run == RunState::NotRun) {
         row.run = RunState::Unknown;
@@ -132,8 +147,25 @@
             refuse(tables, context, request, *code, m_settings.retryAfter);
             continue;
         }
-        tables.enqueue(*row);
+        admit(tables, context, *row);
+    }
+}
+
+void AdmissionSystem::admit(Tables &tables, TickContext &context, RequestRow &row) const
+{
+    if (!m_settings.estimateStart) {
+        tables.enqueue(row);
+        return;
+    }
+    row.startBy = latestStart(tables, row);
+    const std::size_t ahead = queuedAhead(tables, row);
+    const std::optional<Duration> wait = estimatedWait(tables, row, ahead);
+    if (ahead > 0 && wait && context.now + *wait > *row.startBy) {
+        refuse(tables, context, row.spec.request, RefusalCode::Overloaded, std::max(*wait, m_settings.retryAfter));
+        return;
     }
+    tables.setTimer(row, std::clamp(*row.startBy, context.now + Duration(1), row.spec.deadline));
+    tables.enqueue(row);
 }
 
 RoutingSystem::RoutingSystem(std::unique_ptr<IUpstreamChooser> chooser, QueuePolicy policy)
--- a/src/decisions/internal/systems.h
+++ b/src/decisions/internal/systems.h
@@ -21,14 +21,17 @@
     PolicySettings m_settings;
 };
 
-/// Gives up requests whose deadline has passed.
+/// Gives up requests whose deadline has passed and queued ones that can no longer start in time.
 class DeadlineSystem : public ISystem
 {
 public:
+    explicit DeadlineSystem(const PolicySettings &settings);
     void run(Tables &tables, TickContext &context) override;
 
 private:
-    static void giveUp(Tables &tables, TickContext &context, RequestId request);
+    void giveUp(Tables &tables, TickContext &context, RequestId request) const;
+
+    PolicySettings m_settings;
 };
 
 /// Refuses what cannot be served and queues the rest by workspace.
@@ -40,6 +43,7 @@
 
 private:
     [[nodiscard]] std::optional<RefusalCode> refusalOf(Tables &tables, const RequestRow &row) const;
+    void admit(Tables &tables, TickContext &context, RequestRow &row) const;
 
     PolicySettings m_settings;
 };
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -77,7 +77,8 @@
     RunState run = RunState::NotRun;
     std::set<UpstreamId> failedAt;
     std::optional<AttemptId> running;
-    TimePoint timer; ///< When the request is looked at without an event.
+    std::optional<TimePoint> startBy; ///< An attempt that starts later than this comes too late.
+    TimePoint timer;                  ///< When the request is looked at without an event.
 
     [[nodiscard]] QueueKey queueKey() const;
 };
--- a/src/entry/internal/callerfrontend.cpp
+++ b/src/entry/internal/callerfrontend.cpp
@@ -158,6 +158,7 @@
     spec.trafficClass = options->trafficClass.value_or(route->defaultClass);
     const templates::ClassPolicy &policy = workspace->policy(spec.trafficClass);
     spec.deadline = options->deadline.value_or(policy.deadline);
+    spec.firstToken = policy.firstToken;
     spec.priority = policy.priority;
     spec.promptTokens = parsed->promptTokens;
     spec.maxTokens = parsed->maxTokens;
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -164,6 +164,9 @@
     event.target = m_upstreams.target(spec.target);
     const std::chrono::steady_clock::time_point deadline = record->arrivedAt + spec.deadline;
     event.deadline = TimePoint(std::chrono::duration_cast<Duration>(deadline.time_since_epoch()));
+    if (spec.firstToken.count() > 0 && spec.trafficClass != TrafficClass::Plan) {
+        event.firstTokenBy = TimePoint(std::chrono::duration_cast<Duration>((record->arrivedAt + spec.firstToken).time_since_epoch()));
+    }
     event.promptTokens = spec.promptTokens;
     event.expectedTokens = spec.maxTokens;
     event.tokensDone = static_cast<std::uint32_t>(record->transcript.size());
--- a/src/measure/internal/emulator.cpp
+++ b/src/measure/internal/emulator.cpp
@@ -142,6 +142,9 @@
     event.trafficClass = arrival.load->trafficClass;
     event.target = arrival.load->service() ? ServiceTarget : ModelTarget;
     event.deadline = m_now + arrival.load->deadline;
+    if (arrival.load->firstToken > Duration(0)) {
+        event.firstTokenBy = m_now + arrival.load->firstToken;
+    }
     event.promptTokens = arrival.load->promptTokens;
     event.prefixHash = arrival.prefixHash;
     event.idempotent = arrival.load->idempotent;
--- a/src/measure/internal/experiments.cpp
+++ b/src/measure/internal/experiments.cpp
@@ -13,6 +13,7 @@
     PolicySettings settings;
     settings.routing = routing;
     settings.queue = queue;
+    settings.estimateStart = false;
     return {std::move(name), settings};
 }
 
--- a/src/requests/requesttypes.h
+++ b/src/requests/requesttypes.h
@@ -52,7 +52,8 @@
     TrafficClass trafficClass = TrafficClass::Question;
     std::string idempotencyKey; ///< Empty when the caller gave none.
     bool idempotent = true;
-    std::chrono::milliseconds deadline{0}; ///< From arrival.
+    std::chrono::milliseconds deadline{0};   ///< From arrival.
+    std::chrono::milliseconds firstToken{0}; ///< Target for the first token, from arrival; zero when there is none.
     std::uint32_t priority = 0;
     std::uint32_t promptTokens = 0;
     std::uint32_t maxTokens = 0;                              ///< Zero when the caller set no bound.
