Route by estimated finish over the load of all hosts

Cause: each host saw its own attempts only, so all of them together put several times its slots on an upstream, and a slowed upstream looked as good as the others. Change: attempts of other hosts come from the last report less what this host had there when it was measured; the speed between tokens is observed, fast to worsen, slow to recover, and fades while nothing is seen; few candidates are scored, found by an index of occupancy, by sampling and by the prompt's prefix.

--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -10,7 +10,8 @@
 
 /// How the upstream of an attempt is chosen.
 enum class RoutingPolicy : std::uint8_t {
-    LeastInFlight, ///< The smallest share of slots in use by this host.
+    EstimatedFinish, ///< The earliest estimated end among a few sampled candidates.
+    LeastInFlight,   ///< The smallest share of slots in use by this host.
     RoundRobin,
     Random,
 };
@@ -24,7 +25,7 @@
 
 /// The decisions of a core. Each field has a plain alternative to be measured against.
 struct PolicySettings {
-    RoutingPolicy routing = RoutingPolicy::LeastInFlight;
+    RoutingPolicy routing = RoutingPolicy::EstimatedFinish;
     QueuePolicy queue = QueuePolicy::ShortFirst;
     bool estimateStart = true;                     ///< Refuses at once, and gives up while queued, what cannot start in time.
     std::uint32_t maxAttempts = 3;                 ///< Of one request.
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -1,5 +1,6 @@
 #include "decisions/internal/decisioncore.h"
 
+#include "decisions/internal/estimatedfinishchooser.h"
 #include "decisions/internal/firstcomesystem.h"
 #include "decisions/internal/leastinflightchooser.h"
 #include "decisions/internal/observations.h"
@@ -49,14 +50,16 @@
 void DecisionCore::apply(const UpstreamListed &event)
 {
     UpstreamRow &row = m_tables.upstream(event.upstream);
-    setUpstreamState(row, UpstreamState::Unlisted);
+    row.state = UpstreamState::Unlisted;
+    m_tables.reindex(event.upstream);
     row.zone = event.zone;
     row.sameZone = event.sameZone;
     row.targets = event.targets;
     row.slots = event.slots;
     row.price = event.price;
     row.checksFencing = event.checksFencing;
-    setUpstreamState(row, row.leaving ? UpstreamState::Leaving : UpstreamState::Live);
+    row.state = row.leaving ? UpstreamState::Leaving : UpstreamState::Live;
+    m_tables.reindex(event.upstream);
 }
 
 void DecisionCore::apply(const UpstreamLeaving &event)
@@ -64,34 +67,23 @@
     UpstreamRow &row = m_tables.upstream(event.upstream);
     row.leaving = true;
     row.goneAt = event.goneAt;
-    setUpstreamState(row, UpstreamState::Leaving);
+    row.state = UpstreamState::Leaving;
+    m_tables.reindex(event.upstream);
 }
 
 void DecisionCore::apply(const UpstreamGone &event)
 {
     UpstreamRow &row = m_tables.upstream(event.upstream);
     row.leaving = false;
-    setUpstreamState(row, UpstreamState::Gone);
-}
-
-void DecisionCore::setUpstreamState(UpstreamRow &row, UpstreamState state)
-{
-    for (const TargetId target : row.targets) {
-        m_tables.target(target).live += state == UpstreamState::Live ? 1 : 0;
-        m_tables.target(target).live -= row.state == UpstreamState::Live ? 1 : 0;
-    }
-    row.state = state;
+    row.state = UpstreamState::Gone;
+    row.othersInFlight = 0;
+    row.speed = {};
+    m_tables.reindex(event.upstream);
 }
 
 void DecisionCore::apply(const UpstreamReported &event)
 {
-    UpstreamRow &row = m_tables.upstream(event.upstream);
-    if (event.measuredAt < row.reportedAt) {
-        return;
-    }
-    row.reportedRunning = event.running;
-    row.reportedQueued = event.queued;
-    row.reportedAt = event.measuredAt;
+    noteReport(m_tables, event);
 }
 
 void DecisionCore::apply(const WorkspaceLimited &event)
@@ -168,9 +160,11 @@
     case RoutingPolicy::Random:
         return std::make_unique<RandomChooser>(seed);
     case RoutingPolicy::LeastInFlight:
+        return std::make_unique<LeastInFlightChooser>();
+    case RoutingPolicy::EstimatedFinish:
         break;
     }
-    return std::make_unique<LeastInFlightChooser>();
+    return std::make_unique<EstimatedFinishChooser>(seed);
 }
 
 std::unique_ptr<ISystem> makeRouting(const PolicySettings &settings, std::uint64_t seed)
--- a/src/decisions/internal/decisioncore.h
+++ b/src/decisions/internal/decisioncore.h
@@ -28,8 +28,6 @@
     void apply(const CallerLeft &event);
     void apply(const HostStopping &event);
 
-    void setUpstreamState(UpstreamRow &row, UpstreamState state);
-
     std::vector<std::unique_ptr<ISystem>> m_systems;
     std::vector<Event> m_inbox;
     std::vector<Action> m_actions;
--- a/src/decisions/internal/observations.cpp
+++ b/src/decisions/internal/observations.cpp
@@ -1,10 +1,15 @@
 #include "decisions/internal/observations.h"
 
+#include <algorithm>
+
 namespace rosemaryshift::decisions {
 
 namespace {
 
-constexpr double FlowWeight = 0.05; ///< Of a new observation in a flow's mean.
+constexpr double FlowWeight = 0.05;  ///< Of a new observation in a flow's mean.
+constexpr double WorseWeight = 0.5;  ///< Of an observation that shows an upstream slower than thought.
+constexpr double BetterWeight = 0.1; ///< Of one that shows it faster.
+constexpr std::size_t MaxOwnHistory = 256;
 
 double secondsBetween(TimePoint from, TimePoint to)
 {
@@ -16,20 +21,70 @@
     mean = mean > 0 ? mean + weight * (observed - mean) : observed;
 }
 
+void noteOwnChange(Tables &tables, UpstreamId id, TimePoint now)
+{
+    UpstreamRow &row = tables.upstream(id);
+    row.ownHistory.emplace_back(now, row.inFlight);
+    if (row.ownHistory.size() > MaxOwnHistory) {
+        row.ownHistory.pop_front();
+    }
+    tables.reindex(id);
+}
+
+/// What this host had in flight when a report was measured; changes before it are dropped.
+std::uint32_t ownInFlightAt(UpstreamRow &row, TimePoint measuredAt)
+{
+    if (row.ownHistory.empty()) {
+        return row.inFlight;
+    }
+    while (row.ownHistory.size() > 1 && row.ownHistory[1].first <= measuredAt) {
+        row.ownHistory.pop_front();
+    }
+    return row.ownHistory.front().second;
+}
+
+void noteSpeed(Tables &tables, const AttemptRow &attempt, double secondsPerToken, TimePoint now)
+{
+    SpeedEstimate &speed = tables.upstream(attempt.upstream).speed;
+    blend(speed.secondsPerToken, secondsPerToken, secondsPerToken > speed.secondsPerToken ? WorseWeight : BetterWeight);
+    speed.seenAt = now;
+    blend(tables.target(attempt.flow.target).secondsPerToken, secondsPerToken, FlowWeight);
+}
+
+}
+
+void noteReport(Tables &tables, const UpstreamReported &report)
+{
+    UpstreamRow &row = tables.upstream(report.upstream);
+    if (report.measuredAt < row.reportedAt) {
+        return;
+    }
+    row.reportedAt = report.measuredAt;
+    const std::uint32_t total = report.running + report.queued;
+    const std::uint32_t own = ownInFlightAt(row, report.measuredAt);
+    row.othersInFlight = total - std::min(own, total);
+    tables.reindex(report.upstream);
 }
 
 void noteStart(Tables &tables, const AttemptRow &attempt)
 {
     ++tables.upstream(attempt.upstream).inFlight;
     ++tables.flow(attempt.flow).inFlight;
+    noteOwnChange(tables, attempt.upstream, attempt.startedAt);
+    if (attempt.prefixHash != 0) {
+        tables.target(attempt.flow.target).prefixes[attempt.prefixHash] = attempt.upstream;
+    }
 }
 
-void noteProgress(Tables &tables, AttemptRow &attempt, std::uint32_t, TimePoint now)
+void noteProgress(Tables &tables, AttemptRow &attempt, std::uint32_t tokens, TimePoint now)
 {
     if (!attempt.progressedAt) {
         blend(tables.flow(attempt.flow).firstTokenSeconds, secondsBetween(attempt.startedAt, now), FlowWeight);
+    } else if (tokens > 0) {
+        noteSpeed(tables, attempt, secondsBetween(*attempt.progressedAt, now) / tokens, now);
     }
     attempt.progressedAt = now;
+    attempt.tokens += tokens;
 }
 
 void noteEnd(Tables &tables, const AttemptRow &attempt, AttemptOutcome outcome, TimePoint now)
@@ -37,8 +92,10 @@
     --tables.upstream(attempt.upstream).inFlight;
     FlowRow &flow = tables.flow(attempt.flow);
     --flow.inFlight;
+    noteOwnChange(tables, attempt.upstream, now);
     if (outcome == AttemptOutcome::Completed) {
         blend(flow.holdSeconds, secondsBetween(attempt.startedAt, now), FlowWeight);
+        blend(flow.tokens, attempt.tokens, FlowWeight);
     }
 }
 
--- a/src/decisions/internal/observations.h
+++ b/src/decisions/internal/observations.h
@@ -4,6 +4,8 @@
 
 namespace rosemaryshift::decisions {
 
+/// Takes in a load report. Reports that are older than the last one are dropped.
+void noteReport(Tables &tables, const UpstreamReported &report);
 /// Counts a new attempt at its upstream and in its flow.
 void noteStart(Tables &tables, const AttemptRow &attempt);
 /// Takes in what the time between two outputs says about the upstream.
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -125,7 +125,7 @@
     if (tables.stopping) {
         return RefusalCode::HostStopping;
     }
-    if (tables.target(row.spec.target).live == 0) {
+    if (tables.target(row.spec.target).live.empty()) {
         return RefusalCode::NoUpstream;
     }
     const WorkspaceRow &workspace = tables.workspace(row.spec.workspace);
@@ -229,7 +229,7 @@
         return false;
     }
     const AttemptId attempt = static_cast<AttemptId>(tables.nextAttempt++);
-    const AttemptRow started{request, choice->upstream, row.queueKey(), context.now, std::nullopt};
+    const AttemptRow started{request, choice->upstream, row.queueKey(), context.now, row.spec.prefixHash, 0, std::nullopt};
     tables.attempts.emplace(attempt, started);
     noteStart(tables, started);
     row.state = RequestState::Running;
--- a/src/decisions/internal/tables.cpp
+++ b/src/decisions/internal/tables.cpp
@@ -90,6 +90,34 @@
     return found == attempts.end() ? nullptr : &found->second;
 }
 
+std::uint32_t UpstreamRow::occupied() const
+{
+    return inFlight + othersInFlight;
+}
+
+void Tables::reindex(UpstreamId id)
+{
+    UpstreamRow &row = upstream(id);
+    const bool live = row.state == UpstreamState::Live;
+    const double key = static_cast<double>(row.occupied()) / std::max(row.slots, 1U);
+    for (const TargetId targetId : row.targets) {
+        TargetRow &target = this->target(targetId);
+        if (row.indexed) {
+            target.byOccupancy.erase({*row.indexed, id});
+        }
+        if (live) {
+            target.byOccupancy.emplace(key, id);
+        }
+        if (live && !row.indexed) {
+            target.live.push_back(id);
+        }
+        if (!live && row.indexed) {
+            std::erase(target.live, id);
+        }
+    }
+    row.indexed = live ? std::optional(key) : std::nullopt;
+}
+
 QueueKey RequestRow::queueKey() const
 {
     return {spec.trafficClass, spec.target};
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -2,6 +2,7 @@
 
 #include "decisions/decisiontypes.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -15,6 +16,12 @@
     Gone,
 };
 
+/// How fast an upstream generates, as this host sees it. Fast to worsen, slow to recover.
+struct SpeedEstimate {
+    double secondsPerToken = 0; ///< Zero until something was seen.
+    TimePoint seenAt;
+};
+
 struct UpstreamRow {
     UpstreamState state = UpstreamState::Unlisted;
     bool leaving = false; ///< Stays until the upstream is gone, whatever lists say.
@@ -26,9 +33,14 @@
     bool checksFencing = false;
     std::uint32_t inFlight = 0; ///< Attempts of this host.
     TimePoint goneAt;
-    std::uint32_t reportedRunning = 0;
-    std::uint32_t reportedQueued = 0;
     TimePoint reportedAt;
+    std::uint32_t othersInFlight = 0;                           ///< Attempts of other hosts at the last report.
+    std::deque<std::pair<TimePoint, std::uint32_t>> ownHistory; ///< inFlight after each change since the last report.
+    SpeedEstimate speed;
+    std::optional<double> indexed; ///< Key under which the targets list it.
+
+    /// Attempts of all hosts, as far as this one can tell.
+    [[nodiscard]] std::uint32_t occupied() const;
 };
 
 /// What has been seen of one traffic class at one target.
@@ -37,11 +49,15 @@
     std::uint32_t queued = 0;
     std::uint32_t waitingWorkspaces = 0; ///< That have a request queued here.
     double holdSeconds = 0;              ///< Mean time from the start of an attempt to its end; zero until one was seen.
+    double tokens = 0;                   ///< Mean length of an answer; zero until one was seen.
     double firstTokenSeconds = 0;        ///< Mean time from the start of an attempt to its first token; zero until one was seen.
 };
 
 struct TargetRow {
-    std::uint32_t live = 0; ///< Upstreams that take new work for this target.
+    std::vector<UpstreamId> live;                           ///< Upstreams that take new work for this target.
+    std::set<std::pair<double, UpstreamId>> byOccupancy;    ///< The same by the share of their slots in use.
+    std::unordered_map<std::uint64_t, UpstreamId> prefixes; ///< Where a prefix was read last.
+    double secondsPerToken = 0;                             ///< Mean over the upstreams; zero until something was seen.
     std::array<FlowRow, TrafficClassCount> flows;
 };
 
@@ -88,6 +104,8 @@
     UpstreamId upstream;
     QueueKey flow;
     TimePoint startedAt;
+    std::uint64_t prefixHash = 0;
+    std::uint32_t tokens = 0;
     std::optional<TimePoint> progressedAt;
 };
 
@@ -123,6 +141,8 @@
     RequestRow *request(RequestId request);
     /// Row of @p attempt; null when it has ended.
     AttemptRow *attempt(AttemptId attempt);
+    /// Moves @p upstream to its place in the indexes after a change of its state or load.
+    void reindex(UpstreamId upstream);
     /// Has @p request looked at when @p at has come.
     void setTimer(RequestRow &request, TimePoint at);
     /// Puts an arrived request into its workspace's queue.
