Keep slots for short work by a cap on plans

Cause: a plan holds its slot some thirty times as long as a question, so at full load plans ended up in nearly all slots. Change: plans of all hosts together may hold 0.7 of the slots of a target; each host has its part of that, and of each upstream's; a plan queued for 20 s may also wait in an upstream's own queue, as short work may, so that hosts that see only full upstreams still get their turn.

--- a/src/decisions/decisiontypes.h
+++ b/src/decisions/decisiontypes.h
@@ -67,6 +67,11 @@
     std::uint32_t maxQueued = 0;
 };
 
+/// Live entry hosts that share the upstreams, this one included.
+struct EntryHostsCounted {
+    std::uint32_t hosts = 1;
+};
+
 struct RequestArrived {
     RequestId request;
     WorkspaceId workspace;
@@ -105,6 +110,7 @@
                            UpstreamGone,
                            UpstreamReported,
                            WorkspaceLimited,
+                           EntryHostsCounted,
                            RequestArrived,
                            AttemptProgressed,
                            AttemptEnded,
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -93,6 +93,11 @@
     row.maxQueued = event.maxQueued;
 }
 
+void DecisionCore::apply(const EntryHostsCounted &event)
+{
+    m_tables.entryHosts = std::max(event.hosts, 1U);
+}
+
 void DecisionCore::apply(const RequestArrived &event)
 {
     RequestRow row;
@@ -164,7 +169,7 @@
     case RoutingPolicy::EstimatedFinish:
         break;
     }
-    return std::make_unique<EstimatedFinishChooser>(seed);
+    return std::make_unique<EstimatedFinishChooser>(settings, seed);
 }
 
 std::unique_ptr<ISystem> makeRouting(const PolicySettings &settings, std::uint64_t seed)
--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -8,11 +8,13 @@
 
 namespace {
 
-constexpr std::size_t LeastOccupied = 4; ///< Candidates from the front of the index.
-constexpr std::size_t Sampled = 3;       ///< Candidates at random.
-constexpr double PrefillShare = 0.03;    ///< Time to read a prompt token, in times between generated ones.
-constexpr double PriceWeight = 0.05;     ///< Of the price against the estimated time.
-constexpr double UnknownTokens = 64;     ///< Expected length until an answer was seen.
+constexpr std::size_t LeastOccupied = 4;               ///< Candidates from the front of the index.
+constexpr std::size_t Sampled = 3;                     ///< Candidates at random.
+constexpr double PrefillShare = 0.03;                  ///< Time to read a prompt token, in times between generated ones.
+constexpr double PriceWeight = 0.05;                   ///< Of the price against the estimated time.
+constexpr double UnknownTokens = 64;                   ///< Expected length until an answer was seen.
+constexpr std::uint32_t ShortOverflow = 2;             ///< Short requests that may wait in an upstream's own queue.
+constexpr Duration PlanAge = std::chrono::seconds(20); ///< After which a queued plan may wait there too.
 constexpr double OtherZoneSeconds = 0.001;
 constexpr double SlownessHalfLife = 5; ///< Seconds without an observation after which half of a slowness is forgiven.
 
@@ -39,11 +41,32 @@
 
 }
 
-EstimatedFinishChooser::EstimatedFinishChooser(std::uint64_t seed)
-    : m_random(seed)
+EstimatedFinishChooser::EstimatedFinishChooser(const PolicySettings &settings, std::uint64_t seed)
+    : m_settings(settings)
+    , m_random(seed)
 {
 }
 
+bool EstimatedFinishChooser::plansAtCap(const Tables &tables, const TargetRow &target) const
+{
+    const double cap = std::max(m_settings.planShare * target.slots / tables.entryHosts, 1.0);
+    return target.flows.at(static_cast<std::size_t>(TrafficClass::Plan)).inFlight >= static_cast<std::uint32_t>(cap);
+}
+
+bool EstimatedFinishChooser::hasRoom(const Tables &tables, const UpstreamRow &upstream, const RequestRow &request, TimePoint now) const
+{
+    if (upstream.state != UpstreamState::Live) {
+        return false;
+    }
+    if (request.spec.trafficClass != TrafficClass::Plan) {
+        return upstream.occupied() < upstream.slots + ShortOverflow;
+    }
+    const double cap = std::max(std::ceil(m_settings.planShare * upstream.slots / tables.entryHosts), 1.0);
+    const bool aged = now - request.queuedAt >= PlanAge;
+    const std::uint32_t limit = aged ? upstream.slots + ShortOverflow : upstream.slots;
+    return upstream.plansInFlight < static_cast<std::uint32_t>(cap) && upstream.occupied() < limit;
+}
+
 std::vector<UpstreamId> EstimatedFinishChooser::candidates(const TargetRow &target, const RequestRow &request)
 {
     std::vector<UpstreamId> found;
@@ -67,7 +90,7 @@
 {
     using Rank = std::tuple<bool, double, double>;
     const TargetRow &target = tables.targets.at(static_cast<std::size_t>(request.spec.target));
-    if (target.live.empty()) {
+    if (target.live.empty() || (request.spec.trafficClass == TrafficClass::Plan && plansAtCap(tables, target))) {
         return std::nullopt;
     }
     const std::unordered_map<std::uint64_t, UpstreamId>::const_iterator known = target.prefixes.find(request.spec.prefixHash);
@@ -76,7 +99,7 @@
     const std::vector<UpstreamId> found = candidates(target, request);
     for (const UpstreamId id : found) {
         const UpstreamRow &row = tables.upstreams[static_cast<std::size_t>(id)];
-        if (row.state != UpstreamState::Live || row.occupied() >= row.slots) {
+        if (!hasRoom(tables, row, request, now)) {
             continue;
         }
         const bool prefixKnown = known != target.prefixes.end() && known->second == id;
--- a/src/decisions/internal/estimatedfinishchooser.h
+++ b/src/decisions/internal/estimatedfinishchooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/idecisioncore.h"
 #include "decisions/iupstreamchooser.h"
 
 #include <random>
@@ -12,12 +13,16 @@
 class EstimatedFinishChooser : public IUpstreamChooser
 {
 public:
-    explicit EstimatedFinishChooser(std::uint64_t seed);
+    EstimatedFinishChooser(const PolicySettings &settings, std::uint64_t seed);
     std::optional<UpstreamChoice> choose(const Tables &tables, const RequestRow &request, TimePoint now) override;
 
 private:
     [[nodiscard]] std::vector<UpstreamId> candidates(const TargetRow &target, const RequestRow &request);
+    /// Whether plans of this host hold its part of the slots that plans may have.
+    [[nodiscard]] bool plansAtCap(const Tables &tables, const TargetRow &target) const;
+    [[nodiscard]] bool hasRoom(const Tables &tables, const UpstreamRow &upstream, const RequestRow &request, TimePoint now) const;
 
+    PolicySettings m_settings;
     std::mt19937_64 m_random;
 };
 
--- a/src/decisions/internal/observations.cpp
+++ b/src/decisions/internal/observations.cpp
@@ -21,6 +21,11 @@
     mean = mean > 0 ? mean + weight * (observed - mean) : observed;
 }
 
+bool isPlan(const AttemptRow &attempt)
+{
+    return attempt.flow.trafficClass == TrafficClass::Plan;
+}
+
 void noteOwnChange(Tables &tables, UpstreamId id, TimePoint now)
 {
     UpstreamRow &row = tables.upstream(id);
@@ -68,7 +73,9 @@
 
 void noteStart(Tables &tables, const AttemptRow &attempt)
 {
-    ++tables.upstream(attempt.upstream).inFlight;
+    UpstreamRow &row = tables.upstream(attempt.upstream);
+    ++row.inFlight;
+    row.plansInFlight += isPlan(attempt) ? 1 : 0;
     ++tables.flow(attempt.flow).inFlight;
     noteOwnChange(tables, attempt.upstream, attempt.startedAt);
     if (attempt.prefixHash != 0) {
@@ -89,7 +96,9 @@
 
 void noteEnd(Tables &tables, const AttemptRow &attempt, AttemptOutcome outcome, TimePoint now)
 {
-    --tables.upstream(attempt.upstream).inFlight;
+    UpstreamRow &row = tables.upstream(attempt.upstream);
+    --row.inFlight;
+    row.plansInFlight -= isPlan(attempt) ? 1 : 0;
     FlowRow &flow = tables.flow(attempt.flow);
     --flow.inFlight;
     noteOwnChange(tables, attempt.upstream, now);
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -153,6 +153,7 @@
 
 void AdmissionSystem::admit(Tables &tables, TickContext &context, RequestRow &row) const
 {
+    row.queuedAt = context.now;
     if (!m_settings.estimateStart) {
         tables.enqueue(row);
         return;
--- a/src/decisions/internal/tables.cpp
+++ b/src/decisions/internal/tables.cpp
@@ -110,9 +110,11 @@
         }
         if (live && !row.indexed) {
             target.live.push_back(id);
+            target.slots += row.slots;
         }
         if (!live && row.indexed) {
             std::erase(target.live, id);
+            target.slots -= row.slots;
         }
     }
     row.indexed = live ? std::optional(key) : std::nullopt;
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -31,7 +31,8 @@
     std::uint32_t slots = 1;
     double price = 0;
     bool checksFencing = false;
-    std::uint32_t inFlight = 0; ///< Attempts of this host.
+    std::uint32_t inFlight = 0;      ///< Attempts of this host.
+    std::uint32_t plansInFlight = 0; ///< The same, of plans.
     TimePoint goneAt;
     TimePoint reportedAt;
     std::uint32_t othersInFlight = 0;                           ///< Attempts of other hosts at the last report.
@@ -57,6 +58,7 @@
     std::vector<UpstreamId> live;                           ///< Upstreams that take new work for this target.
     std::set<std::pair<double, UpstreamId>> byOccupancy;    ///< The same by the share of their slots in use.
     std::unordered_map<std::uint64_t, UpstreamId> prefixes; ///< Where a prefix was read last.
+    std::uint32_t slots = 0;                                ///< Of all live upstreams.
     double secondsPerToken = 0;                             ///< Mean over the upstreams; zero until something was seen.
     std::array<FlowRow, TrafficClassCount> flows;
 };
@@ -93,6 +95,7 @@
     RunState run = RunState::NotRun;
     std::set<UpstreamId> failedAt;
     std::optional<AttemptId> running;
+    TimePoint queuedAt;
     std::optional<TimePoint> startBy; ///< An attempt that starts later than this comes too late.
     TimePoint timer;                  ///< When the request is looked at without an event.
 
@@ -128,6 +131,7 @@
     std::vector<EndedAttempt> ended;                  ///< Since the last tick.
     std::vector<RequestId> retrying;
     std::uint64_t nextAttempt = 1;
+    std::uint32_t entryHosts = 1; ///< That share the upstreams, this one included.
     bool stopping = false;
 
     /// Row of @p upstream, made when there is none yet.
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -330,6 +330,7 @@
 {
     const std::uint32_t hosts = static_cast<std::uint32_t>(m_upstreams.entryHosts());
     m_bookings.setHosts(hosts);
+    post(decisions::EntryHostsCounted{hosts});
     for (const std::string &workspace : m_templates->workspaces()) {
         const templates::WorkspaceLimits &limits = m_templates->inForce(workspace)->content.limits;
         post(decisions::WorkspaceLimited{m_workspaces.intern(workspace), limits.requestsInFlight / hosts, limits.requestsQueued / hosts});
--- a/src/measure/internal/emulator.cpp
+++ b/src/measure/internal/emulator.cpp
@@ -59,6 +59,7 @@
         for (std::size_t upstream = 0; upstream < m_upstreams.size(); ++upstream) {
             m_hosts.back().core->post(listing(upstream, host));
         }
+        m_hosts.back().core->post(decisions::EntryHostsCounted{m_scenario.entryHosts});
         for (std::uint32_t i = 0; i < m_scenario.workspaces.size(); ++i) {
             const WorkspaceLoad &load = m_scenario.workspaces[i];
             m_hosts.back().core->post(
