Leave room for what other hosts start between two reports

Cause: nine hosts that see the same free slot all take it; questions then wait in the upstream's queue for seconds. Change: a host may always have its even share of an upstream's slots; beyond that it leaves 0.15 of them free.

A host goes on using its share of slowed upstreams: it learns of them only some tokens after the first one.

--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -14,6 +14,7 @@
 constexpr double PriceWeight = 0.05;                   ///< Of the price against the estimated time.
 constexpr double UnknownTokens = 64;                   ///< Expected length until an answer was seen.
 constexpr std::uint32_t ShortOverflow = 2;             ///< Short requests that may wait in an upstream's own queue.
+constexpr double SharedMargin = 0.15; ///< Of the slots, left free by a host that has its even share there, for what the others start before the next report.
 constexpr Duration PlanAge = std::chrono::seconds(20); ///< After which a queued plan may wait there too.
 constexpr double OtherZoneSeconds = 0.001;
 constexpr double SlownessHalfLife = 5; ///< Seconds without an observation after which half of a slowness is forgiven.
@@ -59,7 +60,9 @@
         return false;
     }
     if (request.spec.trafficClass != TrafficClass::Plan) {
-        return upstream.occupied() < upstream.slots + ShortOverflow;
+        const std::uint32_t share = (upstream.slots + tables.entryHosts - 1) / tables.entryHosts;
+        const std::uint32_t margin = static_cast<std::uint32_t>(std::ceil(SharedMargin * upstream.slots));
+        return upstream.occupied() < (upstream.inFlight < share ? upstream.slots + ShortOverflow : upstream.slots - margin);
     }
     const double cap = std::max(std::ceil(m_settings.planShare * upstream.slots / tables.entryHosts), 1.0);
     const bool aged = now - request.queuedAt >= PlanAge;
