--- a/src/decisions/decisiontypes.h
+++ b/src/decisions/decisiontypes.h
@@ -67,12 +67,18 @@
     std::uint32_t maxQueued = 0;
 };
 
+/// Live entry hosts that share the upstreams, this one included.
+struct EntryHostsCounted {
+    std::uint32_t hosts = 1;
+};
+
 struct RequestArrived {
     RequestId request;
     WorkspaceId workspace;
     TrafficClass trafficClass = TrafficClass::Question;
     TargetId target;
     TimePoint deadline;
+    std::optional<TimePoint> firstTokenBy; ///< A first token after this is of no use; nothing when only the deadline counts.
     std::uint32_t promptTokens = 0;
     std::uint32_t expectedTokens = 0;
     std::uint32_t tokensDone = 0; ///< Already answered before this host took the request over.
@@ -104,6 +110,7 @@
                            UpstreamGone,
                            UpstreamReported,
                            WorkspaceLimited,
+                           EntryHostsCounted,
                            RequestArrived,
                            AttemptProgressed,
                            AttemptEnded,
--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -10,21 +10,25 @@
 
 /// How the upstream of an attempt is chosen.
 enum class RoutingPolicy : std::uint8_t {
-    LeastInFlight, ///< The smallest share of slots in use by this host.
+    EstimatedFinish, ///< The earliest estimated end among a few sampled candidates.
+    LeastInFlight,   ///< The smallest share of slots in use by this host.
     RoundRobin,
     Random,
 };
 
 /// In which order waiting requests start.
 enum class QueuePolicy : std::uint8_t {
-    FairByWorkspace, ///< One request of each workspace in turn.
+    ShortFirst,      ///< One request of each workspace in turn; within a workspace questions go before plans.
+    FairByWorkspace, ///< One request of each workspace in turn; within a workspace in the order of arrival.
     FirstCome,       ///< One queue of all workspaces; the first holds up the others.
 };
 
 /// The decisions of a core. Each field has a plain alternative to be measured against.
 struct PolicySettings {
-    RoutingPolicy routing = RoutingPolicy::LeastInFlight;
-    QueuePolicy queue = QueuePolicy::FairByWorkspace;
+    RoutingPolicy routing = RoutingPolicy::EstimatedFinish;
+    QueuePolicy queue = QueuePolicy::ShortFirst;
+    bool estimateStart = true;                     ///< Refuses at once, and gives up while queued, what cannot start in time.
+    double planShare = 0.7;                        ///< Of all slots that plans of all hosts together may hold; 1 keeps none for short work.
     std::uint32_t maxAttempts = 3;                 ///< Of one request.
     Duration retryAfter = std::chrono::seconds(1); ///< Told to callers that are refused for want of a slot.
 };
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -1,7 +1,9 @@
 #include "decisions/internal/decisioncore.h"
 
+#include "decisions/internal/estimatedfinishchooser.h"
 #include "decisions/internal/firstcomesystem.h"
 #include "decisions/internal/leastinflightchooser.h"
+#include "decisions/internal/observations.h"
 #include "decisions/internal/plainchoosers.h"
 #include "decisions/internal/systems.h"
 
@@ -23,6 +25,7 @@
 std::span<const Action> DecisionCore::tick(TimePoint now)
 {
     m_actions.clear();
+    m_now = now;
     for (const Event &event : m_inbox) {
         std::visit([this](const auto &typed) { apply(typed); }, event);
     }
@@ -36,13 +39,7 @@
 
 std::optional<TimePoint> DecisionCore::nextWake() const
 {
-    std::optional<TimePoint> earliest;
-    for (const auto &[id, row] : m_tables.requests) {
-        if (!earliest || row.spec.deadline < *earliest) {
-            earliest = row.spec.deadline;
-        }
-    }
-    return earliest;
+    return m_tables.timers.empty() ? std::nullopt : std::optional(m_tables.timers.begin()->first);
 }
 
 std::size_t DecisionCore::openRequests() const
@@ -53,38 +50,40 @@
 void DecisionCore::apply(const UpstreamListed &event)
 {
     UpstreamRow &row = m_tables.upstream(event.upstream);
-    if (row.state != UpstreamState::Leaving) {
-        row.state = UpstreamState::Live;
-    }
+    row.state = UpstreamState::Unlisted;
+    m_tables.reindex(event.upstream);
     row.zone = event.zone;
     row.sameZone = event.sameZone;
     row.targets = event.targets;
     row.slots = event.slots;
     row.price = event.price;
     row.checksFencing = event.checksFencing;
+    row.state = row.leaving ? UpstreamState::Leaving : UpstreamState::Live;
+    m_tables.reindex(event.upstream);
 }
 
 void DecisionCore::apply(const UpstreamLeaving &event)
 {
     UpstreamRow &row = m_tables.upstream(event.upstream);
-    row.state = UpstreamState::Leaving;
+    row.leaving = true;
     row.goneAt = event.goneAt;
+    row.state = UpstreamState::Leaving;
+    m_tables.reindex(event.upstream);
 }
 
 void DecisionCore::apply(const UpstreamGone &event)
 {
-    m_tables.upstream(event.upstream).state = UpstreamState::Gone;
+    UpstreamRow &row = m_tables.upstream(event.upstream);
+    row.leaving = false;
+    row.state = UpstreamState::Gone;
+    row.othersInFlight = 0;
+    row.speed = {};
+    m_tables.reindex(event.upstream);
 }
 
 void DecisionCore::apply(const UpstreamReported &event)
 {
-    UpstreamRow &row = m_tables.upstream(event.upstream);
-    if (event.measuredAt < row.reportedAt) {
-        return;
-    }
-    row.reportedRunning = event.running;
-    row.reportedQueued = event.queued;
-    row.reportedAt = event.measuredAt;
+    noteReport(m_tables, event);
 }
 
 void DecisionCore::apply(const WorkspaceLimited &event)
@@ -94,22 +93,30 @@
     row.maxQueued = event.maxQueued;
 }
 
+void DecisionCore::apply(const EntryHostsCounted &event)
+{
+    m_tables.entryHosts = std::max(event.hosts, 1U);
+}
+
 void DecisionCore::apply(const RequestArrived &event)
 {
     RequestRow row;
     row.spec = event;
-    if (m_tables.requests.emplace(event.request, std::move(row)).second) {
+    const auto [entry, made] = m_tables.requests.emplace(event.request, std::move(row));
+    if (made) {
+        m_tables.setTimer(entry->second, event.deadline);
         m_tables.arrived.push_back(event.request);
     }
 }
 
 void DecisionCore::apply(const AttemptProgressed &event)
 {
-    const std::unordered_map<AttemptId, AttemptRow>::const_iterator found = m_tables.attempts.find(event.attempt);
-    if (found == m_tables.attempts.end()) {
+    AttemptRow *const attempt = m_tables.attempt(event.attempt);
+    if (attempt == nullptr) {
         return;
     }
-    RequestRow *const row = m_tables.request(found->second.request);
+    noteProgress(m_tables, *attempt, event.tokens, m_now);
+    RequestRow *const row = m_tables.request(attempt->request);
     if (row != nullptr) {
         row->tokens += event.tokens;
     }
@@ -117,13 +124,13 @@
 
 void DecisionCore::apply(const AttemptEnded &event)
 {
-    const std::unordered_map<AttemptId, AttemptRow>::const_iterator found = m_tables.attempts.find(event.attempt);
-    if (found == m_tables.attempts.end()) {
+    const AttemptRow *const found = m_tables.attempt(event.attempt);
+    if (found == nullptr) {
         return;
     }
-    const AttemptRow attempt = found->second;
-    m_tables.attempts.erase(found);
-    --m_tables.upstream(attempt.upstream).inFlight;
+    const AttemptRow attempt = *found;
+    noteEnd(m_tables, attempt, event.outcome, m_now);
+    m_tables.attempts.erase(event.attempt);
     RequestRow *const row = m_tables.request(attempt.request);
     if (row != nullptr && event.outcome != AttemptOutcome::Completed) {
         row->failedAt.insert(attempt.upstream);
@@ -158,9 +165,11 @@
     case RoutingPolicy::Random:
         return std::make_unique<RandomChooser>(seed);
     case RoutingPolicy::LeastInFlight:
+        return std::make_unique<LeastInFlightChooser>();
+    case RoutingPolicy::EstimatedFinish:
         break;
     }
-    return std::make_unique<LeastInFlightChooser>();
+    return std::make_unique<EstimatedFinishChooser>(settings, seed);
 }
 
 std::unique_ptr<ISystem> makeRouting(const PolicySettings &settings, std::uint64_t seed)
@@ -168,7 +177,7 @@
     if (settings.queue == QueuePolicy::FirstCome) {
         return std::make_unique<FirstComeSystem>(makeChooser(settings, seed));
     }
-    return std::make_unique<RoutingSystem>(makeChooser(settings, seed));
+    return std::make_unique<RoutingSystem>(makeChooser(settings, seed), settings.queue);
 }
 
 }
@@ -176,7 +185,7 @@
 std::unique_ptr<IDecisionCore> makeDecisionCore(const PolicySettings &settings, std::uint64_t seed)
 {
     std::vector<std::unique_ptr<ISystem>> systems;
-    systems.push_back(std::make_unique<DeadlineSystem>());
+    systems.push_back(std::make_unique<DeadlineSystem>(settings));
     systems.push_back(std::make_unique<RetrySystem>(settings));
     systems.push_back(std::make_unique<AdmissionSystem>(settings));
     systems.push_back(makeRouting(settings, seed));
--- a/src/decisions/internal/systems.h
+++ b/src/decisions/internal/systems.h
@@ -21,11 +21,17 @@
     PolicySettings m_settings;
 };
 
-/// Gives up requests whose deadline has passed.
+/// Gives up requests whose deadline has passed and queued ones that can no longer start in time.
 class DeadlineSystem : public ISystem
 {
 public:
+    explicit DeadlineSystem(const PolicySettings &settings);
     void run(Tables &tables, TickContext &context) override;
+
+private:
+    void giveUp(Tables &tables, TickContext &context, RequestId request) const;
+
+    PolicySettings m_settings;
 };
 
 /// Refuses what cannot be served and queues the rest by workspace.
@@ -37,6 +43,7 @@
 
 private:
     [[nodiscard]] std::optional<RefusalCode> refusalOf(Tables &tables, const RequestRow &row) const;
+    void admit(Tables &tables, TickContext &context, RequestRow &row) const;
 
     PolicySettings m_settings;
 };
@@ -48,13 +55,16 @@
 class RoutingSystem : public ISystem
 {
 public:
-    explicit RoutingSystem(std::unique_ptr<IUpstreamChooser> chooser);
+    RoutingSystem(std::unique_ptr<IUpstreamChooser> chooser, QueuePolicy policy);
     void run(Tables &tables, TickContext &context) override;
 
 private:
-    bool startNextOf(Tables &tables, TickContext &context, WorkspaceRow &workspace);
+    void startQueued(Tables &tables, TickContext &context);
+    bool startNextOf(Tables &tables, TickContext &context, WorkspaceId id, std::set<QueueKey> &blocked);
 
     std::unique_ptr<IUpstreamChooser> m_chooser;
+    QueuePolicy m_policy;
+    std::size_t m_turn = 0; ///< Which workspace is asked first.
 };
 
 }
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -151,6 +151,9 @@
     event.target = m_upstreams.target(spec.target);
     const std::chrono::steady_clock::time_point deadline = record->arrivedAt + spec.deadline;
     event.deadline = TimePoint(std::chrono::duration_cast<Duration>(deadline.time_since_epoch()));
+    if (spec.firstToken.count() > 0 && spec.trafficClass != TrafficClass::Plan) {
+        event.firstTokenBy = TimePoint(std::chrono::duration_cast<Duration>((record->arrivedAt + spec.firstToken).time_since_epoch()));
+    }
     event.promptTokens = spec.promptTokens;
     event.expectedTokens = spec.maxTokens;
     event.tokensDone = static_cast<std::uint32_t>(record->transcript.size());
@@ -303,6 +306,7 @@
 {
     const std::uint32_t hosts = static_cast<std::uint32_t>(m_upstreams.entryHosts());
     m_bookings.setHosts(hosts);
+    post(decisions::EntryHostsCounted{hosts});
     for (const std::string &workspace : m_templates->workspaces()) {
         const templates::WorkspaceLimits &limits = m_templates->inForce(workspace)->content.limits;
         post(decisions::WorkspaceLimited{m_workspaces.intern(workspace), limits.requestsInFlight / hosts, limits.requestsQueued / hosts});
