--- a/benchmarks/coreslopes.cpp
+++ b/benchmarks/coreslopes.cpp
@@ -171,7 +171,7 @@
     std::uint64_t revision = 1;
     for (auto unused : state) {
         fold->apply(offset, {"w0", revision, "d" + std::to_string(offset), "committee", workspaceText(0)});
-        revision = fold->inForce("w0")->revision;
+        revision = fold->inForce("w0")->stated.revision;
         ++offset;
     }
 }
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -19,6 +19,7 @@
     std::string logLevel;
     http::Endpoint callers;
     http::Endpoint peers;
+    std::optional<http::Endpoint> advertisedPeers; ///< Where peers reach that listener, when not at its own address.
     http::Endpoint operators;
     std::string peerTokenFile;
     std::string operatorTokenFile;
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -22,8 +22,7 @@
 
 constexpr std::chrono::milliseconds HostListWait{2'000};
 constexpr std::chrono::milliseconds HostListRetry{200};
-constexpr std::chrono::milliseconds VerdictTimeout{10'000};
-constexpr std::chrono::milliseconds VerdictPoll{10};
+constexpr std::chrono::milliseconds CarryForwardInterval{100};
 
 std::uint64_t chosenSeed(std::uint64_t setting)
 {
@@ -47,26 +46,37 @@
     , m_journal(m_parts.timeline, m_parts.metrics)
     , m_launcher(traffic, *this)
     , m_core(decisions::makeDecisionCore({}, chosenSeed(settings.seed)))
-    , m_templates(templates::makeTemplateFold())
+    , m_templates(m_parts.templates, m_parts.timeline, settings.name, [this](const templates::TemplateRevision &) { applyLimits(); })
     , m_upstreams(settings.zone, m_parts.timeline, [this](decisions::Event event) { post(std::move(event)); })
     , m_bookings(control,
                  {m_parts.registry, m_parts.timeline, m_parts.log, m_journal},
                  bookingPolicy(settings, m_hostId),
                  [this](const std::shared_ptr<RequestRecord> &record) { decide(record); })
     , m_follower(m_parts.log, m_parts.timeline, logHandlers())
+    , m_publisher(m_templates, m_upstreams, m_follower, m_parts.log)
     , m_wake(control)
 {
 }
 
-void Control::join(membership::IMembership &membership)
+void Control::join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server)
 {
     m_membership = &membership;
+    m_hostListExchange = std::make_unique<HostListExchange>(client, server);
+    m_templateExchange = std::make_shared<TemplateExchange>(m_context, m_templates, m_follower, client, [this] { m_publisher.wake(); });
+    m_templateExchange->serve(server);
+    membership.addSection(m_templateExchange);
+    membership.addObserver([this](const membership::Peer &peer, membership::PeerChange change) {
+        if (change == membership::PeerChange::Lost) {
+            m_templateExchange->forget(peer.name);
+        }
+    });
 }
 
 void Control::start()
 {
     net::co_spawn(m_context, m_follower.run(), net::detached);
     net::co_spawn(m_context, followHosts(), net::detached);
+    net::co_spawn(m_context, carryTemplatesForward(), net::detached);
 }
 
 TimePoint Control::now() const
@@ -125,7 +135,10 @@
     LogHandlers handlers;
     handlers.record = [this](const platform::LogRecord &record) { takeRecord(record); };
     handlers.page = [this](const platform::LogPage &page, bool caughtUp) { m_bookings.logRead({page.oldest, page.next, caughtUp}); };
-    handlers.gap = [this](std::uint64_t oldest) { m_bookings.logGap(oldest); };
+    handlers.gap = [this](std::uint64_t oldest) {
+        m_bookings.logGap(oldest);
+        m_templates.noteGap();
+    };
     return handlers;
 }
 
@@ -280,26 +293,11 @@
     if (m_bookings.takeRecord(record)) {
         return;
     }
-    const std::optional<templates::TemplateChange> change = templates::changeFromRecord(record.data);
-    if (!change) {
-        m_parts.timeline->record(EventKind::RecordSkipped, {.detail = "log offset " + std::to_string(record.offset) + " cannot be read"});
-        return;
-    }
-    const templates::ChangeResult result = m_templates->apply(record.offset, *change);
-    if (result.verdict == templates::ChangeVerdict::Accepted) {
-        putInForce(*m_templates->inForce(change->workspace));
+    if (m_templates.take(record, now())) {
+        m_publisher.wake();
         return;
     }
-    m_parts.timeline->record(EventKind::TemplateRejected, {.workspace = change->workspace, .detail = result.reason});
-}
-
-void Control::putInForce(const templates::TemplateRevision &revision)
-{
-    m_parts.templates->replace(std::make_shared<templates::WorkspaceTemplate>(revision.content));
-    m_parts.timeline->record(EventKind::TemplateInForce,
-                             {.workspace = revision.content.workspace, .detail = "revision " + std::to_string(revision.revision) + " by " + revision.author});
-    spdlog::info("event=template_in_force workspace={} revision={}", revision.content.workspace, revision.revision);
-    applyLimits();
+    m_parts.timeline->record(EventKind::RecordSkipped, {.detail = "log offset " + std::to_string(record.offset) + " cannot be read"});
 }
 
 void Control::applyLimits()
@@ -307,12 +305,30 @@
     const std::uint32_t hosts = static_cast<std::uint32_t>(m_upstreams.entryHosts());
     m_bookings.setHosts(hosts);
     post(decisions::EntryHostsCounted{hosts});
-    for (const std::string &workspace : m_templates->workspaces()) {
-        const templates::WorkspaceLimits &limits = m_templates->inForce(workspace)->content.limits;
+    for (const std::string &workspace : m_templates.fold().workspaces()) {
+        const templates::WorkspaceLimits &limits = m_templates.fold().inForce(workspace)->content.limits;
         post(decisions::WorkspaceLimited{m_workspaces.intern(workspace), limits.requestsInFlight / hosts, limits.requestsQueued / hosts});
     }
 }
 
+void Control::takeHosts(const platform::HostList &list)
+{
+    m_upstreams.update(list, now());
+    m_membership->update(list);
+    m_hostListExchange->keep(list);
+    m_hostsRead = true;
+    applyLimits();
+}
+
+void Control::updateReady()
+{
+    if (m_ready || m_stopping || !m_hostsRead || !m_templateExchange->complete()) {
+        return;
+    }
+    m_ready = true;
+    m_parts.timeline->record(EventKind::HostReady, {.detail = m_follower.caughtUp() ? "" : "templates from a peer, the log is out"});
+}
+
 net::awaitable<void> Control::followHosts()
 {
     net::steady_timer delay(m_context);
@@ -323,15 +339,11 @@
         const std::optional<platform::HostList> list = co_await m_parts.hosts->list(known, wait, failure);
         if (list) {
             known = list->version;
-            m_upstreams.update(*list, now());
-            m_membership->update(*list);
-            m_hostsRead = true;
-            applyLimits();
-        }
-        if (!m_ready && m_hostsRead && m_follower.caughtUp() && !m_stopping) {
-            m_ready = true;
-            m_parts.timeline->record(EventKind::HostReady, {});
+            takeHosts(*list);
+        } else if (!m_hostsRead) {
+            co_await fetchHostsFromPeer();
         }
+        updateReady();
         if (!list || !m_ready) {
             delay.expires_after(HostListRetry);
             co_await delay.async_wait(net::as_tuple(net::use_awaitable));
@@ -339,53 +351,53 @@
     }
 }
 
-net::awaitable<PublishResult> Control::publish(templates::TemplateChange change)
+net::awaitable<void> Control::fetchHostsFromPeer()
 {
-    co_return co_await net::co_spawn(m_context, publishHere(std::move(change)), net::use_awaitable);
+    const std::vector<membership::Peer> peers = m_membership->peers();
+    for (const membership::Peer &peer : peers) {
+        const std::optional<platform::HostList> list = co_await m_hostListExchange->fetch(peer.peers);
+        if (list) {
+            takeHosts(*list);
+            co_return;
+        }
+    }
 }
 
-net::awaitable<PublishResult> Control::publishHere(templates::TemplateChange change)
+net::awaitable<void> Control::carryTemplatesForward()
 {
-    std::vector<SettingsError> errors;
-    const std::optional<templates::WorkspaceTemplate> content = templates::parseTemplate(change.text, change.workspace, errors);
-    if (!content) {
-        co_return PublishResult{PublishVerdict::Invalid, 0, errors.front().text()};
-    }
-    platform::PlatformFailure failure;
-    std::vector<std::string> records{templates::toRecord(change)};
-    const std::optional<std::uint64_t> offset = co_await m_parts.log->append(std::move(records), failure);
-    if (!offset && failure.error == platform::PlatformError::Unreachable) {
-        co_return PublishResult{PublishVerdict::PlatformDown, 0, failure.detail};
-    }
-    const std::optional<templates::ChangeResult> result = co_await awaitVerdict(change.changeId);
-    if (!result) {
-        co_return PublishResult{PublishVerdict::Unknown, 0, failure.detail};
-    }
-    switch (result->verdict) {
-    case templates::ChangeVerdict::Accepted:
-    case templates::ChangeVerdict::Duplicate:
-        co_return PublishResult{PublishVerdict::Accepted, result->revision, {}};
-    case templates::ChangeVerdict::Conflict:
-        co_return PublishResult{PublishVerdict::Conflict, result->revision, result->reason};
-    case templates::ChangeVerdict::Invalid:
-        break;
+    net::steady_timer delay(m_context);
+    while (true) {
+        delay.expires_after(CarryForwardInterval);
+        co_await delay.async_wait(net::as_tuple(net::use_awaitable));
+        if (!m_follower.reachable() || !m_follower.caughtUp()) {
+            continue;
+        }
+        std::vector<std::string> records = m_templates.carryForward({m_follower.oldest(), m_follower.position()}, m_upstreams.entryHosts(), now());
+        if (!records.empty()) {
+            platform::PlatformFailure failure;
+            co_await m_parts.log->append(std::move(records), failure);
+        }
     }
-    co_return PublishResult{PublishVerdict::Invalid, result->revision, result->reason};
 }
 
-net::awaitable<std::optional<templates::ChangeResult>> Control::awaitVerdict(std::string changeId)
+net::awaitable<PublishResult> Control::publish(PublishRequest request)
 {
-    net::steady_timer poll(m_context);
-    const std::chrono::steady_clock::time_point giveUp = std::chrono::steady_clock::now() + VerdictTimeout;
-    while (std::chrono::steady_clock::now() < giveUp) {
-        const std::optional<templates::ChangeResult> result = m_templates->verdictOf(changeId);
-        if (result) {
-            co_return result;
-        }
-        poll.expires_after(VerdictPoll);
-        co_await poll.async_wait(net::as_tuple(net::use_awaitable));
-    }
-    co_return std::nullopt;
+    co_return co_await net::co_spawn(m_context, m_publisher.publish(std::move(request)), net::use_awaitable);
+}
+
+net::awaitable<std::optional<PublishResult>> Control::check(PublishRequest request)
+{
+    const auto collect = [&]() -> net::awaitable<std::optional<PublishResult>> { co_return m_publisher.refusalOf(request); };
+    co_return co_await net::co_spawn(m_context, collect, net::use_awaitable);
+}
+
+net::awaitable<std::vector<templates::StatedRevision>> Control::history(std::string workspace)
+{
+    const auto collect = [&]() -> net::awaitable<std::vector<templates::StatedRevision>> {
+        const std::span<const templates::StatedRevision> kept = m_templates.fold().history(workspace);
+        co_return std::vector<templates::StatedRevision>(kept.begin(), kept.end());
+    };
+    co_return co_await net::co_spawn(m_context, collect, net::use_awaitable);
 }
 
 net::awaitable<std::optional<bookings::Outcome>> Control::bookingOutcome(std::string key)
@@ -409,11 +421,39 @@
     status.logPosition = m_follower.position();
     status.openRequests = m_core->openRequests();
     status.upstreams = m_upstreams.upstreams();
-    for (const std::string &workspace : m_templates->workspaces()) {
-        const templates::TemplateRevision &revision = *m_templates->inForce(workspace);
-        status.templates.push_back({workspace, revision.revision, revision.author, revision.changeId, revision.text});
+    for (const std::string &workspace : m_templates.fold().workspaces()) {
+        status.templates.push_back(m_templates.fold().inForce(workspace)->stated);
+    }
+    for (const membership::Peer &peer : m_membership->peers()) {
+        status.peers.push_back(makePeerStatus(peer));
+    }
+    return status;
+}
+
+PeerStatus Control::makePeerStatus(const membership::Peer &peer) const
+{
+    PeerStatus status;
+    status.peer = peer;
+    const PeerTemplates *const said = m_templateExchange->of(peer.name);
+    if (said == nullptr) {
+        status.lag = "it has not said which templates it holds";
+        return status;
     }
+    status.templates = *said;
+    status.sameTemplates = said->fingerprint == m_templateExchange->fingerprint();
+    status.lag = status.sameTemplates ? "" : lagOf(*said);
     return status;
 }
 
+std::string Control::lagOf(const PeerTemplates &peer) const
+{
+    if (!peer.logReachable) {
+        return "its log is out";
+    }
+    if (peer.logPosition < m_follower.position()) {
+        return "it is " + std::to_string(m_follower.position() - peer.logPosition) + " records behind";
+    }
+    return peer.logPosition > m_follower.position() ? "this host is behind it" : "its templates are about to be exchanged";
+}
+
 }
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -4,14 +4,16 @@
 #include "entry/entrysettings.h"
 #include "entry/internal/attemptlauncher.h"
 #include "entry/internal/bookingrunner.h"
+#include "entry/internal/hostlistexchange.h"
 #include "entry/internal/logfollower.h"
 #include "entry/internal/requestjournal.h"
-#include "entry/internal/templateview.h"
+#include "entry/internal/templateexchange.h"
+#include "entry/internal/templatepublisher.h"
+#include "entry/internal/templatetable.h"
 #include "entry/internal/upstreamdirectory.h"
 #include "membership/imembership.h"
 #include "platform/iplatform.h"
 #include "requests/requestregistry.h"
-#include "templates/itemplatefold.h"
 #include "timeline/itimeline.h"
 
 #include <boost/asio/io_context.hpp>
@@ -22,27 +24,12 @@
 
 namespace rosemaryshift::entry {
 
-enum class PublishVerdict : std::uint8_t {
-    Accepted,
-    Conflict,
-    Invalid,
-    PlatformDown, ///< Nothing was published.
-    Unknown,      ///< The change may come into force yet; ask again by its change id.
-};
-
-struct PublishResult {
-    PublishVerdict verdict = PublishVerdict::Unknown;
-    std::uint64_t revision = 0;
-    std::string reason;
-};
-
-/// One workspace's template as operators are shown it.
-struct TemplateStatus {
-    std::string workspace;
-    std::uint64_t revision = 0;
-    std::string author;
-    std::string changeId;
-    std::string text;
+/// What this host knows of a peer and its templates.
+struct PeerStatus {
+    membership::Peer peer;
+    PeerTemplates templates;
+    bool sameTemplates = false;
+    std::string lag; ///< Why its templates differ; empty when they do not.
 };
 
 struct ControlStatus {
@@ -52,7 +39,8 @@
     std::uint64_t logPosition = 0;
     std::size_t openRequests = 0;
     std::vector<std::pair<platform::ListedHost, bool>> upstreams;
-    std::vector<TemplateStatus> templates;
+    std::vector<templates::StatedRevision> templates;
+    std::vector<PeerStatus> peers;
 };
 
 /// What the control thread shares with the rest of the host.
@@ -72,8 +60,8 @@
 public:
     Control(const EntrySettings &settings, ControlParts parts, boost::asio::io_context &control, boost::asio::io_context &traffic, std::string hostId);
 
-    /// Makes the membership known. Precondition: called once, before start().
-    void join(membership::IMembership &membership);
+    /// Makes the membership known and adds what this host serves to peers. Precondition: called once, before start().
+    void join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server);
     /// Starts following the platform. Precondition: called once, before the control thread runs.
     void start();
 
@@ -88,7 +76,11 @@
     /// True once the log and the host list were read and while the host is not stopping. Thread-safe.
     [[nodiscard]] bool ready() const;
     /// Publishes a change and waits until its verdict is known. Resumes on the executor of the caller. Thread-safe.
-    boost::asio::awaitable<PublishResult> publish(templates::TemplateChange change);
+    boost::asio::awaitable<PublishResult> publish(PublishRequest request);
+    /// Checks a change as publish() would; nothing when it would be published. Resumes on the executor of the caller. Thread-safe.
+    boost::asio::awaitable<std::optional<PublishResult>> check(PublishRequest request);
+    /// The last revisions of a workspace, oldest first. Resumes on the executor of the caller. Thread-safe.
+    boost::asio::awaitable<std::vector<templates::StatedRevision>> history(std::string workspace);
     /// How the booking under the digest @p key ended, if this host knows. Resumes on the executor of the caller. Thread-safe.
     boost::asio::awaitable<std::optional<bookings::Outcome>> bookingOutcome(std::string key);
     /// State for operators. Resumes on the executor of the caller. Thread-safe.
@@ -109,12 +101,15 @@
     void perform(const decisions::QueueRequest &action);
     void perform(const decisions::CompleteRequest &action);
     void takeRecord(const platform::LogRecord &record);
-    void putInForce(const templates::TemplateRevision &revision);
     void applyLimits();
     [[nodiscard]] ControlStatus makeStatus() const;
+    [[nodiscard]] PeerStatus makePeerStatus(const membership::Peer &peer) const;
+    [[nodiscard]] std::string lagOf(const PeerTemplates &peer) const;
+    void takeHosts(const platform::HostList &list);
+    void updateReady();
     boost::asio::awaitable<void> followHosts();
-    boost::asio::awaitable<PublishResult> publishHere(templates::TemplateChange change);
-    boost::asio::awaitable<std::optional<templates::ChangeResult>> awaitVerdict(std::string changeId);
+    boost::asio::awaitable<void> fetchHostsFromPeer();
+    boost::asio::awaitable<void> carryTemplatesForward();
     void arrive(const std::shared_ptr<requests::RequestRecord> &record);
     void decide(const std::shared_ptr<requests::RequestRecord> &record);
     [[nodiscard]] LogHandlers logHandlers();
@@ -126,11 +121,14 @@
     RequestJournal m_journal;
     AttemptLauncher m_launcher;
     std::unique_ptr<decisions::IDecisionCore> m_core;
-    std::unique_ptr<templates::ITemplateFold> m_templates;
+    TemplateTable m_templates;
     UpstreamDirectory m_upstreams;
     BookingRunner m_bookings;
     LogFollower m_follower;
+    TemplatePublisher m_publisher;
     membership::IMembership *m_membership = nullptr;
+    std::shared_ptr<TemplateExchange> m_templateExchange;
+    std::unique_ptr<HostListExchange> m_hostListExchange;
     NameTable<WorkspaceId> m_workspaces;
     boost::asio::steady_timer m_wake;
     bool m_tickScheduled = false;
--- a/src/entry/internal/entrysettings.cpp
+++ b/src/entry/internal/entrysettings.cpp
@@ -15,11 +15,19 @@
     return std::chrono::milliseconds(table.number(key, TimeoutMs, static_cast<std::uint64_t>(fallback.count())));
 }
 
+std::optional<SettingsTable> requiredTable(SettingsTable &root, std::string_view key)
+{
+    std::optional<SettingsTable> table = root.table(key);
+    if (!table) {
+        root.reject(key, "must be given");
+    }
+    return table;
+}
+
 void readCallers(SettingsTable &root, EntrySettings &settings)
 {
-    std::optional<SettingsTable> table = root.table("callers");
+    std::optional<SettingsTable> table = requiredTable(root, "callers");
     if (!table) {
-        root.reject("callers", "must be given");
         return;
     }
     http::ServerLimits &limits = settings.callerLimits;
@@ -33,15 +41,28 @@
     table->rejectUnknownKeys();
 }
 
-void readListener(SettingsTable &root, std::string_view key, http::Endpoint &endpoint, std::string &tokenFile)
+void readPeers(SettingsTable &root, EntrySettings &settings)
 {
-    std::optional<SettingsTable> table = root.table(key);
+    std::optional<SettingsTable> table = requiredTable(root, "peers");
     if (!table) {
-        root.reject(key, "must be given");
         return;
     }
-    endpoint = endpointSetting(*table, "address");
-    tokenFile = table->text("token_file");
+    settings.peers = endpointSetting(*table, "address");
+    settings.peerTokenFile = table->text("token_file");
+    if (!table->text("advertised_address", "").empty()) {
+        settings.advertisedPeers = endpointSetting(*table, "advertised_address");
+    }
+    table->rejectUnknownKeys();
+}
+
+void readOperators(SettingsTable &root, EntrySettings &settings)
+{
+    std::optional<SettingsTable> table = requiredTable(root, "operators");
+    if (!table) {
+        return;
+    }
+    settings.operators = endpointSetting(*table, "address");
+    settings.operatorTokenFile = table->text("token_file");
     table->rejectUnknownKeys();
 }
 
@@ -65,6 +86,14 @@
     }
     settings.interval = milliseconds(*table, "interval_ms", std::chrono::duration_cast<std::chrono::milliseconds>(settings.interval));
     settings.missedBeats = static_cast<std::uint32_t>(table->number("missed_beats", {2, 1000}, settings.missedBeats));
+    for (const std::string &text : table->texts("seeds")) {
+        const std::optional<http::Endpoint> seed = http::Endpoint::parse(text);
+        if (seed) {
+            settings.seeds.push_back(*seed);
+        } else {
+            table->reject("seeds", "must hold IP addresses with ports");
+        }
+    }
     table->rejectUnknownKeys();
 }
 
@@ -106,8 +135,8 @@
     settings.timelineEvents = root.number("timeline_events", {16, 1'000'000}, settings.timelineEvents);
     settings.seed = root.number("seed", {}, 0);
     readCallers(root, settings);
-    readListener(root, "peers", settings.peers, settings.peerTokenFile);
-    readListener(root, "operators", settings.operators, settings.operatorTokenFile);
+    readPeers(root, settings);
+    readOperators(root, settings);
     std::optional<SettingsTable> platform = root.table("platform");
     if (platform) {
         settings.platform = endpointSetting(*platform, "address");
--- a/src/entry/internal/logfollower.cpp
+++ b/src/entry/internal/logfollower.cpp
@@ -44,6 +44,7 @@
 
 void LogFollower::take(const platform::LogPage &page)
 {
+    m_oldest = page.oldest;
     if (page.oldest > m_position) {
         m_handlers.gap(page.oldest);
     }
@@ -73,6 +74,11 @@
     return m_position;
 }
 
+std::uint64_t LogFollower::oldest() const
+{
+    return m_oldest;
+}
+
 bool LogFollower::caughtUp() const
 {
     return m_caughtUp;
--- a/src/entry/internal/logfollower.h
+++ b/src/entry/internal/logfollower.h
@@ -29,6 +29,8 @@
     boost::asio::awaitable<void> run();
     /// Offset behind the last record handed on.
     [[nodiscard]] std::uint64_t position() const;
+    /// Offset of the oldest record that the log still kept at the last read.
+    [[nodiscard]] std::uint64_t oldest() const;
     /// True once every record that stood in the log at the start was handed on.
     [[nodiscard]] bool caughtUp() const;
     /// True while the log answers.
@@ -41,6 +43,7 @@
     const std::shared_ptr<platform::ILog> m_log;
     const std::shared_ptr<timeline::ITimeline> m_timeline;
     const LogHandlers m_handlers;
+    std::uint64_t m_oldest = 0;
     std::uint64_t m_position = 0;
     bool m_caughtUp = false;
     bool m_reachable = true;
--- a/src/entry/internal/operatorfrontend.cpp
+++ b/src/entry/internal/operatorfrontend.cpp
@@ -3,6 +3,7 @@
 #include "base/json.h"
 #include "base/text.h"
 #include "entry/internal/refusals.h"
+#include "templates/templaterecords.h"
 #include "timeline/timelinejson.h"
 
 namespace rosemaryshift::entry {
@@ -51,19 +52,30 @@
     return row;
 }
 
-Json::Value toJson(const TemplateStatus &status, bool withText)
+Json::Value toJson(const PeerStatus &status)
 {
     Json::Value row;
-    row["workspace"] = status.workspace;
-    row["revision"] = Json::UInt64(status.revision);
-    row["author"] = status.author;
-    row["change"] = status.changeId;
-    if (withText) {
-        row["text"] = status.text;
+    row["name"] = status.peer.name;
+    row["zone"] = status.peer.zone;
+    row["leaving"] = status.peer.leaving;
+    row["log_reachable"] = status.templates.logReachable;
+    row["log_position"] = Json::UInt64(status.templates.logPosition);
+    row["same_templates"] = status.sameTemplates;
+    row["lag"] = status.lag;
+    row["revisions"] = Json::Value(Json::objectValue);
+    for (const auto &[workspace, revision] : status.templates.revisions) {
+        row["revisions"][workspace] = Json::UInt64(revision);
     }
     return row;
 }
 
+Json::Value withoutText(const templates::StatedRevision &revision)
+{
+    Json::Value row = templates::toJson(revision);
+    row.removeMember("text");
+    return row;
+}
+
 int statusOf(PublishVerdict verdict)
 {
     switch (verdict) {
@@ -98,7 +110,16 @@
     return "unknown";
 }
 
-std::optional<templates::TemplateChange> changeFromBody(std::string_view body)
+Response toResponse(const PublishResult &result)
+{
+    Json::Value object;
+    object["verdict"] = std::string(nameOf(result.verdict));
+    object["revision"] = Json::UInt64(result.revision);
+    object["reason"] = result.reason;
+    return jsonResponse(object, statusOf(result.verdict));
+}
+
+std::optional<PublishRequest> requestFromBody(std::string_view body)
 {
     std::string reason;
     const std::optional<Json::Value> object = parseJson(body, reason);
@@ -113,7 +134,8 @@
     if (!workspace || !base || !change || change->empty() || !author || !text) {
         return std::nullopt;
     }
-    return templates::TemplateChange{*workspace, *base, *change, *author, *text};
+    std::string file = stringMember(*object, "file").value_or(*workspace);
+    return PublishRequest{{*workspace, *base, *change, *author, *text}, std::move(file)};
 }
 
 }
@@ -164,23 +186,41 @@
         co_return co_await showTemplates();
     }
     if (path == "/v1/templates" && request.method == "POST") {
-        co_return co_await publish(std::move(request));
+        co_return co_await publish(std::move(request), false);
+    }
+    if (path == "/v1/templates/check" && request.method == "POST") {
+        co_return co_await publish(std::move(request), true);
+    }
+    if (path == "/v1/templates/history") {
+        co_return co_await showHistory(std::move(request));
     }
     co_return refusalResponse(badRequest(404, "unknown_path", "there is nothing at " + path), {});
 }
 
-net::awaitable<Response> OperatorFrontend::publish(Request request)
+net::awaitable<Response> OperatorFrontend::publish(Request request, bool checkOnly)
 {
-    std::optional<templates::TemplateChange> change = changeFromBody(request.body);
+    std::optional<PublishRequest> change = requestFromBody(request.body);
     if (!change) {
         co_return refusalResponse(badRequest(400, "invalid_request", "a change needs workspace, base, change, author and text"), {});
     }
+    if (checkOnly) {
+        const std::optional<PublishResult> refusal = co_await m_control.check(std::move(*change));
+        co_return refusal ? toResponse(*refusal) : jsonResponse(Json::Value(Json::objectValue));
+    }
     const PublishResult result = co_await m_control.publish(std::move(*change));
+    co_return toResponse(result);
+}
+
+net::awaitable<Response> OperatorFrontend::showHistory(Request request)
+{
+    const std::string workspace = http::queryValue(request.target, "workspace").value_or("");
+    const std::vector<templates::StatedRevision> history = co_await m_control.history(workspace);
     Json::Value object;
-    object["verdict"] = std::string(nameOf(result.verdict));
-    object["revision"] = Json::UInt64(result.revision);
-    object["reason"] = result.reason;
-    co_return jsonResponse(object, statusOf(result.verdict));
+    object["revisions"] = Json::Value(Json::arrayValue);
+    for (const templates::StatedRevision &revision : history) {
+        object["revisions"].append(templates::toJson(revision));
+    }
+    co_return jsonResponse(object);
 }
 
 net::awaitable<Response> OperatorFrontend::status()
@@ -197,8 +237,12 @@
         object["upstreams"].append(toJson(upstream));
     }
     object["templates"] = Json::Value(Json::arrayValue);
-    for (const TemplateStatus &row : status.templates) {
-        object["templates"].append(toJson(row, false));
+    for (const templates::StatedRevision &row : status.templates) {
+        object["templates"].append(withoutText(row));
+    }
+    object["peers"] = Json::Value(Json::arrayValue);
+    for (const PeerStatus &peer : status.peers) {
+        object["peers"].append(toJson(peer));
     }
     co_return jsonResponse(object);
 }
@@ -208,8 +252,8 @@
     const ControlStatus status = co_await m_control.status();
     Json::Value object;
     object["templates"] = Json::Value(Json::arrayValue);
-    for (const TemplateStatus &row : status.templates) {
-        object["templates"].append(toJson(row, true));
+    for (const templates::StatedRevision &row : status.templates) {
+        object["templates"].append(templates::toJson(row));
     }
     co_return jsonResponse(object);
 }
--- a/src/entry/internal/operatorfrontend.h
+++ b/src/entry/internal/operatorfrontend.h
@@ -15,7 +15,8 @@
 
 private:
     boost::asio::awaitable<http::Response> answer(http::Request request);
-    boost::asio::awaitable<http::Response> publish(http::Request request);
+    boost::asio::awaitable<http::Response> publish(http::Request request, bool checkOnly);
+    boost::asio::awaitable<http::Response> showHistory(http::Request request);
     boost::asio::awaitable<http::Response> status();
     boost::asio::awaitable<http::Response> metrics();
     boost::asio::awaitable<http::Response> showTemplates();
--- /dev/null
+++ b/src/entry/internal/templatetable.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "entry/internal/templateview.h"
+#include "platform/platformtypes.h"
+#include "templates/carryforward.h"
+#include "templates/itemplatefold.h"
+#include "timeline/itimeline.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rosemaryshift::entry {
+
+/// The templates that this host knows: takes them from the log and from peers and puts them in force. Not thread-safe;
+/// belongs to the control thread.
+class TemplateTable
+{
+public:
+    /// Called after a revision came into force.
+    using ChangeHandler = std::function<void(const templates::TemplateRevision &revision)>;
+
+    TemplateTable(std::shared_ptr<TemplateView> view, std::shared_ptr<timeline::ITimeline> timeline, const std::string &host, ChangeHandler handler);
+
+    /// Takes a record of the log; false when it does not speak of templates.
+    bool take(const platform::LogRecord &record, TimePoint now);
+    /// Notes that records of the log were dropped before this host read them.
+    void noteGap();
+    /// Takes a revision that a peer states; true when it came into force.
+    bool adopt(const templates::StatedRevision &revision);
+    /// Log records that carry templates forward which @p window is about to drop. @p hosts is the number of entry hosts.
+    std::vector<std::string> carryForward(const templates::LogWindow &window, std::size_t hosts, TimePoint now);
+    [[nodiscard]] const templates::ITemplateFold &fold() const;
+
+private:
+    void take(std::uint64_t offset, const templates::TemplateChange &change, TimePoint now);
+    void take(std::uint64_t offset, const templates::StatedRevision &revision, TimePoint now);
+    void putInForce(const templates::TemplateRevision &revision, std::string_view source);
+
+    const std::shared_ptr<TemplateView> m_view;
+    const std::shared_ptr<timeline::ITimeline> m_timeline;
+    const ChangeHandler m_handler;
+    const std::unique_ptr<templates::ITemplateFold> m_fold;
+    templates::CarryForward m_carryForward;
+};
+
+}
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <bit>
 #include <map>
 
 namespace rosemaryshift::membership {
@@ -18,6 +20,18 @@
 namespace {
 
 constexpr const char *HeartbeatMethod = "heartbeat";
+constexpr std::uint32_t QuietBeats = 2;
+constexpr const char *SeedPrefix = "seed ";
+
+/// A bit that all hosts compute alike (parity of 32-bit FNV-1a).
+bool parityOf(std::string_view text)
+{
+    std::uint32_t hash = 2'166'136'261U;
+    for (const char c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 16'777'619U;
+    }
+    return (std::popcount(hash) & 1) != 0;
+}
 
 EventKind eventKindOf(PeerChange change)
 {
@@ -129,8 +143,9 @@
     {
         net::steady_timer timer(m_control);
         while (true) {
+            addSeeds();
             for (auto &[name, target] : m_targets) {
-                if (!target.calling) {
+                if (!target.calling && isCaller(name)) {
                     target.calling = true;
                     net::co_spawn(m_control, callPeer(name, target.endpoint), net::detached);
                 }
@@ -141,6 +156,32 @@
         }
     }
 
+    /// True when this host calls @p name in this interval. One call carries the heartbeats of both, so one host of each
+    /// pair calls; the other one calls as well while it does not hear of the peer.
+    [[nodiscard]] bool isCaller(const std::string &name) const
+    {
+        if (!m_table.heardWithin(name, m_settings.interval * QuietBeats, now())) {
+            return true;
+        }
+        const bool first = m_self.name < name;
+        const std::string pair = first ? m_self.name + "/" + name : name + "/" + m_self.name;
+        const bool firstCalls = parityOf(pair);
+        return first == firstCalls;
+    }
+
+    void addSeeds()
+    {
+        for (const http::Endpoint &seed : m_settings.seeds) {
+            const std::string name = SeedPrefix + seed.text();
+            const bool known = seed == m_self.peers || std::ranges::any_of(m_table.peers(), [&](const Peer &peer) { return peer.peers == seed; });
+            if (known) {
+                m_targets.erase(name);
+            } else {
+                m_targets[name].endpoint = seed;
+            }
+        }
+    }
+
     net::awaitable<void> callPeer(std::string name, http::Endpoint endpoint)
     {
         Peer target;
--- a/src/membership/internal/peertable.cpp
+++ b/src/membership/internal/peertable.cpp
@@ -1,7 +1,16 @@
 #include "membership/peertable.h"
 
+#include <algorithm>
+
 namespace rosemaryshift::membership {
 
+namespace {
+
+constexpr std::size_t MaxReplacedIncarnations = 4;
+constexpr std::size_t MaxReplacedNames = 4'096;
+
+}
+
 PeerTable::PeerTable(const MembershipSettings &settings)
     : m_settings(settings)
 {
@@ -10,11 +19,15 @@
 std::vector<PeerEvent> PeerTable::heard(const Peer &peer, TimePoint now)
 {
     std::vector<PeerEvent> events;
+    if (isReplaced(peer)) {
+        return events;
+    }
     const std::map<std::string, Row, std::less<>>::iterator known = m_rows.find(peer.name);
     const bool same = known != m_rows.end() && known->second.peer.incarnation == peer.incarnation;
     const bool wasLeaving = same && known->second.peer.leaving;
     if (known != m_rows.end() && !same) {
         events.push_back({known->second.peer, PeerChange::Lost});
+        noteReplaced(known->second.peer);
     }
     Peer current = peer;
     current.leaving = peer.leaving || wasLeaving;
@@ -57,4 +70,28 @@
     return found == m_rows.end() ? std::nullopt : std::optional<Peer>(found->second.peer);
 }
 
+bool PeerTable::heardWithin(std::string_view name, Duration time, TimePoint now) const
+{
+    const std::map<std::string, Row, std::less<>>::const_iterator found = m_rows.find(name);
+    return found != m_rows.end() && now - found->second.lastHeard <= time;
+}
+
+bool PeerTable::isReplaced(const Peer &peer) const
+{
+    const auto found = m_replaced.find(peer.name);
+    return found != m_replaced.end() && std::ranges::find(found->second, peer.incarnation) != found->second.end();
+}
+
+void PeerTable::noteReplaced(const Peer &peer)
+{
+    if (m_replaced.size() >= MaxReplacedNames) {
+        m_replaced.erase(m_replaced.begin());
+    }
+    std::deque<std::string> &incarnations = m_replaced[peer.name];
+    incarnations.push_back(peer.incarnation);
+    if (incarnations.size() > MaxReplacedIncarnations) {
+        incarnations.pop_front();
+    }
+}
+
 }
--- a/src/membership/membershiptypes.h
+++ b/src/membership/membershiptypes.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace rosemaryshift::membership {
 
@@ -27,6 +28,7 @@
 struct MembershipSettings {
     Duration interval = std::chrono::milliseconds(500); ///< Between two heartbeats to one peer.
     std::uint32_t missedBeats = 4;                      ///< Intervals of silence after which a peer is lost.
+    std::vector<http::Endpoint> seeds;                  ///< Listeners for peers to call while the platform's list is out.
 };
 
 }
--- a/src/membership/peertable.h
+++ b/src/membership/peertable.h
@@ -2,6 +2,7 @@
 
 #include "membership/membershiptypes.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,12 +21,15 @@
 public:
     explicit PeerTable(const MembershipSettings &settings);
 
-    /// Takes in a heartbeat that came at @p now and gives the changes that follow.
+    /// Takes in a heartbeat that came at @p now and gives the changes that follow. A heartbeat of an incarnation that a
+    /// later one has replaced changes nothing.
     std::vector<PeerEvent> heard(const Peer &peer, TimePoint now);
     /// Drops the peers that were silent too long at @p now.
     std::vector<PeerEvent> expire(TimePoint now);
     [[nodiscard]] std::vector<Peer> peers() const;
     [[nodiscard]] std::optional<Peer> peer(std::string_view name) const;
+    /// True when @p name was heard of within the last @p time before @p now.
+    [[nodiscard]] bool heardWithin(std::string_view name, Duration time, TimePoint now) const;
 
 private:
     struct Row {
@@ -33,8 +37,12 @@
         TimePoint lastHeard;
     };
 
+    [[nodiscard]] bool isReplaced(const Peer &peer) const;
+    void noteReplaced(const Peer &peer);
+
     const MembershipSettings m_settings;
     std::map<std::string, Row, std::less<>> m_rows;
+    std::map<std::string, std::deque<std::string>, std::less<>> m_replaced; ///< Earlier incarnations by name, latest last.
 };
 
 }
--- a/src/membership/tests/peertabletests.cpp
+++ b/src/membership/tests/peertabletests.cpp
@@ -22,7 +22,7 @@
 
 SCENARIO("A host decides from heartbeats who is there")
 {
-    PeerTable table({std::chrono::milliseconds(500), 4});
+    PeerTable table({std::chrono::milliseconds(500), 4, {}});
     REQUIRE(table.heard(peer("a"), at(0)).size() == 1);
 
     WHEN("it is heard again")
@@ -55,7 +55,14 @@
             REQUIRE(events.size() == 2);
             CHECK(events[0].change == PeerChange::Lost);
             CHECK(events[1].change == PeerChange::Appeared);
+            CHECK(table.heardWithin("entry-2", std::chrono::milliseconds(100), at(700)));
+            CHECK_FALSE(table.heardWithin("entry-2", std::chrono::milliseconds(99), at(700)));
             CHECK_FALSE(table.peer("entry-2")->leaving);
+            AND_THEN("a late heartbeat of the replaced incarnation changes nothing")
+            {
+                CHECK(table.heard(peer("a"), at(700)).empty());
+                CHECK(table.peer("entry-2")->incarnation == "b");
+            }
         }
     }
     GIVEN("a heartbeat's sender in JSON")
--- a/src/platform/internal/platformjson.cpp
+++ b/src/platform/internal/platformjson.cpp
@@ -23,6 +23,41 @@
     return std::nullopt;
 }
 
+std::string_view nameOf(HostKind kind)
+{
+    switch (kind) {
+    case HostKind::Entry:
+        return "entry";
+    case HostKind::Engine:
+        return "engine";
+    case HostKind::Service:
+        return "service";
+    }
+    return "";
+}
+
+Json::Value toJson(const ListedHost &host)
+{
+    Json::Value row;
+    row["name"] = host.name;
+    row["kind"] = std::string(nameOf(host.kind));
+    row["address"] = host.endpoint.text();
+    row["zone"] = host.zone;
+    row["machine_class"] = host.machineClass;
+    row["price"] = host.price;
+    row["slots"] = host.slots;
+    row["targets"] = Json::Value(Json::arrayValue);
+    for (const std::string &target : host.targets) {
+        row["targets"].append(target);
+    }
+    row["checks_fencing"] = host.checksFencing;
+    row["reclaimable"] = host.reclaimable;
+    if (host.leavesIn) {
+        row["leaves_in_ms"] = Json::UInt64(host.leavesIn->count());
+    }
+    return row;
+}
+
 std::vector<std::string> texts(const Json::Value &list)
 {
     std::vector<std::string> values;
@@ -66,6 +101,17 @@
 
 }
 
+std::string hostListText(const HostList &list)
+{
+    Json::Value object;
+    object["version"] = Json::UInt64(list.version);
+    object["hosts"] = Json::Value(Json::arrayValue);
+    for (const ListedHost &host : list.hosts) {
+        object["hosts"].append(toJson(host));
+    }
+    return toText(object);
+}
+
 std::optional<HostList> hostListFromJson(std::string_view text)
 {
     std::string reason;
--- a/src/platform/iplatform.h
+++ b/src/platform/iplatform.h
@@ -49,6 +49,8 @@
 
 /// Reads a host list from JSON text; nothing when the whole is malformed. Thread-safe.
 std::optional<HostList> hostListFromJson(std::string_view text);
+/// Writes a host list as hostListFromJson() reads it. Thread-safe.
+std::string hostListText(const HostList &list);
 /// Reads a page of the log from JSON text; nothing when malformed. Thread-safe.
 std::optional<LogPage> logPageFromJson(std::string_view text);
 
--- a/src/platform/tests/platformtests.cpp
+++ b/src/platform/tests/platformtests.cpp
@@ -19,6 +19,12 @@
             CHECK(list->skipped == 1);
             CHECK(list->hosts[0].slots == 4);
             CHECK(list->hosts[1].leavesIn == std::chrono::milliseconds(500));
+            const std::optional<HostList> again = hostListFromJson(hostListText(*list));
+            REQUIRE(again);
+            CHECK(again->version == 3);
+            CHECK(again->hosts[0].targets == list->hosts[0].targets);
+            CHECK(again->hosts[1].kind == HostKind::Service);
+            CHECK(again->hosts[1].leavesIn == list->hosts[1].leavesIn);
         }
     }
     GIVEN("answers that are not what was asked for")
--- a/src/settings/internal/settingsdocument.cpp
+++ b/src/settings/internal/settingsdocument.cpp
@@ -65,6 +65,12 @@
     return m_node->source().begin.line;
 }
 
+std::uint32_t SettingsTable::lineOf(std::string_view key) const
+{
+    const toml::node *const node = m_node->get(key);
+    return node == nullptr ? line() : node->source().begin.line;
+}
+
 std::string SettingsTable::pathOf(std::string_view key) const
 {
     return m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
@@ -82,9 +88,7 @@
 
 void SettingsTable::reject(std::string_view key, std::string_view reason)
 {
-    const toml::node *const node = m_node->get(key);
-    const std::uint32_t at = node == nullptr ? line() : node->source().begin.line;
-    m_document->addError(at, pathOf(key) + " " + std::string(reason));
+    m_document->addError(lineOf(key), pathOf(key) + " " + std::string(reason));
 }
 
 std::string SettingsTable::text(std::string_view key, std::optional<std::string> fallback)
--- a/src/settings/settingsdocument.h
+++ b/src/settings/settingsdocument.h
@@ -51,6 +51,8 @@
     [[nodiscard]] std::size_t faults() const;
     /// Line of the table in its file.
     [[nodiscard]] std::uint32_t line() const;
+    /// Line of @p key, or of the table itself when the key is absent.
+    [[nodiscard]] std::uint32_t lineOf(std::string_view key) const;
 
 private:
     friend class SettingsDocument;
--- a/src/standins/internal/standinplatform.cpp
+++ b/src/standins/internal/standinplatform.cpp
@@ -74,6 +74,10 @@
     http::Response response = jsonAnswer(404, R"({"error":"unknown path"})");
     if (path == "/v1/log" && request.method == "POST") {
         response = append(request);
+        if (takeLostAppend()) {
+            writer.abort();
+            co_return;
+        }
     } else if (path == "/v1/log") {
         response = co_await readLog(request.target);
     } else if (path == "/v1/hosts") {
@@ -104,6 +108,8 @@
         m_notices[stringMember(body, "host").value_or("")] = unsignedMember(body, "reclaim_in_ms").value_or(0);
     } else if (request.target == "/standin/truncate") {
         drop(unsignedMember(body, "oldest").value_or(0));
+    } else if (request.target == "/standin/lose_appends") {
+        m_appendsToLose = unsignedMember(body, "count").value_or(1);
     } else {
         return false;
     }
@@ -143,6 +149,16 @@
     return jsonAnswer(200, toText(value));
 }
 
+bool StandinPlatform::takeLostAppend()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_appendsToLose == 0) {
+        return false;
+    }
+    --m_appendsToLose;
+    return true;
+}
+
 net::awaitable<http::Response> StandinPlatform::readLog(std::string target)
 {
     const std::uint64_t from = queryNumber(target, "from", 0);
--- a/src/standins/standinplatform.h
+++ b/src/standins/standinplatform.h
@@ -20,7 +20,8 @@
 /// Stands in for the platform: the log, the host list and reclaim notices. Thread-safe.
 ///
 /// Besides the failures, it is driven by PUT /standin/hosts (the whole list), PUT /standin/list_frozen ({"frozen": bool},
-/// the list lags), PUT /standin/notice ({"host", "reclaim_in_ms"}) and PUT /standin/truncate ({"oldest": N}).
+/// the list lags), PUT /standin/notice ({"host", "reclaim_in_ms"}), PUT /standin/truncate ({"oldest": N}) and
+/// PUT /standin/lose_appends ({"count": N}, the next appends take effect and their answers are lost).
 class StandinPlatform
 {
 public:
@@ -32,6 +33,7 @@
     boost::asio::awaitable<void> serve(http::Request request, http::IResponseWriter &writer);
     bool command(const http::Request &request, http::Response &response);
     http::Response append(const http::Request &request);
+    bool takeLostAppend();
     boost::asio::awaitable<http::Response> readLog(std::string target);
     boost::asio::awaitable<http::Response> readHosts(std::string target);
     boost::asio::awaitable<http::Response> readNotices(std::string target);
@@ -46,6 +48,7 @@
     Json::Value m_shownHosts;
     std::uint64_t m_hostsVersion = 1;
     bool m_listFrozen = false;
+    std::uint64_t m_appendsToLose = 0;
     std::map<std::string, std::uint64_t> m_notices; ///< Milliseconds until the reclaim, by host.
 };
 
--- a/src/templates/internal/templatefold.cpp
+++ b/src/templates/internal/templatefold.cpp
@@ -1,44 +1,83 @@
 #include "templates/itemplatefold.h"
 
-#include "base/json.h"
+#include "templates/templatechecks.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
 
 namespace rosemaryshift::templates {
 
 namespace {
 
-constexpr const char *RecordKind = "template";
+struct WorkspaceRow {
+    std::optional<TemplateRevision> inForce;
+    std::uint64_t logRevision = 0; ///< As far as the log was read; behind inForce when a peer was ahead of this host.
+    std::vector<StatedRevision> history;
+};
 
 class TemplateFold : public ITemplateFold
 {
 public:
+    void noteGap() override
+    {
+        m_gap = true;
+    }
+
     ChangeResult apply(std::uint64_t offset, const TemplateChange &change) override
     {
-        const std::map<std::string, ChangeResult, std::less<>>::const_iterator known = m_verdicts.find(change.changeId);
-        if (known != m_verdicts.end()) {
-            return {ChangeVerdict::Duplicate, known->second.revision, "this change was decided before"};
-        }
         const ChangeResult result = decide(offset, change);
-        m_verdicts[change.changeId] = result;
+        const std::optional<ChangeResult> known = resultOf(change.changeId);
+        if (known && result.verdict != ChangeVerdict::Accepted) {
+            return *known;
+        }
+        remember(change.changeId, result);
         return result;
     }
 
+    bool adopt(const StatedRevision &revision) override
+    {
+        std::vector<SettingsError> errors;
+        std::optional<WorkspaceTemplate> content = parseTemplate(revision.text, revision.workspace, errors);
+        if (!content || content->workspace != revision.workspace) {
+            return false;
+        }
+        remember(revision.changeId, {ChangeVerdict::Accepted, revision.revision, {}});
+        return put(revision, std::move(*content));
+    }
+
+    void noteCarried(const StatedRevision &revision) override
+    {
+        WorkspaceRow &row = m_rows[revision.workspace];
+        row.logRevision = std::max(row.logRevision, revision.revision);
+    }
+
     [[nodiscard]] const TemplateRevision *inForce(std::string_view workspace) const override
     {
-        const std::map<std::string, TemplateRevision, std::less<>>::const_iterator found = m_inForce.find(workspace);
-        return found == m_inForce.end() ? nullptr : &found->second;
+        const auto found = m_rows.find(workspace);
+        return found == m_rows.end() || !found->second.inForce ? nullptr : &*found->second.inForce;
+    }
+
+    [[nodiscard]] std::optional<ChangeResult> resultOf(std::string_view changeId) const override
+    {
+        const auto found = m_results.find(changeId);
+        return found == m_results.end() ? std::nullopt : std::optional<ChangeResult>(found->second);
     }
 
-    [[nodiscard]] std::optional<ChangeResult> verdictOf(std::string_view changeId) const override
+    [[nodiscard]] std::span<const StatedRevision> history(std::string_view workspace) const override
     {
-        const std::map<std::string, ChangeResult, std::less<>>::const_iterator found = m_verdicts.find(changeId);
-        return found == m_verdicts.end() ? std::nullopt : std::optional<ChangeResult>(found->second);
+        const auto found = m_rows.find(workspace);
+        return found == m_rows.end() ? std::span<const StatedRevision>() : found->second.history;
     }
 
     [[nodiscard]] std::vector<std::string> workspaces() const override
     {
         std::vector<std::string> names;
-        for (const auto &[name, revision] : m_inForce) {
-            names.push_back(name);
+        for (const auto &[name, row] : m_rows) {
+            if (row.inForce) {
+                names.push_back(name);
+            }
         }
         return names;
     }
@@ -46,56 +85,77 @@
 private:
     ChangeResult decide(std::uint64_t offset, const TemplateChange &change)
     {
-        const TemplateRevision *const current = inForce(change.workspace);
-        const std::uint64_t revision = current == nullptr ? 0 : current->revision;
-        if (change.base != revision) {
-            const std::string by = current == nullptr ? "nobody" : current->author + " (change " + current->changeId + ")";
-            return {ChangeVerdict::Conflict,
-                    revision,
-                    "made on revision " + std::to_string(change.base) + ", but revision " + std::to_string(revision) + " by " + by + " is in force"};
+        const auto found = m_rows.find(change.workspace);
+        const std::uint64_t revision = found == m_rows.end() ? 0 : found->second.logRevision;
+        const bool basedOnUnseen = m_gap && change.base > revision;
+        if (change.base != revision && !basedOnUnseen) {
+            return conflict(change, revision);
         }
         std::vector<SettingsError> errors;
         std::optional<WorkspaceTemplate> content = parseTemplate(change.text, change.workspace, errors);
         if (!content || content->workspace != change.workspace) {
             return {ChangeVerdict::Invalid, revision, errors.empty() ? "the template names another workspace" : errors.front().text()};
         }
-        m_inForce[change.workspace] = {revision + 1, offset, change.changeId, change.author, change.text, std::move(*content)};
-        return {ChangeVerdict::Accepted, revision + 1, {}};
+        m_rows[change.workspace].logRevision = change.base + 1;
+        put({change.workspace, change.base + 1, offset, change.changeId, change.author, change.text}, std::move(*content));
+        const StatedRevision &current = inForce(change.workspace)->stated;
+        const bool overtaken = current.revision == change.base + 1 && current.changeId != change.changeId;
+        return overtaken ? conflict(change, current.revision) : ChangeResult{ChangeVerdict::Accepted, change.base + 1, {}};
     }
 
-    std::map<std::string, TemplateRevision, std::less<>> m_inForce;
-    std::map<std::string, ChangeResult, std::less<>> m_verdicts;
-};
-
-}
+    [[nodiscard]] ChangeResult conflict(const TemplateChange &change, std::uint64_t revision) const
+    {
+        const TemplateRevision *const current = inForce(change.workspace);
+        const std::string by = current == nullptr ? "nobody" : current->stated.author + " (change " + current->stated.changeId + ")";
+        const std::uint64_t shown = current == nullptr ? revision : current->stated.revision;
+        return {ChangeVerdict::Conflict,
+                shown,
+                "made on revision " + std::to_string(change.base) + ", but revision " + std::to_string(shown) + " by " + by + " is in force"};
+    }
 
-std::string toRecord(const TemplateChange &change)
-{
-    Json::Value object;
-    object["kind"] = RecordKind;
-    object["workspace"] = change.workspace;
-    object["base"] = Json::UInt64(change.base);
-    object["change"] = change.changeId;
-    object["author"] = change.author;
-    object["text"] = change.text;
-    return toText(object);
-}
+    /// Puts a revision in force if it supersedes the one that is; true when it did.
+    bool put(const StatedRevision &revision, WorkspaceTemplate content)
+    {
+        WorkspaceRow &row = m_rows[revision.workspace];
+        keep(row.history, revision);
+        if (row.inForce && !revision.supersedes(row.inForce->stated)) {
+            return false;
+        }
+        row.inForce = {revision, std::move(content)};
+        return true;
+    }
 
-std::optional<TemplateChange> changeFromRecord(std::string_view record)
-{
-    std::string reason;
-    const std::optional<Json::Value> object = parseJson(record, reason);
-    if (!object || stringMember(*object, "kind") != RecordKind) {
-        return std::nullopt;
+    static void keep(std::vector<StatedRevision> &history, const StatedRevision &revision)
+    {
+        const auto place = std::ranges::lower_bound(history, revision.revision, {}, &StatedRevision::revision);
+        if (place == history.end() || place->revision != revision.revision) {
+            history.insert(place, revision);
+        } else if (revision.supersedes(*place)) {
+            *place = revision;
+        }
+        if (history.size() > MaxHistory) {
+            history.erase(history.begin());
+        }
     }
-    const std::optional<std::string> workspace = stringMember(*object, "workspace");
-    const std::optional<std::uint64_t> base = unsignedMember(*object, "base");
-    const std::optional<std::string> change = stringMember(*object, "change");
-    const std::optional<std::string> text = stringMember(*object, "text");
-    if (!workspace || !base || !change || !text) {
-        return std::nullopt;
+
+    void remember(const std::string &changeId, const ChangeResult &result)
+    {
+        if (!m_results.insert_or_assign(changeId, result).second) {
+            return;
+        }
+        m_resultOrder.push_back(changeId);
+        if (m_resultOrder.size() > MaxRememberedChanges) {
+            m_results.erase(m_resultOrder.front());
+            m_resultOrder.pop_front();
+        }
     }
-    return TemplateChange{*workspace, *base, *change, stringMember(*object, "author").value_or("unknown"), *text};
+
+    bool m_gap = false;
+    std::map<std::string, WorkspaceRow, std::less<>> m_rows;
+    std::map<std::string, ChangeResult, std::less<>> m_results;
+    std::deque<std::string> m_resultOrder;
+};
+
 }
 
 std::unique_ptr<ITemplateFold> makeTemplateFold()
--- a/src/templates/internal/templateparser.cpp
+++ b/src/templates/internal/templateparser.cpp
@@ -1,6 +1,6 @@
 #include "base/text.h"
 #include "settings/settingsdocument.h"
-#include "templates/itemplatefold.h"
+#include "templates/templatechecks.h"
 
 #include <algorithm>
 #include <set>
@@ -39,6 +39,7 @@
 void readKeys(SettingsTable &root, WorkspaceTemplate &parsed)
 {
     parsed.keyDigests = root.texts("key_sha256");
+    parsed.keysLine = root.lineOf("key_sha256");
     if (parsed.keyDigests.empty()) {
         root.reject("key_sha256", "must name at least one key, else the workspace is locked out");
     }
@@ -119,6 +120,7 @@
             table.reject("default_class", "must be question or plan");
         }
         route.defaultClass = trafficClass.value_or(TrafficClass::Question);
+        route.line = table.line();
         if (!seen.insert(route.name).second) {
             table.reject("name", "stands twice");
         }
@@ -127,6 +129,18 @@
     }
 }
 
+void rejectOverlaps(SettingsTable &table, const ServiceRoute &route)
+{
+    for (const std::string &prefix : route.idempotentPosts) {
+        for (const std::string &other : route.idempotentPosts) {
+            if (&prefix != &other && other.starts_with(prefix)) {
+                table.reject("idempotent_posts", "overlap: " + other + " lies within " + prefix);
+                return;
+            }
+        }
+    }
+}
+
 void readServices(SettingsTable &root, WorkspaceTemplate &parsed)
 {
     std::set<std::string> seen;
@@ -136,6 +150,7 @@
         if (route.name.find('/') != std::string::npos) {
             table.reject("name", "of a service may not hold '/'");
         }
+        route.line = table.line();
         route.idempotentPosts = table.texts("idempotent_posts");
         if (!std::ranges::all_of(route.idempotentPosts, [](const std::string &prefix) { return prefix.starts_with('/'); })) {
             table.reject("idempotent_posts", "must hold paths that begin with '/'");
@@ -143,11 +158,35 @@
         if (!seen.insert(route.name).second) {
             table.reject("name", "stands twice");
         }
+        if (parsed.model(route.name) != nullptr) {
+            table.reject("name", "is the name of a model too: the routes overlap");
+        }
+        rejectOverlaps(table, route);
         table.rejectUnknownKeys();
         parsed.services.push_back(std::move(route));
     }
 }
 
+bool hasTarget(const WorkspaceTemplate &parsed, TrafficClass trafficClass)
+{
+    const bool ofModels = trafficClass == TrafficClass::Question || trafficClass == TrafficClass::Plan;
+    return ofModels ? !parsed.models.empty() : !parsed.services.empty();
+}
+
+void rejectClassesWithoutTarget(SettingsTable &root, const WorkspaceTemplate &parsed)
+{
+    std::optional<SettingsTable> classes = root.table("classes");
+    if (!classes) {
+        return;
+    }
+    for (const std::string &className : classes->tableNames()) {
+        const std::optional<TrafficClass> trafficClass = trafficClassFromName(className);
+        if (trafficClass && !hasTarget(parsed, *trafficClass)) {
+            classes->reject(className, "has no target: the template names no " + std::string(parsed.models.empty() ? "model" : "service"));
+        }
+    }
+}
+
 template <typename Route>
 const Route *routeNamed(const std::vector<Route> &routes, std::string_view name)
 {
@@ -184,6 +223,7 @@
         readClasses(root, parsed);
         readModels(root, parsed);
         readServices(root, parsed);
+        rejectClassesWithoutTarget(root, parsed);
         if (parsed.models.empty() && parsed.services.empty()) {
             root.reject("models", "and services are both empty: the workspace could reach nothing");
         }
--- a/src/templates/templatetypes.h
+++ b/src/templates/templatetypes.h
@@ -20,11 +20,13 @@
 struct ModelRoute {
     std::string name;
     TrafficClass defaultClass = TrafficClass::Question;
+    std::uint32_t line = 0; ///< Where the template's text names it.
 };
 
 struct ServiceRoute {
     std::string name;
     std::vector<std::string> idempotentPosts; ///< Path prefixes whose POST and PATCH calls may be repeated.
+    std::uint32_t line = 0;                   ///< Where the template's text names it.
 };
 
 /// Limits of a workspace over the whole fleet.
@@ -37,6 +39,7 @@
 struct WorkspaceTemplate {
     std::string workspace;
     std::vector<std::string> keyDigests; ///< Lower-case hexadecimal SHA-256 of each caller key.
+    std::uint32_t keysLine = 0;          ///< Where the template's text names the keys.
     WorkspaceLimits limits;
     std::array<ClassPolicy, TrafficClassCount> classes;
     std::vector<ModelRoute> models;
@@ -58,21 +61,30 @@
     std::string text; ///< The template as TOML.
 };
 
-/// A template that was accepted at an offset of the log.
-struct TemplateRevision {
+/// A revision as hosts tell it each other, in carry-forward records of the log and between peers.
+struct StatedRevision {
+    std::string workspace;
     std::uint64_t revision = 0;
-    std::uint64_t offset = 0;
+    std::uint64_t offset = 0; ///< Where the log accepted it.
     std::string changeId;
     std::string author;
     std::string text;
+
+    /// True when this revision replaces @p other: the higher one, or of equal ones the one that the log took first, as
+    /// the log accepts the first change made on a base.
+    [[nodiscard]] bool supersedes(const StatedRevision &other) const;
+};
+
+/// A revision with its template read.
+struct TemplateRevision {
+    StatedRevision stated;
     WorkspaceTemplate content;
 };
 
 enum class ChangeVerdict : std::uint8_t {
     Accepted,
-    Duplicate, ///< The same change id was decided before.
-    Conflict,  ///< Another change of the same base came first.
-    Invalid,   ///< The text does not pass the checks.
+    Conflict, ///< Another change of the same base came first.
+    Invalid,  ///< The text does not pass the checks.
 };
 
 struct ChangeResult {
--- a/src/timeline/internal/eventkinds.cpp
+++ b/src/timeline/internal/eventkinds.cpp
@@ -35,6 +35,7 @@
     Named{EventKind::BookingOutcome, "booking_outcome"},
     Named{EventKind::TemplateInForce, "template_in_force"},
     Named{EventKind::TemplateRejected, "template_rejected"},
+    Named{EventKind::TemplateCarried, "template_carried"},
     Named{EventKind::UpstreamListed, "upstream_listed"},
     Named{EventKind::UpstreamLeaving, "upstream_leaving"},
     Named{EventKind::UpstreamGone, "upstream_gone"},
--- a/src/timeline/timelinetypes.h
+++ b/src/timeline/timelinetypes.h
@@ -44,6 +44,7 @@
     BookingOutcome,
     TemplateInForce,
     TemplateRejected,
+    TemplateCarried,
     UpstreamListed,
     UpstreamLeaving,
     UpstreamGone,
--- a/tests/product/examplestests.cpp
+++ b/tests/product/examplestests.cpp
@@ -5,7 +5,7 @@
 #include "standins/standinplatform.h"
 #include "standins/standinservice.h"
 #include "support/process.h"
-#include "templates/itemplatefold.h"
+#include "templates/templatechecks.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/product/parserseamtests.cpp
+++ b/tests/product/parserseamtests.cpp
@@ -1,7 +1,8 @@
 #include "base/json.h"
 #include "platform/iplatform.h"
 #include "settings/settingsdocument.h"
-#include "templates/itemplatefold.h"
+#include "templates/templatechecks.h"
+#include "templates/templaterecords.h"
 #include "timeline/timelinejson.h"
 #include "upstreams/sseparser.h"
 
@@ -114,12 +115,16 @@
     {
         const std::unique_ptr<templates::ITemplateFold> fold = templates::makeTemplateFold();
         std::uint64_t offset = 0;
-        survive(templates::toRecord({"yard", 0, "change", "committee", TemplateText}), [&](const std::string &text) {
-            const std::optional<templates::TemplateChange> change = templates::changeFromRecord(text);
-            if (change) {
-                fold->apply(offset++, *change);
+        const auto take = [&](const std::string &text) {
+            const std::optional<templates::TemplateRecord> record = templates::templateRecord(text);
+            if (record && std::holds_alternative<templates::TemplateChange>(*record)) {
+                fold->apply(offset++, std::get<templates::TemplateChange>(*record));
+            } else if (record) {
+                fold->adopt(std::get<templates::StatedRevision>(*record));
             }
-        });
+        };
+        survive(templates::toRecord(templates::TemplateChange{"yard", 0, "change", "committee", TemplateText}), take);
+        survive(templates::toRecord(templates::StatedRevision{"yard", 1, 0, "change", "committee", TemplateText}), take);
     }
     SECTION("the host list and pages of the log")
     {
--- /dev/null
+++ b/tests/promises/templatetests.cpp
@@ -0,0 +1,133 @@
+#include "base/json.h"
+#include "promises/templatehelpers.h"
+#include "support/golden.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::testing;
+
+SCENARIO("Two committee members change a template at the same moment on two hosts")
+{
+    Fleet fleet;
+    GoldenSession golden("templaterace");
+    Fleet::fail(fleet.platform(), "slow", "\"factor\":300");
+    PendingExchange first(fleet.entry(0).operators, fleet.publishRequest("yard", 1, "change-of-anna", yardWithQueue(7)));
+    PendingExchange second(fleet.entry(1).operators, fleet.publishRequest("yard", 1, "change-of-bela", yardWithQueue(9)));
+    const std::optional<http::Response> firstAnswer = first.awaitEnd();
+    const std::optional<http::Response> secondAnswer = second.awaitEnd();
+    REQUIRE(firstAnswer);
+    REQUIRE(secondAnswer);
+
+    THEN("one is accepted everywhere and the other is told which change overtook it")
+    {
+        const bool annaWon = firstAnswer->status == 200;
+        const std::string winner = annaWon ? "change-of-anna" : "change-of-bela";
+        awaitYard(fleet, "2 " + winner);
+        golden.say("both published on revision 1; WINNER stands first in the log");
+        const auto add = [&](const std::string &who, const http::Response &response) {
+            std::string body = response.body;
+            const std::size_t at = body.find(winner);
+            golden.line(who + " " + std::to_string(response.status) + " " + (at == std::string::npos ? body : body.replace(at, winner.size(), "WINNER")));
+        };
+        add("winner", annaWon ? *firstAnswer : *secondAnswer);
+        add("loser", annaWon ? *secondAnswer : *firstAnswer);
+        golden.compare();
+    }
+}
+
+SCENARIO("The answer to a publish is lost after the log took the record")
+{
+    Fleet fleet;
+    platformCommand(fleet, "lose_appends", "{\"count\":1}");
+    THEN("the host reads its own record back, and asking again by the change id publishes nothing twice")
+    {
+        const Json::Value answer = fleet.publishTemplate(0, "yard", 1, "lost", yardWithQueue(7));
+        CHECK(answer["verdict"].asString() == "accepted");
+        CHECK(answer["revision"] == 2);
+        awaitYard(fleet, "2 lost");
+        const std::uint64_t end = logEnd(fleet);
+        CHECK(fleet.publishTemplate(1, "yard", 1, "lost", yardWithQueue(7)) == answer);
+        CHECK(logEnd(fleet) == end);
+    }
+}
+
+SCENARIO("The platform's store is down and then slow")
+{
+    Fleet fleet;
+    Fleet::fail(fleet.platform(), "down");
+    awaitLog(fleet, false);
+    CHECK(fleet.publishTemplate(0, "yard", 1, "during", yardWithQueue(7))["verdict"].asString() == "platform_down");
+    CHECK(exchange(fleet.entry(1).callers, Fleet::callerRequest("GET", "/v1/models")).status == 200);
+    WHEN("it comes back")
+    {
+        Fleet::fail(fleet.platform(), "slow", "\"factor\":200");
+        awaitLog(fleet, true);
+        THEN("nothing of the refused change is in force, and a new one is accepted")
+        {
+            CHECK(fleet.publishTemplate(1, "yard", 1, "after", yardWithQueue(9))["verdict"].asString() == "accepted");
+            awaitYard(fleet, "2 after");
+            checkNoRevert(fleet);
+        }
+    }
+}
+
+SCENARIO("The log's retention drops records of templates")
+{
+    Fleet fleet;
+    REQUIRE(fleet.publishTemplate(0, "yard", 1, "second", yardWithQueue(7))["verdict"].asString() == "accepted");
+    awaitYard(fleet, "2 second");
+    const std::uint64_t end = logEnd(fleet);
+    dropRecords(fleet, end);
+    THEN("a host carries the newest template forward, so that a new host holds it")
+    {
+        awaitCondition("the carry-forward record", [&] { return logEnd(fleet) > end; });
+        fleet.addEntry("eger");
+        awaitYard(fleet, "2 second");
+        CHECK(fleet.publishTemplate(3, "yard", 2, "third", yardWithQueue(9))["revision"] == 3);
+        awaitYard(fleet, "3 third");
+        checkNoRevert(fleet);
+    }
+    THEN("a carry-forward record that comes late or twice changes nothing")
+    {
+        awaitCondition("the carry-forward record", [&] { return logEnd(fleet) > end; });
+        std::string reason;
+        const Json::Value page = *parseJson(exchange(fleet.platform(), makeRequest("GET", "/v1/log?from=" + std::to_string(end))).body, reason);
+        REQUIRE(fleet.publishTemplate(1, "yard", 2, "third", yardWithQueue(9))["revision"] == 3);
+        Json::Value body;
+        body["records"].append(page["records"][0]["data"]);
+        body["records"].append(page["records"][0]["data"]);
+        REQUIRE(exchange(fleet.platform(), makeRequest("POST", "/v1/log", toText(body))).status == 200);
+        REQUIRE(fleet.publishTemplate(2, "yard", 3, "fourth", yardWithQueue(11))["revision"] == 4);
+        awaitYard(fleet, "4 fourth");
+        checkNoRevert(fleet);
+    }
+}
+
+SCENARIO("A host is frozen past every timeout while templates change")
+{
+    Fleet fleet;
+    fleet.entry(2).process->signal(SIGSTOP);
+    REQUIRE(fleet.publishTemplate(0, "yard", 1, "second", yardWithQueue(7))["verdict"].asString() == "accepted");
+    REQUIRE(fleet.publishTemplate(1, "yard", 2, "third", yardWithQueue(9))["verdict"].asString() == "accepted");
+    dropRecords(fleet, logEnd(fleet));
+    fleet.entry(2).process->signal(SIGCONT);
+    THEN("it comes back with the newest revision and never shows an earlier one again")
+    {
+        awaitYard(fleet, "3 third");
+        checkNoRevert(fleet);
+    }
+}
+
+SCENARIO("A change is checked against the fleet before it is published")
+{
+    Fleet fleet;
+    const std::uint64_t end = logEnd(fleet);
+    const Json::Value answer = fleet.publishTemplate(0, "yard", 1, "bad", yardTemplate() + "[[models]]\nname = \"nobody\"\n");
+    CHECK(answer["verdict"].asString() == "invalid");
+    CHECK(answer["reason"].asString() == "yard:14: model nobody is served by no live upstream");
+    CHECK(fleet.publishTemplate(0, "yard", 9, "ahead", yardTemplate())["verdict"].asString() == "conflict");
+    CHECK(logEnd(fleet) == end);
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 
 namespace rosemaryshift::testing {
 
@@ -65,12 +66,14 @@
             m_services.push_back(startStandin("service", "service-" + std::to_string(m_services.size() + 1), zone, m_options.serviceSettings));
         }
         for (std::size_t i = 0; i < m_options.entryHostsPerZone; ++i) {
-            m_entries.push_back(std::make_unique<EntryProcess>(startEntry("entry-" + std::to_string(m_entries.size() + 1), zone)));
+            m_entries.push_back(std::make_unique<EntryProcess>(startEntry(zone)));
         }
     }
     publishHosts();
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
         awaitReady(i);
+        awaitCondition("all upstreams on " + entry(i).name,
+                       [&] { return operatorGet(i, "/v1/status")["upstreams"].size() == m_engines.size() + m_services.size(); });
     }
     const Json::Value answer = publishTemplate(0, "yard", 0, "initial", m_options.templateText.empty() ? yardTemplate() : m_options.templateText);
     REQUIRE(answer["verdict"] == "accepted");
@@ -91,32 +94,62 @@
     return standin;
 }
 
-EntryProcess Fleet::startEntry(const std::string &name, const std::string &zone)
+EntryProcess Fleet::startEntry(const std::string &zone, const std::string &membership)
 {
-    const std::string listener = "address = \"127.0.0.1:0\"\n";
-    const std::string file = m_folder.write(name + ".toml",
-                                            "name = \"" + name + "\"\nzone = \"" + zone + "\"\nseed = 1\n[callers]\n" + listener + m_options.callerSettings
-                                                + "[peers]\n" + listener + "token_file = \"" + m_tokenFile + "\"\n[operators]\n" + listener + "token_file = \""
-                                                + m_tokenFile + "\"\n[platform]\naddress = \"" + m_platform.endpoint.text() + "\"\n" + m_options.entrySettings);
     EntryProcess entry;
-    entry.process = std::make_unique<Process>("rosemaryshift-entry", std::vector<std::string>{"--settings", file});
-    entry.name = name;
+    entry.name = "entry-" + std::to_string(++m_entriesStarted);
     entry.zone = zone;
+    const std::string listener = "address = \"127.0.0.1:0\"\n";
+    const std::string token = "token_file = \"" + m_tokenFile + "\"\n";
+    std::string advertised;
+    http::Endpoint platform = m_platform.endpoint;
+    if (m_options.relays) {
+        entry.platformRelay = std::make_unique<Relay>(platform);
+        platform = entry.platformRelay->endpoint();
+        entry.peerRelay = std::make_unique<Relay>(http::Endpoint{"127.0.0.1", 0});
+        advertised = "advertised_address = \"" + entry.peerRelay->endpoint().text() + "\"\n";
+    }
+    const std::string file = m_folder.write(entry.name + ".toml",
+                                            "name = \"" + entry.name + "\"\nzone = \"" + zone + "\"\nseed = 1\n[callers]\n" + listener
+                                                + m_options.callerSettings + "[peers]\n" + listener + token + advertised + "[operators]\n" + listener + token
+                                                + "[platform]\naddress = \"" + platform.text() + "\"\n" + membership + m_options.entrySettings);
+    entry.process = std::make_unique<Process>("rosemaryshift-entry", std::vector<std::string>{"--settings", file});
     const std::string line = entry.process->awaitLine("event=listening");
     entry.callers = endpointIn(line, "callers");
     entry.peers = endpointIn(line, "peers");
     entry.operators = endpointIn(line, "operators");
+    if (entry.peerRelay) {
+        entry.peerRelay->lead(entry.peers);
+        entry.peers = entry.peerRelay->endpoint();
+    }
     return entry;
 }
 
 EntryProcess &Fleet::addEntry(const std::string &zone)
 {
-    m_entries.push_back(std::make_unique<EntryProcess>(startEntry("entry-" + std::to_string(m_entries.size() + 1), zone)));
+    m_entries.push_back(std::make_unique<EntryProcess>(startEntry(zone)));
     publishHosts();
     awaitReady(m_entries.size() - 1);
     return *m_entries.back();
 }
 
+EntryProcess &Fleet::addSeededEntry(const std::string &zone)
+{
+    std::string seeds;
+    for (const std::unique_ptr<EntryProcess> &entry : m_entries) {
+        seeds += (seeds.empty() ? "\"" : ", \"") + entry->peers.text() + "\"";
+    }
+    m_entries.push_back(std::make_unique<EntryProcess>(startEntry(zone, "[membership]\nseeds = [" + seeds + "]\n")));
+    return *m_entries.back();
+}
+
+void Fleet::killEntry(std::size_t index)
+{
+    entry(index).process->signal(SIGKILL);
+    entry(index).process->awaitExit();
+    m_entries.erase(m_entries.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
 void Fleet::awaitReady(std::size_t index)
 {
     awaitCondition("readiness of " + entry(index).name, [&] { return exchange(entry(index).operators, makeRequest("GET", "/readyz")).status == 200; });
@@ -195,8 +228,7 @@
     REQUIRE(exchange(m_platform.endpoint, makeRequest("PUT", "/standin/hosts", toText(body))).status == 200);
 }
 
-Json::Value
-Fleet::publishTemplate(std::size_t entryIndex, const std::string &workspace, std::uint64_t base, const std::string &changeId, const std::string &text)
+http::Request Fleet::publishRequest(const std::string &workspace, std::uint64_t base, const std::string &changeId, const std::string &text)
 {
     Json::Value body;
     body["workspace"] = workspace;
@@ -206,7 +238,13 @@
     body["text"] = text;
     http::Request request = makeRequest("POST", "/v1/templates", toText(body));
     request.headers.add("Authorization", std::string("Bearer ") + Token);
-    return parsed(exchange(entry(entryIndex).operators, request));
+    return request;
+}
+
+Json::Value
+Fleet::publishTemplate(std::size_t entryIndex, const std::string &workspace, std::uint64_t base, const std::string &changeId, const std::string &text)
+{
+    return parsed(exchange(entry(entryIndex).operators, publishRequest(workspace, base, changeId, text)));
 }
 
 http::Request Fleet::callerRequest(const std::string &method, const std::string &target, const std::string &body)
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "support/process.h"
+#include "support/relay.h"
 #include "support/temporaryfolder.h"
 #include "support/wire.h"
 #include "timeline/timelinetypes.h"
@@ -24,6 +25,7 @@
     std::string serviceSettings = "work_us = 1000\n";
     std::string callerSettings; ///< Added to the callers' listener of each entry host.
     std::string entrySettings;  ///< Added at the end of each entry host's settings.
+    bool relays = false;        ///< Entry hosts reach the platform and each other through relays, which can be cut.
     std::string templateText;   ///< Published at the start; a template of one workspace when empty.
 };
 
@@ -35,6 +37,8 @@
 };
 
 struct EntryProcess {
+    std::unique_ptr<Relay> platformRelay; ///< Between this host and the platform, with FleetOptions::relays.
+    std::unique_ptr<Relay> peerRelay;     ///< Before this host's listener for peers, with FleetOptions::relays.
     std::unique_ptr<Process> process;
     std::string name;
     std::string zone;
@@ -62,6 +66,11 @@
     [[nodiscard]] const std::string &tokenFile() const;
     /// Starts one more entry host in @p zone and waits until it is ready.
     EntryProcess &addEntry(const std::string &zone);
+    /// Starts one more entry host that is told the listeners of the others as seeds; does not wait, and leaves the
+    /// platform's list as it is.
+    EntryProcess &addSeededEntry(const std::string &zone);
+    /// Ends entry host @p index, with SIGKILL, and forgets it.
+    void killEntry(std::size_t index);
     /// Waits until entry host @p index answers ready.
     void awaitReady(std::size_t index);
     /// Tells a stand-in to fail.
@@ -72,6 +81,8 @@
     void publishHosts(const std::vector<std::string> &hidden = {}, const std::map<std::string, int> &leaving = {});
     /// Publishes a template through an entry host and gives the host's answer.
     Json::Value publishTemplate(std::size_t entryIndex, const std::string &workspace, std::uint64_t base, const std::string &changeId, const std::string &text);
+    /// The request by which publishTemplate() publishes.
+    static http::Request publishRequest(const std::string &workspace, std::uint64_t base, const std::string &changeId, const std::string &text);
     /// A caller's request with the workspace's key.
     static http::Request callerRequest(const std::string &method, const std::string &target, const std::string &body = {});
     /// Body of a chat request.
@@ -83,7 +94,7 @@
 
 private:
     Listening startStandin(const std::string &program, const std::string &name, const std::string &zone, const std::string &settings);
-    EntryProcess startEntry(const std::string &name, const std::string &zone);
+    EntryProcess startEntry(const std::string &zone, const std::string &membership = {});
 
     const FleetOptions m_options;
     const TemporaryFolder m_folder;
@@ -92,6 +103,7 @@
     std::vector<Listening> m_engines;
     std::vector<Listening> m_services;
     std::vector<std::unique_ptr<EntryProcess>> m_entries;
+    std::size_t m_entriesStarted = 0;
 };
 
 /// The template of workspace "yard" that fleets publish when a test gives none.
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -127,7 +127,7 @@
         links.clear();
     }
 
-    const tcp::endpoint target;
+    tcp::endpoint target;
     net::io_context context{1};
     tcp::acceptor acceptor;
     net::steady_timer gate; ///< Never expires; cancelled when a command changes what is held.
@@ -156,6 +156,11 @@
     return {"127.0.0.1", m_state->acceptor.local_endpoint().port()};
 }
 
+void Relay::lead(const http::Endpoint &target)
+{
+    m_state->command([&] { m_state->target = tcp::endpoint(net::ip::make_address(target.address), target.port); });
+}
+
 void Relay::cut()
 {
     m_state->command([this] {
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -16,6 +16,8 @@
     Relay(const Relay &) = delete;
     Relay &operator=(const Relay &) = delete;
 
+    /// Sets where new connections lead from now on.
+    void lead(const http::Endpoint &target);
     /// Address to connect to in place of the target's.
     [[nodiscard]] http::Endpoint endpoint() const;
     /// Closes all connections, and each new one at once.
