Try a new connection before suspecting a silent upstream, and move work off leaving ones

Cause: a connection that something between the ends has lost track of looked like a failed upstream, so its stream was recomputed elsewhere; a stream on an upstream that was reclaimed ran until it broke. What: ReconnectSystem resumes a silent attempt on a new connection to the same upstream; only if that brings nothing is the upstream left. A connection that brought tokens may be replaced again, bounded by the deadline. MoveSystem lets requests on a leaving upstream finish if their pace allows, cancels them at once if it does not and shortly before the end otherwise; moves do not count as failed attempts, and the tokens to recompute stand in the time line. A long poll of the log is 2 s, so that a silent link is replaced within 5 s (was 8 s).

--- a/src/decisions/decisiontypes.h
+++ b/src/decisions/decisiontypes.h
@@ -122,7 +122,8 @@
     std::uint32_t candidates = 0;
     std::uint32_t ownInFlight = 0; ///< At the chosen upstream, before this attempt.
     bool retry = false;
-    double score = 0; ///< Estimated seconds to finish, weighted by price.
+    double score = 0;       ///< Estimated seconds to finish, weighted by price.
+    bool reconnect = false; ///< A new connection to an upstream whose last one fell silent.
 };
 
 struct StartAttempt {
--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -30,6 +30,7 @@
     bool estimateStart = true;                     ///< Refuses at once, and gives up while queued, what cannot start in time.
     double planShare = 0.7;                        ///< Of all slots that plans of all hosts together may hold; 1 keeps none for short work.
     std::uint32_t maxAttempts = 3;                 ///< Of one request.
+    Duration moveMargin = std::chrono::seconds(1); ///< Before an upstream is gone, for moving what still runs there.
     Duration retryAfter = std::chrono::seconds(1); ///< Told to callers that are refused for want of a slot.
 };
 
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -3,8 +3,10 @@
 #include "decisions/internal/estimatedfinishchooser.h"
 #include "decisions/internal/firstcomesystem.h"
 #include "decisions/internal/leastinflightchooser.h"
+#include "decisions/internal/movesystem.h"
 #include "decisions/internal/observations.h"
 #include "decisions/internal/plainchoosers.h"
+#include "decisions/internal/reconnectsystem.h"
 #include "decisions/internal/systems.h"
 
 #include <algorithm>
@@ -12,8 +14,9 @@
 
 namespace rosemaryshift::decisions {
 
-DecisionCore::DecisionCore(std::vector<std::unique_ptr<ISystem>> systems)
-    : m_systems(std::move(systems))
+DecisionCore::DecisionCore(const PolicySettings &settings, std::vector<std::unique_ptr<ISystem>> systems)
+    : m_settings(settings)
+    , m_systems(std::move(systems))
 {
 }
 
@@ -39,7 +42,12 @@
 
 std::optional<TimePoint> DecisionCore::nextWake() const
 {
-    return m_tables.timers.empty() ? std::nullopt : std::optional(m_tables.timers.begin()->first);
+    std::optional<TimePoint> earliest = nextMove(m_tables, m_settings, m_now);
+    if (!m_tables.timers.empty()) {
+        const TimePoint timer = m_tables.timers.begin()->first;
+        earliest = std::min(earliest.value_or(timer), timer);
+    }
+    return earliest;
 }
 
 std::size_t DecisionCore::openRequests() const
@@ -132,10 +140,10 @@
     noteEnd(m_tables, attempt, event.outcome, m_now);
     m_tables.attempts.erase(event.attempt);
     RequestRow *const row = m_tables.request(attempt.request);
-    if (row != nullptr && event.outcome != AttemptOutcome::Completed) {
+    if (row != nullptr && event.outcome != AttemptOutcome::Completed && !mayReconnect(attempt, event.outcome)) {
         row->failedAt.insert(attempt.upstream);
     }
-    m_tables.ended.push_back({event.attempt, attempt.request, event.outcome});
+    m_tables.ended.push_back({event.attempt, attempt.request, event.outcome, attempt});
 }
 
 void DecisionCore::apply(const CallerLeft &event)
@@ -187,9 +195,11 @@
     std::vector<std::unique_ptr<ISystem>> systems;
     systems.push_back(std::make_unique<DeadlineSystem>(settings));
     systems.push_back(std::make_unique<RetrySystem>(settings));
+    systems.push_back(std::make_unique<MoveSystem>(settings));
+    systems.push_back(std::make_unique<ReconnectSystem>());
     systems.push_back(std::make_unique<AdmissionSystem>(settings));
     systems.push_back(makeRouting(settings, seed));
-    return std::make_unique<DecisionCore>(std::move(systems));
+    return std::make_unique<DecisionCore>(settings, std::move(systems));
 }
 
 }
--- a/src/decisions/internal/decisioncore.h
+++ b/src/decisions/internal/decisioncore.h
@@ -9,7 +9,7 @@
 class DecisionCore : public IDecisionCore
 {
 public:
-    explicit DecisionCore(std::vector<std::unique_ptr<ISystem>> systems);
+    DecisionCore(const PolicySettings &settings, std::vector<std::unique_ptr<ISystem>> systems);
 
     void post(Event event) override;
     std::span<const Action> tick(TimePoint now) override;
@@ -29,6 +29,7 @@
     void apply(const CallerLeft &event);
     void apply(const HostStopping &event);
 
+    const PolicySettings m_settings;
     std::vector<std::unique_ptr<ISystem>> m_systems;
     std::vector<Event> m_inbox;
     std::vector<Action> m_actions;
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/internal/estimates.h"
 #include "decisions/internal/observations.h"
+#include "decisions/internal/reconnectsystem.h"
 
 #include <algorithm>
 
@@ -76,7 +77,13 @@
         refuse(tables, context, ended.request, RefusalCode::OutcomeUnknown, Duration(0));
         return;
     }
-    if (row->attempts >= m_settings.maxAttempts) {
+    if (ended.row.moving) {
+        --row->attempts;
+    }
+    if (mayReconnect(ended.row, ended.outcome)) {
+        row->reconnectTo = ended.row.upstream;
+    }
+    if (!row->reconnectTo && row->attempts >= m_settings.maxAttempts) {
         refuse(tables, context, ended.request, RefusalCode::AttemptsFailed, m_settings.retryAfter);
         return;
     }
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -96,8 +96,9 @@
     std::set<UpstreamId> failedAt;
     std::optional<AttemptId> running;
     TimePoint queuedAt;
-    std::optional<TimePoint> startBy; ///< An attempt that starts later than this comes too late.
-    TimePoint timer;                  ///< When the request is looked at without an event.
+    std::optional<TimePoint> startBy;      ///< An attempt that starts later than this comes too late.
+    TimePoint timer;                       ///< When the request is looked at without an event.
+    std::optional<UpstreamId> reconnectTo; ///< Where a new connection is tried before any other upstream.
 
     [[nodiscard]] QueueKey queueKey() const;
 };
@@ -110,12 +111,15 @@
     std::uint64_t prefixHash = 0;
     std::uint32_t tokens = 0;
     std::optional<TimePoint> progressedAt;
+    bool reconnect = false; ///< Tries the upstream of an attempt that fell silent again.
+    bool moving = false;    ///< Cancelled, so that the request is resumed elsewhere.
 };
 
 struct EndedAttempt {
     AttemptId attempt;
     RequestId request;
     AttemptOutcome outcome;
+    AttemptRow row;
 };
 
 /// All rows the systems run over. Plain data; owned by one thread.
--- /dev/null
+++ b/src/decisions/tests/survivaltests.cpp
@@ -0,0 +1,215 @@
+#include "decisions/idecisioncore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::decisions;
+
+namespace {
+
+constexpr WorkspaceId Workspace{0};
+constexpr TargetId Model{0};
+constexpr RequestId Request{1};
+constexpr std::uint32_t ExpectedTokens = 100;
+
+TimePoint at(int ms)
+{
+    return TimePoint(std::chrono::milliseconds(ms));
+}
+
+/// A core with two upstreams and one request, driven in virtual time.
+class OneRequest
+{
+public:
+    OneRequest()
+    {
+        m_core->post(WorkspaceLimited{Workspace, 2, 1});
+        list(0);
+        list(1);
+        RequestArrived arrived{};
+        arrived.request = Request;
+        arrived.workspace = Workspace;
+        arrived.target = Model;
+        arrived.deadline = at(60'000);
+        arrived.expectedTokens = ExpectedTokens;
+        m_core->post(arrived);
+        tick(0);
+        REQUIRE(m_started);
+    }
+
+    void list(std::uint32_t upstream)
+    {
+        UpstreamListed listed{};
+        listed.upstream = static_cast<UpstreamId>(upstream);
+        listed.targets = {Model};
+        listed.slots = 2;
+        m_core->post(listed);
+    }
+
+    /// A new machine takes the place of an upstream that has left.
+    void replace(std::uint32_t upstream)
+    {
+        m_core->post(UpstreamGone{static_cast<UpstreamId>(upstream)});
+        list(upstream);
+    }
+
+    void tick(int ms)
+    {
+        m_cancelled.reset();
+        for (const Action &action : m_core->tick(at(ms))) {
+            if (const StartAttempt *const start = std::get_if<StartAttempt>(&action)) {
+                m_started = *start;
+            } else if (const CancelAttempt *const cancel = std::get_if<CancelAttempt>(&action)) {
+                m_cancelled = *cancel;
+            } else if (const RefuseRequest *const refuse = std::get_if<RefuseRequest>(&action)) {
+                m_refused = *refuse;
+            }
+        }
+    }
+
+    void progress(std::uint32_t tokens, int ms)
+    {
+        m_core->post(AttemptProgressed{m_started->attempt, tokens});
+        tick(ms);
+    }
+
+    void end(AttemptOutcome outcome, int ms)
+    {
+        m_core->post(AttemptEnded{m_started->attempt, outcome});
+        tick(ms);
+    }
+
+    void leave(int goneAtMs, int ms)
+    {
+        m_core->post(UpstreamLeaving{m_started->upstream, at(goneAtMs)});
+        tick(ms);
+    }
+
+    [[nodiscard]] const StartAttempt &started() const
+    {
+        return *m_started;
+    }
+
+    [[nodiscard]] bool cancelled() const
+    {
+        return m_cancelled.has_value();
+    }
+
+    [[nodiscard]] bool refused() const
+    {
+        return m_refused.has_value();
+    }
+
+    [[nodiscard]] std::optional<TimePoint> nextWake() const
+    {
+        return m_core->nextWake();
+    }
+
+private:
+    const std::unique_ptr<IDecisionCore> m_core = makeDecisionCore({}, 1);
+    std::optional<StartAttempt> m_started;
+    std::optional<CancelAttempt> m_cancelled;
+    std::optional<RefuseRequest> m_refused;
+};
+
+}
+
+SCENARIO("A connection that fell silent is replaced before its upstream is suspected")
+{
+    OneRequest one;
+    const StartAttempt first = one.started();
+    one.progress(10, 100);
+    one.end(AttemptOutcome::Silent, 5'000);
+    REQUIRE(one.started().attempt != first.attempt);
+    CHECK(one.started().upstream == first.upstream);
+    CHECK(one.started().reason.reconnect);
+
+    WHEN("the new connection is silent from the start")
+    {
+        one.end(AttemptOutcome::Silent, 10'000);
+        THEN("another upstream goes on")
+        {
+            CHECK(one.started().upstream != first.upstream);
+        }
+    }
+    WHEN("the new connection cannot be made")
+    {
+        one.end(AttemptOutcome::NotOffered, 6'000);
+        THEN("another upstream goes on")
+        {
+            CHECK(one.started().upstream != first.upstream);
+        }
+    }
+    WHEN("new connections fall silent again and again, but each brings tokens")
+    {
+        for (int i = 0; i < 6; ++i) {
+            one.progress(1, 6'000 + i * 1'000);
+            one.end(AttemptOutcome::Silent, 6'500 + i * 1'000);
+        }
+        THEN("the request stays where it is and is not given up")
+        {
+            CHECK(one.started().upstream == first.upstream);
+            CHECK_FALSE(one.refused());
+        }
+    }
+    WHEN("the upstream leaves before the new connection falls silent")
+    {
+        one.progress(1, 5'500);
+        one.leave(60'000, 5'600);
+        one.end(AttemptOutcome::Silent, 10'000);
+        THEN("it gets nothing more")
+        {
+            CHECK(one.started().upstream != first.upstream);
+        }
+    }
+}
+
+SCENARIO("A request on a leaving upstream finishes there if the notice allows and else is moved")
+{
+    OneRequest one;
+    const StartAttempt first = one.started();
+
+    GIVEN("a pace that reaches the end in time")
+    {
+        one.progress(50, 1'000);
+        one.leave(5'000, 1'000);
+        CHECK_FALSE(one.cancelled());
+        CHECK(one.nextWake() == at(4'000));
+        WHEN("it slows down and the upstream is nearly gone")
+        {
+            one.tick(4'000);
+            REQUIRE(one.cancelled());
+            one.end(AttemptOutcome::Cancelled, 4'001);
+            THEN("it goes on elsewhere")
+            {
+                CHECK(one.started().attempt != first.attempt);
+                CHECK(one.started().upstream != first.upstream);
+            }
+        }
+    }
+    GIVEN("a pace that cannot reach the end in time")
+    {
+        one.progress(10, 1'000);
+        WHEN("the notice comes")
+        {
+            one.leave(5'000, 1'000);
+            THEN("it is moved at once, before more is computed in vain")
+            {
+                CHECK(one.cancelled());
+            }
+        }
+    }
+    GIVEN("upstreams that leave one after the other")
+    {
+        for (int i = 0; i < 6; ++i) {
+            const std::uint32_t other = 1 - static_cast<std::uint32_t>(one.started().upstream);
+            one.replace(other);
+            one.leave(i * 100 + 500, i * 100);
+            one.end(AttemptOutcome::Cancelled, i * 100 + 1);
+        }
+        THEN("no move counts as a failed attempt")
+        {
+            CHECK_FALSE(one.refused());
+        }
+    }
+}
--- a/src/entry/internal/logfollower.cpp
+++ b/src/entry/internal/logfollower.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds ReadWait{5'000};
+constexpr std::chrono::milliseconds ReadWait{2'000};
 constexpr std::chrono::milliseconds RetryDelay{200};
 
 }
--- a/src/entry/internal/requestjournal.cpp
+++ b/src/entry/internal/requestjournal.cpp
@@ -16,6 +16,9 @@
 
 std::string routeText(const decisions::RouteReason &reason)
 {
+    if (reason.reconnect) {
+        return "new connection to the same upstream";
+    }
     return std::string(reason.retry ? "retry, " : "") + std::to_string(reason.candidates) + " candidates, " + std::to_string(reason.ownInFlight)
         + " of ours in flight there";
 }
@@ -75,11 +78,22 @@
     if (isChat && reason.retry) {
         m_metrics->countRecomputedTokens(record->spec.promptTokens + tokensSoFar);
     }
+    if (tokensSoFar > 0) {
+        noteResume(*record, attempt, tokensSoFar);
+    }
     EventFields fields = fieldsOf(attempt);
     fields.detail = routeText(reason);
     m_timeline->record(EventKind::RequestRouted, std::move(fields));
 }
 
+void RequestJournal::noteResume(const RequestRecord &record, AttemptId attempt, std::uint64_t tokensSoFar)
+{
+    const std::uint64_t recomputed = record.spec.promptTokens + tokensSoFar;
+    EventFields fields = fieldsOf(attempt);
+    fields.detail = "resumes behind " + std::to_string(tokensSoFar) + " tokens, " + std::to_string(recomputed) + " to recompute";
+    m_timeline->record(EventKind::RequestMoved, std::move(fields));
+}
+
 EventFields RequestJournal::fieldsOf(AttemptId attempt) const
 {
     EventFields fields{.attempt = attemptText(attempt)};
--- a/src/entry/internal/requestjournal.h
+++ b/src/entry/internal/requestjournal.h
@@ -47,6 +47,7 @@
 
     /// Fields of an event about @p attempt.
     [[nodiscard]] timeline::EventFields fieldsOf(AttemptId attempt) const;
+    void noteResume(const requests::RequestRecord &record, AttemptId attempt, std::uint64_t tokensSoFar);
     void leaveQueue(const requests::RequestRecord &record);
 
     const std::shared_ptr<timeline::ITimeline> m_timeline;
--- a/src/standins/internal/standinplatform.cpp
+++ b/src/standins/internal/standinplatform.cpp
@@ -58,6 +58,7 @@
 net::awaitable<void> StandinPlatform::serve(http::Request request, http::IResponseWriter &writer)
 {
     const FailureMode mode = m_failures.beginRequest();
+    const std::uint64_t epoch = m_failures.epoch();
     writer.onCallerGone([] {});
     if (mode == FailureMode::Down) {
         writer.abort();
@@ -81,6 +82,10 @@
     } else if (path == "/v1/notices") {
         response = co_await readNotices(request.target);
     }
+    if (m_failures.mode() == FailureMode::SilentOpen && m_failures.epoch() != epoch) {
+        co_await staySilent(writer);
+        co_return;
+    }
     if (mode == FailureMode::LostAnswer || m_failures.mode() == FailureMode::Down) {
         writer.abort();
         co_return;
