Give leaving upstreams nothing new when the platform's list lags or is down

Cause: only the platform's list said that an upstream leaves. What: an upstream that declines with Rosemaryshift-Leaving-Ms is marked leaving, which holds until another machine takes its place; hosts tell each other in their heartbeats for ten seconds. A machine that takes a leaving one's name under another address is taken as new (it stayed leaving before).

--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -1,6 +1,7 @@
 #include "entry/internal/control.h"
 
 #include "base/text.h"
+#include "entry/internal/leavingsection.h"
 #include "entry/internal/refusals.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -61,6 +62,7 @@
 void Control::join(membership::IMembership &membership)
 {
     m_membership = &membership;
+    membership.addSection(std::make_shared<LeavingSection>(m_upstreams, [this] { return now(); }));
 }
 
 void Control::start()
@@ -213,6 +215,13 @@
     net::post(m_context, [this, attempt, result = std::move(result)] {
         m_launcher.forget(attempt);
         m_journal.attemptEnded(attempt, result);
+        const auto running = m_attemptUpstreams.find(attempt);
+        if (running != m_attemptUpstreams.end()) {
+            if (result.leavesIn) {
+                m_upstreams.markLeaving(running->second, *result.leavesIn, now());
+            }
+            m_attemptUpstreams.erase(running);
+        }
         post(decisions::AttemptEnded{attempt, result.outcome});
     });
 }
@@ -225,6 +234,7 @@
         return;
     }
     const platform::ListedHost &host = m_upstreams.host(action.upstream);
+    m_attemptUpstreams[action.attempt] = action.upstream;
     m_journal.routed(record, action.attempt, host.name, action.reason);
     upstreams::AttemptSpec spec;
     spec.attempt = action.attempt;
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -132,6 +132,7 @@
     LogFollower m_follower;
     membership::IMembership *m_membership = nullptr;
     NameTable<WorkspaceId> m_workspaces;
+    std::map<AttemptId, UpstreamId> m_attemptUpstreams;
     boost::asio::steady_timer m_wake;
     bool m_tickScheduled = false;
     bool m_hostsRead = false;
--- /dev/null
+++ b/src/entry/internal/leavingsection.cpp
@@ -0,0 +1,63 @@
+#include "entry/internal/leavingsection.h"
+
+#include "base/json.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::entry {
+
+namespace {
+
+constexpr std::uint64_t MaxNoticeMs = 24ULL * 3600 * 1000;
+
+std::optional<LeavingUpstream> leavingFromJson(const Json::Value &value)
+{
+    const std::optional<std::string> name = stringMember(value, "name");
+    const std::optional<http::Endpoint> endpoint = http::Endpoint::parse(stringMember(value, "address").value_or(""));
+    const std::optional<std::uint64_t> leavesIn = unsignedMember(value, "leaves_in_ms");
+    if (!name || !endpoint || !leavesIn) {
+        return std::nullopt;
+    }
+    return LeavingUpstream{*name, *endpoint, std::chrono::milliseconds(std::min(*leavesIn, MaxNoticeMs))};
+}
+
+}
+
+LeavingSection::LeavingSection(UpstreamDirectory &upstreams, Now now)
+    : m_upstreams(upstreams)
+    , m_now(std::move(now))
+{
+}
+
+std::string LeavingSection::name() const
+{
+    return "leaving";
+}
+
+Json::Value LeavingSection::write(const membership::Peer &)
+{
+    Json::Value list(Json::arrayValue);
+    for (const LeavingUpstream &leaving : m_upstreams.latelyLeaving(m_now())) {
+        Json::Value value;
+        value["name"] = leaving.name;
+        value["address"] = leaving.endpoint.text();
+        value["leaves_in_ms"] = Json::UInt64(leaving.leavesIn.count());
+        list.append(std::move(value));
+    }
+    return list;
+}
+
+void LeavingSection::read(const membership::Peer &, const Json::Value &value)
+{
+    if (!value.isArray()) {
+        return;
+    }
+    for (const Json::Value &item : value) {
+        const std::optional<LeavingUpstream> leaving = leavingFromJson(item);
+        if (leaving) {
+            m_upstreams.heardLeaving(*leaving, m_now());
+        }
+    }
+}
+
+}
--- a/src/entry/internal/upstreamdirectory.cpp
+++ b/src/entry/internal/upstreamdirectory.cpp
@@ -11,6 +11,13 @@
 using platform::ListedHost;
 using timeline::EventKind;
 
+namespace {
+
+/// Several heartbeats; later the platform's list and the upstream's own answers tell.
+constexpr std::chrono::seconds TellPeersFor{10};
+
+}
+
 UpstreamDirectory::UpstreamDirectory(std::string ownZone, std::shared_ptr<timeline::ITimeline> timeline, EventSink sink)
     : m_ownZone(std::move(ownZone))
     , m_timeline(std::move(timeline))
@@ -45,6 +52,9 @@
         leave(id, *host.leavesIn, now);
         return;
     }
+    if (row.state == State::Leaving && moved) {
+        m_sink(UpstreamGone{id});
+    }
     if (row.state == State::Gone || moved) {
         row.state = State::Live;
         m_timeline->record(EventKind::UpstreamListed, {.upstream = host.name, .detail = host.endpoint.text()});
@@ -74,10 +84,41 @@
         return;
     }
     row.state = State::Leaving;
-    m_sink(UpstreamLeaving{id, now + leavesIn});
+    row.leavingSince = now;
+    row.goneAt = now + leavesIn;
+    m_sink(UpstreamLeaving{id, row.goneAt});
     m_timeline->record(EventKind::UpstreamLeaving, {.upstream = row.host.name, .detail = "gone in " + std::to_string(leavesIn.count()) + " ms"});
 }
 
+void UpstreamDirectory::markLeaving(UpstreamId upstream, std::chrono::milliseconds leavesIn, TimePoint now)
+{
+    if (m_rows.at(upstream).state == State::Live) {
+        leave(upstream, leavesIn, now);
+    }
+}
+
+void UpstreamDirectory::heardLeaving(const LeavingUpstream &leaving, TimePoint now)
+{
+    for (const auto &[id, row] : m_rows) {
+        if (row.host.name == leaving.name && row.host.endpoint == leaving.endpoint) {
+            markLeaving(id, leaving.leavesIn, now);
+            return;
+        }
+    }
+}
+
+std::vector<LeavingUpstream> UpstreamDirectory::latelyLeaving(TimePoint now) const
+{
+    std::vector<LeavingUpstream> found;
+    for (const auto &[id, row] : m_rows) {
+        if (row.state == State::Leaving && now - row.leavingSince < TellPeersFor) {
+            const Duration left = std::max(row.goneAt - now, Duration(0));
+            found.push_back({row.host.name, row.host.endpoint, std::chrono::duration_cast<std::chrono::milliseconds>(left)});
+        }
+    }
+    return found;
+}
+
 void UpstreamDirectory::dropMissing(const std::set<std::string> &present)
 {
     for (auto &[id, row] : m_rows) {
--- a/src/entry/internal/upstreamdirectory.h
+++ b/src/entry/internal/upstreamdirectory.h
@@ -11,6 +11,13 @@
 
 namespace rosemaryshift::entry {
 
+/// An upstream that is leaving, as hosts tell each other.
+struct LeavingUpstream {
+    std::string name;
+    http::Endpoint endpoint; ///< Tells the machine from a later one of the same name.
+    std::chrono::milliseconds leavesIn{0};
+};
+
 /// The upstreams this host knows, from the platform's list. Turns changes of the list into events of the decision core.
 /// Not thread-safe; belongs to the control thread.
 class UpstreamDirectory
@@ -22,6 +29,12 @@
 
     /// Takes in a list read at @p now.
     void update(const platform::HostList &list, TimePoint now);
+    /// Notes that @p upstream itself said that it leaves; holds until another machine takes its place.
+    void markLeaving(UpstreamId upstream, std::chrono::milliseconds leavesIn, TimePoint now);
+    /// Takes in that another host knows an upstream to be leaving; passed over when the upstream is not known or has another address here.
+    void heardLeaving(const LeavingUpstream &leaving, TimePoint now);
+    /// Upstreams seen to be leaving so lately that peers may not know yet.
+    [[nodiscard]] std::vector<LeavingUpstream> latelyLeaving(TimePoint now) const;
     /// Where @p upstream listens.
     [[nodiscard]] const platform::ListedHost &host(UpstreamId upstream) const;
     /// Id of a model or service; made when it is new.
@@ -42,6 +55,8 @@
     struct Row {
         platform::ListedHost host;
         State state = State::Gone;
+        TimePoint leavingSince{}; ///< Set while leaving.
+        TimePoint goneAt{};       ///< Set while leaving.
     };
 
     void takeUpstream(const platform::ListedHost &host, TimePoint now);
--- a/src/standins/internal/standinengine.cpp
+++ b/src/standins/internal/standinengine.cpp
@@ -123,6 +123,12 @@
         writer.abort();
         co_return;
     }
+    if (mode == FailureMode::Leaving) {
+        noteDeclined();
+        http::Response response = leavingAnswer(m_failures);
+        co_await writer.respond(std::move(response));
+        co_return;
+    }
     std::string reason;
     const std::optional<Json::Value> body = parseJson(request.body, reason);
     if (!body || !body->isObject() || !(*body)["messages"].isArray() || (*body)["messages"].empty()) {
@@ -211,6 +217,12 @@
     m_runs[attempt] += tokens;
 }
 
+void StandinEngine::noteDeclined()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_declined;
+}
+
 void StandinEngine::noteCancelled()
 {
     const std::lock_guard lock(m_mutex);
@@ -232,6 +244,7 @@
     const std::lock_guard lock(m_mutex);
     Json::Value value;
     value["started"] = Json::UInt64(m_started);
+    value["declined"] = Json::UInt64(m_declined);
     value["cancelled"] = Json::UInt64(m_cancelled);
     value["tokens"] = Json::UInt64(m_tokens);
     value["attempts"] = Json::Value(Json::objectValue);
--- a/src/standins/internal/standinserver.cpp
+++ b/src/standins/internal/standinserver.cpp
@@ -30,6 +30,7 @@
     NamedMode{"truncated", FailureMode::Truncated},
     NamedMode{"unfinished", FailureMode::Unfinished},
     NamedMode{"lost_answer", FailureMode::LostAnswer},
+    NamedMode{"leaving", FailureMode::Leaving},
     NamedMode{"down", FailureMode::Down},
 };
 
@@ -54,13 +55,14 @@
     const std::optional<Json::Value> body = parseJson(request.body, reason);
     const std::optional<FailureMode> mode = body ? failureModeFromName(stringMember(*body, "mode").value_or("")) : std::nullopt;
     if (!mode) {
-        response = jsonAnswer(400, R"({"error":"mode must be none, slow, silent_open, silent, crossed, truncated, unfinished, lost_answer or down"})");
+        response = jsonAnswer(400, R"({"error":"mode must be none, slow, silent_open, silent, crossed, truncated, unfinished, lost_answer, leaving or down"})");
         return true;
     }
     const std::lock_guard lock(m_mutex);
     m_mode = *mode;
     m_factor = (*body)["factor"].isNumeric() ? (*body)["factor"].asDouble() : 1;
     m_remaining = unsignedMember(*body, "count").value_or(0);
+    m_leavesInMs = unsignedMember(*body, "leaves_in_ms").value_or(0);
     ++m_epoch;
     response = jsonAnswer(200, "{}");
     return true;
@@ -88,6 +90,12 @@
     return m_mode == FailureMode::Slow ? m_factor : 1;
 }
 
+std::uint64_t Failures::leavesInMs() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_leavesInMs;
+}
+
 std::uint64_t Failures::epoch() const
 {
     const std::lock_guard lock(m_mutex);
@@ -107,6 +115,14 @@
     }
 }
 
+http::Response leavingAnswer(const Failures &failures)
+{
+    http::Response response = jsonAnswer(503, R"({"error":"leaving"})");
+    response.headers.add("Rosemaryshift-Run", "not-run");
+    response.headers.add("Rosemaryshift-Leaving-Ms", std::to_string(failures.leavesInMs()));
+    return response;
+}
+
 http::Response jsonAnswer(int status, std::string body)
 {
     http::Response response;
--- a/src/standins/internal/standinservice.cpp
+++ b/src/standins/internal/standinservice.cpp
@@ -44,6 +44,11 @@
         writer.abort();
         co_return;
     }
+    if (mode == FailureMode::Leaving) {
+        http::Response response = leavingAnswer(m_failures);
+        co_await writer.respond(std::move(response));
+        co_return;
+    }
     writer.onCallerGone([] {});
     const std::uint64_t epoch = m_failures.epoch();
     std::string body = run(request);
--- a/src/standins/standinengine.h
+++ b/src/standins/standinengine.h
@@ -39,6 +39,7 @@
     http::Response load() const;
     http::Response runs() const;
     void noteRun(const std::string &attempt, std::uint64_t tokens);
+    void noteDeclined();
     void noteCancelled();
 
     const EngineSettings m_settings;
@@ -46,6 +47,7 @@
     std::atomic<std::uint32_t> m_running = 0;
     mutable std::mutex m_mutex;
     std::uint64_t m_started = 0;
+    std::uint64_t m_declined = 0;
     std::uint64_t m_cancelled = 0;
     std::uint64_t m_tokens = 0;
     std::map<std::string, std::uint64_t> m_runs;
--- a/src/standins/standinserver.h
+++ b/src/standins/standinserver.h
@@ -22,6 +22,7 @@
     Truncated,  ///< Answers break off before their end marker, with a clean end of the connection.
     Unfinished, ///< Answers are whole but for their end marker.
     LostAnswer, ///< Acts, then closes the connection without an answer.
+    Leaving,    ///< Declines new requests as not run and says that it is leaving.
     Down,       ///< Closes each connection before acting.
 };
 
@@ -40,6 +41,8 @@
     [[nodiscard]] FailureMode mode() const;
     /// Factor of FailureMode::Slow.
     [[nodiscard]] double factor() const;
+    /// Time of FailureMode::Leaving until the stand-in is gone, in milliseconds.
+    [[nodiscard]] std::uint64_t leavesInMs() const;
     /// Number of the last command; a request that began under an earlier one is on a connection open at the command.
     [[nodiscard]] std::uint64_t epoch() const;
 
@@ -48,6 +51,7 @@
     FailureMode m_mode = FailureMode::None;
     double m_factor = 1;
     std::uint64_t m_remaining = 0;
+    std::uint64_t m_leavesInMs = 0;
     std::uint64_t m_epoch = 0;
 };
 
@@ -55,6 +59,8 @@
 boost::asio::awaitable<void> pause(std::chrono::microseconds time);
 /// Says nothing until the caller has gone away.
 boost::asio::awaitable<void> staySilent(http::IResponseWriter &writer);
+/// The answer of a stand-in that is leaving.
+http::Response leavingAnswer(const Failures &failures);
 /// A JSON answer.
 http::Response jsonAnswer(int status, std::string body);
 
--- a/src/upstreams/internal/callfailures.cpp
+++ b/src/upstreams/internal/callfailures.cpp
@@ -2,6 +2,10 @@
 
 #include "base/text.h"
 
+#include <algorithm>
+
+#include "base/text.h"
+
 namespace rosemaryshift::upstreams {
 
 using decisions::AttemptOutcome;
@@ -10,6 +14,7 @@
 
 constexpr int TooManyRequests = 429;
 constexpr int ServiceUnavailable = 503;
+constexpr std::uint64_t MaxNoticeMs = 24ULL * 3600 * 1000;
 
 AttemptOutcome outcomeOf(http::ClientError error)
 {
@@ -41,7 +46,12 @@
     if (!busy || response.headers.find(RunHeader) != name(RunState::NotRun)) {
         return std::nullopt;
     }
-    return AttemptResult{AttemptOutcome::Declined, "the upstream answered " + std::to_string(response.status) + " and did not run it"};
+    AttemptResult result{AttemptOutcome::Declined, "the upstream answered " + std::to_string(response.status) + " and did not run it"};
+    const std::optional<std::uint64_t> leavesIn = parseUnsigned(response.headers.find(LeavingHeader).value_or(""));
+    if (leavesIn) {
+        result.leavesIn = std::chrono::milliseconds(std::min(*leavesIn, MaxNoticeMs));
+    }
+    return result;
 }
 
 bool echoes(const http::Response &response, const AttemptSpec &spec)
--- a/src/upstreams/upstreamtypes.h
+++ b/src/upstreams/upstreamtypes.h
@@ -5,6 +5,7 @@
 #include "http/httptypes.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace rosemaryshift::upstreams {
@@ -14,6 +15,9 @@
 /// Header by which an upstream says that it did not run a request it declined.
 constexpr std::string_view RunHeader = "Rosemaryshift-Run";
 
+/// Header by which an upstream that declines says that it is leaving, with the milliseconds until it is gone.
+constexpr std::string_view LeavingHeader = "Rosemaryshift-Leaving-Ms";
+
 struct AttemptTimeouts {
     std::chrono::milliseconds connect{1'000};
     std::chrono::milliseconds firstByte{10'000};
@@ -32,6 +36,7 @@
 struct AttemptResult {
     decisions::AttemptOutcome outcome = decisions::AttemptOutcome::Completed;
     std::string reason;
+    std::optional<std::chrono::milliseconds> leavesIn = {}; ///< Set when the upstream said that it is leaving.
 };
 
 }
