--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -1,6 +1,7 @@
 #include "entry/internal/control.h"
 
 #include "base/text.h"
+#include "entry/internal/leavingsection.h"
 #include "entry/internal/refusals.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -70,6 +71,7 @@
             m_templateExchange->forget(peer.name);
         }
     });
+    membership.addSection(std::make_shared<LeavingSection>(m_upstreams, [this] { return now(); }));
 }
 
 void Control::start()
@@ -226,6 +228,13 @@
     net::post(m_context, [this, attempt, result = std::move(result)] {
         m_launcher.forget(attempt);
         m_journal.attemptEnded(attempt, result);
+        const auto running = m_attemptUpstreams.find(attempt);
+        if (running != m_attemptUpstreams.end()) {
+            if (result.leavesIn) {
+                m_upstreams.markLeaving(running->second, *result.leavesIn, now());
+            }
+            m_attemptUpstreams.erase(running);
+        }
         post(decisions::AttemptEnded{attempt, result.outcome});
     });
 }
@@ -238,6 +247,7 @@
         return;
     }
     const platform::ListedHost &host = m_upstreams.host(action.upstream);
+    m_attemptUpstreams[action.attempt] = action.upstream;
     m_journal.routed(record, action.attempt, host.name, action.reason);
     upstreams::AttemptSpec spec;
     spec.attempt = action.attempt;
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -130,6 +130,7 @@
     std::shared_ptr<TemplateExchange> m_templateExchange;
     std::unique_ptr<HostListExchange> m_hostListExchange;
     NameTable<WorkspaceId> m_workspaces;
+    std::map<AttemptId, UpstreamId> m_attemptUpstreams;
     boost::asio::steady_timer m_wake;
     bool m_tickScheduled = false;
     bool m_hostsRead = false;
