Learn of a slowed upstream from a late first token

Cause: a host noticed a slowed upstream only with the second output of an attempt there. Change: a first token three times as late as the mean counts as an observation of speed; slowness fades in 15 s instead of 5 s.

Each of nine hosts still has to find each slowed upstream with a request of its own.

--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -8,16 +8,16 @@
 
 namespace {
 
-constexpr std::size_t LeastOccupied = 4;               ///< Candidates from the front of the index.
-constexpr std::size_t Sampled = 3;                     ///< Candidates at random.
-constexpr double PrefillShare = 0.03;                  ///< Time to read a prompt token, in times between generated ones.
-constexpr double PriceWeight = 0.05;                   ///< Of the price against the estimated time.
-constexpr double UnknownTokens = 64;                   ///< Expected length until an answer was seen.
-constexpr std::uint32_t ShortOverflow = 2;             ///< Short requests that may wait in an upstream's own queue.
+constexpr std::size_t LeastOccupied = 4;   ///< Candidates from the front of the index.
+constexpr std::size_t Sampled = 3;         ///< Candidates at random.
+constexpr double PrefillShare = 0.03;      ///< Time to read a prompt token, in times between generated ones.
+constexpr double PriceWeight = 0.05;       ///< Of the price against the estimated time.
+constexpr double UnknownTokens = 64;       ///< Expected length until an answer was seen.
+constexpr std::uint32_t ShortOverflow = 2; ///< Short requests that may wait in an upstream's own queue.
 constexpr double SharedMargin = 0.15; ///< Of the slots, left free by a host that has its even share there, for what the others start before the next report.
 constexpr Duration PlanAge = std::chrono::seconds(20); ///< After which a queued plan may wait there too.
 constexpr double OtherZoneSeconds = 0.001;
-constexpr double SlownessHalfLife = 5; ///< Seconds without an observation after which half of a slowness is forgiven.
+constexpr double SlownessHalfLife = 15; ///< Seconds without an observation after which half of a slowness is forgiven.
 
 /// Time between tokens at @p upstream; what was seen long ago fades towards the mean, so that it is tried again.
 double secondsPerToken(const UpstreamRow &upstream, const TargetRow &target, TimePoint now)
--- a/src/decisions/internal/observations.cpp
+++ b/src/decisions/internal/observations.cpp
@@ -9,6 +9,8 @@
 constexpr double FlowWeight = 0.05;  ///< Of a new observation in a flow's mean.
 constexpr double WorseWeight = 0.5;  ///< Of an observation that shows an upstream slower than thought.
 constexpr double BetterWeight = 0.1; ///< Of one that shows it faster.
+constexpr double LateFirstToken = 3; ///< Times the mean; a first token this late shows a slowed upstream.
+constexpr double MaxLateness = 10;
 constexpr std::size_t MaxOwnHistory = 256;
 
 double secondsBetween(TimePoint from, TimePoint to)
@@ -56,6 +58,17 @@
     blend(tables.target(attempt.flow.target).secondsPerToken, secondsPerToken, FlowWeight);
 }
 
+void noteFirstToken(Tables &tables, const AttemptRow &attempt, TimePoint now)
+{
+    const double seconds = secondsBetween(attempt.startedAt, now);
+    FlowRow &flow = tables.flow(attempt.flow);
+    const double lateness = flow.firstTokenSeconds > 0 ? seconds / flow.firstTokenSeconds : 1;
+    if (lateness >= LateFirstToken) {
+        noteSpeed(tables, attempt, tables.target(attempt.flow.target).secondsPerToken * std::min(lateness, MaxLateness), now);
+    }
+    blend(flow.firstTokenSeconds, seconds, FlowWeight);
+}
+
 }
 
 void noteReport(Tables &tables, const UpstreamReported &report)
@@ -86,7 +99,7 @@
 void noteProgress(Tables &tables, AttemptRow &attempt, std::uint32_t tokens, TimePoint now)
 {
     if (!attempt.progressedAt) {
-        blend(tables.flow(attempt.flow).firstTokenSeconds, secondsBetween(attempt.startedAt, now), FlowWeight);
+        noteFirstToken(tables, attempt, now);
     } else if (tokens > 0) {
         noteSpeed(tables, attempt, secondsBetween(*attempt.progressedAt, now) / tokens, now);
     }
--- a/src/measure/internal/fakeupstream.cpp
+++ b/src/measure/internal/fakeupstream.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::uint32_t TokensPerOutput = 16;
+constexpr std::uint32_t TokensPerOutput = 8;
 constexpr double Rounding = 1e-6; ///< Tokens.
 
 }
