Hedge short idempotent requests whose first token is late

Cause: each host finds each slowed upstream with requests of its own, which then wait five times as long. Change: when the first token takes three times the mean, a second attempt starts elsewhere, from a budget of 0.05 a first attempt; the first to give a token stays, the other is cancelled. Plans and calls that may not be repeated are never hedged.

--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -29,6 +29,7 @@
     QueuePolicy queue = QueuePolicy::ShortFirst;
     bool estimateStart = true;                     ///< Refuses at once, and gives up while queued, what cannot start in time.
     double planShare = 0.7;                        ///< Of all slots that plans of all hosts together may hold; 1 keeps none for short work.
+    double hedgeShare = 0.05;                      ///< Second attempts beside running ones, for each first attempt; 0 for none.
     std::uint32_t maxAttempts = 3;                 ///< Of one request.
     Duration retryAfter = std::chrono::seconds(1); ///< Told to callers that are refused for want of a slot.
 };
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/internal/estimatedfinishchooser.h"
 #include "decisions/internal/firstcomesystem.h"
+#include "decisions/internal/hedgesystem.h"
 #include "decisions/internal/leastinflightchooser.h"
 #include "decisions/internal/observations.h"
 #include "decisions/internal/plainchoosers.h"
@@ -117,9 +118,14 @@
     }
     noteProgress(m_tables, *attempt, event.tokens, m_now);
     RequestRow *const row = m_tables.request(attempt->request);
-    if (row != nullptr) {
-        row->tokens += event.tokens;
+    if (row == nullptr) {
+        return;
+    }
+    if (row->hedge && !row->answering) {
+        m_tables.firstOutputs.push_back(event.attempt);
     }
+    row->answering = true;
+    row->tokens += event.tokens;
 }
 
 void DecisionCore::apply(const AttemptEnded &event)
@@ -133,7 +139,7 @@
     m_tables.attempts.erase(event.attempt);
     RequestRow *const row = m_tables.request(attempt.request);
     if (row != nullptr && event.outcome != AttemptOutcome::Completed) {
-        row->failedAt.insert(attempt.upstream);
+        row->avoided.insert(attempt.upstream);
     }
     m_tables.ended.push_back({event.attempt, attempt.request, event.outcome});
 }
@@ -144,9 +150,7 @@
     if (row == nullptr || !row->spec.idempotent) {
         return;
     }
-    if (row->running) {
-        m_actions.push_back(CancelAttempt{event.request, *row->running});
-    }
+    cancelAttempts(*row, m_actions);
     m_tables.erase(event.request);
 }
 
@@ -186,6 +190,9 @@
 {
     std::vector<std::unique_ptr<ISystem>> systems;
     systems.push_back(std::make_unique<DeadlineSystem>(settings));
+    if (settings.hedgeShare > 0) {
+        systems.push_back(std::make_unique<HedgeSystem>(settings, makeChooser(settings, ~seed)));
+    }
     systems.push_back(std::make_unique<RetrySystem>(settings));
     systems.push_back(std::make_unique<AdmissionSystem>(settings));
     systems.push_back(makeRouting(settings, seed));
--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -107,7 +107,7 @@
         }
         const bool prefixKnown = known != target.prefixes.end() && known->second == id;
         const double seconds = estimatedSeconds(row, target, request, prefixKnown, now) * (1 + PriceWeight * row.price);
-        const Rank rank{request.failedAt.contains(id), seconds, static_cast<double>(row.occupied()) / row.slots};
+        const Rank rank{request.avoided.contains(id), seconds, static_cast<double>(row.occupied()) / row.slots};
         if (!best || rank < bestRank) {
             best = UpstreamChoice{id, {static_cast<std::uint32_t>(found.size()), row.inFlight, request.attempts > 0, seconds}};
             bestRank = rank;
--- a/src/decisions/internal/estimates.cpp
+++ b/src/decisions/internal/estimates.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr double LateFirstToken = 3; ///< Times the mean.
+
 Duration fromSeconds(double seconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -23,6 +25,12 @@
     return std::min(forDeadline, *request.spec.firstTokenBy - fromSeconds(flow.firstTokenSeconds));
 }
 
+TimePoint hedgeTime(Tables &tables, const RequestRow &request, TimePoint start)
+{
+    const double seconds = tables.flow(request.queueKey()).firstTokenSeconds;
+    return seconds > 0 ? start + fromSeconds(LateFirstToken * seconds) : request.spec.deadline;
+}
+
 std::size_t queuedAhead(Tables &tables, const RequestRow &request)
 {
     const QueueKey key = request.queueKey();
--- a/src/decisions/internal/leastinflightchooser.cpp
+++ b/src/decisions/internal/leastinflightchooser.cpp
@@ -27,7 +27,7 @@
         }
         ++candidates;
         const UpstreamId id = static_cast<UpstreamId>(i);
-        const Rank rank{request.failedAt.contains(id), shareInUse(row), !row.sameZone, row.price};
+        const Rank rank{request.avoided.contains(id), shareInUse(row), !row.sameZone, row.price};
         if (!best || rank < bestRank) {
             best = UpstreamChoice{id, {0, row.inFlight, request.attempts > 0, shareInUse(row)}};
             bestRank = rank;
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -32,18 +32,42 @@
     return heads;
 }
 
+/// While two attempts of a request run, the failure of one leaves it to the other; the end of one cancels the other.
+bool settledByHedge(RequestRow &row, TickContext &context, const EndedAttempt &ended)
+{
+    if (!row.hedge || (ended.attempt != *row.hedge && row.running != ended.attempt)) {
+        return false;
+    }
+    const AttemptId other = ended.attempt == *row.hedge ? *row.running : *row.hedge;
+    row.hedge.reset();
+    if (ended.outcome == AttemptOutcome::Completed) {
+        context.actions.push_back(CancelAttempt{row.spec.request, other});
+        row.running = ended.attempt;
+        return false;
+    }
+    row.running = other;
+    return true;
+}
+
 void refuse(Tables &tables, TickContext &context, RequestId request, RefusalCode code, Duration retryAfter)
 {
     const RequestRow *const row = tables.request(request);
-    if (row->running) {
-        context.actions.push_back(CancelAttempt{request, *row->running});
-    }
+    cancelAttempts(*row, context.actions);
     context.actions.push_back(RefuseRequest{request, code, row->run, retryAfter});
     tables.erase(request);
 }
 
 }
 
+void cancelAttempts(const RequestRow &request, std::vector<Action> &actions)
+{
+    for (const std::optional<AttemptId> attempt : {request.running, request.hedge}) {
+        if (attempt) {
+            actions.push_back(CancelAttempt{request.spec.request, *attempt});
+        }
+    }
+}
+
 RetrySystem::RetrySystem(const PolicySettings &settings)
     : m_settings(settings)
 {
@@ -60,7 +84,7 @@
 void RetrySystem::settle(Tables &tables, TickContext &context, const EndedAttempt &ended) const
 {
     RequestRow *const row = tables.request(ended.request);
-    if (row == nullptr || row->running != ended.attempt) {
+    if (row == nullptr || settledByHedge(*row, context, ended) || row->running != ended.attempt) {
         return;
     }
     row->running.reset();
@@ -105,6 +129,7 @@
         return;
     }
     if (row.spec.deadline > context.now) {
+        tables.late.push_back(request);
         tables.setTimer(row, row.spec.deadline);
         return;
     }
@@ -222,6 +247,18 @@
     return false;
 }
 
+AttemptId makeAttempt(Tables &tables, TickContext &context, RequestRow &request, const UpstreamChoice &choice)
+{
+    const AttemptId attempt = static_cast<AttemptId>(tables.nextAttempt++);
+    const AttemptRow started{request.spec.request, choice.upstream, request.queueKey(), context.now, request.spec.prefixHash, 0, std::nullopt};
+    tables.attempts.emplace(attempt, started);
+    noteStart(tables, started);
+    context.actions.push_back(StartAttempt{request.spec.request, attempt, choice.upstream, choice.reason});
+    const TimePoint late = hedgeTime(tables, request, context.now);
+    tables.setTimer(request, std::min(late, request.spec.deadline));
+    return attempt;
+}
+
 bool startAttempt(Tables &tables, TickContext &context, IUpstreamChooser &chooser, RequestId request)
 {
     RequestRow &row = *tables.request(request);
@@ -229,14 +266,9 @@
     if (!choice) {
         return false;
     }
-    const AttemptId attempt = static_cast<AttemptId>(tables.nextAttempt++);
-    const AttemptRow started{request, choice->upstream, row.queueKey(), context.now, row.spec.prefixHash, 0, std::nullopt};
-    tables.attempts.emplace(attempt, started);
-    noteStart(tables, started);
     row.state = RequestState::Running;
-    row.running = attempt;
+    row.running = makeAttempt(tables, context, row, *choice);
     ++row.attempts;
-    context.actions.push_back(StartAttempt{request, attempt, choice->upstream, choice->reason});
     return true;
 }
 
--- a/src/decisions/internal/systems.h
+++ b/src/decisions/internal/systems.h
@@ -48,6 +48,12 @@
     PolicySettings m_settings;
 };
 
+/// Cancels whatever attempts of @p request run.
+void cancelAttempts(const RequestRow &request, std::vector<Action> &actions);
+
+/// Makes an attempt of @p request at the chosen upstream.
+AttemptId makeAttempt(Tables &tables, TickContext &context, RequestRow &request, const UpstreamChoice &choice);
+
 /// Starts an attempt of @p request where @p chooser says; false when no upstream can take it now.
 bool startAttempt(Tables &tables, TickContext &context, IUpstreamChooser &chooser, RequestId request);
 
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -93,8 +93,10 @@
     std::uint32_t attempts = 0;
     bool admitted = false; ///< Counts against the workspace's limit in flight.
     RunState run = RunState::NotRun;
-    std::set<UpstreamId> failedAt;
+    std::set<UpstreamId> avoided; ///< Get another attempt only when no other upstream can take it.
     std::optional<AttemptId> running;
+    std::optional<AttemptId> hedge; ///< A second attempt beside the running one.
+    bool answering = false;         ///< Some attempt has given a token.
     TimePoint queuedAt;
     std::optional<TimePoint> startBy; ///< An attempt that starts later than this comes too late.
     TimePoint timer;                  ///< When the request is looked at without an event.
@@ -130,6 +132,8 @@
     std::vector<RequestId> arrived;                   ///< Since the last tick.
     std::vector<EndedAttempt> ended;                  ///< Since the last tick.
     std::vector<RequestId> retrying;
+    std::vector<RequestId> late;         ///< Running requests whose first token is late.
+    std::vector<AttemptId> firstOutputs; ///< Attempts of hedged requests that gave a first token since the last tick.
     std::uint64_t nextAttempt = 1;
     std::uint32_t entryHosts = 1; ///< That share the upstreams, this one included.
     bool stopping = false;
--- a/src/measure/internal/experiments.cpp
+++ b/src/measure/internal/experiments.cpp
@@ -14,6 +14,7 @@
     settings.routing = routing;
     settings.queue = queue;
     settings.estimateStart = false;
+    settings.hedgeShare = 0;
     return {std::move(name), settings};
 }
 
