Start plans early enough to finish

Cause: far above capacity a plan could start as late as its deadline less the mean time, so some were cut by the deadline. Change: a start leaves 2.5 times the mean before the deadline.

--- a/src/decisions/internal/estimates.cpp
+++ b/src/decisions/internal/estimates.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double LateFirstToken = 3; ///< Times the mean.
+constexpr double EndMargin = 2.5;    ///< Times the mean that a start must leave before the deadline.
 
 Duration fromSeconds(double seconds)
 {
@@ -18,7 +19,7 @@
 TimePoint latestStart(Tables &tables, const RequestRow &request)
 {
     const FlowRow &flow = tables.flow(request.queueKey());
-    const TimePoint forDeadline = request.spec.deadline - fromSeconds(flow.holdSeconds);
+    const TimePoint forDeadline = request.spec.deadline - fromSeconds(EndMargin * flow.holdSeconds);
     if (!request.spec.firstTokenBy) {
         return forDeadline;
     }
