Have plans, not questions, leave the shared margin first

Cause: plans could start up to the last slot while questions beyond a host's share had to leave 0.15 of the slots free, so plans took what questions left.

--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -59,15 +59,14 @@
     if (upstream.state != UpstreamState::Live) {
         return false;
     }
+    const std::uint32_t margin = static_cast<std::uint32_t>(std::ceil(SharedMargin * upstream.slots));
     if (request.spec.trafficClass != TrafficClass::Plan) {
         const std::uint32_t share = (upstream.slots + tables.entryHosts - 1) / tables.entryHosts;
-        const std::uint32_t margin = static_cast<std::uint32_t>(std::ceil(SharedMargin * upstream.slots));
         return upstream.occupied() < (upstream.inFlight < share ? upstream.slots + ShortOverflow : upstream.slots - margin);
     }
     const double cap = std::max(std::ceil(m_settings.planShare * upstream.slots / tables.entryHosts), 1.0);
     const bool aged = now - request.queuedAt >= PlanAge;
-    const std::uint32_t limit = aged ? upstream.slots + ShortOverflow : upstream.slots;
-    return upstream.plansInFlight < static_cast<std::uint32_t>(cap) && upstream.occupied() < limit;
+    return upstream.plansInFlight < static_cast<std::uint32_t>(cap) && upstream.occupied() < (aged ? upstream.slots : upstream.slots - margin);
 }
 
 std::vector<UpstreamId> EstimatedFinishChooser::candidates(const TargetRow &target, const RequestRow &request)
