--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -17,7 +17,7 @@
 constexpr double SharedMargin = 0.15; ///< Of the slots, left free by a host that has its even share there, for what the others start before the next report.
 constexpr Duration PlanAge = std::chrono::seconds(20); ///< After which a queued plan may wait there too.
 constexpr double OtherZoneSeconds = 0.001;
-constexpr double SlownessHalfLife = 5; ///< Seconds without an observation after which half of a slowness is forgiven.
+constexpr double SlownessHalfLife = 15; ///< Seconds without an observation after which half of a slowness is forgiven.
 
 /// Time between tokens at @p upstream; what was seen long ago fades towards the mean, so that it is tried again.
 double secondsPerToken(const UpstreamRow &upstream, const TargetRow &target, TimePoint now)
@@ -59,15 +59,14 @@
     if (upstream.state != UpstreamState::Live) {
         return false;
     }
+    const std::uint32_t margin = static_cast<std::uint32_t>(std::ceil(SharedMargin * upstream.slots));
     if (request.spec.trafficClass != TrafficClass::Plan) {
         const std::uint32_t share = (upstream.slots + tables.entryHosts - 1) / tables.entryHosts;
-        const std::uint32_t margin = static_cast<std::uint32_t>(std::ceil(SharedMargin * upstream.slots));
         return upstream.occupied() < (upstream.inFlight < share ? upstream.slots + ShortOverflow : upstream.slots - margin);
     }
     const double cap = std::max(std::ceil(m_settings.planShare * upstream.slots / tables.entryHosts), 1.0);
     const bool aged = now - request.queuedAt >= PlanAge;
-    const std::uint32_t limit = aged ? upstream.slots + ShortOverflow : upstream.slots;
-    return upstream.plansInFlight < static_cast<std::uint32_t>(cap) && upstream.occupied() < limit;
+    return upstream.plansInFlight < static_cast<std::uint32_t>(cap) && upstream.occupied() < (aged ? upstream.slots : upstream.slots - margin);
 }
 
 std::vector<UpstreamId> EstimatedFinishChooser::candidates(const TargetRow &target, const RequestRow &request)
@@ -107,7 +106,7 @@
         }
         const bool prefixKnown = known != target.prefixes.end() && known->second == id;
         const double seconds = estimatedSeconds(row, target, request, prefixKnown, now) * (1 + PriceWeight * row.price);
-        const Rank rank{request.failedAt.contains(id), seconds, static_cast<double>(row.occupied()) / row.slots};
+        const Rank rank{request.avoided.contains(id), seconds, static_cast<double>(row.occupied()) / row.slots};
         if (!best || rank < bestRank) {
             best = UpstreamChoice{id, {static_cast<std::uint32_t>(found.size()), row.inFlight, request.attempts > 0, seconds}};
             bestRank = rank;
--- a/src/decisions/internal/estimates.cpp
+++ b/src/decisions/internal/estimates.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr double LateFirstToken = 3; ///< Times the mean.
+constexpr double EndMargin = 2.5;    ///< Times the mean that a start must leave before the deadline.
+
 Duration fromSeconds(double seconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -16,13 +19,19 @@
 TimePoint latestStart(Tables &tables, const RequestRow &request)
 {
     const FlowRow &flow = tables.flow(request.queueKey());
-    const TimePoint forDeadline = request.spec.deadline - fromSeconds(flow.holdSeconds);
+    const TimePoint forDeadline = request.spec.deadline - fromSeconds(EndMargin * flow.holdSeconds);
     if (!request.spec.firstTokenBy) {
         return forDeadline;
     }
     return std::min(forDeadline, *request.spec.firstTokenBy - fromSeconds(flow.firstTokenSeconds));
 }
 
+TimePoint hedgeTime(Tables &tables, const RequestRow &request, TimePoint start)
+{
+    const double seconds = tables.flow(request.queueKey()).firstTokenSeconds;
+    return seconds > 0 ? start + fromSeconds(LateFirstToken * seconds) : request.spec.deadline;
+}
+
 std::size_t queuedAhead(Tables &tables, const RequestRow &request)
 {
     const QueueKey key = request.queueKey();
