--- a/benchmarks/coreslopes.cpp
+++ b/benchmarks/coreslopes.cpp
@@ -1,4 +1,5 @@
 #include "base/json.h"
+#include "bookings/ibookingfold.h"
 #include "decisions/idecisioncore.h"
 #include "membership/heartbeatjson.h"
 #include "membership/peertable.h"
@@ -176,6 +177,29 @@
     }
 }
 
+bookings::ClaimRecord claimOf(std::uint64_t number)
+{
+    const std::string digest(64, 'd');
+    return {std::to_string(number) + digest, "entry-miskolc-1.0a1b2c3d-" + std::to_string(number), "entry-miskolc-1.0a1b2c3d", digest, 1'800'000'000'000};
+}
+
+void foldClaim(benchmark::State &state)
+{
+    const double before = heldBytes();
+    const std::unique_ptr<bookings::IBookingFold> fold = bookings::makeBookingFold();
+    std::uint64_t offset = 0;
+    for (; offset < Samples; ++offset) {
+        fold->apply(offset, claimOf(offset));
+    }
+    state.counters["bytes_per_key"] = (heldBytes() - before) / Samples;
+    const std::string record = bookings::toRecord(claimOf(0));
+    state.counters["wire_bytes_per_claim"] = static_cast<double>(record.size());
+    for (auto unused : state) {
+        const std::optional<bookings::BookingRecord> read = bookings::bookingFromRecord(record);
+        benchmark::DoNotOptimize(fold->apply(offset++, *read));
+    }
+}
+
 std::string hostListText(std::size_t rows)
 {
     std::string text = R"({"version":1,"hosts":[)";
@@ -239,6 +263,7 @@
 BENCHMARK(decideRequest)->Arg(9)->Arg(80)->Arg(1'600);
 BENCHMARK(takeProgress);
 BENCHMARK(foldTemplate)->Arg(1'000);
+BENCHMARK(foldClaim);
 BENCHMARK(readHostList)->Arg(36)->Arg(1'600);
 BENCHMARK(takeHeartbeat);
 BENCHMARK(noteLatency);
