--- a/programs/ctl/main.cpp
+++ b/programs/ctl/main.cpp
@@ -2,6 +2,7 @@
 #include "templatecommands.h"
 
 #include "base/json.h"
+#include "operators/hoststatus.h"
 #include "operators/timelineclient.h"
 #include "timeline/explanation.h"
 
@@ -39,18 +40,6 @@
 Exit codes: 0 done, 1 refused, not reachable or not known, 2 wrong command line or template.
 )";
 
-/// One line on a peer: its revision of each workspace, and why it lags when it does.
-void printPeer(const Json::Value &peer, const Json::Value &own)
-{
-    std::string line = "host " + peer["name"].asString() + " zone " + peer["zone"].asString() + (peer["leaving"].asBool() ? " leaving" : "");
-    for (const Json::Value &row : own) {
-        const std::string workspace = row["workspace"].asString();
-        const Json::Value &revision = peer["same_templates"].asBool() ? row["revision"] : peer["revisions"][workspace];
-        line += " " + workspace + "=" + (revision.isNull() ? "?" : revision.asString());
-    }
-    ctl::print(line + (peer["lag"].asString().empty() ? "" : " lags: " + peer["lag"].asString()) + "\n");
-}
-
 int status(const program::Arguments &arguments)
 {
     const std::optional<operators::OperatorTarget> target = ctl::readTarget(arguments);
@@ -62,17 +51,12 @@
         ctl::print(toText(*answer) + "\n");
         return program::Success;
     }
-    ctl::print(std::string((*answer)["ready"].asBool() ? "ready" : "not ready") + ", " + (*answer)["open_requests"].asString() + " open requests, log "
-               + ((*answer)["log_reachable"].asBool() ? "reachable" : "out") + "\n");
-    for (const Json::Value &row : (*answer)["upstreams"]) {
-        ctl::print("upstream " + row["name"].asString() + " zone " + row["zone"].asString() + " " + row["state"].asString() + "\n");
-    }
-    for (const Json::Value &row : (*answer)["templates"]) {
-        ctl::print("workspace " + row["workspace"].asString() + " revision " + row["revision"].asString() + " by " + row["author"].asString() + "\n");
-    }
-    for (const Json::Value &row : (*answer)["peers"]) {
-        printPeer(row, (*answer)["templates"]);
+    const std::optional<operators::HostStatus> read = operators::statusFromJson(*answer);
+    if (!read) {
+        ctl::complain("the host's state cannot be read");
+        return program::Failed;
     }
+    ctl::print(operators::statusText(*read));
     return program::Success;
 }
 
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -430,6 +430,8 @@
     status.logReachable = m_follower.reachable();
     status.logPosition = m_follower.position();
     status.openRequests = m_core->openRequests();
+    status.name = m_settings.name;
+    status.zone = m_settings.zone;
     status.upstreams = m_upstreams.upstreams();
     for (const std::string &workspace : m_templates.fold().workspaces()) {
         status.templates.push_back(m_templates.fold().inForce(workspace)->stated);
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -38,6 +38,8 @@
     bool logReachable = false;
     std::uint64_t logPosition = 0;
     std::size_t openRequests = 0;
+    std::string name;
+    std::string zone;
     std::vector<std::pair<platform::ListedHost, bool>> upstreams;
     std::vector<templates::StatedRevision> templates;
     std::vector<PeerStatus> peers;
--- a/src/entry/internal/operatorfrontend.cpp
+++ b/src/entry/internal/operatorfrontend.cpp
@@ -232,6 +232,8 @@
     object["log_reachable"] = status.logReachable;
     object["log_position"] = Json::UInt64(status.logPosition);
     object["open_requests"] = Json::UInt64(status.openRequests);
+    object["name"] = status.name;
+    object["zone"] = status.zone;
     object["upstreams"] = Json::Value(Json::arrayValue);
     for (const std::pair<platform::ListedHost, bool> &upstream : status.upstreams) {
         object["upstreams"].append(toJson(upstream));
