--- a/src/entry/internal/requestjournal.cpp
+++ b/src/entry/internal/requestjournal.cpp
@@ -4,6 +4,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <array>
+#include <cstdio>
+
 namespace rosemaryshift::entry {
 
 using metrics::RequestLabels;
@@ -14,13 +17,20 @@
 
 namespace {
 
+std::string rounded(double value)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", value);
+    return text.data();
+}
+
 std::string routeText(const decisions::RouteReason &reason)
 {
     if (reason.reconnect) {
         return "new connection to the same upstream";
     }
     return std::string(reason.retry ? "retry, " : "") + std::to_string(reason.candidates) + " candidates, " + std::to_string(reason.ownInFlight)
-        + " of ours in flight there";
+        + " of ours in flight there" + (reason.score > 0 ? ", score " + rounded(reason.score) : std::string());
 }
 
 RequestLabels labelsOf(const RequestRecord &record)
@@ -83,7 +93,13 @@
     }
     EventFields fields = fieldsOf(attempt);
     fields.detail = routeText(reason);
-    m_timeline->record(EventKind::RequestRouted, std::move(fields));
+    m_timeline->record(runs(record->number) ? EventKind::RequestHedged : EventKind::RequestRouted, std::move(fields));
+    ++m_running[record->number];
+}
+
+bool RequestJournal::runs(RequestId request) const
+{
+    return m_running.contains(request);
 }
 
 void RequestJournal::noteResume(const RequestRecord &record, AttemptId attempt, std::uint64_t tokensSoFar)
@@ -124,7 +140,20 @@
     spdlog::debug("event=attempt_ended request={} attempt={} upstream={} why=\"{}\"", fields.request, fields.attempt, fields.upstream, fields.detail);
     m_timeline->record(EventKind::AttemptEnded, std::move(fields));
     m_metrics->countAttempt(name(result.outcome));
-    m_attempts.erase(attempt);
+    forget(attempt);
+}
+
+void RequestJournal::forget(AttemptId attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const auto running = m_running.find(found->second.record->number);
+    if (--running->second == 0) {
+        m_running.erase(running);
+    }
+    m_attempts.erase(found);
 }
 
 void RequestJournal::attemptCancelled(AttemptId attempt)
--- a/src/entry/internal/requestjournal.h
+++ b/src/entry/internal/requestjournal.h
@@ -49,10 +49,14 @@
     [[nodiscard]] timeline::EventFields fieldsOf(AttemptId attempt) const;
     void noteResume(const requests::RequestRecord &record, AttemptId attempt, std::uint64_t tokensSoFar);
     void leaveQueue(const requests::RequestRecord &record);
+    void forget(AttemptId attempt);
+    /// Whether an attempt of the request is under way.
+    [[nodiscard]] bool runs(RequestId request) const;
 
     const std::shared_ptr<timeline::ITimeline> m_timeline;
     const std::shared_ptr<metrics::IMetrics> m_metrics;
     std::map<AttemptId, RunningAttempt> m_attempts;
+    std::map<RequestId, std::uint32_t> m_running; ///< Attempts under way of each request that has any.
     std::set<RequestId> m_queued;
 };
 
--- /dev/null
+++ b/src/entry/tests/requestjournaltests.cpp
@@ -0,0 +1,94 @@
+#include "entry/internal/requestjournal.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::entry;
+using timeline::EventKind;
+using timeline::TimelineEvent;
+
+namespace {
+
+requests::RequestSpec questionSpec()
+{
+    requests::RequestSpec spec;
+    spec.workspace = "yard";
+    spec.target = "yard-small";
+    spec.body = "secret words";
+    spec.idempotencyKey = "secret key";
+    return spec;
+}
+
+std::vector<EventKind> kindsOf(const timeline::ITimeline &timeline)
+{
+    std::vector<EventKind> kinds;
+    for (const TimelineEvent &event : timeline.since({})) {
+        kinds.push_back(event.kind);
+    }
+    return kinds;
+}
+
+}
+
+SCENARIO("What becomes of a request is noted in time line and metrics")
+{
+    const std::shared_ptr<timeline::ITimeline> timeline = timeline::makeTimeline(timeline::makeHybridClock(), "entry-1", "1", 100);
+    const std::shared_ptr<metrics::IMetrics> metrics = metrics::makeMetrics();
+    requests::RequestRegistry registry("entry-1.1", {});
+    RequestJournal journal(timeline, metrics);
+    const std::shared_ptr<requests::RequestRecord> record = registry.add(questionSpec());
+    const std::string queued = "rosemaryshift_queued_requests{workspace=\"yard\",class=\"question\"} ";
+    journal.arrived(*record);
+    GIVEN("a request that waited")
+    {
+        journal.queued(*record, 2);
+        CHECK_THAT(metrics->text(), Catch::Contains(queued + "1\n"));
+        WHEN("it is refused")
+        {
+            journal.refused(*record, "deadline_passed", RunState::NotRun);
+            THEN("it is no longer counted as waiting, and its refusal is")
+            {
+                CHECK_THAT(metrics->text(), Catch::Contains(queued + "0\n"));
+                CHECK_THAT(metrics->text(), Catch::Contains("rosemaryshift_refusals_total{code=\"deadline_passed\"} 1\n"));
+            }
+        }
+    }
+    GIVEN("a request with an attempt under way")
+    {
+        journal.routed(record, AttemptId{1}, "engine-1", {});
+        WHEN("a second attempt starts before the first has ended")
+        {
+            journal.routed(record, AttemptId{2}, "engine-2", {});
+            journal.attemptCancelled(AttemptId{1});
+            journal.attemptEnded(AttemptId{1}, {decisions::AttemptOutcome::Cancelled, "hedged"});
+            journal.attemptEnded(AttemptId{2}, {decisions::AttemptOutcome::Completed, "stop"});
+            journal.completed(*record, AttemptId{2});
+            THEN("it is noted as a hedge, and every event names the request")
+            {
+                CHECK(kindsOf(*timeline)
+                      == std::vector{EventKind::RequestAccepted,
+                                     EventKind::RequestRouted,
+                                     EventKind::RequestHedged,
+                                     EventKind::AttemptCancelled,
+                                     EventKind::AttemptEnded,
+                                     EventKind::AttemptEnded,
+                                     EventKind::RequestCompleted});
+                for (const TimelineEvent &event : timeline->since({})) {
+                    CHECK(event.fields.request == record->id);
+                    CHECK(event.fields.detail.find("secret") == std::string::npos);
+                }
+            }
+        }
+        WHEN("it ended before the next one starts")
+        {
+            journal.attemptEnded(AttemptId{1}, {decisions::AttemptOutcome::Broken, "closed"});
+            decisions::RouteReason reason{};
+            reason.retry = true;
+            journal.routed(record, AttemptId{2}, "engine-2", reason);
+            THEN("it is noted as routed anew")
+            {
+                CHECK(kindsOf(*timeline).back() == EventKind::RequestRouted);
+            }
+        }
+    }
+}
