Hold each example to every setting that its program reads

Cause: membership.seeds and peers.advertised_address came with the templates' part and stood in no example. What: a settings document tells which settings were asked for and are absent; the examples must lack none.

--- a/src/settings/internal/settingsdocument.cpp
+++ b/src/settings/internal/settingsdocument.cpp
@@ -39,6 +39,11 @@
     m_errors.push_back({m_file, line, std::move(reason)});
 }
 
+std::span<const std::string> SettingsDocument::absent() const
+{
+    return m_absent;
+}
+
 std::string SettingsDocument::errorText() const
 {
     std::string text;
@@ -80,6 +85,9 @@
 {
     m_known.emplace(key);
     const toml::node *const node = m_node->get(key);
+    if (node == nullptr) {
+        m_document->m_absent.push_back(pathOf(key));
+    }
     if (node == nullptr && required) {
         reject(key, "is missing");
     }
--- a/src/settings/settingsdocument.h
+++ b/src/settings/settingsdocument.h
@@ -84,11 +84,16 @@
     void addError(std::uint32_t line, std::string reason);
     /// All faults, a line each.
     [[nodiscard]] std::string errorText() const;
+    /// Settings that were asked for and do not stand in the document, as "table.key".
+    [[nodiscard]] std::span<const std::string> absent() const;
 
 private:
+    friend class SettingsTable;
+
     std::string m_file;
     std::unique_ptr<toml::table> m_root;
     std::vector<SettingsError> m_errors;
+    std::vector<std::string> m_absent;
 };
 
 }
--- a/tests/product/examplestests.cpp
+++ b/tests/product/examplestests.cpp
@@ -111,6 +111,21 @@
 
 }
 
+SCENARIO("The annotated examples name every setting that the programs read")
+{
+    const auto absentIn = [](const std::string &example, const auto &read) {
+        const std::vector<std::string> lines = exampleLines(example);
+        SettingsDocument document(withLine(lines, 0, lines[0]), example);
+        read(document);
+        return std::vector<std::string>(document.absent().begin(), document.absent().end());
+    };
+    const std::vector<std::string> none;
+    CHECK(absentIn("entry.toml", entry::readEntrySettings) == none);
+    CHECK(absentIn("standin-engine.toml", standins::readEngineSettings) == none);
+    CHECK(absentIn("standin-service.toml", standins::readServiceSettings) == none);
+    CHECK(absentIn("standin-platform.toml", standins::readPlatformSettings) == none);
+}
+
 SCENARIO("The annotated examples are accepted by the programs they are for")
 {
     const auto exitOf = [](const std::string &program, const std::vector<std::string> &arguments) { return Process(program, arguments).awaitExit(); };
