Count and show what the platform sends that cannot be read

Cause: rows of the host list that could not be read were counted in the parser and shown nowhere; skipped log records were in the time line only; damaged input was tried on parsers, not on a running host. What: SkippedRecords notes both in time line, metrics and log.

--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -45,6 +45,7 @@
     , m_context(control)
     , m_hostId(std::move(hostId))
     , m_journal(m_parts.timeline, m_parts.metrics)
+    , m_skipped(m_parts.timeline, m_parts.metrics)
     , m_launcher(traffic, *this)
     , m_core(decisions::makeDecisionCore({}, chosenSeed(settings.seed)))
     , m_templates(m_parts.templates, m_parts.timeline, settings.name, [this](const templates::TemplateRevision &) { applyLimits(); })
@@ -307,7 +308,7 @@
         m_publisher.wake();
         return;
     }
-    m_parts.timeline->record(EventKind::RecordSkipped, {.detail = "log offset " + std::to_string(record.offset) + " cannot be read"});
+    m_skipped.noteRecord(record.offset);
 }
 
 void Control::applyLimits()
@@ -323,6 +324,7 @@
 
 void Control::takeHosts(const platform::HostList &list)
 {
+    m_skipped.noteList(list);
     m_upstreams.update(list, now());
     m_membership->update(list);
     m_hostListExchange->keep(list);
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -7,6 +7,7 @@
 #include "entry/internal/hostlistexchange.h"
 #include "entry/internal/logfollower.h"
 #include "entry/internal/requestjournal.h"
+#include "entry/internal/skippedrecords.h"
 #include "entry/internal/templateexchange.h"
 #include "entry/internal/templatepublisher.h"
 #include "entry/internal/templatetable.h"
@@ -121,6 +122,7 @@
     boost::asio::io_context &m_context;
     const std::string m_hostId;
     RequestJournal m_journal;
+    SkippedRecords m_skipped;
     AttemptLauncher m_launcher;
     std::unique_ptr<decisions::IDecisionCore> m_core;
     TemplateTable m_templates;
--- a/src/metrics/internal/metrics.cpp
+++ b/src/metrics/internal/metrics.cpp
@@ -74,14 +74,14 @@
         const std::lock_guard lock(m_mutex);
         ++m_requests[{seriesOf(labels), outcome}];
         if (outcome == RequestOutcome::Refused) {
-            count(m_refusals, code);
+            count(m_refusals, code, 1);
         }
     }
 
     void countAttempt(std::string_view outcome) override
     {
         const std::lock_guard lock(m_mutex);
-        count(m_attempts, outcome);
+        count(m_attempts, outcome, 1);
     }
 
     void countRecomputedTokens(std::uint64_t tokens) override
@@ -90,6 +90,12 @@
         m_recomputedTokens += tokens;
     }
 
+    void countSkipped(std::string_view source, std::uint64_t records) override
+    {
+        const std::lock_guard lock(m_mutex);
+        count(m_skipped, source, records);
+    }
+
     void changeQueued(const RequestLabels &labels, int change) override
     {
         const std::lock_guard lock(m_mutex);
@@ -117,6 +123,7 @@
         }
         appendNames(text, "rosemaryshift_refusals_total", "code", m_refusals);
         appendNames(text, "rosemaryshift_attempts_total", "outcome", m_attempts);
+        appendNames(text, "rosemaryshift_skipped_records_total", "source", m_skipped);
         text += typeLine("rosemaryshift_recomputed_tokens_total", "counter") + "rosemaryshift_recomputed_tokens_total " + std::to_string(m_recomputedTokens)
             + "\n";
         text += typeLine("rosemaryshift_queued_requests", "gauge");
@@ -139,10 +146,10 @@
         return {labels.workspace, labels.trafficClass};
     }
 
-    static void count(Names &names, std::string_view name)
+    static void count(Names &names, std::string_view name, std::uint64_t times)
     {
         const bool full = names.size() >= MaxNames && !names.contains(name);
-        ++names[full ? Other : std::string(name)];
+        names[full ? Other : std::string(name)] += times;
     }
 
     mutable std::mutex m_mutex;
@@ -150,6 +157,7 @@
     std::map<std::pair<Series, RequestOutcome>, std::uint64_t> m_requests;
     Names m_refusals;
     Names m_attempts;
+    Names m_skipped;
     std::uint64_t m_recomputedTokens = 0;
     std::map<Series, std::int64_t> m_queued;
     std::map<Series, Quantiles> m_firstTokens;
--- a/tests/product/parserseamtests.cpp
+++ b/tests/product/parserseamtests.cpp
@@ -1,6 +1,7 @@
 #include "base/json.h"
 #include "platform/iplatform.h"
 #include "settings/settingsdocument.h"
+#include "support/damage.h"
 #include "templates/templatechecks.h"
 #include "templates/templaterecords.h"
 #include "timeline/timelinejson.h"
@@ -12,60 +13,12 @@
 #include <random>
 
 using namespace rosemaryshift;
+using rosemaryshift::testing::Damage;
 
 namespace {
 
 constexpr std::size_t Rounds = 2'000;
 
-/// Damages a text in a few random places.
-class Damage
-{
-public:
-    explicit Damage(std::uint32_t seed)
-        : m_random(seed)
-    {
-    }
-
-    std::string of(std::string text)
-    {
-        const std::size_t strokes = 1 + pick(4);
-        for (std::size_t i = 0; i < strokes && !text.empty(); ++i) {
-            strike(text);
-        }
-        return text;
-    }
-
-    std::size_t pick(std::size_t bound)
-    {
-        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
-    }
-
-private:
-    void strike(std::string &text)
-    {
-        const std::size_t at = pick(text.size());
-        const std::size_t length = 1 + pick(std::min<std::size_t>(16, text.size() - at));
-        switch (pick(5)) {
-        case 0:
-            text.erase(at, length);
-            break;
-        case 1:
-            text[at] = static_cast<char>(pick(256));
-            break;
-        case 2:
-            text.insert(at, text.substr(at, length));
-            break;
-        case 3:
-            text.insert(at, std::string(1 + pick(200), "{[\"0-"[pick(5)]));
-            break;
-        default:
-            text.resize(at);
-        }
-    }
-
-    std::mt19937 m_random;
-};
-
 /// Runs @p parse over damaged forms of @p sample; it may refuse them but must neither throw nor crash.
 void survive(const std::string &sample, const std::function<void(const std::string &)> &parse)
 {
