--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -7,6 +7,7 @@
 #include "entry/internal/hostlistexchange.h"
 #include "entry/internal/logfollower.h"
 #include "entry/internal/requestjournal.h"
+#include "entry/internal/skippedrecords.h"
 #include "entry/internal/templateexchange.h"
 #include "entry/internal/templatepublisher.h"
 #include "entry/internal/templatetable.h"
@@ -38,6 +39,8 @@
     bool logReachable = false;
     std::uint64_t logPosition = 0;
     std::size_t openRequests = 0;
+    std::string name;
+    std::string zone;
     std::vector<std::pair<platform::ListedHost, bool>> upstreams;
     std::vector<templates::StatedRevision> templates;
     std::vector<PeerStatus> peers;
@@ -119,6 +122,7 @@
     boost::asio::io_context &m_context;
     const std::string m_hostId;
     RequestJournal m_journal;
+    SkippedRecords m_skipped;
     AttemptLauncher m_launcher;
     std::unique_ptr<decisions::IDecisionCore> m_core;
     TemplateTable m_templates;
