Keep heartbeats within a budget of bytes, and send news at once

Cause: with 60 hosts each spent 104 KB/s and 2.34 % of a core on heartbeats (slope 1.8 KB/s and 0.038 % for each peer), against 8 KB/s; a longer interval alone would have made a planned stop known late. What: a host stretches its interval so that its heartbeats stay within membership.bytes_per_second and states it, so that peers wait accordingly before they call it lost; beatSoon() sends news in one round at once, which a planned stop uses; a host that is new on the platform's list is called at once. The stand-in's log can be down alone. Ruled out: a longer fixed interval (slow at today's size); links kept open (saves processor time, not bytes). The limits' test fails when limits are never applied, but not when a change alone does not apply them: the host list's poll, every 2 s, does so too.

--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -1,3 +1,4 @@
+#include "base/json.h"
 #include "membership/heartbeatjson.h"
 #include "membership/imembership.h"
 #include "membership/peertable.h"
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <bit>
 #include <map>
+#include <utility>
 
 namespace rosemaryshift::membership {
 
@@ -21,6 +23,14 @@
 
 constexpr const char *HeartbeatMethod = "heartbeat";
 constexpr std::uint32_t QuietBeats = 2;
+/// News that follow each other within this time share one round of heartbeats.
+constexpr std::chrono::milliseconds UrgentDelay{20};
+/// HTTP headers of request and answer together.
+constexpr std::size_t HeaderBytes = 400;
+/// Calls over which the mean size of a call is taken.
+constexpr double BytesWindow = 16;
+constexpr double BytesPerCallAtStart = 1'000;
+constexpr std::uint64_t MaxIntervalMs = 3'600'000;
 constexpr const char *SeedPrefix = "seed ";
 
 /// A bit that all hosts compute alike (parity of 32-bit FNV-1a).
@@ -65,6 +75,7 @@
         , m_client(std::move(client))
         , m_timeline(std::move(timeline))
         , m_table(settings)
+        , m_timer(control)
     {
     }
 
@@ -77,7 +88,7 @@
     {
         for (const platform::ListedHost &host : list.hosts) {
             if (host.kind == platform::HostKind::Entry && host.name != m_self.name) {
-                m_targets[host.name].endpoint = host.endpoint;
+                noteListed(host);
             }
         }
         std::erase_if(m_targets, [&](const auto &target) { return !m_table.peer(target.first) && !isListed(list, target.first); });
@@ -86,6 +97,15 @@
     void leave() override
     {
         m_self.leaving = true;
+        beatSoon();
+    }
+
+    void beatSoon() override
+    {
+        if (!m_urgent) {
+            m_urgent = true;
+            m_timer.cancel();
+        }
     }
 
     [[nodiscard]] std::vector<Peer> peers() const override
@@ -127,8 +147,18 @@
     struct Target {
         http::Endpoint endpoint;
         bool calling = false;
+        bool again = false; ///< There is news since the call in progress began.
     };
 
+    void noteListed(const platform::ListedHost &host)
+    {
+        const auto [target, isNew] = m_targets.try_emplace(host.name);
+        target->second.endpoint = host.endpoint;
+        if (isNew && !m_table.peer(host.name)) {
+            startCall(host.name, target->second);
+        }
+    }
+
     static bool isListed(const platform::HostList &list, const std::string &name)
     {
         return std::ranges::any_of(list.hosts, [&](const platform::ListedHost &host) { return host.name == name; });
@@ -141,26 +171,56 @@
 
     net::awaitable<void> beat()
     {
-        net::steady_timer timer(m_control);
         while (true) {
-            addSeeds();
-            for (auto &[name, target] : m_targets) {
-                if (!target.calling && isCaller(name)) {
-                    target.calling = true;
-                    net::co_spawn(m_control, callPeer(name, target.endpoint), net::detached);
-                }
-            }
+            callPeers(std::exchange(m_urgent, false));
             notify(m_table.expire(now()));
-            timer.expires_after(m_settings.interval);
-            co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+            m_timer.expires_after(m_urgent ? Duration(UrgentDelay) : interval());
+            co_await m_timer.async_wait(net::as_tuple(net::use_awaitable));
+            if (m_urgent) {
+                m_timer.expires_after(UrgentDelay);
+                co_await m_timer.async_wait(net::as_tuple(net::use_awaitable));
+            }
         }
     }
 
+    void callPeers(bool all)
+    {
+        addSeeds();
+        for (auto &[name, target] : m_targets) {
+            if (target.calling) {
+                target.again = target.again || all;
+            } else if (all || isCaller(name)) {
+                startCall(name, target);
+            }
+        }
+    }
+
+    void startCall(const std::string &name, Target &target)
+    {
+        target.calling = true;
+        target.again = false;
+        net::co_spawn(m_control, callPeer(name, target.endpoint), net::detached);
+    }
+
+    /// Time between two rounds of heartbeats, which keeps their bytes within the budget.
+    [[nodiscard]] Duration interval() const
+    {
+        const double bytesPerRound = m_bytesPerCall * static_cast<double>(m_table.peers().size());
+        const std::chrono::duration<double> needed(bytesPerRound / m_settings.bytesPerSecond);
+        return std::max(m_settings.interval, std::chrono::duration_cast<Duration>(needed));
+    }
+
+    void noteBytes(const Json::Value &sent, const Json::Value &received)
+    {
+        const double bytes = static_cast<double>(toText(sent).size() + toText(received).size() + HeaderBytes);
+        m_bytesPerCall += (bytes - m_bytesPerCall) / BytesWindow;
+    }
+
     /// True when this host calls @p name in this interval. One call carries the heartbeats of both, so one host of each
     /// pair calls; the other one calls as well while it does not hear of the peer.
     [[nodiscard]] bool isCaller(const std::string &name) const
     {
-        if (!m_table.heardWithin(name, m_settings.interval * QuietBeats, now())) {
+        if (!m_table.heardWithin(name, interval() * QuietBeats, now())) {
             return true;
         }
         const bool first = m_self.name < name;
@@ -186,16 +246,22 @@
     {
         Peer target;
         target.name = name;
-        Json::Value params = heartbeatFor(m_table.peer(name).value_or(target));
+        const Json::Value sent = heartbeatFor(m_table.peer(name).value_or(target));
+        Json::Value params = sent;
         rpc::RpcFailure failure;
         const std::chrono::milliseconds timeout = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.interval);
         const std::optional<Json::Value> result = co_await m_client->call(endpoint, HeartbeatMethod, std::move(params), timeout, failure);
         if (result) {
+            noteBytes(sent, *result);
             take(*result);
         }
         const std::map<std::string, Target>::iterator found = m_targets.find(name);
-        if (found != m_targets.end()) {
-            found->second.calling = false;
+        if (found == m_targets.end()) {
+            co_return;
+        }
+        found->second.calling = false;
+        if (found->second.again) {
+            startCall(name, found->second);
         }
     }
 
@@ -203,6 +269,7 @@
     {
         Json::Value value;
         value["sender"] = toJson(m_self);
+        value["interval_ms"] = Json::UInt64(std::chrono::duration_cast<std::chrono::milliseconds>(interval()).count());
         value["sections"] = Json::Value(Json::objectValue);
         for (const std::shared_ptr<IHeartbeatSection> &section : m_sections) {
             value["sections"][section->name()] = section->write(peer);
@@ -217,7 +284,8 @@
             return std::nullopt;
         }
         m_targets[peer->name].endpoint = peer->peers;
-        notify(m_table.heard(*peer, now()));
+        const std::uint64_t intervalMs = std::min(unsignedMember(heartbeat, "interval_ms").value_or(0), MaxIntervalMs);
+        notify(m_table.heard(*peer, now(), std::chrono::milliseconds(intervalMs)));
         const Json::Value &sections = heartbeat["sections"];
         for (const std::shared_ptr<IHeartbeatSection> &section : m_sections) {
             if (sections.isObject() && sections.isMember(section->name())) {
@@ -243,6 +311,9 @@
     const std::shared_ptr<rpc::IPeerClient> m_client;
     const std::shared_ptr<timeline::ITimeline> m_timeline;
     PeerTable m_table;
+    net::steady_timer m_timer;
+    bool m_urgent = false;
+    double m_bytesPerCall = BytesPerCallAtStart;
     std::map<std::string, Target> m_targets;
     std::vector<std::shared_ptr<IHeartbeatSection>> m_sections;
     std::vector<Observer> m_observers;
--- a/src/membership/internal/peertable.cpp
+++ b/src/membership/internal/peertable.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr Duration MaxInterval = std::chrono::hours(1);
 constexpr std::size_t MaxReplacedIncarnations = 4;
 constexpr std::size_t MaxReplacedNames = 4'096;
 
@@ -16,7 +17,7 @@
 {
 }
 
-std::vector<PeerEvent> PeerTable::heard(const Peer &peer, TimePoint now)
+std::vector<PeerEvent> PeerTable::heard(const Peer &peer, TimePoint now, Duration interval)
 {
     std::vector<PeerEvent> events;
     if (isReplaced(peer)) {
@@ -37,16 +38,15 @@
     if (current.leaving && !wasLeaving) {
         events.push_back({current, PeerChange::Leaving});
     }
-    m_rows[peer.name] = {current, now};
+    m_rows[peer.name] = {current, now, std::clamp(interval, m_settings.interval, MaxInterval)};
     return events;
 }
 
 std::vector<PeerEvent> PeerTable::expire(TimePoint now)
 {
     std::vector<PeerEvent> events;
-    const Duration bound = m_settings.interval * m_settings.missedBeats;
     std::erase_if(m_rows, [&](const auto &entry) {
-        if (now - entry.second.lastHeard <= bound) {
+        if (now - entry.second.lastHeard <= entry.second.interval * m_settings.missedBeats) {
             return false;
         }
         events.push_back({entry.second.peer, PeerChange::Lost});
--- a/src/membership/membershiptypes.h
+++ b/src/membership/membershiptypes.h
@@ -26,8 +26,9 @@
 };
 
 struct MembershipSettings {
-    Duration interval = std::chrono::milliseconds(500); ///< Between two heartbeats to one peer.
+    Duration interval = std::chrono::milliseconds(500); ///< Between two heartbeats to one peer, at least.
     std::uint32_t missedBeats = 4;                      ///< Intervals of silence after which a peer is lost.
+    std::uint32_t bytesPerSecond = 8'000;               ///< Heartbeats with all peers together; the interval grows to keep it.
     std::vector<http::Endpoint> seeds;                  ///< Listeners for peers to call while the platform's list is out.
 };
 
--- a/src/membership/tests/peertabletests.cpp
+++ b/src/membership/tests/peertabletests.cpp
@@ -22,7 +22,7 @@
 
 SCENARIO("A host decides from heartbeats who is there")
 {
-    PeerTable table({std::chrono::milliseconds(500), 4, {}});
+    PeerTable table({std::chrono::milliseconds(500), 4, 8'000, {}});
     REQUIRE(table.heard(peer("a"), at(0)).size() == 1);
 
     WHEN("it is heard again")
@@ -41,6 +41,12 @@
             CHECK(table.heard(peer("a"), at(3'000)).size() == 1);
         }
     }
+    WHEN("it says that its next heartbeat may take longer")
+    {
+        table.heard(peer("a"), at(500), std::chrono::milliseconds(2'000));
+        CHECK(table.expire(at(8'500)).empty());
+        CHECK(table.expire(at(8'501)).size() == 1);
+    }
     WHEN("it says that it leaves")
     {
         REQUIRE(table.heard(peer("a", true), at(500)).size() == 1);
--- a/src/standins/internal/standinplatform.cpp
+++ b/src/standins/internal/standinplatform.cpp
@@ -72,6 +72,10 @@
         co_await pause(std::chrono::milliseconds(static_cast<std::int64_t>(m_failures.factor())));
     }
     const std::string path(http::path(request.target));
+    if (path == "/v1/log" && logDown()) {
+        writer.abort();
+        co_return;
+    }
     http::Response response = jsonAnswer(404, R"({"error":"unknown path"})");
     if (path == "/v1/log" && request.method == "POST") {
         response = append(request);
@@ -113,6 +117,8 @@
         m_notices[stringMember(body, "host").value_or("")] = unsignedMember(body, "reclaim_in_ms").value_or(0);
     } else if (request.target == "/standin/truncate") {
         drop(unsignedMember(body, "oldest").value_or(0));
+    } else if (request.target == "/standin/log_down") {
+        m_logDown = boolMember(body, "down", true);
     } else if (request.target == "/standin/lose_appends") {
         m_appendsToLose = unsignedMember(body, "count").value_or(1);
     } else {
@@ -154,6 +160,12 @@
     return jsonAnswer(200, toText(value));
 }
 
+bool StandinPlatform::logDown() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_logDown;
+}
+
 bool StandinPlatform::takeLostAppend()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/standins/standinplatform.h
+++ b/src/standins/standinplatform.h
@@ -20,7 +20,8 @@
 /// Stands in for the platform: the log, the host list and reclaim notices. Thread-safe.
 ///
 /// Besides the failures, it is driven by PUT /standin/hosts (the whole list), PUT /standin/list_frozen ({"frozen": bool},
-/// the list lags), PUT /standin/notice ({"host", "reclaim_in_ms"}), PUT /standin/truncate ({"oldest": N}) and
+/// the list lags), PUT /standin/notice ({"host", "reclaim_in_ms"}), PUT /standin/truncate ({"oldest": N}),
+/// PUT /standin/log_down ({"down": bool}, the log closes each connection while the rest answers) and
 /// PUT /standin/lose_appends ({"count": N}, the next appends take effect and their answers are lost).
 class StandinPlatform
 {
@@ -34,6 +35,7 @@
     bool command(const http::Request &request, http::Response &response);
     http::Response append(const http::Request &request);
     bool takeLostAppend();
+    [[nodiscard]] bool logDown() const;
     boost::asio::awaitable<http::Response> readLog(std::string target);
     boost::asio::awaitable<http::Response> readHosts(std::string target);
     boost::asio::awaitable<http::Response> readNotices(std::string target);
@@ -48,6 +50,7 @@
     Json::Value m_shownHosts;
     std::uint64_t m_hostsVersion = 1;
     bool m_listFrozen = false;
+    bool m_logDown = false;
     std::uint64_t m_appendsToLose = 0;
     std::map<std::string, std::uint64_t> m_notices; ///< Milliseconds until the reclaim, by host.
 };
--- a/tests/promises/membershiptests.cpp
+++ b/tests/promises/membershiptests.cpp
@@ -141,6 +141,39 @@
     }
 }
 
+SCENARIO("Hosts start while only the log is out")
+{
+    Fleet fleet;
+    awaitYard(fleet, "1 initial");
+    platformCommand(fleet, "log_down", "{\"down\":true}");
+    GIVEN("a host that still knows the templates")
+    {
+        fleet.addEntry("eger");
+        THEN("the new one is ready by that host's templates")
+        {
+            CHECK(yardOn(fleet, 3) == "1 initial");
+            checkServes(fleet, 3);
+        }
+    }
+    GIVEN("no host that knows them")
+    {
+        for (std::size_t i = 0; i < 3; ++i) {
+            fleet.killEntry(0);
+        }
+        fleet.addSeededEntry("eger");
+        fleet.publishHosts();
+        awaitCondition("the list of upstreams", [&] { return fleet.operatorGet(0, "/v1/status")["upstreams"].size() == 6; });
+        THEN("the new one takes no callers until the log is back")
+        {
+            CHECK(exchange(fleet.entry(0).operators, makeRequest("GET", "/readyz")).status == 503);
+            platformCommand(fleet, "log_down", "{\"down\":false}");
+            fleet.awaitReady(0);
+            awaitYard(fleet, "1 initial");
+            checkServes(fleet, 0);
+        }
+    }
+}
+
 SCENARIO("A peer freezes past every timeout")
 {
     Fleet fleet;
@@ -175,6 +208,23 @@
     awaitPeers(fleet, 0, 1);
 }
 
+SCENARIO("News do not wait for the next heartbeat")
+{
+    FleetOptions options;
+    options.engineSettings = "per_token_us = 20000\n";
+    options.entrySettings = "[membership]\ninterval_ms = 3600000\n";
+    Fleet fleet(options);
+    awaitPeers(fleet, 0, 2);
+    awaitPeers(fleet, 2, 2);
+    PendingExchange plan(fleet.entry(2).callers, Fleet::callerRequest("POST", "/v1/chat/completions", Fleet::chatBody("plan-large", "x", true, 100)));
+    plan.awaitText("-0 ");
+    fleet.entry(2).process->signal(SIGTERM);
+    for (std::size_t i = 0; i < 2; ++i) {
+        awaitCondition("the leaving peer", [&] { return fleet.operatorGet(i, "/v1/status")["peers"][1]["leaving"].asBool(); });
+    }
+    CHECK_THAT(plan.awaitEnd()->body, Catch::EndsWith("data: [DONE]\n\n"));
+}
+
 SCENARIO("An operator asks who lags")
 {
     FleetOptions options = relayed();
--- a/tests/promises/templatetests.cpp
+++ b/tests/promises/templatetests.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 using namespace rosemaryshift;
@@ -131,3 +132,30 @@
     CHECK(fleet.publishTemplate(0, "yard", 9, "ahead", yardTemplate())["verdict"].asString() == "conflict");
     CHECK(logEnd(fleet) == end);
 }
+
+SCENARIO("A change of limits applies to queued requests and cuts none that runs")
+{
+    const auto withLimit = [](int inFlight) {
+        std::string text = yardTemplate();
+        const std::string before = "requests_in_flight = 120";
+        return text.replace(text.find(before), before.size(), "requests_in_flight = " + std::to_string(inFlight));
+    };
+    FleetOptions options;
+    options.zones = {"eger"};
+    options.engineSettings = "per_token_us = 20000\n";
+    options.templateText = withLimit(1);
+    Fleet fleet(options);
+    const http::Request plan = Fleet::callerRequest("POST", "/v1/chat/completions", Fleet::chatBody("plan-large", "x", true, 150));
+    PendingExchange first(fleet.entry(0).callers, plan);
+    first.awaitText("-0 ");
+    PendingExchange second(fleet.entry(0).callers, plan);
+    awaitCondition("the queued plan", [&] {
+        const std::vector<timeline::TimelineEvent> events = fleet.events(0);
+        return std::ranges::any_of(events, [](const timeline::TimelineEvent &event) { return event.kind == timeline::EventKind::RequestQueued; });
+    });
+    REQUIRE(fleet.publishTemplate(0, "yard", 1, "raised", withLimit(2))["revision"] == 2);
+    second.awaitText("-0 ");
+    REQUIRE(fleet.publishTemplate(0, "yard", 2, "lowered", withLimit(1))["revision"] == 3);
+    CHECK_THAT(first.awaitEnd()->body, Catch::EndsWith("data: [DONE]\n\n"));
+    CHECK_THAT(second.awaitEnd()->body, Catch::EndsWith("data: [DONE]\n\n"));
+}
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <atomic>
 #include <functional>
 #include <future>
 #include <list>
@@ -113,6 +114,7 @@
                 link->close();
                 co_return;
             }
+            passed += written;
         }
     }
 
@@ -132,6 +134,7 @@
     tcp::acceptor acceptor;
     net::steady_timer gate; ///< Never expires; cancelled when a command changes what is held.
     std::list<std::weak_ptr<Link>> links;
+    std::atomic<std::uint64_t> passed = 0;
     bool refusing = false;
     bool holdsRequests = false;
     bool holdsAnswers = false;
@@ -161,6 +164,11 @@
     m_state->command([&] { m_state->target = tcp::endpoint(net::ip::make_address(target.address), target.port); });
 }
 
+std::uint64_t Relay::bytes() const
+{
+    return m_state->passed;
+}
+
 void Relay::cut()
 {
     m_state->command([this] {
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -2,6 +2,7 @@
 
 #include "http/httptypes.h"
 
+#include <cstdint>
 #include <memory>
 
 namespace rosemaryshift::testing {
@@ -20,6 +21,8 @@
     void lead(const http::Endpoint &target);
     /// Address to connect to in place of the target's.
     [[nodiscard]] http::Endpoint endpoint() const;
+    /// Bytes passed on so far, both ways together.
+    [[nodiscard]] std::uint64_t bytes() const;
     /// Closes all connections, and each new one at once.
     void cut();
     /// Lets new connections through again.
