--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -133,6 +133,7 @@
         m_tables.firstOutputs.push_back(event.attempt);
     }
     row->answering = true;
+    row->run = RunState::Unknown;
     row->tokens += event.tokens;
 }
 
--- a/src/decisions/internal/hedgesystem.cpp
+++ b/src/decisions/internal/hedgesystem.cpp
@@ -53,7 +53,11 @@
     if (row == nullptr || !mayHedge(*row) || static_cast<double>(m_hedges) >= budget) {
         return;
     }
-    const UpstreamId slow = tables.attempt(*row->running)->upstream;
+    const AttemptRow *const running = tables.attempt(*row->running);
+    if (running == nullptr) {
+        return;
+    }
+    const UpstreamId slow = running->upstream;
     row->avoided.insert(slow);
     const std::optional<UpstreamChoice> choice = m_chooser->choose(tables, *row, context.now);
     if (!choice || choice->upstream == slow) {
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -39,6 +39,9 @@
     if (!row.hedge || (ended.attempt != *row.hedge && row.running != ended.attempt)) {
         return false;
     }
+    if (mayHaveRun(ended.outcome)) {
+        row.run = RunState::Unknown;
+    }
     const AttemptId other = ended.attempt == *row.hedge ? *row.running : *row.hedge;
     row.hedge.reset();
     if (ended.outcome == AttemptOutcome::Completed) {
