Retry from a budget, and give up retries that come too late

Cause: failed attempts were tried again at once and without bound, three failures ended a plan even when no connection was made, and a question was tried again long after its first token was of use. Change: a token bucket that first attempts and time fill, jittered growing delays without a token, attempts that reached no upstream do not count as failures, and a retry that cannot meet the first-token target is given up.

--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -8,6 +8,7 @@
 #include "decisions/internal/observations.h"
 #include "decisions/internal/plainchoosers.h"
 #include "decisions/internal/reconnectsystem.h"
+#include "decisions/internal/retrysystem.h"
 #include "decisions/internal/systems.h"
 
 #include <algorithm>
@@ -202,7 +203,7 @@
     if (settings.hedgeShare > 0) {
         systems.push_back(std::make_unique<HedgeSystem>(settings, makeChooser(settings, ~seed)));
     }
-    systems.push_back(std::make_unique<RetrySystem>(settings));
+    systems.push_back(std::make_unique<RetrySystem>(settings, seed));
     systems.push_back(std::make_unique<MoveSystem>(settings));
     systems.push_back(std::make_unique<ReconnectSystem>());
     systems.push_back(std::make_unique<AdmissionSystem>(settings));
--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -73,7 +73,7 @@
 {
     std::vector<UpstreamId> found;
     for (const auto &[occupancy, upstream] : target.byOccupancy) {
-        if (found.size() >= LeastOccupied) {
+        if (found.size() >= LeastOccupied + request.avoided.size()) {
             break;
         }
         found.push_back(upstream);
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -2,7 +2,6 @@
 
 #include "decisions/internal/estimates.h"
 #include "decisions/internal/observations.h"
-#include "decisions/internal/reconnectsystem.h"
 
 #include <algorithm>
 
@@ -10,11 +9,6 @@
 
 namespace {
 
-bool mayHaveRun(AttemptOutcome outcome)
-{
-    return outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Silent || outcome == AttemptOutcome::Cancelled;
-}
-
 struct QueueHead {
     QueueKey key;
     RequestId request;
@@ -33,24 +27,6 @@
     return heads;
 }
 
-/// While two attempts of a request run, the failure of one leaves it to the other; the end of one cancels the other.
-bool settledByHedge(RequestRow &row, TickContext &context, const EndedAttempt &ended)
-{
-    if (!row.hedge || (ended.attempt != *row.hedge && row.running != ended.attempt)) {
-        return false;
-    }
-    if (mayHaveRun(ended.outcome)) {
-        row.run = RunState::Unknown;
-    }
-    const AttemptId other = ended.attempt == *row.hedge ? *row.running : *row.hedge;
-    row.hedge.reset();
-    if (ended.outcome == AttemptOutcome::Completed) {
-        context.actions.push_back(CancelAttempt{row.spec.request, other});
-        row.running = ended.attempt;
-        return false;
-    }
-    row.running = other;
-    return true;
 }
 
 void refuse(Tables &tables, TickContext &context, RequestId request, RefusalCode code, Duration retryAfter)
@@ -61,8 +37,6 @@
     tables.erase(request);
 }
 
-}
-
 void cancelAttempts(const RequestRow &request, std::vector<Action> &actions)
 {
     for (const std::optional<AttemptId> attempt : {request.running, request.hedge}) {
@@ -72,52 +46,6 @@
     }
 }
 
-RetrySystem::RetrySystem(const PolicySettings &settings)
-    : m_settings(settings)
-{
-}
-
-void RetrySystem::run(Tables &tables, TickContext &context)
-{
-    for (const EndedAttempt &ended : tables.ended) {
-        settle(tables, context, ended);
-    }
-    tables.ended.clear();
-}
-
-void RetrySystem::settle(Tables &tables, TickContext &context, const EndedAttempt &ended) const
-{
-    RequestRow *const row = tables.request(ended.request);
-    if (row == nullptr || settledByHedge(*row, context, ended) || row->running != ended.attempt) {
-        return;
-    }
-    row->running.reset();
-    if (ended.outcome == AttemptOutcome::Completed) {
-        context.actions.push_back(CompleteRequest{ended.request, ended.attempt});
-        tables.erase(ended.request);
-        return;
-    }
-    if (mayHaveRun(ended.outcome)) {
-        row->run = RunState::Unknown;
-    }
-    if (row->run != RunState::NotRun && !row->spec.idempotent) {
-        refuse(tables, context, ended.request, RefusalCode::OutcomeUnknown, Duration(0));
-        return;
-    }
-    if (ended.row.moving) {
-        --row->attempts;
-    }
-    if (mayReconnect(ended.row, ended.outcome)) {
-        row->reconnectTo = ended.row.upstream;
-    }
-    if (!row->reconnectTo && row->attempts >= m_settings.maxAttempts) {
-        refuse(tables, context, ended.request, RefusalCode::AttemptsFailed, m_settings.retryAfter);
-        return;
-    }
-    row->state = RequestState::Retrying;
-    tables.retrying.push_back(ended.request);
-}
-
 DeadlineSystem::DeadlineSystem(const PolicySettings &settings)
     : m_settings(settings)
 {
@@ -139,7 +67,7 @@
         return;
     }
     if (row.spec.deadline > context.now) {
-        tables.late.push_back(request);
+        (row.state == RequestState::Retrying ? tables.retryDue : tables.late).push_back(request);
         tables.setTimer(row, row.spec.deadline);
         return;
     }
@@ -278,6 +206,7 @@
     }
     row.state = RequestState::Running;
     row.running = makeAttempt(tables, context, row, *choice);
+    tables.firstAttempts += row.attempts == 0 ? 1 : 0;
     ++row.attempts;
     return true;
 }
--- a/src/decisions/internal/systems.h
+++ b/src/decisions/internal/systems.h
@@ -8,18 +8,8 @@
 
 namespace rosemaryshift::decisions {
 
-/// Ends attempts, completes requests whose answer is whole and marks the others for a retry or gives them up.
-class RetrySystem : public ISystem
-{
-public:
-    explicit RetrySystem(const PolicySettings &settings);
-    void run(Tables &tables, TickContext &context) override;
-
-private:
-    void settle(Tables &tables, TickContext &context, const EndedAttempt &ended) const;
-
-    PolicySettings m_settings;
-};
+/// Gives up a request; its final answer follows at once. Precondition: the request is open.
+void refuse(Tables &tables, TickContext &context, RequestId request, RefusalCode code, Duration retryAfter);
 
 /// Gives up requests whose deadline has passed and queued ones that can no longer start in time.
 class DeadlineSystem : public ISystem
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -91,7 +91,8 @@
     RequestState state = RequestState::Arrived;
     std::uint32_t tokens = 0;
     std::uint32_t attempts = 0;
-    bool admitted = false; ///< Counts against the workspace's limit in flight.
+    std::uint32_t failures = 0; ///< Attempts that reached an upstream and failed.
+    bool admitted = false;      ///< Counts against the workspace's limit in flight.
     RunState run = RunState::NotRun;
     std::set<UpstreamId> avoided; ///< Get another attempt only when no other upstream can take it.
     std::optional<AttemptId> running;
@@ -138,6 +139,8 @@
     std::vector<RequestId> retrying;
     std::vector<RequestId> late;         ///< Running requests whose first token is late.
     std::vector<AttemptId> firstOutputs; ///< Attempts of hedged requests that gave a first token since the last tick.
+    std::vector<RequestId> retryDue;     ///< Failed requests whose delay is over.
+    std::uint64_t firstAttempts = 0;     ///< Started so far.
     std::uint64_t nextAttempt = 1;
     std::uint32_t entryHosts = 1; ///< That share the upstreams, this one included.
     bool stopping = false;
--- a/src/measure/internal/emulator.cpp
+++ b/src/measure/internal/emulator.cpp
@@ -19,6 +19,8 @@
 constexpr TimePoint ReclaimAt{std::chrono::seconds(60)};
 constexpr Duration ReclaimNotice = std::chrono::seconds(5);
 constexpr Duration ReplacementAfter = std::chrono::seconds(25);
+constexpr TimePoint OutageBegin{std::chrono::seconds(60)};
+constexpr TimePoint OutageEnd{std::chrono::seconds(70)};
 constexpr Duration ListDelay = std::chrono::milliseconds(500);
 constexpr Duration ClientDelay = std::chrono::milliseconds(3);
 constexpr Duration InZoneDelay = std::chrono::microseconds(200);
@@ -81,11 +83,15 @@
         for (const std::size_t upstream : models) {
             if (m_upstreams[upstream].zone == 0) {
                 schedule(ReclaimAt, NoticeGiven{upstream, ReclaimAt + ReclaimNotice});
-                schedule(ReclaimAt + ReclaimNotice, UpstreamEnds{upstream});
+                schedule(ReclaimAt + ReclaimNotice, UpstreamEnds{upstream, true});
                 schedule(ReclaimAt + ReplacementAfter, UpstreamStarts{upstream});
             }
         }
     }
+    for (std::size_t i = 0; m_experiment.outage && i < models.size(); ++i) {
+        schedule(OutageBegin, UpstreamEnds{models[i], false});
+        schedule(OutageEnd, UpstreamStarts{models[i]});
+    }
     const std::size_t share = static_cast<std::size_t>(m_experiment.slowedShare * static_cast<double>(models.size()));
     const std::size_t slowed = std::max<std::size_t>(share, m_experiment.slowed);
     std::shuffle(models.begin(), models.end(), random);
@@ -265,7 +271,9 @@
         sendEnd(ends.upstream, key, AttemptOutcome::Broken);
     }
     scheduleOutput(ends.upstream);
-    tellAll(decisions::UpstreamGone{static_cast<UpstreamId>(ends.upstream)}, ListDelay);
+    if (ends.listed) {
+        tellAll(decisions::UpstreamGone{static_cast<UpstreamId>(ends.upstream)}, ListDelay);
+    }
 }
 
 void Emulator::happen(const UpstreamStarts &starts)
--- a/src/measure/internal/emulator.h
+++ b/src/measure/internal/emulator.h
@@ -53,6 +53,7 @@
     };
     struct UpstreamEnds {
         std::size_t upstream = 0;
+        bool listed = true; ///< The list of hosts shows it.
     };
     struct UpstreamStarts {
         std::size_t upstream = 0;
--- a/src/measure/internal/experiments.cpp
+++ b/src/measure/internal/experiments.cpp
@@ -15,6 +15,7 @@
     settings.queue = queue;
     settings.estimateStart = false;
     settings.hedgeShare = 0;
+    settings.retryShare = 100;
     return {std::move(name), settings};
 }
 
@@ -67,6 +68,9 @@
     Experiment reclaim = atLoad("reclaim-zone", 0.5, 0.5);
     reclaim.reclaimZone = true;
     experiments.push_back(reclaim);
+    Experiment outage = atLoad("outage-10s", 0.9, 0.9);
+    outage.outage = true;
+    experiments.push_back(outage);
     Experiment flood = atLoad("flood", 0.5, 0.5);
     flood.floodFactor = 10;
     experiments.push_back(flood);
--- a/src/measure/measuretypes.h
+++ b/src/measure/measuretypes.h
@@ -23,6 +23,7 @@
     std::uint32_t slowed = 0; ///< Number of model servers instead of a share.
     Duration reportLag{0};    ///< Zero for the scenario's own.
     bool reclaimZone = false; ///< One availability zone's model servers leave on notice and come back later.
+    bool outage = false;      ///< All model servers refuse connections for a while; no list says so.
     double floodFactor = 1;   ///< Of the first workspace's arrivals.
 };
 
