Split limits by zone and feed load reports to the decisions

A workspace's limit is split evenly by availability zone and within a zone by entry host, with the rest going to the first by name: the parts add up to the limit for every host that knows the same list, and a zone that is cut off keeps its part. Before, each host rounded its part down, so that a limit below the number of hosts gave nobody anything. While the lists of two hosts of a zone differ their parts may differ for as long as the list lags.

--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -50,6 +50,8 @@
     , m_core(decisions::makeDecisionCore({}, chosenSeed(settings.seed)))
     , m_templates(m_parts.templates, m_parts.timeline, settings.name, [this](const templates::TemplateRevision &) { applyLimits(); })
     , m_upstreams(settings.zone, m_parts.timeline, [this](decisions::Event event) { post(std::move(event)); })
+    , m_loads(
+          control, m_upstreams, [this] { return now(); }, [this](decisions::Event event) { post(std::move(event)); })
     , m_bookings(control,
                  {m_parts.registry, m_parts.timeline, m_parts.log, m_journal},
                  bookingPolicy(settings, m_hostId),
@@ -79,6 +81,7 @@
 {
     net::co_spawn(m_context, m_follower.run(), net::detached);
     net::co_spawn(m_context, followHosts(), net::detached);
+    net::co_spawn(m_context, m_loads.run(), net::detached);
     net::co_spawn(m_context, carryTemplatesForward(), net::detached);
 }
 
@@ -316,9 +319,11 @@
     const std::uint32_t hosts = static_cast<std::uint32_t>(m_upstreams.entryHosts());
     m_bookings.setHosts(hosts);
     post(decisions::EntryHostsCounted{hosts});
+    const decisions::HostPlace place = m_upstreams.place(m_settings.name);
     for (const std::string &workspace : m_templates.fold().workspaces()) {
         const templates::WorkspaceLimits &limits = m_templates.fold().inForce(workspace)->content.limits;
-        post(decisions::WorkspaceLimited{m_workspaces.intern(workspace), limits.requestsInFlight / hosts, limits.requestsQueued / hosts});
+        post(decisions::WorkspaceLimited{
+            m_workspaces.intern(workspace), shareOfLimit(limits.requestsInFlight, place), shareOfLimit(limits.requestsQueued, place)});
     }
 }
 
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -5,6 +5,7 @@
 #include "entry/internal/attemptlauncher.h"
 #include "entry/internal/bookingrunner.h"
 #include "entry/internal/hostlistexchange.h"
+#include "entry/internal/loadpoller.h"
 #include "entry/internal/logfollower.h"
 #include "entry/internal/requestjournal.h"
 #include "entry/internal/skippedrecords.h"
@@ -127,6 +128,7 @@
     std::unique_ptr<decisions::IDecisionCore> m_core;
     TemplateTable m_templates;
     UpstreamDirectory m_upstreams;
+    LoadPoller m_loads;
     BookingRunner m_bookings;
     LogFollower m_follower;
     TemplatePublisher m_publisher;
--- a/src/entry/internal/upstreamdirectory.cpp
+++ b/src/entry/internal/upstreamdirectory.cpp
@@ -28,16 +28,15 @@
 void UpstreamDirectory::update(const platform::HostList &list, TimePoint now)
 {
     std::set<std::string> present;
-    std::size_t entryHosts = 0;
+    m_entryHosts.clear();
     for (const ListedHost &host : list.hosts) {
         if (host.kind == HostKind::Entry) {
-            ++entryHosts;
+            m_entryHosts[host.zone].insert(host.name);
             continue;
         }
         present.insert(host.name);
         takeUpstream(host, now);
     }
-    m_entryHosts = std::max<std::size_t>(entryHosts, 1);
     dropMissing(present);
 }
 
@@ -143,7 +142,35 @@
 
 std::size_t UpstreamDirectory::entryHosts() const
 {
-    return m_entryHosts;
+    std::size_t count = 0;
+    for (const auto &[zone, names] : m_entryHosts) {
+        count += names.size();
+    }
+    return std::max<std::size_t>(count, 1);
+}
+
+decisions::HostPlace UpstreamDirectory::place(std::string_view ownName) const
+{
+    std::map<std::string, std::set<std::string>> hosts = m_entryHosts;
+    hosts[m_ownZone].insert(std::string(ownName));
+    const std::set<std::string> &own = hosts.at(m_ownZone);
+    decisions::HostPlace place;
+    place.zones = static_cast<std::uint32_t>(hosts.size());
+    place.zoneRank = static_cast<std::uint32_t>(std::distance(hosts.begin(), hosts.find(m_ownZone)));
+    place.hostsInZone = static_cast<std::uint32_t>(own.size());
+    place.hostRank = static_cast<std::uint32_t>(std::distance(own.begin(), own.find(std::string(ownName))));
+    return place;
+}
+
+std::vector<UpstreamAddress> UpstreamDirectory::liveAddresses() const
+{
+    std::vector<UpstreamAddress> addresses;
+    for (const auto &[id, row] : m_rows) {
+        if (row.state == State::Live) {
+            addresses.push_back({id, row.host.endpoint});
+        }
+    }
+    return addresses;
 }
 
 std::set<std::string> UpstreamDirectory::liveTargets() const
--- a/src/entry/internal/upstreamdirectory.h
+++ b/src/entry/internal/upstreamdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/decisiontypes.h"
+#include "decisions/limitsplit.h"
 #include "entry/internal/nametable.h"
 #include "platform/platformtypes.h"
 #include "timeline/itimeline.h"
@@ -18,6 +19,11 @@
     std::chrono::milliseconds leavesIn{0};
 };
 
+struct UpstreamAddress {
+    UpstreamId upstream;
+    http::Endpoint endpoint;
+};
+
 /// The upstreams this host knows, from the platform's list. Turns changes of the list into events of the decision core.
 /// Not thread-safe; belongs to the control thread.
 class UpstreamDirectory
@@ -41,6 +47,10 @@
     TargetId target(std::string_view name);
     /// Number of entry hosts in the last list, this one included; at least 1.
     [[nodiscard]] std::size_t entryHosts() const;
+    /// Where this host stands among the entry hosts of the last list, by which it counts itself in.
+    [[nodiscard]] decisions::HostPlace place(std::string_view ownName) const;
+    /// Where the live upstreams listen.
+    [[nodiscard]] std::vector<UpstreamAddress> liveAddresses() const;
     /// Names of models that a live upstream serves.
     [[nodiscard]] std::set<std::string> liveTargets() const;
     /// All known upstreams with whether they are live.
@@ -71,7 +81,7 @@
     NameTable<TargetId> m_targetNames;
     NameTable<ZoneId> m_zoneNames;
     std::map<UpstreamId, Row> m_rows;
-    std::size_t m_entryHosts = 1;
+    std::map<std::string, std::set<std::string>> m_entryHosts; ///< Names by availability zone.
 };
 
 }
