--- a/src/decisions/internal/observations.cpp
+++ b/src/decisions/internal/observations.cpp
@@ -11,6 +11,7 @@
 constexpr double BetterWeight = 0.1; ///< Of one that shows it faster.
 constexpr double LateFirstToken = 3; ///< Times the mean; a first token this late shows a slowed upstream.
 constexpr double MaxLateness = 10;
+constexpr std::size_t MaxPrefixes = 4'096; ///< Of one target.
 constexpr std::size_t MaxOwnHistory = 256;
 
 double secondsBetween(TimePoint from, TimePoint to)
@@ -58,6 +59,18 @@
     blend(tables.target(attempt.flow.target).secondsPerToken, secondsPerToken, FlowWeight);
 }
 
+void notePrefix(TargetRow &target, std::uint64_t prefixHash, UpstreamId upstream)
+{
+    if (!target.prefixes.insert_or_assign(prefixHash, upstream).second) {
+        return;
+    }
+    target.prefixOrder.push_back(prefixHash);
+    if (target.prefixOrder.size() > MaxPrefixes) {
+        target.prefixes.erase(target.prefixOrder.front());
+        target.prefixOrder.pop_front();
+    }
+}
+
 void noteFirstToken(Tables &tables, const AttemptRow &attempt, TimePoint now)
 {
     const double seconds = secondsBetween(attempt.startedAt, now);
@@ -92,7 +105,7 @@
     ++tables.flow(attempt.flow).inFlight;
     noteOwnChange(tables, attempt.upstream, attempt.startedAt);
     if (attempt.prefixHash != 0) {
-        tables.target(attempt.flow.target).prefixes[attempt.prefixHash] = attempt.upstream;
+        notePrefix(tables.target(attempt.flow.target), attempt.prefixHash, attempt.upstream);
     }
 }
 
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -58,6 +58,7 @@
     std::vector<UpstreamId> live;                           ///< Upstreams that take new work for this target.
     std::set<std::pair<double, UpstreamId>> byOccupancy;    ///< The same by the share of their slots in use.
     std::unordered_map<std::uint64_t, UpstreamId> prefixes; ///< Where a prefix was read last.
+    std::deque<std::uint64_t> prefixOrder;                  ///< Keys of prefixes, the oldest first.
     std::uint32_t slots = 0;                                ///< Of all live upstreams.
     double secondsPerToken = 0;                             ///< Mean over the upstreams; zero until something was seen.
     std::array<FlowRow, TrafficClassCount> flows;
