--- a/programs/measure/main.cpp
+++ b/programs/measure/main.cpp
@@ -1,5 +1,6 @@
 #include "measure/emulation.h"
 #include "measure/experiments.h"
+#include "measure/plots.h"
 #include "measure/summary.h"
 #include "program/program.h"
 #include "settings/settingsdocument.h"
@@ -10,6 +11,7 @@
 #include <fstream>
 #include <future>
 #include <iostream>
+#include <sstream>
 
 using namespace rosemaryshift;
 using namespace rosemaryshift::measure;
@@ -20,7 +22,7 @@
 constexpr std::string_view Usage = R"(Measures the decisions against plain ones, on fake upstreams in virtual time.
 
 Usage:
-  rosemaryshift-measure --scenario NAME [--scenarios DIR] [--policy NAME] [--experiment NAME] [--seeds N] [--first-seed N] [--csv FILE]
+  rosemaryshift-measure --scenario NAME [--scenarios DIR] [--policy NAME] [--experiment NAME] [--seeds N] [--first-seed N] [--csv FILE] [--plots DIR]
   rosemaryshift-measure (--help | --version)
 
 Options:
@@ -31,6 +33,7 @@
   --seeds N          Number of seeds [default: 5].
   --first-seed N     The first seed; the others follow it [default: 1].
   --csv FILE         Also write the figures as comma-separated values.
+  --plots DIR        Also draw the figures as SVG into this folder.
   --help             Show this text.
   --version          Show the version.
 
@@ -45,6 +48,15 @@
     std::uint64_t count = 5;
 };
 
+std::string settingsText(SeedRange seeds)
+{
+    const decisions::PolicySettings settings;
+    std::ostringstream text;
+    text << "seeds " << seeds.first << " to " << seeds.first + seeds.count - 1 << ", plan share " << settings.planShare << ", hedge share "
+         << settings.hedgeShare << ", retry share " << settings.retryShare;
+    return text.str();
+}
+
 std::optional<Scenario> loadScenario(const std::string &path)
 {
     std::string reason;
@@ -87,7 +99,7 @@
 
 bool report(const Scenario &scenario, const std::vector<Summary> &summaries, SeedRange seeds, const std::string &csvPath)
 {
-    std::cout << "scenario " << scenario.name << ", seeds " << seeds.first << " to " << seeds.first + seeds.count - 1 << ", capacity " << scenario.capacity()
+    std::cout << "scenario " << scenario.name << ", " << settingsText(seeds) << ", capacity " << scenario.capacity()
               << " requests a second, times in seconds\n";
     writeTable(std::cout, summaries);
     if (!csvPath.empty()) {
@@ -118,6 +130,7 @@
     if (!scenario) {
         return program::BadUsage;
     }
+    const std::string plots = arguments.text("--plots");
     const SeedRange seeds{*first, *count};
     std::vector<Summary> summaries;
     for (const Experiment &experiment : experiments) {
@@ -125,5 +138,11 @@
             summaries.push_back(measureOne(*scenario, policy, experiment, seeds));
         }
     }
+    std::string reason;
+    const std::string subtitle = settingsText(seeds);
+    if (!plots.empty() && !writePlots({plots, scenario->name, subtitle}, summaries, reason)) {
+        std::cerr << reason << '\n';
+        return program::Failed;
+    }
     return report(*scenario, summaries, seeds, arguments.text("--csv")) ? program::Success : program::Failed;
 }
