Let plans wait a minute before they take the shared margin

Cause: above capacity all plans wait 20 s, so that nearly all of them took slots up to the last one. Change: they do so after 60 s.

--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -15,7 +15,7 @@
 constexpr double UnknownTokens = 64;       ///< Expected length until an answer was seen.
 constexpr std::uint32_t ShortOverflow = 2; ///< Short requests that may wait in an upstream's own queue.
 constexpr double SharedMargin = 0.15; ///< Of the slots, left free by a host that has its even share there, for what the others start before the next report.
-constexpr Duration PlanAge = std::chrono::seconds(20); ///< After which a queued plan may wait there too.
+constexpr Duration PlanAge = std::chrono::seconds(60); ///< After which a queued plan may wait there too.
 constexpr double OtherZoneSeconds = 0.001;
 constexpr double SlownessHalfLife = 15; ///< Seconds without an observation after which half of a slowness is forgiven.
 
