--- a/src/decisions/internal/estimates.cpp
+++ b/src/decisions/internal/estimates.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr double LateFirstToken = 3; ///< Times the mean.
-constexpr double EndMargin = 2.5;    ///< Times the mean that a start must leave before the deadline.
+constexpr double EndMargin = 3;      ///< Times the mean that a start must leave before the deadline.
 
 Duration fromSeconds(double seconds)
 {
