--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -30,7 +30,7 @@
     bool estimateStart = true;                     ///< Refuses at once, and gives up while queued, what cannot start in time.
     double planShare = 0.5;                        ///< Of all slots that plans of all hosts together may hold; 1 keeps none for short work.
     double hedgeShare = 0.05;                      ///< Second attempts beside running ones, for each first attempt; 0 for none.
-    double retryShare = 0.1;                       ///< Retries that each first attempt pays for.
+    double retryShare = 0.05;                      ///< Retries that each first attempt pays for.
     std::uint32_t maxAttempts = 3;                 ///< Of one request that reached an upstream.
     Duration moveMargin = std::chrono::seconds(1); ///< Before an upstream is gone, for moving what still runs there.
     Duration retryAfter = std::chrono::seconds(1); ///< Told to callers that are refused for want of a slot.
