Keep accepted requests on a second host and hand them over at a reclaim

Cause: a host that was reclaimed or killed took its accepted requests with it; its callers had nobody to come back to. What: module keeper copies each accepted request that may be run twice to one peer (highest random weight, other zones first) and its answer every 16 pieces, beside the serving, so that a first token waits for no other zone. When the membership loses the owner, the keeper goes on from the copy. Ruled out: awaiting the copy before serving, for it would put another zone's round trip before every first token; keeping bookings, since a lost owner may be alive behind a cut. Seen red: with no copy made (the host had not heard of its peers yet) 'An entry host dies while a stream runs' failed in both cases, "waiting for: the whole answer to entry-1..." to the end of the limit; hosts now retry when a peer appears. Not held back: a caller may have seen pieces that the copy lacks; they are computed again and are the same only if the engine answers alike.

--- a/src/entry/internal/callerfrontend.cpp
+++ b/src/entry/internal/callerfrontend.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view RequestsPath = "/v1/requests/";
 constexpr std::string_view ServicesPath = "/services/";
 constexpr std::string_view TicketsPath = "/v1/tickets";
+/// Until a lost host's keeper has noticed the loss.
+constexpr std::chrono::milliseconds TakeOverTime{1'000};
 constexpr std::uint64_t MaxDeadlineMs = 24ULL * 3600 * 1000;
 constexpr std::chrono::milliseconds ForwardPatience{60'000};
 
@@ -73,12 +75,12 @@
 CallerFrontend::CallerFrontend(Control &control,
                                std::shared_ptr<requests::RequestRegistry> registry,
                                std::shared_ptr<TemplateView> templates,
-                               std::shared_ptr<PeerView> peers,
+                               std::shared_ptr<RequestLocator> locator,
                                TicketDesk &tickets)
     : m_control(control)
     , m_registry(std::move(registry))
     , m_templates(std::move(templates))
-    , m_peers(std::move(peers))
+    , m_locator(std::move(locator))
     , m_tickets(tickets)
 {
 }
@@ -197,15 +199,23 @@
 
 net::awaitable<void> CallerFrontend::reattachElsewhere(std::string id, Request request, http::IResponseWriter &writer)
 {
-    const std::optional<membership::Peer> peer = isForwarded(request) ? std::nullopt : m_peers->acceptedBy(id);
-    if (peer) {
-        const ForwardResult result = co_await forward(peer->callers, std::move(request), writer, ForwardPatience);
+    Location location;
+    if (!isForwarded(request)) {
+        location = co_await m_locator->locate(id);
+    }
+    if (location.holder) {
+        const ForwardResult result = co_await forward(location.holder->callers, std::move(request), writer, ForwardPatience);
         if (result == ForwardResult::Answered || result == ForwardResult::Broken) {
             co_return;
         }
     }
-    Refusal refusal = badRequest(404, "unknown_request", "no request of this id is known here");
+    const bool expected = location.holder || location.expected;
+    Refusal refusal = expected ? badRequest(503, "request_unavailable", "no host acts on this request now; one may take it over")
+                               : badRequest(404, "unknown_request", "no request of this id is known here");
     refusal.run = RunState::Unknown;
+    if (expected) {
+        refusal.retryAfter = TakeOverTime;
+    }
     Response response = refusalResponse(refusal, id);
     co_await writer.respond(std::move(response));
 }
--- a/src/entry/internal/callerfrontend.h
+++ b/src/entry/internal/callerfrontend.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "entry/internal/control.h"
-#include "entry/internal/peerview.h"
+#include "entry/internal/requestlocator.h"
 #include "entry/internal/ticketdesk.h"
 #include "http/ihttpserver.h"
 
@@ -17,7 +17,7 @@
     CallerFrontend(Control &control,
                    std::shared_ptr<requests::RequestRegistry> registry,
                    std::shared_ptr<TemplateView> templates,
-                   std::shared_ptr<PeerView> peers,
+                   std::shared_ptr<RequestLocator> locator,
                    TicketDesk &tickets);
 
     boost::asio::awaitable<void> handle(http::Request request, http::IResponseWriter &writer);
@@ -44,7 +44,7 @@
     Control &m_control;
     const std::shared_ptr<requests::RequestRegistry> m_registry;
     const std::shared_ptr<TemplateView> m_templates;
-    const std::shared_ptr<PeerView> m_peers;
+    const std::shared_ptr<RequestLocator> m_locator;
     TicketDesk &m_tickets;
 };
 
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -54,12 +54,42 @@
                  {m_parts.registry, m_parts.timeline, m_parts.log, m_journal},
                  bookingPolicy(settings, m_hostId),
                  [this](const std::shared_ptr<RequestRecord> &record) { decide(record); })
+    , m_mover(m_parts.registry, m_parts.timeline, moverHooks())
     , m_follower(m_parts.log, m_parts.timeline, logHandlers())
     , m_publisher(m_templates, m_upstreams, m_follower, m_parts.log)
     , m_wake(control)
 {
 }
 
+RequestMover::Hooks Control::moverHooks()
+{
+    RequestMover::Hooks hooks;
+    hooks.decide = [this](const std::shared_ptr<RequestRecord> &record) { decide(record); };
+    hooks.withdraw = [this](const std::shared_ptr<RequestRecord> &record) { post(decisions::CallerLeft{record->number}); };
+    hooks.busy = [this] { return openRequests() > 0; };
+    return hooks;
+}
+
+void Control::adopt(keeper::KeptRecord record)
+{
+    m_mover.adopt(std::move(record));
+}
+
+void Control::leave(std::chrono::milliseconds notice, std::function<void()> done)
+{
+    beginStop();
+    const auto run = [this, notice, done = std::move(done)]() -> net::awaitable<void> {
+        co_await m_mover.leave(notice);
+        done();
+    };
+    net::co_spawn(m_context, run, net::detached);
+}
+
+void Control::use(keeper::IKeeper &keeper)
+{
+    m_mover.use(keeper);
+}
+
 void Control::join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server)
 {
     m_membership = &membership;
@@ -149,6 +179,7 @@
 {
     if (record->spec.idempotent) {
         m_journal.arrived(*record);
+        m_mover.accepted(record);
         decide(record);
         return;
     }
@@ -208,7 +239,7 @@
 
 std::size_t Control::openRequests() const
 {
-    return m_openRequests + m_bookings.open();
+    return m_openRequests + m_bookings.open() + m_mover.moving();
 }
 
 bool Control::ready() const
@@ -273,6 +304,7 @@
     m_journal.refused(*record, name(action.code), action.run);
     record->transcript.refuse(refusalOf(action));
     m_parts.registry->finished(*record);
+    m_mover.ended(*record);
     if (!record->spec.idempotent) {
         m_bookings.ended(*record, action.run);
     }
@@ -294,6 +326,7 @@
     }
     m_journal.completed(*record, action.attempt);
     m_parts.registry->finished(*record);
+    m_mover.ended(*record);
     if (!record->spec.idempotent) {
         m_bookings.ended(*record, RunState::Ran);
     }
@@ -434,6 +467,7 @@
     status.openRequests = m_core->openRequests();
     status.name = m_settings.name;
     status.zone = m_settings.zone;
+    status.keptRecords = m_mover.keptRecords();
     status.upstreams = m_upstreams.upstreams();
     for (const std::string &workspace : m_templates.fold().workspaces()) {
         status.templates.push_back(m_templates.fold().inForce(workspace)->stated);
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -7,6 +7,7 @@
 #include "entry/internal/hostlistexchange.h"
 #include "entry/internal/logfollower.h"
 #include "entry/internal/requestjournal.h"
+#include "entry/internal/requestmover.h"
 #include "entry/internal/skippedrecords.h"
 #include "entry/internal/templateexchange.h"
 #include "entry/internal/templatepublisher.h"
@@ -41,6 +42,7 @@
     std::size_t openRequests = 0;
     std::string name;
     std::string zone;
+    std::size_t keptRecords = 0; ///< Copies of other hosts' requests.
     std::vector<std::pair<platform::ListedHost, bool>> upstreams;
     std::vector<templates::StatedRevision> templates;
     std::vector<PeerStatus> peers;
@@ -65,6 +67,13 @@
 
     /// Makes the membership known and adds what this host serves to peers. Precondition: called once, before start().
     void join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server);
+    /// Makes the keeper known. Precondition: called once, before start().
+    void use(keeper::IKeeper &keeper);
+    /// Goes on with a request that another host has accepted. Precondition: called on the control thread.
+    void adopt(keeper::KeptRecord record);
+    /// Takes no new work, lets requests finish while @p notice allows, hands the others over and calls @p done.
+    /// Precondition: called on the control thread.
+    void leave(std::chrono::milliseconds notice, std::function<void()> done);
     /// Starts following the platform. Precondition: called once, before the control thread runs.
     void start();
 
@@ -116,6 +125,7 @@
     void arrive(const std::shared_ptr<requests::RequestRecord> &record);
     void decide(const std::shared_ptr<requests::RequestRecord> &record);
     [[nodiscard]] LogHandlers logHandlers();
+    [[nodiscard]] RequestMover::Hooks moverHooks();
 
     const EntrySettings m_settings;
     const ControlParts m_parts;
@@ -128,6 +138,7 @@
     TemplateTable m_templates;
     UpstreamDirectory m_upstreams;
     BookingRunner m_bookings;
+    RequestMover m_mover;
     LogFollower m_follower;
     TemplatePublisher m_publisher;
     membership::IMembership *m_membership = nullptr;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -5,6 +5,8 @@
 #include "entry/internal/control.h"
 #include "entry/internal/operatorfrontend.h"
 #include "entry/internal/peerview.h"
+#include "entry/internal/reclaimwatch.h"
+#include "entry/internal/requestlocator.h"
 #include "http/ihttpserver.h"
 #include "membership/imembership.h"
 #include "program/program.h"
@@ -54,11 +56,12 @@
         , m_templates(std::make_shared<TemplateView>())
         , m_peerView(std::make_shared<PeerView>())
         , m_control(settings, parts(), m_controlContext, m_trafficContext, settings.name + "." + incarnation)
-        , m_tickets(m_control, m_peerView, settings.name + "." + incarnation, settings.bookings.keyWindow)
-        , m_callerFrontend(m_control, m_registry, m_templates, m_peerView, m_tickets)
-        , m_operatorFrontend(m_control, m_timeline, m_metrics, std::move(tokens.operators))
         , m_peerClient(rpc::makePeerClient(tokens.peers, m_clock))
         , m_peerServer(rpc::makePeerServer(m_controlContext.get_executor(), std::move(tokens.peers), m_clock))
+        , m_reclaimWatch(platform::makeHttpReclaimNotices(settings.platform), settings.name, [this](std::chrono::milliseconds notice) { leave(notice); })
+        , m_tickets(m_control, m_peerView, settings.name + "." + incarnation, settings.bookings.keyWindow)
+        , m_callerFrontend(m_control, m_registry, m_templates, std::make_shared<RequestLocator>(m_peerView, m_peerClient), m_tickets)
+        , m_operatorFrontend(m_control, m_timeline, m_metrics, std::move(tokens.operators))
     {
     }
 
@@ -85,6 +88,8 @@
         m_timeline->record(EventKind::HostStarted, {.detail = "zone " + m_settings.zone});
         m_control.start();
         m_membership->start();
+        m_keeper->start();
+        net::co_spawn(m_controlContext, m_reclaimWatch.run(), net::detached);
         std::vector<std::thread> threads;
         threads.emplace_back([this] { runNamed("control", m_controlContext); });
         for (std::uint32_t i = 0; i < m_settings.trafficThreads; ++i) {
@@ -147,6 +152,19 @@
         m_membership = membership::makeMembership(m_controlContext, m_settings.membership, std::move(self), m_peerClient, *m_peerServer, m_timeline);
         m_membership->addObserver([view = m_peerView](const membership::Peer &peer, membership::PeerChange change) { view->note(peer, change); });
         m_control.join(*m_membership, m_peerClient, *m_peerServer);
+        const std::string hostId = m_settings.name + "." + m_incarnation;
+        m_keeper = keeper::makeKeeper(m_controlContext, {}, hostId, *m_membership, m_peerClient, *m_peerServer, m_timeline, [this](keeper::KeptRecord record) {
+            m_control.adopt(std::move(record));
+        });
+        serveLocations(*m_peerServer, m_registry, *m_keeper);
+        m_control.use(*m_keeper);
+    }
+
+    /// The platform takes this host back after @p notice.
+    void leave(std::chrono::milliseconds notice)
+    {
+        m_timeline->record(EventKind::ReclaimNotice, {.detail = "gone in " + std::to_string(notice.count()) + " ms"});
+        m_control.leave(notice, [this] { stop(); });
     }
 
     ControlParts parts()
@@ -179,12 +197,14 @@
     const std::shared_ptr<TemplateView> m_templates;
     const std::shared_ptr<PeerView> m_peerView;
     Control m_control;
+    const std::shared_ptr<rpc::IPeerClient> m_peerClient;
+    const std::unique_ptr<rpc::IPeerServer> m_peerServer;
+    ReclaimWatch m_reclaimWatch;
     TicketDesk m_tickets;
     CallerFrontend m_callerFrontend;
     OperatorFrontend m_operatorFrontend;
-    const std::shared_ptr<rpc::IPeerClient> m_peerClient;
-    const std::unique_ptr<rpc::IPeerServer> m_peerServer;
     std::unique_ptr<membership::IMembership> m_membership;
+    std::unique_ptr<keeper::IKeeper> m_keeper;
     std::unique_ptr<http::IHttpServer> m_callers;
     std::unique_ptr<http::IHttpServer> m_operators;
     std::unique_ptr<http::IHttpServer> m_peers;
--- a/src/entry/internal/peerview.cpp
+++ b/src/entry/internal/peerview.cpp
@@ -14,6 +14,16 @@
     }
 }
 
+std::vector<Peer> PeerView::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Peer> peers;
+    for (const auto &[name, peer] : m_peers) {
+        peers.push_back(peer);
+    }
+    return peers;
+}
+
 std::optional<Peer> PeerView::find(std::string_view name) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/entry/internal/peerview.h
+++ b/src/entry/internal/peerview.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace rosemaryshift::entry {
 
@@ -16,6 +17,8 @@
 public:
     /// Takes in a change that the membership has noticed.
     void note(const membership::Peer &peer, membership::PeerChange change);
+    /// All peers heard of lately.
+    [[nodiscard]] std::vector<membership::Peer> all() const;
     /// The peer @p name; nothing when it is not known or was lost.
     [[nodiscard]] std::optional<membership::Peer> find(std::string_view name) const;
     /// The peer of the host and incarnation @p hostId, "name.incarnation".
--- /dev/null
+++ b/src/entry/internal/requestlocator.cpp
@@ -0,0 +1,67 @@
+#include "entry/internal/requestlocator.h"
+
+#include "base/json.h"
+#include "keeper/rendezvous.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::entry {
+
+namespace net = boost::asio;
+using membership::Peer;
+
+namespace {
+
+constexpr const char *LocateMethod = "locate";
+constexpr std::chrono::milliseconds AskTimeout{1'000};
+/// Bounds the calls for one request in a large fleet.
+constexpr std::size_t MaxAsked = 16;
+
+}
+
+RequestLocator::RequestLocator(std::shared_ptr<PeerView> peers, std::shared_ptr<rpc::IPeerClient> client)
+    : m_peers(std::move(peers))
+    , m_client(std::move(client))
+{
+}
+
+net::awaitable<Location> RequestLocator::locate(std::string id) const
+{
+    Location location;
+    std::vector<Peer> asked = m_peers->all();
+    for (Peer &peer : asked) {
+        peer.leaving = false;
+    }
+    asked = keeper::keepersFor(id, std::move(asked), {});
+    const std::optional<Peer> accepted = m_peers->acceptedBy(id);
+    if (accepted) {
+        asked.insert(asked.begin(), *accepted);
+    }
+    asked.resize(std::min(asked.size(), MaxAsked));
+    for (const Peer &peer : asked) {
+        Json::Value params;
+        params["id"] = id;
+        rpc::RpcFailure failure;
+        const std::optional<Json::Value> result = co_await m_client->call(peer.peers, LocateMethod, std::move(params), AskTimeout, failure);
+        if (result && boolMember(*result, "holds", false)) {
+            location.holder = peer;
+            co_return location;
+        }
+        location.expected = location.expected || !result || boolMember(*result, "keeps", false);
+    }
+    co_return location;
+}
+
+void serveLocations(rpc::IPeerServer &server, std::shared_ptr<requests::RequestRegistry> registry, const keeper::IKeeper &keeper)
+{
+    server.add(LocateMethod, [registry = std::move(registry), &keeper](const Json::Value &params) -> std::optional<Json::Value> {
+        const std::string id = stringMember(params, "id").value_or("");
+        const std::shared_ptr<requests::RequestRecord> record = registry->find(id);
+        Json::Value result;
+        result["holds"] = record && record->transcript.end() != requests::TranscriptEnd::Moved;
+        result["keeps"] = keeper.keeps(id);
+        return result;
+    });
+}
+
+}
--- /dev/null
+++ b/src/keeper/internal/keeper.cpp
@@ -0,0 +1,318 @@
+#include "keeper/internal/keeper.h"
+
+#include "base/json.h"
+#include "keeper/recordjson.h"
+#include "keeper/rendezvous.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace rosemaryshift::keeper {
+
+namespace net = boost::asio;
+using membership::Peer;
+using timeline::EventKind;
+
+namespace {
+
+constexpr const char *KeepMethod = "keep";
+constexpr const char *DropMethod = "drop";
+constexpr const char *HandOverMethod = "hand_over";
+/// Calls in which the keeper may say that it holds less than was thought.
+constexpr int MaxRounds = 4;
+
+Json::Value emptyResult()
+{
+    return Json::Value(Json::objectValue);
+}
+
+}
+
+Keeper::Keeper(net::io_context &control,
+               const KeeperSettings &settings,
+               std::string hostId,
+               membership::IMembership &membership,
+               std::shared_ptr<rpc::IPeerClient> client,
+               std::shared_ptr<timeline::ITimeline> timeline,
+               Adopt adopt)
+    : m_control(control)
+    , m_settings(settings)
+    , m_hostId(std::move(hostId))
+    , m_membership(membership)
+    , m_client(std::move(client))
+    , m_timeline(std::move(timeline))
+    , m_adopt(std::move(adopt))
+{
+}
+
+void Keeper::attach(rpc::IPeerServer &server)
+{
+    server.add(KeepMethod, [this](const Json::Value &params) { return keep(params); });
+    server.add(HandOverMethod, [this](const Json::Value &params) { return takeOver(params); });
+    server.add(DropMethod, [this](const Json::Value &params) {
+        m_kept.erase(stringMember(params, "id").value_or(""));
+        return std::optional<Json::Value>(emptyResult());
+    });
+    m_membership.addObserver([this](const Peer &peer, membership::PeerChange change) {
+        if (change == membership::PeerChange::Lost) {
+            peerLost(peer);
+        } else if (change == membership::PeerChange::Appeared) {
+            peerAppeared();
+        }
+    });
+}
+
+void Keeper::start()
+{
+    net::co_spawn(m_control, run(), net::detached);
+}
+
+net::awaitable<void> Keeper::run()
+{
+    net::steady_timer timer(m_control);
+    while (true) {
+        copyWhatIsDue();
+        expire();
+        timer.expires_after(m_settings.tick);
+        co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    }
+}
+
+void Keeper::accepted(const RecordPtr &record)
+{
+    Own &own = m_own[record->id];
+    own.record = record;
+    if (!own.copying) {
+        own.copying = true;
+        net::co_spawn(m_control, copy(record->id), net::detached);
+    }
+}
+
+void Keeper::copyWhatIsDue()
+{
+    const Clock::time_point now = Clock::now();
+    for (auto &[id, own] : m_own) {
+        const bool due = !own.keeper || own.record->transcript.size() >= own.copied + m_settings.piecesPerCopy;
+        if (own.copying || !due || now < own.retryAt) {
+            continue;
+        }
+        own.copying = true;
+        net::co_spawn(m_control, copy(id), net::detached);
+    }
+}
+
+bool Keeper::chooseKeeper(Own &own)
+{
+    for (const Peer &peer : keepersFor(own.record->id, m_membership.peers(), m_membership.self().zone)) {
+        if (!own.failed.contains(peer.name)) {
+            own.keeper = peer;
+            own.copied = 0;
+            return true;
+        }
+    }
+    if (own.retryAt == Clock::time_point()) {
+        m_timeline->record(EventKind::KeeperUnreachable, {.request = own.record->id, .workspace = own.record->spec.workspace});
+    }
+    own.failed.clear();
+    own.retryAt = Clock::now() + m_settings.retryDelay;
+    return false;
+}
+
+net::awaitable<void> Keeper::copy(std::string id)
+{
+    for (int round = 0; round < MaxRounds; ++round) {
+        const std::map<std::string, Own>::iterator before = m_own.find(id);
+        if (before == m_own.end() || (!before->second.keeper && !chooseKeeper(before->second))) {
+            break;
+        }
+        const Peer peer = *before->second.keeper;
+        const KeptRecord record = kept(*before->second.record);
+        Json::Value params = toJson(record, before->second.copied, Clock::now());
+        rpc::RpcFailure failure;
+        const std::optional<Json::Value> result = co_await m_client->call(peer.peers, KeepMethod, std::move(params), m_settings.callTimeout, failure);
+        const std::map<std::string, Own>::iterator after = m_own.find(id);
+        if (after == m_own.end()) {
+            net::co_spawn(m_control, drop(peer, id), net::detached);
+            co_return;
+        }
+        Own &own = after->second;
+        if (!result) {
+            own.failed.insert(peer.name);
+            own.keeper.reset();
+            continue;
+        }
+        own.copied = unsignedMember(*result, "have").value_or(0);
+        if (own.copied == record.pieces.size()) {
+            break;
+        }
+    }
+    const std::map<std::string, Own>::iterator found = m_own.find(id);
+    if (found != m_own.end()) {
+        found->second.copying = false;
+    }
+}
+
+void Keeper::ended(const std::string &id)
+{
+    const std::map<std::string, Own>::iterator found = m_own.find(id);
+    if (found == m_own.end()) {
+        return;
+    }
+    if (found->second.keeper) {
+        net::co_spawn(m_control, drop(*found->second.keeper, id), net::detached);
+    }
+    m_own.erase(found);
+}
+
+net::awaitable<void> Keeper::drop(Peer peer, std::string id)
+{
+    Json::Value params;
+    params["id"] = id;
+    rpc::RpcFailure failure;
+    co_await m_client->call(peer.peers, DropMethod, std::move(params), m_settings.callTimeout, failure);
+}
+
+std::vector<IKeeper::RecordPtr> Keeper::own() const
+{
+    std::vector<RecordPtr> records;
+    for (const auto &[id, own] : m_own) {
+        records.push_back(own.record);
+    }
+    return records;
+}
+
+std::size_t Keeper::keptRecords() const
+{
+    return m_kept.size();
+}
+
+bool Keeper::keeps(const std::string &id) const
+{
+    return m_kept.contains(id);
+}
+
+KeptRecord Keeper::kept(const requests::RequestRecord &record) const
+{
+    return {record.id, m_hostId, record.spec, record.arrivedAt + record.spec.deadline, record.transcript.view(0).pieces};
+}
+
+std::optional<Json::Value> Keeper::keep(const Json::Value &params)
+{
+    std::optional<KeptRecord> record = recordFromJson(params, Clock::now());
+    const std::size_t from = unsignedMember(params, "from").value_or(0);
+    if (!record) {
+        return std::nullopt;
+    }
+    const std::map<std::string, KeptRecord>::iterator known = m_kept.find(record->id);
+    Json::Value result;
+    if (known == m_kept.end() && from == 0 && m_kept.size() < m_settings.maxKept) {
+        result["have"] = Json::UInt64(record->pieces.size());
+        m_kept.emplace(record->id, std::move(*record));
+        return result;
+    }
+    if (known == m_kept.end()) {
+        result["have"] = 0;
+        return from == 0 ? std::nullopt : std::optional(result);
+    }
+    std::vector<requests::Piece> &pieces = known->second.pieces;
+    if (from <= pieces.size()) {
+        pieces.resize(from);
+        pieces.insert(pieces.end(), record->pieces.begin(), record->pieces.end());
+    }
+    result["have"] = Json::UInt64(pieces.size());
+    return result;
+}
+
+void Keeper::expire()
+{
+    const Clock::time_point now = Clock::now();
+    std::erase_if(m_own, [now](const auto &entry) { return entry.second.record->arrivedAt + entry.second.record->spec.deadline < now; });
+    std::erase_if(m_kept, [now](const auto &entry) { return entry.second.deadline < now; });
+}
+
+void Keeper::peerAppeared()
+{
+    for (auto &[id, own] : m_own) {
+        own.retryAt = {};
+    }
+}
+
+void Keeper::peerLost(const Peer &peer)
+{
+    for (auto &[id, own] : m_own) {
+        if (own.keeper && own.keeper->name == peer.name) {
+            own.keeper.reset();
+        }
+    }
+    const std::string owner = peer.name + "." + peer.incarnation;
+    std::vector<KeptRecord> taken;
+    for (auto &[id, record] : m_kept) {
+        if (record.owner == owner) {
+            taken.push_back(std::move(record));
+        }
+    }
+    for (KeptRecord &record : taken) {
+        m_kept.erase(record.id);
+        m_adopt(std::move(record));
+    }
+}
+
+net::awaitable<std::optional<std::string>> Keeper::handOver(std::vector<RecordPtr> records)
+{
+    Json::Value params;
+    params["records"] = Json::Value(Json::arrayValue);
+    for (const RecordPtr &record : records) {
+        params["records"].append(toJson(kept(*record), 0, Clock::now()));
+    }
+    for (const Peer &peer : keepersFor(m_hostId, m_membership.peers(), m_membership.self().zone)) {
+        rpc::RpcFailure failure;
+        Json::Value copy = params;
+        const std::optional<Json::Value> result = co_await m_client->call(peer.peers, HandOverMethod, std::move(copy), m_settings.callTimeout, failure);
+        if (result) {
+            co_return peer.name;
+        }
+    }
+    co_return std::nullopt;
+}
+
+std::optional<Json::Value> Keeper::takeOver(const Json::Value &params)
+{
+    if (m_membership.self().leaving || !params["records"].isArray()) {
+        return std::nullopt;
+    }
+    std::vector<KeptRecord> records;
+    for (const Json::Value &value : params["records"]) {
+        std::optional<KeptRecord> record = recordFromJson(value, Clock::now());
+        if (!record) {
+            return std::nullopt;
+        }
+        records.push_back(std::move(*record));
+    }
+    for (KeptRecord &record : records) {
+        m_kept.erase(record.id);
+        m_adopt(std::move(record));
+    }
+    return emptyResult();
+}
+
+std::unique_ptr<IKeeper> makeKeeper(net::io_context &control,
+                                    const KeeperSettings &settings,
+                                    std::string hostId,
+                                    membership::IMembership &membership,
+                                    std::shared_ptr<rpc::IPeerClient> client,
+                                    rpc::IPeerServer &server,
+                                    std::shared_ptr<timeline::ITimeline> timeline,
+                                    IKeeper::Adopt adopt)
+{
+    std::unique_ptr<Keeper> keeper
+        = std::make_unique<Keeper>(control, settings, std::move(hostId), membership, std::move(client), std::move(timeline), std::move(adopt));
+    keeper->attach(server);
+    return keeper;
+}
+
+}
--- /dev/null
+++ b/src/keeper/keepertypes.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "requests/requesttypes.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace rosemaryshift::keeper {
+
+/// What another host needs to go on with an accepted request.
+struct KeptRecord {
+    std::string id;
+    std::string owner; ///< Host and incarnation that acts on the request, "name.incarnation".
+    requests::RequestSpec spec;
+    std::chrono::steady_clock::time_point deadline; ///< By this host's clock.
+    std::vector<requests::Piece> pieces;            ///< The answer so far.
+};
+
+struct KeeperSettings {
+    std::size_t piecesPerCopy = 16; ///< New pieces of an answer after which they are copied.
+    std::size_t maxKept = 20'000;   ///< Records of other hosts.
+    std::chrono::milliseconds tick{50};
+    std::chrono::milliseconds callTimeout{1'000};
+    std::chrono::milliseconds retryDelay{1'000}; ///< After no host could keep a record.
+};
+
+}
--- /dev/null
+++ b/src/keeper/tests/keepertests.cpp
@@ -0,0 +1,76 @@
+#include "keeper/recordjson.h"
+#include "keeper/rendezvous.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::keeper;
+
+namespace {
+
+membership::Peer host(const std::string &name, const std::string &zone)
+{
+    membership::Peer peer;
+    peer.name = name;
+    peer.zone = zone;
+    return peer;
+}
+
+}
+
+SCENARIO("A record keeps all that another host needs to go on")
+{
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+    KeptRecord record;
+    record.id = "a.1-7";
+    record.owner = "a.1";
+    record.spec.kind = requests::RequestKind::Service;
+    record.spec.workspace = "yard";
+    record.spec.target = "dispatch";
+    record.spec.trafficClass = TrafficClass::Lookup;
+    record.spec.maxTokens = 9;
+    record.spec.includeUsage = true;
+    record.spec.method = "GET";
+    record.spec.path = "/manifests";
+    record.spec.headers = {{"Accept", "text/plain"}};
+    record.spec.body = "body";
+    record.deadline = now + std::chrono::seconds(5);
+    record.pieces = {{R"({"content":"a"})", "a", 2}, {R"({"content":"b"})", "b", 1}};
+
+    const std::optional<KeptRecord> read = recordFromJson(toJson(record, 1, now), now);
+    REQUIRE(read);
+    CHECK(read->id == record.id);
+    CHECK(read->owner == record.owner);
+    CHECK(read->deadline == record.deadline);
+    CHECK(read->spec.deadline == std::chrono::seconds(5));
+    CHECK(read->spec.kind == record.spec.kind);
+    CHECK(read->spec.trafficClass == record.spec.trafficClass);
+    CHECK(read->spec.maxTokens == 9);
+    CHECK(read->spec.includeUsage);
+    CHECK(read->spec.headers == record.spec.headers);
+    CHECK(read->spec.body == "body");
+    REQUIRE(read->pieces.size() == 1);
+    CHECK(read->pieces[0].content == "b");
+    CHECK_FALSE(recordFromJson(Json::Value("x"), now));
+}
+
+SCENARIO("Keepers are chosen in other zones first and change little when a host goes")
+{
+    const std::vector<membership::Peer> peers{host("a", "eger"), host("b", "miskolc"), host("c", "miskolc"), host("d", "randers")};
+    const std::vector<membership::Peer> order = keepersFor("request-1", peers, "eger");
+    REQUIRE(order.size() == 4);
+    CHECK(order.back().name == "a");
+    WHEN("the second of them leaves")
+    {
+        std::vector<membership::Peer> fewer = peers;
+        std::ranges::find(fewer, order[1].name, &membership::Peer::name)->leaving = true;
+        THEN("the first stays the keeper")
+        {
+            const std::vector<membership::Peer> after = keepersFor("request-1", fewer, "eger");
+            REQUIRE(after.size() == 3);
+            CHECK(after[0].name == order[0].name);
+        }
+    }
+}
--- a/src/requests/internal/requestregistry.cpp
+++ b/src/requests/internal/requestregistry.cpp
@@ -17,12 +17,34 @@
     record->arrivedAt = steady_clock::now();
     const std::lock_guard lock(m_mutex);
     dropOld();
-    record->number = static_cast<RequestId>(m_next);
     record->id = m_idPrefix + "-" + std::to_string(m_next);
+    insert(record);
+    return record;
+}
+
+std::shared_ptr<RequestRecord> RequestRegistry::restore(const std::string &id, RequestSpec spec, std::vector<Piece> pieces)
+{
+    const std::shared_ptr<RequestRecord> record = std::make_shared<RequestRecord>();
+    record->id = id;
+    record->spec = std::move(spec);
+    record->arrivedAt = steady_clock::now();
+    record->transcript.restore(std::move(pieces));
+    const std::lock_guard lock(m_mutex);
+    const auto known = m_byId.find(id);
+    if (known != m_byId.end() && known->second->transcript.end() != TranscriptEnd::Moved) {
+        return nullptr;
+    }
+    dropOld();
+    insert(record);
+    return record;
+}
+
+void RequestRegistry::insert(const std::shared_ptr<RequestRecord> &record)
+{
+    record->number = static_cast<RequestId>(m_next);
     ++m_next;
     m_byNumber[record->number] = record;
     m_byId[record->id] = record;
-    return record;
 }
 
 std::shared_ptr<RequestRecord> RequestRegistry::find(std::string_view id) const
@@ -52,7 +74,10 @@
     while (!m_finished.empty() && (m_finished.size() > m_limits.maxFinished || m_finished.front().at < oldest)) {
         const std::map<RequestId, std::shared_ptr<RequestRecord>>::iterator found = m_byNumber.find(m_finished.front().number);
         if (found != m_byNumber.end()) {
-            m_byId.erase(found->second->id);
+            const auto byId = m_byId.find(found->second->id);
+            if (byId != m_byId.end() && byId->second == found->second) {
+                m_byId.erase(byId);
+            }
             m_byNumber.erase(found);
         }
         m_finished.pop_front();
--- a/src/requests/internal/transcript.cpp
+++ b/src/requests/internal/transcript.cpp
@@ -38,7 +38,7 @@
 bool Transcript::open(AttemptId attempt, std::size_t behind)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_end != TranscriptEnd::Open) {
+    if (m_end != TranscriptEnd::Open || m_frozen) {
         return false;
     }
     if (m_writer) {
@@ -132,6 +132,19 @@
     return true;
 }
 
+void Transcript::freeze()
+{
+    const std::lock_guard lock(m_mutex);
+    m_frozen = true;
+    m_writer.reset();
+}
+
+void Transcript::thaw()
+{
+    const std::lock_guard lock(m_mutex);
+    m_frozen = false;
+}
+
 void Transcript::restore(std::vector<Piece> pieces)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/requests/requestregistry.h
+++ b/src/requests/requestregistry.h
@@ -35,6 +35,8 @@
 
     /// Makes a record with a new id.
     std::shared_ptr<RequestRecord> add(RequestSpec spec);
+    /// Makes a record of a request that another host has accepted, with the answer so far; null when it is here already and has not moved away.
+    std::shared_ptr<RequestRecord> restore(const std::string &id, RequestSpec spec, std::vector<Piece> pieces);
     /// The record with the id @p id; null when there is none.
     [[nodiscard]] std::shared_ptr<RequestRecord> find(std::string_view id) const;
     /// The record with the number @p number; null when there is none.
@@ -49,6 +51,8 @@
         RequestId number;
     };
     /// Precondition: the mutex is held.
+    void insert(const std::shared_ptr<RequestRecord> &record);
+    /// Precondition: the mutex is held.
     void dropOld();
 
     const std::string m_idPrefix;
--- a/src/requests/transcript.h
+++ b/src/requests/transcript.h
@@ -58,6 +58,11 @@
     /// Ends an open answer because another host goes on with it.
     void move();
 
+    /// Lets no attempt write any more, so that the answer can be handed over as it is.
+    void freeze();
+    /// Lets attempts write again.
+    void thaw();
+
     /// Takes in pieces written at another host. Precondition: no attempt has written yet.
     void restore(std::vector<Piece> pieces);
 
@@ -80,6 +85,7 @@
     mutable std::mutex m_mutex;
     std::vector<Piece> m_pieces;
     std::optional<AttemptId> m_writer;
+    bool m_frozen = false;
     TranscriptEnd m_end = TranscriptEnd::Open;
     std::string m_finishReason;
     Usage m_usage;
--- a/tests/support/answers.cpp
+++ b/tests/support/answers.cpp
@@ -16,6 +16,14 @@
     return numbers;
 }
 
+std::string requestId(std::string_view body)
+{
+    static const std::regex Id("entry-[0-9]+\\.[0-9a-f]{8}-[0-9]+");
+    const std::string text(body);
+    std::smatch match;
+    return std::regex_search(text, match, Id) ? match[0].str() : std::string();
+}
+
 std::vector<int> numbersBelow(int end)
 {
     std::vector<int> numbers(static_cast<std::size_t>(end));
--- a/tests/support/wire.cpp
+++ b/tests/support/wire.cpp
@@ -124,6 +124,12 @@
     REQUIRE(holds());
 }
 
+std::string PendingExchange::bodySoFar() const
+{
+    const std::lock_guard lock(m_state->mutex);
+    return m_state->response ? m_state->response->body : std::string();
+}
+
 std::optional<http::Response> PendingExchange::awaitEnd()
 {
     std::unique_lock lock(m_state->mutex);
--- a/tests/support/wire.h
+++ b/tests/support/wire.h
@@ -29,6 +29,8 @@
     void awaitText(const std::string &text);
     /// Waits for the whole answer; nothing when the connection broke.
     std::optional<http::Response> awaitEnd();
+    /// The body as far as it has come.
+    [[nodiscard]] std::string bodySoFar() const;
     /// Closes the connection without waiting for the rest.
     void abandon();
 
