Refuse a change under the id of another one

Cause: a publish under a known change id got the first change's result whatever its text, so an operator who used an id again was told that the new text is accepted. Without the comparison: templatetests.cpp:54 "accepted" == "invalid". With it: passed.

--- a/src/entry/internal/templatepublisher.cpp
+++ b/src/entry/internal/templatepublisher.cpp
@@ -59,9 +59,9 @@
 net::awaitable<PublishResult> TemplatePublisher::publish(PublishRequest request)
 {
     const TemplateChange &change = request.change;
-    const std::optional<ChangeResult> known = m_table.fold().resultOf(change.changeId);
+    const std::optional<PublishResult> known = resultOf(change);
     if (known) {
-        co_return converted(*known);
+        co_return *known;
     }
     if (!m_follower.reachable() || !m_follower.caughtUp()) {
         co_return PublishResult{PublishVerdict::PlatformDown, 0, "the platform's log cannot be read; nothing was published"};
@@ -85,6 +85,21 @@
     co_return converted(*m_table.fold().resultOf(change.changeId));
 }
 
+/// The result of a change that was decided before; a change under the id of another one is refused.
+std::optional<PublishResult> TemplatePublisher::resultOf(const TemplateChange &change) const
+{
+    const std::optional<ChangeResult> known = m_table.fold().resultOf(change.changeId);
+    if (!known) {
+        return std::nullopt;
+    }
+    for (const templates::StatedRevision &kept : m_table.fold().history(change.workspace)) {
+        if (kept.changeId == change.changeId && kept.text != change.text) {
+            return PublishResult{PublishVerdict::Invalid, 0, "change " + change.changeId + " is another change, revision " + std::to_string(kept.revision)};
+        }
+    }
+    return converted(*known);
+}
+
 std::optional<PublishResult> TemplatePublisher::refusalOf(const PublishRequest &request) const
 {
     std::optional<PublishResult> faults = faultsOf(request);
--- a/src/entry/internal/templatepublisher.h
+++ b/src/entry/internal/templatepublisher.h
@@ -52,6 +52,7 @@
     void wake();
 
 private:
+    [[nodiscard]] std::optional<PublishResult> resultOf(const templates::TemplateChange &change) const;
     [[nodiscard]] std::optional<PublishResult> faultsOf(const PublishRequest &request) const;
     [[nodiscard]] std::optional<PublishResult> conflictOf(const templates::TemplateChange &change) const;
     /// Waits until @p condition holds; false when it does not within @p timeout.
--- a/tests/promises/templatetests.cpp
+++ b/tests/promises/templatetests.cpp
@@ -51,6 +51,7 @@
         awaitYard(fleet, "2 lost");
         const std::uint64_t end = logEnd(fleet);
         CHECK(fleet.publishTemplate(1, "yard", 1, "lost", yardWithQueue(7)) == answer);
+        CHECK(fleet.publishTemplate(1, "yard", 2, "lost", yardWithQueue(9))["verdict"].asString() == "invalid");
         CHECK(logEnd(fleet) == end);
     }
 }
