Refuse unknown log levels, and hold stated defaults to the real ones

Cause: log_level = "loud" was accepted and switched the log off; two examples stated defaults that do not hold. What: log_level is one of five words in every program. A settings document tells the fallback of each absent setting, and a test compares it with the default that the example's comment states. Seen red before the mending: progress_timeout_ms '"5000" == "10000"', work_us '"5000" == "2000"'.

--- a/src/entry/internal/entrysettings.cpp
+++ b/src/entry/internal/entrysettings.cpp
@@ -130,7 +130,7 @@
     SettingsTable root = document.root();
     settings.name = root.text("name");
     settings.zone = root.text("zone");
-    settings.logLevel = root.text("log_level", "info");
+    settings.logLevel = root.logLevel();
     settings.trafficThreads = static_cast<std::uint32_t>(root.number("traffic_threads", ThreadCount, settings.trafficThreads));
     settings.timelineEvents = root.number("timeline_events", {16, 1'000'000}, settings.timelineEvents);
     settings.seed = root.number("seed", {}, 0);
--- a/src/entry/internal/requestjournal.cpp
+++ b/src/entry/internal/requestjournal.cpp
@@ -85,7 +85,7 @@
     const bool isChat = record->spec.kind == requests::RequestKind::Chat;
     const std::uint64_t tokensSoFar = record->transcript.prefix().tokens;
     m_attempts[attempt] = {record, upstream, isChat && tokensSoFar == 0};
-    if (isChat && reason.retry) {
+    if (isChat && (reason.retry || tokensSoFar > 0)) {
         m_metrics->countRecomputedTokens(record->spec.promptTokens + tokensSoFar);
     }
     if (tokensSoFar > 0) {
--- a/src/settings/internal/settingsdocument.cpp
+++ b/src/settings/internal/settingsdocument.cpp
@@ -2,6 +2,8 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace rosemaryshift {
@@ -39,7 +41,7 @@
     m_errors.push_back({m_file, line, std::move(reason)});
 }
 
-std::span<const std::string> SettingsDocument::absent() const
+std::span<const AbsentSetting> SettingsDocument::absent() const
 {
     return m_absent;
 }
@@ -81,12 +83,12 @@
     return m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
 }
 
-const toml::node *SettingsTable::find(std::string_view key, bool required)
+const toml::node *SettingsTable::find(std::string_view key, bool required, std::string_view fallback)
 {
     m_known.emplace(key);
     const toml::node *const node = m_node->get(key);
     if (node == nullptr) {
-        m_document->m_absent.push_back(pathOf(key));
+        m_document->m_absent.push_back({pathOf(key), std::string(fallback)});
     }
     if (node == nullptr && required) {
         reject(key, "is missing");
@@ -101,7 +103,7 @@
 
 std::string SettingsTable::text(std::string_view key, std::optional<std::string> fallback)
 {
-    const toml::node *const node = find(key, !fallback);
+    const toml::node *const node = find(key, !fallback, fallback.value_or(""));
     if (node == nullptr) {
         return fallback.value_or("");
     }
@@ -112,9 +114,21 @@
     return value.value_or("");
 }
 
+std::string SettingsTable::logLevel()
+{
+    constexpr std::string_view Key = "log_level";
+    constexpr std::array<std::string_view, 5> Levels{"trace", "debug", "info", "warn", "error"};
+    const std::size_t faultsBefore = faults();
+    const std::string level = text(Key, "info");
+    if (faults() == faultsBefore && std::ranges::find(Levels, level) == Levels.end()) {
+        reject(Key, "must be trace, debug, info, warn or error");
+    }
+    return level;
+}
+
 std::uint64_t SettingsTable::number(std::string_view key, NumberRange range, std::optional<std::uint64_t> fallback)
 {
-    const toml::node *const node = find(key, !fallback);
+    const toml::node *const node = find(key, !fallback, fallback ? std::to_string(*fallback) : std::string());
     if (node == nullptr) {
         return fallback.value_or(range.min);
     }
@@ -132,7 +146,7 @@
 
 double SettingsTable::real(std::string_view key, RealRange range, std::optional<double> fallback)
 {
-    const toml::node *const node = find(key, !fallback);
+    const toml::node *const node = find(key, !fallback, fallback ? std::to_string(*fallback) : std::string());
     if (node == nullptr) {
         return fallback.value_or(range.min);
     }
@@ -150,7 +164,7 @@
 
 bool SettingsTable::flag(std::string_view key, bool fallback)
 {
-    const toml::node *const node = find(key, false);
+    const toml::node *const node = find(key, false, fallback ? "true" : "false");
     if (node == nullptr) {
         return fallback;
     }
@@ -164,7 +178,7 @@
 std::vector<std::string> SettingsTable::texts(std::string_view key)
 {
     std::vector<std::string> values;
-    const toml::node *const node = find(key, false);
+    const toml::node *const node = find(key, false, "");
     if (node == nullptr) {
         return values;
     }
@@ -187,7 +201,7 @@
 
 std::optional<SettingsTable> SettingsTable::table(std::string_view key)
 {
-    const toml::node *const node = find(key, false);
+    const toml::node *const node = find(key, false, "");
     if (node == nullptr) {
         return std::nullopt;
     }
@@ -201,7 +215,7 @@
 std::vector<SettingsTable> SettingsTable::tables(std::string_view key)
 {
     std::vector<SettingsTable> rows;
-    const toml::node *const node = find(key, false);
+    const toml::node *const node = find(key, false, "");
     if (node == nullptr) {
         return rows;
     }
--- a/src/settings/settingsdocument.h
+++ b/src/settings/settingsdocument.h
@@ -29,6 +29,8 @@
 public:
     /// The text under @p key, or @p fallback; without a fallback the key is required.
     std::string text(std::string_view key, std::optional<std::string> fallback = std::nullopt);
+    /// The level of detail of logs under "log_level"; info when absent.
+    std::string logLevel();
     /// The whole number under @p key within @p range; without a fallback the key is required.
     std::uint64_t number(std::string_view key, NumberRange range, std::optional<std::uint64_t> fallback = std::nullopt);
     /// The real number under @p key within @p range; without a fallback the key is required.
@@ -57,7 +59,7 @@
 private:
     friend class SettingsDocument;
     SettingsTable(SettingsDocument *document, const toml::table *node, std::string path);
-    const toml::node *find(std::string_view key, bool required);
+    const toml::node *find(std::string_view key, bool required, std::string_view fallback);
     [[nodiscard]] std::string pathOf(std::string_view key) const;
 
     SettingsDocument *m_document;
@@ -84,8 +86,8 @@
     void addError(std::uint32_t line, std::string reason);
     /// All faults, a line each.
     [[nodiscard]] std::string errorText() const;
-    /// Settings that were asked for and do not stand in the document, as "table.key".
-    [[nodiscard]] std::span<const std::string> absent() const;
+    /// Settings that were asked for and do not stand in the document.
+    [[nodiscard]] std::span<const AbsentSetting> absent() const;
 
 private:
     friend class SettingsTable;
@@ -93,7 +95,7 @@
     std::string m_file;
     std::unique_ptr<toml::table> m_root;
     std::vector<SettingsError> m_errors;
-    std::vector<std::string> m_absent;
+    std::vector<AbsentSetting> m_absent;
 };
 
 }
--- a/src/settings/settingstypes.h
+++ b/src/settings/settingstypes.h
@@ -16,6 +16,14 @@
     [[nodiscard]] std::string text() const;
 };
 
+/// A setting that was asked for and is not given.
+struct AbsentSetting {
+    std::string path;     ///< "table.key".
+    std::string fallback; ///< What holds instead, as text; empty when nothing does.
+
+    bool operator==(const AbsentSetting &) const = default;
+};
+
 /// Inclusive bounds of a whole number.
 struct NumberRange {
     std::uint64_t min = 0;
--- a/src/standins/internal/standinengine.cpp
+++ b/src/standins/internal/standinengine.cpp
@@ -76,7 +76,7 @@
     EngineSettings settings;
     SettingsTable root = document.root();
     settings.name = root.text("name");
-    settings.logLevel = root.text("log_level", "info");
+    settings.logLevel = root.logLevel();
     settings.address = endpointSetting(root, "address");
     settings.firstToken = std::chrono::microseconds(root.number("first_token_us", {0, 60'000'000}, settings.firstToken.count()));
     settings.perToken = std::chrono::microseconds(root.number("per_token_us", {0, 60'000'000}, settings.perToken.count()));
--- a/src/standins/internal/standinplatform.cpp
+++ b/src/standins/internal/standinplatform.cpp
@@ -31,7 +31,7 @@
 {
     PlatformSettings settings;
     SettingsTable root = document.root();
-    settings.logLevel = root.text("log_level", "info");
+    settings.logLevel = root.logLevel();
     settings.address = endpointSetting(root, "address");
     settings.retainedRecords = root.number("retained_records", {1, 10'000'000}, settings.retainedRecords);
     root.rejectUnknownKeys();
--- a/src/standins/internal/standinservice.cpp
+++ b/src/standins/internal/standinservice.cpp
@@ -12,7 +12,7 @@
     ServiceSettings settings;
     SettingsTable root = document.root();
     settings.name = root.text("name");
-    settings.logLevel = root.text("log_level", "info");
+    settings.logLevel = root.logLevel();
     settings.address = endpointSetting(root, "address");
     settings.work = std::chrono::microseconds(root.number("work_us", {0, 600'000'000}, settings.work.count()));
     root.rejectUnknownKeys();
--- a/src/timeline/internal/explanation.cpp
+++ b/src/timeline/internal/explanation.cpp
@@ -32,7 +32,7 @@
     case EventKind::RequestHedged:
         return "it was sent to " + fields.upstream + " beside the attempt under way" + because(fields);
     case EventKind::RequestMoved:
-        return "it was moved to another upstream" + because(fields);
+        return "it goes on from the tokens it has" + because(fields);
     case EventKind::RequestResumed:
         return event.host + " went on with it" + because(fields);
     case EventKind::RequestHandedOver:
--- a/tests/product/examplestests.cpp
+++ b/tests/product/examplestests.cpp
@@ -102,6 +102,9 @@
         checkRefused(check, withLine(lines, i, key + " = [[]]"), i, key);
         checkRefused(check, withLine(lines, i, lines[i] + "\n" + key + "_misspelt = 1"), i + 1, key + "_misspelt");
         const bool isNumber = lines[i].find_first_of("\"[", lines[i].find('=')) == std::string::npos;
+        if (key == "log_level") {
+            checkRefused(check, withLine(lines, i, "log_level = \"loud\""), i, key);
+        }
         if (isNumber) {
             checkRefused(check, withLine(lines, i, key + " = -1"), i, key);
         }
@@ -109,21 +112,55 @@
     CHECK(settings > 1);
 }
 
-}
+using Absent = std::function<std::vector<AbsentSetting>(std::string_view text)>;
 
-SCENARIO("The annotated examples name every setting that the programs read")
+template <typename Read>
+Absent absentSettings(Read read)
 {
-    const auto absentIn = [](const std::string &example, const auto &read) {
-        const std::vector<std::string> lines = exampleLines(example);
-        SettingsDocument document(withLine(lines, 0, lines[0]), example);
+    return [read](std::string_view text) {
+        SettingsDocument document(text, "example.toml");
         read(document);
-        return std::vector<std::string>(document.absent().begin(), document.absent().end());
+        return std::vector<AbsentSetting>(document.absent().begin(), document.absent().end());
     };
-    const std::vector<std::string> none;
-    CHECK(absentIn("entry.toml", entry::readEntrySettings) == none);
-    CHECK(absentIn("standin-engine.toml", standins::readEngineSettings) == none);
-    CHECK(absentIn("standin-service.toml", standins::readServiceSettings) == none);
-    CHECK(absentIn("standin-platform.toml", standins::readPlatformSettings) == none);
+}
+
+/// The default that a comment states as "Default 10000."; nothing when it states none as a plain value.
+std::optional<std::string> statedDefault(const std::string &comment)
+{
+    constexpr std::string_view Word = "Default ";
+    const std::size_t at = comment.find(Word);
+    if (at == std::string::npos || !comment.ends_with('.')) {
+        return std::nullopt;
+    }
+    const std::string value = comment.substr(at + Word.size(), comment.size() - at - Word.size() - 1);
+    return value == "none" ? std::string() : value;
+}
+
+/// Fails unless the example holds every setting, and each stated default is the one that holds without the setting.
+void checkDocumented(const std::string &example, const Absent &absent)
+{
+    const std::vector<std::string> lines = exampleLines(example);
+    CHECK(absent(withLine(lines, 0, lines[0])).empty());
+    for (std::size_t i = 1; i < lines.size(); ++i) {
+        const std::optional<std::string> stated = statedDefault(lines[i - 1]);
+        if (keyOf(lines[i]).empty() || !stated) {
+            continue;
+        }
+        INFO(example << ", " << lines[i]);
+        const std::vector<AbsentSetting> without = absent(withLine(lines, i, ""));
+        REQUIRE(without.size() == 1);
+        CHECK(without[0].fallback == *stated);
+    }
+}
+
+}
+
+SCENARIO("The annotated examples name every setting that the programs read, with its default")
+{
+    checkDocumented("entry.toml", absentSettings(entry::readEntrySettings));
+    checkDocumented("standin-engine.toml", absentSettings(standins::readEngineSettings));
+    checkDocumented("standin-service.toml", absentSettings(standins::readServiceSettings));
+    checkDocumented("standin-platform.toml", absentSettings(standins::readPlatformSettings));
 }
 
 SCENARIO("The annotated examples are accepted by the programs they are for")
