Prove that bookings run at most once over real processes

Cause: the claims of bookings were shown by unit and property tests only. Entry hosts reach the platform, and services are listed, through relays. Found on the way: the time line said "dispatched" for bookings that the decision core then refused; it says so now when an attempt starts.

--- a/src/entry/internal/bookingrunner.cpp
+++ b/src/entry/internal/bookingrunner.cpp
@@ -197,9 +197,7 @@
 
 void BookingRunner::perform(const bookings::DispatchBooking &action)
 {
-    const RecordPtr record = m_parts.registry->find(action.request);
-    m_parts.timeline->record(EventKind::BookingDispatched, {.request = record->id, .workspace = record->spec.workspace});
-    m_dispatch(record);
+    m_dispatch(m_parts.registry->find(action.request));
 }
 
 void BookingRunner::perform(const bookings::AnswerBooking &action)
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -284,6 +284,9 @@
     const platform::ListedHost &host = m_upstreams.host(action.upstream);
     m_attemptUpstreams[action.attempt] = action.upstream;
     m_journal.routed(record, action.attempt, host.name, action.reason);
+    if (!record->spec.idempotent) {
+        m_parts.timeline->record(EventKind::BookingDispatched, {.request = record->id, .workspace = record->spec.workspace, .upstream = host.name});
+    }
     upstreams::AttemptSpec spec;
     spec.attempt = action.attempt;
     spec.attemptName = m_hostId + "." + RequestJournal::attemptText(action.attempt);
--- /dev/null
+++ b/tests/promises/bookingtests.cpp
@@ -0,0 +1,191 @@
+#include "support/bookings.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::testing;
+
+SCENARIO("A caller retries a booking through another host")
+{
+    Fleet fleet(bookingOptions());
+    GIVEN("a first try that the service has begun and not answered")
+    {
+        for (std::size_t i = 0; i < fleet.services(); ++i) {
+            fleet.service(i).relay->holdAnswers();
+        }
+        PendingExchange first(fleet.entry(0).callers, booking("pickup", "crate 7"));
+        awaitRuns(fleet, "pickup", 1);
+        WHEN("it is tried again meanwhile")
+        {
+            PendingExchange second(fleet.entry(0).callers, booking("pickup", "crate 7"));
+            const http::Response third = bookBriefly(fleet, 1, "pickup");
+            THEN("the other host does not know how it ends, and the first host gives both the one answer")
+            {
+                CHECK(third.status == 503);
+                CHECK(codeOf(third) == "owner_silent");
+                CHECK(runOf(third) == "unknown");
+                for (std::size_t i = 0; i < fleet.services(); ++i) {
+                    fleet.service(i).relay->resume();
+                }
+                const std::optional<http::Response> answer = first.awaitEnd();
+                REQUIRE(answer);
+                CHECK(runOf(*answer) == "ran");
+                CHECK(second.awaitEnd()->body == answer->body);
+                CHECK(bookUntil(fleet, 1, "pickup", 200).body == answer->body);
+                CHECK(runsOf(fleet, "pickup") == 1);
+            }
+        }
+        WHEN("the host is killed")
+        {
+            fleet.entry(0).process->signal(SIGKILL);
+            fleet.entry(0).process->awaitExit();
+            CHECK_FALSE(first.awaitEnd());
+            THEN("the other host says unknown and runs nothing")
+            {
+                const http::Response again = bookBriefly(fleet, 1, "pickup");
+                CHECK(runOf(again) == "unknown");
+                CHECK(runsOf(fleet, "pickup") == 1);
+            }
+        }
+        WHEN("the connection to the service is cut")
+        {
+            for (std::size_t i = 0; i < fleet.services(); ++i) {
+                fleet.service(i).relay->cut();
+            }
+            const std::optional<http::Response> answer = first.awaitEnd();
+            for (std::size_t i = 0; i < fleet.services(); ++i) {
+                fleet.service(i).relay->heal();
+            }
+            THEN("nobody tries again, and every host says unknown")
+            {
+                REQUIRE(answer);
+                CHECK(answer->status == 504);
+                CHECK(runOf(*answer) == "unknown");
+                CHECK(codeOf(bookUntil(fleet, 0, "pickup", 504)) == "outcome_unknown");
+                CHECK(runOf(bookUntil(fleet, 1, "pickup", 504)) == "unknown");
+                CHECK(runsOf(fleet, "pickup") == 1);
+            }
+        }
+    }
+    GIVEN("a service that answers only after the deadline")
+    {
+        for (std::size_t i = 0; i < fleet.services(); ++i) {
+            fleet.service(i).relay->holdAnswers();
+        }
+        PendingExchange first(fleet.entry(0).callers, booking("pickup", "crate 7", 3'000));
+        awaitRuns(fleet, "pickup", 1);
+        const std::optional<http::Response> answer = first.awaitEnd();
+        for (std::size_t i = 0; i < fleet.services(); ++i) {
+            fleet.service(i).relay->resume();
+        }
+        THEN("the late answer changes nothing, and a retry on a new connection runs nothing")
+        {
+            REQUIRE(answer);
+            CHECK(runOf(*answer) == "unknown");
+            CHECK(runOf(bookUntil(fleet, 0, "pickup", 504)) == "unknown");
+            CHECK(runOf(bookUntil(fleet, 1, "pickup", 504)) == "unknown");
+            CHECK(runsOf(fleet, "pickup") == 1);
+        }
+    }
+    GIVEN("a first try that has ended")
+    {
+        const http::Response first = book(fleet, 0, "pickup");
+        REQUIRE(first.status == 200);
+        THEN("each host gives the first answer, and refuses another request under the key")
+        {
+            CHECK(book(fleet, 0, "pickup").body == first.body);
+            CHECK(bookUntil(fleet, 1, "pickup", 200).body == first.body);
+            const http::Response other = book(fleet, 1, "pickup", "crate 8");
+            CHECK(other.status == 422);
+            CHECK(codeOf(other) == "idempotency_key_reused");
+            CHECK(runsOf(fleet, "pickup") == 1);
+        }
+        THEN("it is remembered when its host is gone")
+        {
+            awaitLogged(fleet, "booking_outcome", 1);
+            fleet.entry(0).process->signal(SIGKILL);
+            CHECK(bookUntil(fleet, 1, "pickup", 200).body == first.body);
+            CHECK(runsOf(fleet, "pickup") == 1);
+        }
+    }
+    GIVEN("no service that could run it")
+    {
+        hideServices(fleet, 0);
+        const http::Response first = book(fleet, 0, "pickup");
+        THEN("not run is true, and the key may be tried again through any host")
+        {
+            CHECK(codeOf(first) == "no_upstream");
+            CHECK(runOf(first) == "not-run");
+            CHECK(runsOf(fleet, "pickup") == 0);
+            fleet.publishHosts();
+            CHECK(runOf(bookUntil(fleet, 1, "pickup", 200)) == "ran");
+            CHECK(runsOf(fleet, "pickup") == 1);
+        }
+    }
+}
+
+SCENARIO("A host stands still between its claim and the dispatch")
+{
+    Fleet fleet(bookingOptions());
+    EntryProcess &owner = fleet.entry(0);
+    const int deadlineMs = GENERATE(0, 200);
+    owner.platformRelay->holdAnswers();
+    PendingExchange first(owner.callers, booking("pickup", "crate 7", deadlineMs));
+    awaitLogged(fleet, "booking_claim", 1);
+    owner.process->freeze();
+    owner.platformRelay->resume();
+    const http::Response second = bookBriefly(fleet, 1, "pickup");
+    CHECK(codeOf(second) == "owner_silent");
+    CHECK(runOf(second) == "unknown");
+    CHECK(runsOf(fleet, "pickup") == 0);
+
+    owner.process->signal(SIGCONT);
+    const std::optional<http::Response> answer = first.awaitEnd();
+    REQUIRE(answer);
+    if (deadlineMs == 0) {
+        CHECK(runOf(*answer) == "ran");
+        CHECK(bookUntil(fleet, 1, "pickup", 200).body == answer->body);
+    } else {
+        // Unknown when the host saw that the deadline had passed before it read its claim back.
+        CHECK((runOf(*answer) == "not-run" || runOf(*answer) == "unknown"));
+        awaitLogged(fleet, "booking_release", 1);
+        CHECK(runsOf(fleet, "pickup") == 0);
+        CHECK(runOf(bookUntil(fleet, 1, "pickup", 200)) == "ran");
+    }
+    CHECK(runsOf(fleet, "pickup") == 1);
+}
+
+SCENARIO("A host is killed between its claim and the dispatch")
+{
+    Fleet fleet(bookingOptions());
+    fleet.entry(0).platformRelay->holdAnswers();
+    PendingExchange first(fleet.entry(0).callers, booking("pickup"));
+    awaitLogged(fleet, "booking_claim", 1);
+    fleet.entry(0).process->signal(SIGKILL);
+    CHECK_FALSE(first.awaitEnd());
+    const http::Response second = bookBriefly(fleet, 1, "pickup");
+    CHECK(codeOf(second) == "owner_silent");
+    CHECK(runOf(second) == "unknown");
+    CHECK(runsOf(fleet, "pickup") == 0);
+}
+
+SCENARIO("Two hosts claim one key at once")
+{
+    Fleet fleet(bookingOptions());
+    fleet.entry(0).platformRelay->holdAnswers();
+    fleet.entry(1).platformRelay->holdAnswers();
+    PendingExchange first(fleet.entry(0).callers, booking("pickup"));
+    PendingExchange second(fleet.entry(1).callers, booking("pickup"));
+    awaitLogged(fleet, "booking_claim", 2);
+    fleet.entry(0).platformRelay->resume();
+    fleet.entry(1).platformRelay->resume();
+    const std::optional<http::Response> one = first.awaitEnd();
+    const std::optional<http::Response> two = second.awaitEnd();
+    REQUIRE(one);
+    REQUIRE(two);
+    CHECK(one->body == two->body);
+    CHECK(runOf(*one) == "ran");
+    CHECK(runsOf(fleet, "pickup") == 1);
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -64,6 +64,9 @@
         }
         for (std::size_t i = 0; i < m_options.servicesPerZone; ++i) {
             m_services.push_back(startStandin("service", "service-" + std::to_string(m_services.size() + 1), zone, m_options.serviceSettings));
+            if (m_options.relays) {
+                m_services.back().relay = std::make_unique<Relay>(m_services.back().endpoint);
+            }
         }
         for (std::size_t i = 0; i < m_options.entryHostsPerZone; ++i) {
             m_entries.push_back(std::make_unique<EntryProcess>(startEntry(zone)));
@@ -185,6 +188,11 @@
     return m_entries.size();
 }
 
+std::size_t Fleet::services() const
+{
+    return m_services.size();
+}
+
 void Fleet::fail(const http::Endpoint &standin, const std::string &mode, const std::string &more)
 {
     const std::string body = "{\"mode\":\"" + mode + "\"" + (more.empty() ? "" : "," + more) + "}";
@@ -218,7 +226,7 @@
         add(std::move(row));
     }
     for (const Listening &service : m_services) {
-        Json::Value row = hostRow(service.name, "service", service.zone, service.endpoint);
+        Json::Value row = hostRow(service.name, "service", service.zone, service.relay ? service.relay->endpoint() : service.endpoint);
         row["targets"].append("dispatch");
         add(std::move(row));
     }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -25,7 +25,7 @@
     std::string serviceSettings = "work_us = 1000\n";
     std::string callerSettings; ///< Added to the callers' listener of each entry host.
     std::string entrySettings;  ///< Added at the end of each entry host's settings.
-    bool relays = false;        ///< Entry hosts reach the platform and each other through relays, which can be cut.
+    bool relays = false;        ///< Entry hosts reach the platform, services and each other through relays, which can be cut.
     std::string templateText;   ///< Published at the start; a template of one workspace when empty.
 };
 
@@ -34,6 +34,7 @@
     std::string name;
     std::string zone;
     http::Endpoint endpoint;
+    std::unique_ptr<Relay> relay; ///< Before a service, with FleetOptions::relays.
 };
 
 struct EntryProcess {
@@ -61,6 +62,7 @@
     EntryProcess &entry(std::size_t index);
     [[nodiscard]] const http::Endpoint &platform() const;
     [[nodiscard]] std::size_t entries() const;
+    [[nodiscard]] std::size_t services() const;
 
     /// File that holds the operators' and peers' token.
     [[nodiscard]] const std::string &tokenFile() const;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -124,6 +124,13 @@
     return m_exit;
 }
 
+void Process::freeze() const
+{
+    signal(SIGSTOP);
+    siginfo_t info{};
+    REQUIRE(::waitid(P_PID, static_cast<id_t>(m_pid), &info, WSTOPPED) == 0);
+}
+
 int Process::awaitExit()
 {
     {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -28,6 +28,8 @@
     static std::string valueIn(const std::string &line, const std::string &key);
     /// Sends a signal.
     void signal(int number) const;
+    /// Stops the process with SIGSTOP and waits until all of its threads stand still.
+    void freeze() const;
     /// Waits for the end and gives the exit code, or minus the signal that ended it.
     int awaitExit();
     [[nodiscard]] pid_t pid() const;
