--- a/tests/promises/reclaimtests.cpp
+++ b/tests/promises/reclaimtests.cpp
@@ -122,6 +122,21 @@
     CHECK(words == numbersBelow(Tokens));
 }
 
+SCENARIO("An entry host is stopped and then reclaimed")
+{
+    Fleet fleet(threeZones());
+    PendingExchange stream(fleet.entry(0).callers, plan(true));
+    awaitUnderWay(fleet, stream, 1);
+    fleet.entry(0).process->signal(SIGTERM);
+    awaitCondition("the closed listener", [&] { return !tryExchange(fleet.entry(0).callers, Fleet::callerRequest("GET", "/v1/models")); });
+    giveNotice(fleet, "entry-1", 1'000);
+    const std::optional<http::Response> cut = stream.awaitEnd();
+    REQUIRE(cut);
+    CHECK_THAT(cut->body, Catch::Contains("event: moved"));
+    CHECK(fleet.entry(0).process->awaitExit() == 0);
+    CHECK(followToEnd(fleet, {1, 2}, requestId(cut->body), wordNumbers(cut->body)) == numbersBelow(Tokens));
+}
+
 SCENARIO("An entry host dies while a stream runs")
 {
     Fleet fleet(threeZones());
