Pass an engine's rejection on instead of trying it elsewhere

Cause: an engine's 4xx counted as a broken attempt, so a request at fault ran through every permitted attempt and ended as attempts_failed with 502, without the engine's message. What: the outcome 'rejected' ends the request at once with the engine's status and message, code rejected_by_upstream; 408 and 429 stay retryable. Before: the new case of 'Each refusal says what ran' would get 502 from the earlier code (read, not run).

--- a/src/decisions/decisiontypes.h
+++ b/src/decisions/decisiontypes.h
@@ -17,6 +17,7 @@
     Declined,   ///< The upstream said that it did not run the request.
     Broken,     ///< The connection ended or the answer was not the one asked for; the request may have run.
     Silent,     ///< The upstream said nothing within the progress timeout; the request may have run.
+    Rejected,   ///< The upstream found the request itself at fault; another try would end alike.
     Cancelled,  ///< The host cancelled it.
 };
 
@@ -27,6 +28,7 @@
     DeadlinePassed,
     AttemptsFailed, ///< Every permitted attempt failed.
     OutcomeUnknown, ///< A call that may not be repeated may have run.
+    Rejected,       ///< An upstream found the request itself at fault.
     HostStopping,
 };
 
--- a/src/decisions/internal/estimatedfinishchooser.cpp
+++ b/src/decisions/internal/estimatedfinishchooser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
 
 namespace rosemaryshift::decisions {
@@ -108,10 +109,13 @@
         const double seconds = estimatedSeconds(row, target, request, prefixKnown, now) * (1 + PriceWeight * row.price);
         const Rank rank{request.avoided.contains(id), seconds, static_cast<double>(row.occupied()) / row.slots};
         if (!best || rank < bestRank) {
-            best = UpstreamChoice{id, {static_cast<std::uint32_t>(found.size()), row.inFlight, request.attempts > 0, seconds}};
+            best = UpstreamChoice{id, {0, row.inFlight, request.attempts > 0, seconds}};
             bestRank = rank;
         }
     }
+    if (best) {
+        best->reason.candidates = static_cast<std::uint32_t>(std::set<UpstreamId>(found.begin(), found.end()).size());
+    }
     return best;
 }
 
--- a/src/decisions/internal/retrysystem.cpp
+++ b/src/decisions/internal/retrysystem.cpp
@@ -76,6 +76,11 @@
 void RetrySystem::settle(Tables &tables, TickContext &context, const EndedAttempt &ended)
 {
     RequestRow *const row = tables.request(ended.request);
+    if (row != nullptr && ended.outcome == AttemptOutcome::Rejected) {
+        row->run = RunState::Unknown;
+        refuse(tables, context, ended.request, RefusalCode::Rejected, Duration(0));
+        return;
+    }
     if (row == nullptr || settledByHedge(*row, context, ended) || row->running != ended.attempt) {
         return;
     }
--- a/src/decisions/internal/tables.cpp
+++ b/src/decisions/internal/tables.cpp
@@ -31,6 +31,8 @@
         return "broken";
     case AttemptOutcome::Silent:
         return "silent";
+    case AttemptOutcome::Rejected:
+        return "rejected";
     case AttemptOutcome::Cancelled:
         return "cancelled";
     }
@@ -52,6 +54,8 @@
         return "attempts_failed";
     case RefusalCode::OutcomeUnknown:
         return "outcome_unknown";
+    case RefusalCode::Rejected:
+        return "rejected_by_upstream";
     case RefusalCode::HostStopping:
         return "host_stopping";
     }
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -206,7 +206,7 @@
     }
     event.promptTokens = spec.promptTokens;
     event.expectedTokens = spec.maxTokens;
-    event.tokensDone = static_cast<std::uint32_t>(record->transcript.size());
+    event.tokensDone = static_cast<std::uint32_t>(record->transcript.prefix().tokens);
     event.idempotent = spec.idempotent;
     record->parked = false;
     // The next tick counts the request; until then a stop has to wait for it.
--- a/src/entry/internal/refusals.cpp
+++ b/src/entry/internal/refusals.cpp
@@ -30,6 +30,8 @@
         return {502, "every permitted attempt failed"};
     case RefusalCode::OutcomeUnknown:
         return {504, "the call may have run; it is not repeated"};
+    case RefusalCode::Rejected:
+        return {400, "the upstream rejected the request"};
     case RefusalCode::HostStopping:
         return {503, "this host is stopping; come back to reach another"};
     }
--- a/src/standins/internal/standinengine.cpp
+++ b/src/standins/internal/standinengine.cpp
@@ -129,6 +129,13 @@
         co_await writer.respond(std::move(response));
         co_return;
     }
+    if (mode == FailureMode::Rejecting) {
+        noteDeclined();
+        http::Response response = jsonAnswer(400, R"({"error":{"message":"the prompt is longer than the model's context"}})");
+        response.headers.add("X-Request-Id", request.headers.find("X-Request-Id").value_or("none"));
+        co_await writer.respond(std::move(response));
+        co_return;
+    }
     std::string reason;
     const std::optional<Json::Value> body = parseJson(request.body, reason);
     if (!body || !body->isObject() || !(*body)["messages"].isArray() || (*body)["messages"].empty()) {
--- a/src/standins/internal/standinserver.cpp
+++ b/src/standins/internal/standinserver.cpp
@@ -30,6 +30,7 @@
     NamedMode{"truncated", FailureMode::Truncated},
     NamedMode{"unfinished", FailureMode::Unfinished},
     NamedMode{"lost_answer", FailureMode::LostAnswer},
+    NamedMode{"rejecting", FailureMode::Rejecting},
     NamedMode{"leaving", FailureMode::Leaving},
     NamedMode{"down", FailureMode::Down},
 };
--- a/src/standins/standinserver.h
+++ b/src/standins/standinserver.h
@@ -22,6 +22,7 @@
     Truncated,  ///< Answers break off before their end marker, with a clean end of the connection.
     Unfinished, ///< Answers are whole but for their end marker.
     LostAnswer, ///< Acts, then closes the connection without an answer.
+    Rejecting,  ///< Answers that the request itself is at fault.
     Leaving,    ///< Declines new requests as not run and says that it is leaving.
     Down,       ///< Closes each connection before acting.
 };
--- a/src/upstreams/internal/enginecall.cpp
+++ b/src/upstreams/internal/enginecall.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr int StatusOk = 200;
+constexpr int RequestTimeout = 408;
+constexpr int TooManyRequests = 429;
+constexpr std::size_t MaxErrorBytes = 64 * 1024;
 constexpr std::string_view EndMarker = "[DONE]";
 
 /// Sets the bound on tokens under the name that the caller used.
@@ -57,6 +60,20 @@
     return toText(*body);
 }
 
+/// True for the answers that say that the request itself is at fault.
+bool isRejection(int status)
+{
+    return status >= 400 && status < 500 && status != RequestTimeout && status != TooManyRequests;
+}
+
+std::string errorMessage(std::string_view body)
+{
+    std::string reason;
+    const std::optional<Json::Value> parsed = parseJson(body, reason);
+    const std::optional<std::string> message = parsed && parsed->isObject() ? stringMember((*parsed)["error"], "message") : std::nullopt;
+    return message.value_or("the engine rejected the request");
+}
+
 class EngineCall : public IUpstreamCall
 {
 public:
@@ -111,6 +128,9 @@
         if (!echoes(*head, m_spec)) {
             co_return AttemptResult{AttemptOutcome::Broken, "the answer belongs to another request"};
         }
+        if (isRejection(head->status)) {
+            co_return co_await readRejection(head->status);
+        }
         if (head->status != StatusOk) {
             co_return AttemptResult{AttemptOutcome::Broken, "the engine answered " + std::to_string(head->status)};
         }
@@ -132,6 +152,30 @@
         return request;
     }
 
+    /// Passes the engine's own error on as the request's final answer.
+    net::awaitable<AttemptResult> readRejection(int status)
+    {
+        std::string body;
+        while (body.size() < MaxErrorBytes) {
+            http::ClientFailure failure;
+            const std::optional<std::string> bytes = co_await m_exchange->readSome(failure);
+            if (!bytes) {
+                co_return resultOf(failure);
+            }
+            if (bytes->empty()) {
+                break;
+            }
+            body += *bytes;
+        }
+        requests::Refusal refusal;
+        refusal.status = status;
+        refusal.code = std::string(name(decisions::RefusalCode::Rejected));
+        refusal.message = errorMessage(body);
+        refusal.run = RunState::Unknown;
+        m_record->transcript.refuse(std::move(refusal));
+        co_return AttemptResult{AttemptOutcome::Rejected, "the engine answered " + std::to_string(status)};
+    }
+
     net::awaitable<AttemptResult> readStream()
     {
         SseParser parser;
--- a/tests/sessions/refusaltests.cpp
+++ b/tests/sessions/refusaltests.cpp
@@ -55,6 +55,15 @@
             play("refusednoupstream", question);
         }
     }
+    GIVEN("an engine that finds the request at fault")
+    {
+        Fleet::fail(fleet.engine(0).endpoint, "rejecting");
+        THEN("its error is the answer, and nothing is tried again")
+        {
+            play("refusedbyupstream", question);
+            CHECK(Fleet::runs(fleet.engine(0).endpoint)["declined"] == 1);
+        }
+    }
     GIVEN("an engine that says nothing")
     {
         Fleet::fail(fleet.engine(0).endpoint, "silent");
