--- a/src/measure/internal/experiments.cpp
+++ b/src/measure/internal/experiments.cpp
@@ -55,7 +55,10 @@
     std::vector<Experiment> experiments{
         atLoad("load-0.5", 0.5, 0.5),
         atLoad("load-0.9", 0.9, 0.9),
+        atLoad("load-1", 1, 1),
+        atLoad("load-1.1", 1.1, 1.1),
         atLoad("load-1.2", 1.2, 1.2),
+        atLoad("load-1.4", 1.4, 1.4),
         atLoad("load-2", 2, 2),
         atLoad("load-4", 4, 4),
         atLoad("no-plans", 0.4, 0),
--- a/src/measure/internal/plots.cpp
+++ b/src/measure/internal/plots.cpp
@@ -27,7 +27,7 @@
 
 std::vector<Plot> allPlots()
 {
-    const std::vector<std::string> loads{"load-0.5", "load-0.9", "load-1", "load-1.1", "load-1.2", "load-2", "load-4"};
+    const std::vector<std::string> loads{"load-0.5", "load-0.9", "load-1", "load-1.1", "load-1.2", "load-1.4", "load-2", "load-4"};
     const std::vector<std::string> slowed{"slow-none", "slow-1", "slow-2", "slow-third"};
     return {
         {"goodput", "Goodput over load", "requests a second within target", loads, nullptr, nullptr},
