Split the control thread's loops from its state

What: DecisionLoop, HostListFollower, TemplateCarrier and controlstatus hold one job each; base/coretime.h serves the three. Ruled out: moving the perform() functions away; they are what ties the core's actions to the host.

--- a/src/entry/internal/bookingrunner.cpp
+++ b/src/entry/internal/bookingrunner.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/bookingrunner.h"
 
+#include "base/coretime.h"
 #include "base/text.h"
 #include "bookings/bookingkeys.h"
 #include "entry/internal/bookingrefusals.h"
@@ -72,11 +73,6 @@
 {
 }
 
-TimePoint BookingRunner::now() const
-{
-    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 void BookingRunner::run(bookings::BookingEvent event)
 {
     m_coordinator->post(std::move(event));
@@ -85,7 +81,7 @@
 
 void BookingRunner::tick()
 {
-    for (const bookings::BookingAction &action : m_coordinator->tick(now())) {
+    for (const bookings::BookingAction &action : m_coordinator->tick(coreNow())) {
         std::visit([this](const auto &typed) { perform(typed); }, action);
     }
     m_open = m_coordinator->waiting() + (m_logTakes ? m_coordinator->unsaved() : 0);
--- a/src/entry/internal/bookingrunner.h
+++ b/src/entry/internal/bookingrunner.h
@@ -61,7 +61,6 @@
     void perform(const bookings::RefuseBooking &action);
     void perform(const bookings::NoteBooking &action);
     boost::asio::awaitable<void> append(std::uint64_t batch, std::vector<std::string> records);
-    [[nodiscard]] TimePoint now() const;
 
     boost::asio::io_context &m_context;
     const BookingParts m_parts;
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/control.h"
 
+#include "base/coretime.h"
 #include "base/text.h"
 #include "entry/internal/leavingsection.h"
 #include "entry/internal/refusals.h"
@@ -21,10 +22,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds HostListWait{2'000};
-constexpr std::chrono::milliseconds HostListRetry{200};
-constexpr std::chrono::milliseconds CarryForwardInterval{100};
-
 std::uint64_t chosenSeed(std::uint64_t setting)
 {
     return setting != 0 ? setting : std::random_device()();
@@ -47,19 +44,20 @@
     , m_journal(m_parts.timeline, m_parts.metrics)
     , m_skipped(m_parts.timeline, m_parts.metrics)
     , m_launcher(traffic, *this)
-    , m_core(decisions::makeDecisionCore({}, chosenSeed(settings.seed)))
+    , m_loop(control, decisions::makeDecisionCore({}, chosenSeed(settings.seed)), [this](const decisions::Action &action) { perform(action); })
     , m_templates(m_parts.templates, m_parts.timeline, settings.name, [this](const templates::TemplateRevision &) { applyLimits(); })
-    , m_upstreams(settings.zone, m_parts.timeline, [this](decisions::Event event) { post(std::move(event)); })
-    , m_loads(
-          control, m_upstreams, [this] { return now(); }, [this](decisions::Event event) { post(std::move(event)); })
+    , m_upstreams(settings.zone, m_parts.timeline, [this](decisions::Event event) { m_loop.post(std::move(event)); })
+    , m_loads(control, m_upstreams, coreNow, [this](decisions::Event event) { m_loop.post(std::move(event)); })
     , m_bookings(control,
                  {m_parts.registry, m_parts.timeline, m_parts.log, m_journal},
                  bookingPolicy(settings, m_hostId),
                  [this](const std::shared_ptr<RequestRecord> &record) { decide(record); })
     , m_mover(m_parts.registry, m_parts.timeline, moverHooks())
     , m_follower(m_parts.log, m_parts.timeline, logHandlers())
+    , m_hosts(
+          m_parts.hosts, [this](const platform::HostList &list) { takeHosts(list); }, [this] { return updateReady(); })
+    , m_carrier(m_templates, m_upstreams, m_follower, m_parts.log)
     , m_publisher(m_templates, m_upstreams, m_follower, m_parts.log)
-    , m_wake(control)
 {
 }
 
@@ -67,7 +65,7 @@
 {
     RequestMover::Hooks hooks;
     hooks.decide = [this](const std::shared_ptr<RequestRecord> &record) { decide(record); };
-    hooks.withdraw = [this](const std::shared_ptr<RequestRecord> &record) { post(decisions::CallerLeft{record->number}); };
+    hooks.withdraw = [this](const std::shared_ptr<RequestRecord> &record) { m_loop.post(decisions::CallerLeft{record->number}); };
     hooks.busy = [this] { return openRequests() > 0; };
     return hooks;
 }
@@ -95,7 +93,7 @@
 void Control::join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server)
 {
     m_membership = &membership;
-    m_hostListExchange = std::make_unique<HostListExchange>(client, server);
+    m_hosts.join(membership, client, server);
     m_templateExchange = std::make_shared<TemplateExchange>(m_context, m_templates, m_follower, client, [this] { m_publisher.wake(); });
     m_templateExchange->serve(server);
     membership.addSection(m_templateExchange);
@@ -104,65 +102,20 @@
             m_templateExchange->forget(peer.name);
         }
     });
-    membership.addSection(std::make_shared<LeavingSection>(m_upstreams, [this] { return now(); }));
+    membership.addSection(std::make_shared<LeavingSection>(m_upstreams, coreNow));
 }
 
 void Control::start()
 {
     net::co_spawn(m_context, m_follower.run(), net::detached);
-    net::co_spawn(m_context, followHosts(), net::detached);
+    net::co_spawn(m_context, m_hosts.run(), net::detached);
     net::co_spawn(m_context, m_loads.run(), net::detached);
-    net::co_spawn(m_context, carryTemplatesForward(), net::detached);
-}
-
-TimePoint Control::now() const
-{
-    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-}
-
-void Control::post(decisions::Event event)
-{
-    m_core->post(std::move(event));
-    scheduleTick();
-}
-
-void Control::scheduleTick()
-{
-    if (m_tickScheduled) {
-        return;
-    }
-    m_tickScheduled = true;
-    net::post(m_context, [this] { tick(); });
-}
-
-void Control::tick()
-{
-    m_tickScheduled = false;
-    for (const decisions::Action &action : m_core->tick(now())) {
-        std::visit([this](const auto &typed) { perform(typed); }, action);
-    }
-    m_openRequests = m_core->openRequests();
-    armWake();
-}
-
-void Control::armWake()
-{
-    const std::optional<TimePoint> wake = m_core->nextWake();
-    if (!wake) {
-        m_wake.cancel();
-        return;
-    }
-    m_wake.expires_at(std::chrono::steady_clock::time_point(wake->time_since_epoch()));
-    m_wake.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            scheduleTick();
-        }
-    });
+    net::co_spawn(m_context, m_carrier.run(), net::detached);
 }
 
 void Control::submit(std::shared_ptr<RequestRecord> record)
 {
-    ++m_openRequests;
+    m_loop.expectRequest();
     net::post(m_context, [this, record = std::move(record)] { arrive(record); });
 }
 
@@ -187,7 +140,7 @@
         return;
     }
     m_bookings.arrive(record);
-    scheduleTick();
+    m_loop.scheduleTick();
 }
 
 /// Hands a request to the decision core.
@@ -199,10 +152,9 @@
     event.workspace = m_workspaces.intern(spec.workspace);
     event.trafficClass = spec.trafficClass;
     event.target = m_upstreams.target(spec.target);
-    const std::chrono::steady_clock::time_point deadline = record->arrivedAt + spec.deadline;
-    event.deadline = TimePoint(std::chrono::duration_cast<Duration>(deadline.time_since_epoch()));
+    event.deadline = coreTime(record->arrivedAt + spec.deadline);
     if (spec.firstToken.count() > 0 && spec.trafficClass != TrafficClass::Plan) {
-        event.firstTokenBy = TimePoint(std::chrono::duration_cast<Duration>((record->arrivedAt + spec.firstToken).time_since_epoch()));
+        event.firstTokenBy = coreTime(record->arrivedAt + spec.firstToken);
     }
     event.promptTokens = spec.promptTokens;
     event.expectedTokens = spec.maxTokens;
@@ -210,8 +162,8 @@
     event.idempotent = spec.idempotent;
     record->parked = false;
     // The next tick counts the request; until then a stop has to wait for it.
-    ++m_openRequests;
-    post(event);
+    m_loop.expectRequest();
+    m_loop.post(event);
 }
 
 void Control::callerLeft(std::shared_ptr<RequestRecord> record)
@@ -223,7 +175,7 @@
         record->parked = true;
         m_journal.callerGone(*record);
         m_parts.registry->finished(*record);
-        post(decisions::CallerLeft{record->number});
+        m_loop.post(decisions::CallerLeft{record->number});
     });
 }
 
@@ -236,13 +188,13 @@
     net::post(m_context, [this] {
         m_parts.timeline->record(EventKind::HostStopping, {});
         m_membership->leave();
-        post(decisions::HostStopping{});
+        m_loop.post(decisions::HostStopping{});
     });
 }
 
 std::size_t Control::openRequests() const
 {
-    return m_openRequests + m_bookings.open() + m_mover.moving();
+    return m_loop.openRequests() + m_bookings.open() + m_mover.moving();
 }
 
 bool Control::ready() const
@@ -254,7 +206,7 @@
 {
     net::post(m_context, [this, attempt, tokens] {
         m_journal.progressed(attempt);
-        post(decisions::AttemptProgressed{attempt, tokens});
+        m_loop.post(decisions::AttemptProgressed{attempt, tokens});
     });
 }
 
@@ -266,19 +218,24 @@
         const auto running = m_attemptUpstreams.find(attempt);
         if (running != m_attemptUpstreams.end()) {
             if (result.leavesIn) {
-                m_upstreams.markLeaving(running->second, *result.leavesIn, now());
+                m_upstreams.markLeaving(running->second, *result.leavesIn, coreNow());
             }
             m_attemptUpstreams.erase(running);
         }
-        post(decisions::AttemptEnded{attempt, result.outcome});
+        m_loop.post(decisions::AttemptEnded{attempt, result.outcome});
     });
 }
 
+void Control::perform(const decisions::Action &action)
+{
+    std::visit([this](const auto &typed) { perform(typed); }, action);
+}
+
 void Control::perform(const decisions::StartAttempt &action)
 {
     const std::shared_ptr<RequestRecord> record = m_parts.registry->find(action.request);
     if (!record) {
-        post(decisions::AttemptEnded{action.attempt, decisions::AttemptOutcome::NotOffered});
+        m_loop.post(decisions::AttemptEnded{action.attempt, decisions::AttemptOutcome::NotOffered});
         return;
     }
     const platform::ListedHost &host = m_upstreams.host(action.upstream);
@@ -343,7 +300,7 @@
     if (m_bookings.takeRecord(record)) {
         return;
     }
-    if (m_templates.take(record, now())) {
+    if (m_templates.take(record, coreNow())) {
         m_publisher.wake();
         return;
     }
@@ -354,11 +311,11 @@
 {
     const std::uint32_t hosts = static_cast<std::uint32_t>(m_upstreams.entryHosts());
     m_bookings.setHosts(hosts);
-    post(decisions::EntryHostsCounted{hosts});
+    m_loop.post(decisions::EntryHostsCounted{hosts});
     const decisions::HostPlace place = m_upstreams.place(m_settings.name);
     for (const std::string &workspace : m_templates.fold().workspaces()) {
         const templates::WorkspaceLimits &limits = m_templates.fold().inForce(workspace)->content.limits;
-        post(decisions::WorkspaceLimited{
+        m_loop.post(decisions::WorkspaceLimited{
             m_workspaces.intern(workspace), shareOfLimit(limits.requestsInFlight, place), shareOfLimit(limits.requestsQueued, place)});
     }
 }
@@ -366,71 +323,18 @@
 void Control::takeHosts(const platform::HostList &list)
 {
     m_skipped.noteList(list);
-    m_upstreams.update(list, now());
-    m_membership->update(list);
-    m_hostListExchange->keep(list);
-    m_hostsRead = true;
+    m_upstreams.update(list, coreNow());
     applyLimits();
 }
 
-void Control::updateReady()
+bool Control::updateReady()
 {
-    if (m_ready || m_stopping || !m_hostsRead || !m_templateExchange->complete()) {
-        return;
+    if (m_ready || m_stopping || !m_hosts.hasRead() || !m_templateExchange->complete()) {
+        return m_ready;
     }
     m_ready = true;
     m_parts.timeline->record(EventKind::HostReady, {.detail = m_follower.caughtUp() ? "" : "templates from a peer, the log is out"});
-}
-
-net::awaitable<void> Control::followHosts()
-{
-    net::steady_timer delay(m_context);
-    std::uint64_t known = 0;
-    while (true) {
-        platform::PlatformFailure failure;
-        const std::chrono::milliseconds wait = m_hostsRead ? HostListWait : std::chrono::milliseconds(0);
-        const std::optional<platform::HostList> list = co_await m_parts.hosts->list(known, wait, failure);
-        if (list) {
-            known = list->version;
-            takeHosts(*list);
-        } else if (!m_hostsRead) {
-            co_await fetchHostsFromPeer();
-        }
-        updateReady();
-        if (!list || !m_ready) {
-            delay.expires_after(HostListRetry);
-            co_await delay.async_wait(net::as_tuple(net::use_awaitable));
-        }
-    }
-}
-
-net::awaitable<void> Control::fetchHostsFromPeer()
-{
-    const std::vector<membership::Peer> peers = m_membership->peers();
-    for (const membership::Peer &peer : peers) {
-        const std::optional<platform::HostList> list = co_await m_hostListExchange->fetch(peer.peers);
-        if (list) {
-            takeHosts(*list);
-            co_return;
-        }
-    }
-}
-
-net::awaitable<void> Control::carryTemplatesForward()
-{
-    net::steady_timer delay(m_context);
-    while (true) {
-        delay.expires_after(CarryForwardInterval);
-        co_await delay.async_wait(net::as_tuple(net::use_awaitable));
-        if (!m_follower.reachable() || !m_follower.caughtUp()) {
-            continue;
-        }
-        std::vector<std::string> records = m_templates.carryForward({m_follower.oldest(), m_follower.position()}, m_upstreams.entryHosts(), now());
-        if (!records.empty()) {
-            platform::PlatformFailure failure;
-            co_await m_parts.log->append(std::move(records), failure);
-        }
-    }
+    return true;
 }
 
 net::awaitable<PublishResult> Control::publish(PublishRequest request)
@@ -472,7 +376,7 @@
     status.stopping = m_stopping;
     status.logReachable = m_follower.reachable();
     status.logPosition = m_follower.position();
-    status.openRequests = m_core->openRequests();
+    status.openRequests = m_loop.openRequests();
     status.name = m_settings.name;
     status.zone = m_settings.zone;
     status.keptRecords = m_mover.keptRecords();
@@ -481,35 +385,9 @@
         status.templates.push_back(m_templates.fold().inForce(workspace)->stated);
     }
     for (const membership::Peer &peer : m_membership->peers()) {
-        status.peers.push_back(makePeerStatus(peer));
+        status.peers.push_back(peerStatusOf(peer, *m_templateExchange, m_follower));
     }
     return status;
 }
 
-PeerStatus Control::makePeerStatus(const membership::Peer &peer) const
-{
-    PeerStatus status;
-    status.peer = peer;
-    const PeerTemplates *const said = m_templateExchange->of(peer.name);
-    if (said == nullptr) {
-        status.lag = "it has not said which templates it holds";
-        return status;
-    }
-    status.templates = *said;
-    status.sameTemplates = said->fingerprint == m_templateExchange->fingerprint();
-    status.lag = status.sameTemplates ? "" : lagOf(*said);
-    return status;
-}
-
-std::string Control::lagOf(const PeerTemplates &peer) const
-{
-    if (!peer.logReachable) {
-        return "its log is out";
-    }
-    if (peer.logPosition < m_follower.position()) {
-        return "it is " + std::to_string(m_follower.position() - peer.logPosition) + " records behind";
-    }
-    return peer.logPosition > m_follower.position() ? "this host is behind it" : "its templates are about to be exchanged";
-}
-
 }
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -1,15 +1,17 @@
 #pragma once
 
-#include "decisions/idecisioncore.h"
 #include "entry/entrysettings.h"
 #include "entry/internal/attemptlauncher.h"
 #include "entry/internal/bookingrunner.h"
-#include "entry/internal/hostlistexchange.h"
+#include "entry/internal/controlstatus.h"
+#include "entry/internal/decisionloop.h"
+#include "entry/internal/hostlistfollower.h"
 #include "entry/internal/loadpoller.h"
 #include "entry/internal/logfollower.h"
 #include "entry/internal/requestjournal.h"
 #include "entry/internal/requestmover.h"
 #include "entry/internal/skippedrecords.h"
+#include "entry/internal/templatecarrier.h"
 #include "entry/internal/templateexchange.h"
 #include "entry/internal/templatepublisher.h"
 #include "entry/internal/templatetable.h"
@@ -20,35 +22,12 @@
 #include "timeline/itimeline.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <memory>
 
 namespace rosemaryshift::entry {
 
-/// What this host knows of a peer and its templates.
-struct PeerStatus {
-    membership::Peer peer;
-    PeerTemplates templates;
-    bool sameTemplates = false;
-    std::string lag; ///< Why its templates differ; empty when they do not.
-};
-
-struct ControlStatus {
-    bool ready = false;
-    bool stopping = false;
-    bool logReachable = false;
-    std::uint64_t logPosition = 0;
-    std::size_t openRequests = 0;
-    std::string name;
-    std::string zone;
-    std::size_t keptRecords = 0; ///< Copies of other hosts' requests.
-    std::vector<std::pair<platform::ListedHost, bool>> upstreams;
-    std::vector<templates::StatedRevision> templates;
-    std::vector<PeerStatus> peers;
-};
-
 /// What the control thread shares with the rest of the host.
 struct ControlParts {
     std::shared_ptr<requests::RequestRegistry> registry;
@@ -103,11 +82,7 @@
     void attemptEnded(AttemptId attempt, upstreams::AttemptResult result) override;
 
 private:
-    [[nodiscard]] TimePoint now() const;
-    void post(decisions::Event event);
-    void scheduleTick();
-    void tick();
-    void armWake();
+    void perform(const decisions::Action &action);
     void perform(const decisions::StartAttempt &action);
     void perform(const decisions::CancelAttempt &action);
     void perform(const decisions::RefuseRequest &action);
@@ -116,13 +91,9 @@
     void takeRecord(const platform::LogRecord &record);
     void applyLimits();
     [[nodiscard]] ControlStatus makeStatus() const;
-    [[nodiscard]] PeerStatus makePeerStatus(const membership::Peer &peer) const;
-    [[nodiscard]] std::string lagOf(const PeerTemplates &peer) const;
     void takeHosts(const platform::HostList &list);
-    void updateReady();
-    boost::asio::awaitable<void> followHosts();
-    boost::asio::awaitable<void> fetchHostsFromPeer();
-    boost::asio::awaitable<void> carryTemplatesForward();
+    /// True when the host is ready.
+    bool updateReady();
     void arrive(const std::shared_ptr<requests::RequestRecord> &record);
     void decide(const std::shared_ptr<requests::RequestRecord> &record);
     [[nodiscard]] LogHandlers logHandlers();
@@ -135,23 +106,20 @@
     RequestJournal m_journal;
     SkippedRecords m_skipped;
     AttemptLauncher m_launcher;
-    std::unique_ptr<decisions::IDecisionCore> m_core;
+    DecisionLoop m_loop;
     TemplateTable m_templates;
     UpstreamDirectory m_upstreams;
     LoadPoller m_loads;
     BookingRunner m_bookings;
     RequestMover m_mover;
     LogFollower m_follower;
+    HostListFollower m_hosts;
+    TemplateCarrier m_carrier;
     TemplatePublisher m_publisher;
     membership::IMembership *m_membership = nullptr;
     std::shared_ptr<TemplateExchange> m_templateExchange;
-    std::unique_ptr<HostListExchange> m_hostListExchange;
     NameTable<WorkspaceId> m_workspaces;
     std::map<AttemptId, UpstreamId> m_attemptUpstreams;
-    boost::asio::steady_timer m_wake;
-    bool m_tickScheduled = false;
-    bool m_hostsRead = false;
-    std::atomic<std::size_t> m_openRequests = 0;
     std::atomic<bool> m_ready = false;
     std::atomic<bool> m_stopping = false;
 };
--- /dev/null
+++ b/src/entry/internal/controlstatus.cpp
@@ -0,0 +1,36 @@
+#include "entry/internal/controlstatus.h"
+
+namespace rosemaryshift::entry {
+
+namespace {
+
+/// Why the templates of @p peer differ from the own.
+std::string lagOf(const PeerTemplates &peer, const LogFollower &follower)
+{
+    if (!peer.logReachable) {
+        return "its log is out";
+    }
+    if (peer.logPosition < follower.position()) {
+        return "it is " + std::to_string(follower.position() - peer.logPosition) + " records behind";
+    }
+    return peer.logPosition > follower.position() ? "this host is behind it" : "its templates are about to be exchanged";
+}
+
+}
+
+PeerStatus peerStatusOf(const membership::Peer &peer, const TemplateExchange &exchange, const LogFollower &follower)
+{
+    PeerStatus status;
+    status.peer = peer;
+    const PeerTemplates *const said = exchange.of(peer.name);
+    if (said == nullptr) {
+        status.lag = "it has not said which templates it holds";
+        return status;
+    }
+    status.templates = *said;
+    status.sameTemplates = said->fingerprint == exchange.fingerprint();
+    status.lag = status.sameTemplates ? "" : lagOf(*said, follower);
+    return status;
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/hostlistfollower.cpp
@@ -0,0 +1,79 @@
+#include "entry/internal/hostlistfollower.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rosemaryshift::entry {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds ListWait{2'000};
+constexpr std::chrono::milliseconds RetryDelay{200};
+
+}
+
+HostListFollower::HostListFollower(std::shared_ptr<platform::IHostDirectory> hosts, ListHandler take, RoundHandler roundDone)
+    : m_hosts(std::move(hosts))
+    , m_take(std::move(take))
+    , m_roundDone(std::move(roundDone))
+{
+}
+
+void HostListFollower::join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server)
+{
+    m_membership = &membership;
+    m_exchange = std::make_unique<HostListExchange>(client, server);
+}
+
+net::awaitable<void> HostListFollower::run()
+{
+    net::steady_timer delay(co_await net::this_coro::executor);
+    std::uint64_t known = 0;
+    while (true) {
+        platform::PlatformFailure failure;
+        const std::chrono::milliseconds wait = m_read ? ListWait : std::chrono::milliseconds(0);
+        const std::optional<platform::HostList> list = co_await m_hosts->list(known, wait, failure);
+        if (list) {
+            known = list->version;
+            take(*list);
+        } else if (!m_read) {
+            co_await fetchFromPeer();
+        }
+        const bool ready = m_roundDone();
+        if (!list || !ready) {
+            delay.expires_after(RetryDelay);
+            co_await delay.async_wait(net::as_tuple(net::use_awaitable));
+        }
+    }
+}
+
+void HostListFollower::take(const platform::HostList &list)
+{
+    m_membership->update(list);
+    m_exchange->keep(list);
+    m_read = true;
+    m_take(list);
+}
+
+net::awaitable<void> HostListFollower::fetchFromPeer()
+{
+    const std::vector<membership::Peer> peers = m_membership->peers();
+    for (const membership::Peer &peer : peers) {
+        const std::optional<platform::HostList> list = co_await m_exchange->fetch(peer.peers);
+        if (list) {
+            take(*list);
+            co_return;
+        }
+    }
+}
+
+bool HostListFollower::hasRead() const
+{
+    return m_read;
+}
+
+}
--- /dev/null
+++ b/src/entry/internal/hostlistfollower.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "entry/internal/hostlistexchange.h"
+#include "membership/imembership.h"
+#include "platform/iplatform.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace rosemaryshift::entry {
+
+/// Reads the platform's host list, and before its first reading, while the platform is out, the list of a peer.
+/// Belongs to the control thread.
+class HostListFollower
+{
+public:
+    using ListHandler = std::function<void(const platform::HostList &list)>;
+    /// Called after each try; true once the host is ready, so that the list may be waited for.
+    using RoundHandler = std::function<bool()>;
+
+    HostListFollower(std::shared_ptr<platform::IHostDirectory> hosts, ListHandler take, RoundHandler roundDone);
+
+    /// Makes the peers known. Precondition: called once, before run().
+    void join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server);
+    /// Follows the list for ever.
+    boost::asio::awaitable<void> run();
+    /// True once a list was read.
+    [[nodiscard]] bool hasRead() const;
+
+private:
+    void take(const platform::HostList &list);
+    boost::asio::awaitable<void> fetchFromPeer();
+
+    const std::shared_ptr<platform::IHostDirectory> m_hosts;
+    const ListHandler m_take;
+    const RoundHandler m_roundDone;
+    membership::IMembership *m_membership = nullptr;
+    std::unique_ptr<HostListExchange> m_exchange;
+    bool m_read = false;
+};
+
+}
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -1,3 +1,4 @@
+#include "base/coretime.h"
 #include "base/json.h"
 #include "membership/heartbeatjson.h"
 #include "membership/imembership.h"
@@ -164,16 +165,11 @@
         return std::ranges::any_of(list.hosts, [&](const platform::ListedHost &host) { return host.name == name; });
     }
 
-    [[nodiscard]] static TimePoint now()
-    {
-        return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-    }
-
     net::awaitable<void> beat()
     {
         while (true) {
             callPeers(std::exchange(m_urgent, false));
-            notify(m_table.expire(now()));
+            notify(m_table.expire(coreNow()));
             m_timer.expires_after(m_urgent ? Duration(UrgentDelay) : interval());
             co_await m_timer.async_wait(net::as_tuple(net::use_awaitable));
             if (m_urgent) {
@@ -220,7 +216,7 @@
     /// pair calls; the other one calls as well while it does not hear of the peer.
     [[nodiscard]] bool isCaller(const std::string &name) const
     {
-        if (!m_table.heardWithin(name, interval() * QuietBeats, now())) {
+        if (!m_table.heardWithin(name, interval() * QuietBeats, coreNow())) {
             return true;
         }
         const bool first = m_self.name < name;
@@ -285,7 +281,7 @@
         }
         m_targets[peer->name].endpoint = peer->peers;
         const std::uint64_t intervalMs = std::min(unsignedMember(heartbeat, "interval_ms").value_or(0), MaxIntervalMs);
-        notify(m_table.heard(*peer, now(), std::chrono::milliseconds(intervalMs)));
+        notify(m_table.heard(*peer, coreNow(), std::chrono::milliseconds(intervalMs)));
         const Json::Value &sections = heartbeat["sections"];
         for (const std::shared_ptr<IHeartbeatSection> &section : m_sections) {
             if (sections.isObject() && sections.isMember(section->name())) {
