Keep what was read of the log apart from the bookings

What: LogCoverage knows gaps, catching up and what the fold may forget; names of refusals stand with the types.

--- a/src/bookings/internal/bookingcoordinator.cpp
+++ b/src/bookings/internal/bookingcoordinator.cpp
@@ -17,6 +17,7 @@
     : m_policy(policy)
     , m_fold(makeBookingFold())
     , m_queue(policy)
+    , m_coverage(policy)
 {
 }
 
@@ -101,17 +102,12 @@
     if (event.keyAge && *event.keyAge > m_policy.keyWindow) {
         return RefuseBooking{event.request, BookingRefusal::KeyExpired, RunState::Unknown, std::nullopt};
     }
-    if (!event.ownTicket && m_caughtUp && !covered()) {
+    if (!event.ownTicket && m_coverage.caughtUp() && !m_coverage.covered(m_now)) {
         return RefuseBooking{event.request, BookingRefusal::LogGap, RunState::Unknown, RetrySoon};
     }
     return std::nullopt;
 }
 
-bool BookingCoordinator::covered() const
-{
-    return !m_gap || (m_coveredSince && *m_coveredSince + m_policy.keyWindow <= m_now);
-}
-
 void BookingCoordinator::attach(Bookings::iterator entry, const Waiter &waiter)
 {
     Booking &booking = entry->second;
@@ -148,7 +144,7 @@
         booking.stage = Stage::Following;
         return;
     }
-    if (m_caughtUp && covered()) {
+    if (m_coverage.caughtUp() && m_coverage.covered(m_now)) {
         claim(entry);
     }
 }
@@ -228,10 +224,7 @@
 
 void BookingCoordinator::apply(const RecordRead &event)
 {
-    m_next = event.offset + 1;
-    if (m_gap && !m_coveredSince) {
-        m_coveredSince = std::min(m_now, m_now - event.age + m_policy.clockSkew);
-    }
+    m_coverage.noteRecord(event.offset, event.age, m_now);
     const RecordVerdict verdict = m_fold->apply(event.offset, event.record);
     if (const ClaimRecord *const claimed = std::get_if<ClaimRecord>(&event.record)) {
         claimRead(*claimed, verdict);
@@ -306,12 +299,7 @@
 
 void BookingCoordinator::apply(const LogRead &event)
 {
-    m_next = std::max(m_next, event.next);
-    m_oldest = std::max(m_oldest, event.oldest);
-    m_caughtUp = m_caughtUp || event.caughtUp;
-    if (m_gap && !m_coveredSince) {
-        m_coveredSince = m_now;
-    }
+    m_coverage.noteRead(event, m_now);
     for (Bookings::iterator entry = m_bookings.begin(); entry != m_bookings.end();) {
         const Bookings::iterator current = entry++;
         if (current->second.stage == Stage::Starting) {
@@ -322,10 +310,7 @@
 
 void BookingCoordinator::apply(const LogGap &event)
 {
-    m_gap = true;
-    m_coveredSince.reset();
-    m_oldest = std::max(m_oldest, event.oldest);
-    m_next = std::max(m_next, event.oldest);
+    m_coverage.noteGap(event);
     for (Bookings::iterator entry = m_bookings.begin(); entry != m_bookings.end();) {
         const Bookings::iterator current = entry++;
         const Stage stage = current->second.stage;
@@ -414,13 +399,7 @@
     std::erase_if(m_bookings, [this](const auto &entry) {
         return entry.second.stage == Stage::Ended && entry.second.endedAt + m_policy.keyWindow + m_policy.clockSkew < m_now;
     });
-    m_positions.push_back({m_now, m_next});
-    std::uint64_t known = 0;
-    while (!m_positions.empty() && m_positions.front().at + m_policy.keyWindow + m_policy.clockSkew < m_now) {
-        known = m_positions.front().next;
-        m_positions.pop_front();
-    }
-    m_fold->forget(std::min(m_oldest, known));
+    m_fold->forget(m_coverage.forgettable(m_now));
 }
 
 void BookingCoordinator::answer(RequestId request, const Outcome &outcome)
@@ -456,31 +435,4 @@
     return std::make_unique<BookingCoordinator>(policy);
 }
 
-std::string_view name(BookingRefusal code)
-{
-    switch (code) {
-    case BookingRefusal::KeyReused:
-        return "idempotency_key_reused";
-    case BookingRefusal::KeyExpired:
-        return "idempotency_key_expired";
-    case BookingRefusal::LogUnreachable:
-        return "log_unreachable";
-    case BookingRefusal::LogGap:
-        return "log_gap";
-    case BookingRefusal::OwnerSilent:
-        return "owner_silent";
-    case BookingRefusal::OwnerReleased:
-        return "owner_released";
-    case BookingRefusal::OutcomeUnknown:
-        return "outcome_unknown";
-    case BookingRefusal::AnswerNotKept:
-        return "answer_not_kept";
-    case BookingRefusal::DeadlinePassed:
-        return "deadline_passed";
-    case BookingRefusal::NotDispatched:
-        return "not_dispatched";
-    }
-    return "";
-}
-
 }
--- a/src/bookings/internal/bookingcoordinator.h
+++ b/src/bookings/internal/bookingcoordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bookings/internal/appendqueue.h"
+#include "bookings/internal/logcoverage.h"
 
 #include <map>
 #include <unordered_map>
@@ -46,12 +47,6 @@
         TimePoint endedAt;
     };
 
-    /// How far the log was read at a time.
-    struct Position {
-        TimePoint at;
-        std::uint64_t next = 0;
-    };
-
     using Bookings = std::map<std::string, Booking, std::less<>>;
 
     void apply(const BookingArrived &event);
@@ -75,7 +70,6 @@
     void refuseWaiter(Bookings::iterator entry, RequestId request);
     void sweep();
 
-    [[nodiscard]] bool covered() const;
     [[nodiscard]] std::optional<RefuseBooking> refusalOf(const BookingArrived &event) const;
     void answer(RequestId request, const Outcome &outcome);
     void refuse(RequestId request, BookingRefusal code, RunState run, std::optional<Duration> retryAfter = std::nullopt);
@@ -86,6 +80,7 @@
     const BookingPolicy m_policy;
     const std::unique_ptr<IBookingFold> m_fold;
     AppendQueue m_queue;
+    LogCoverage m_coverage;
     Bookings m_bookings;
     std::unordered_map<RequestId, std::string> m_keys; ///< Key of each waiter and leader.
     std::multimap<TimePoint, RequestId> m_timers;      ///< When each waiter is looked at again.
@@ -93,14 +88,8 @@
     std::vector<BookingAction> m_actions;
     TimePoint m_now;
     TimePoint m_sweptAt;
-    std::deque<Position> m_positions; ///< Within the key window, oldest first.
-    std::uint64_t m_next = 0;
-    std::uint64_t m_oldest = 0;
     std::uint64_t m_nextClaim = 1;
     std::size_t m_waiting = 0;
-    bool m_caughtUp = false;
-    bool m_gap = false;                      ///< Records were dropped unread.
-    std::optional<TimePoint> m_coveredSince; ///< All records made since then were read, when there is a gap.
 };
 
 }
