Give up what is queued for a route that a template withdraws

Cause: a changed template applied its limits to queued requests but not its routes. What: WorkspaceRouted names the targets a workspace may reach; what is queued for others is refused at once as not run, code route_withdrawn, and what runs goes on. Seen red without it: decisioncoretests.cpp:133 REQUIRE( only<RefuseRequest>(actions).size() == 1 ), 0 == 1. After: tests of decisions, sessions and templates pass.

--- a/src/decisions/decisiontypes.h
+++ b/src/decisions/decisiontypes.h
@@ -28,6 +28,7 @@
     DeadlinePassed,
     AttemptsFailed, ///< Every permitted attempt failed.
     OutcomeUnknown, ///< A call that may not be repeated may have run.
+    RouteWithdrawn, ///< The workspace's template does not name the target any more.
     Rejected,       ///< An upstream found the request itself at fault.
     HostStopping,
 };
@@ -74,6 +75,12 @@
     std::uint32_t hosts = 1;
 };
 
+/// The targets that a workspace may reach; what is queued for others is given up, and what runs goes on.
+struct WorkspaceRouted {
+    WorkspaceId workspace;
+    std::vector<TargetId> targets;
+};
+
 struct RequestArrived {
     RequestId request;
     WorkspaceId workspace;
@@ -112,6 +119,7 @@
                            UpstreamGone,
                            UpstreamReported,
                            WorkspaceLimited,
+                           WorkspaceRouted,
                            EntryHostsCounted,
                            RequestArrived,
                            AttemptProgressed,
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -108,6 +108,20 @@
     m_tables.entryHosts = std::max(event.hosts, 1U);
 }
 
+void DecisionCore::apply(const WorkspaceRouted &event)
+{
+    std::vector<RequestId> withdrawn;
+    for (const auto &[key, queue] : m_tables.workspace(event.workspace).queues) {
+        if (std::ranges::find(event.targets, key.target) == event.targets.end()) {
+            withdrawn.insert(withdrawn.end(), queue.begin(), queue.end());
+        }
+    }
+    TickContext context{m_now, m_actions};
+    for (const RequestId request : withdrawn) {
+        refuse(m_tables, context, request, RefusalCode::RouteWithdrawn, Duration(0));
+    }
+}
+
 void DecisionCore::apply(const RequestArrived &event)
 {
     RequestRow row;
--- a/src/decisions/internal/decisioncore.h
+++ b/src/decisions/internal/decisioncore.h
@@ -22,6 +22,7 @@
     void apply(const UpstreamGone &event);
     void apply(const UpstreamReported &event);
     void apply(const WorkspaceLimited &event);
+    void apply(const WorkspaceRouted &event);
     void apply(const EntryHostsCounted &event);
     void apply(const RequestArrived &event);
     void apply(const AttemptProgressed &event);
--- a/src/decisions/internal/tables.cpp
+++ b/src/decisions/internal/tables.cpp
@@ -54,6 +54,8 @@
         return "attempts_failed";
     case RefusalCode::OutcomeUnknown:
         return "outcome_unknown";
+    case RefusalCode::RouteWithdrawn:
+        return "route_withdrawn";
     case RefusalCode::Rejected:
         return "rejected_by_upstream";
     case RefusalCode::HostStopping:
--- a/src/decisions/tests/decisioncoretests.cpp
+++ b/src/decisions/tests/decisioncoretests.cpp
@@ -118,6 +118,25 @@
             CHECK(only<RefuseRequest>(actions)[0].run == RunState::NotRun);
         }
     }
+    GIVEN("a running and a queued request when a template withdraws their route")
+    {
+        core->post(WorkspaceLimited{Workspace, 1, 1});
+        core->post(arrival(1));
+        core->tick(at(1));
+        core->post(arrival(2));
+        core->tick(at(2));
+        core->post(WorkspaceRouted{Workspace, {TargetId{7}}});
+        const std::span<const Action> actions = core->tick(at(3));
+        THEN("the queued one is refused as not run, and the running one goes on")
+        {
+            CHECK(only<CancelAttempt>(actions).empty());
+            REQUIRE(only<RefuseRequest>(actions).size() == 1);
+            CHECK(only<RefuseRequest>(actions)[0].request == RequestId{2});
+            CHECK(only<RefuseRequest>(actions)[0].code == RefusalCode::RouteWithdrawn);
+            CHECK(only<RefuseRequest>(actions)[0].run == RunState::NotRun);
+            CHECK(core->openRequests() == 1);
+        }
+    }
     GIVEN("upstreams that are leaving")
     {
         core->post(UpstreamLeaving{static_cast<UpstreamId>(0), at(5'000)});
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -45,7 +45,13 @@
     , m_skipped(m_parts.timeline, m_parts.metrics)
     , m_launcher(traffic, *this)
     , m_loop(control, decisions::makeDecisionCore({}, chosenSeed(settings.seed)), [this](const decisions::Action &action) { perform(action); })
-    , m_templates(m_parts.templates, m_parts.timeline, settings.name, [this](const templates::TemplateRevision &) { applyLimits(); })
+    , m_templates(m_parts.templates,
+                  m_parts.timeline,
+                  settings.name,
+                  [this](const templates::TemplateRevision &revision) {
+                      applyRoutes(revision.content);
+                      applyLimits();
+                  })
     , m_upstreams(settings.zone, m_parts.timeline, [this](decisions::Event event) { m_loop.post(std::move(event)); })
     , m_loads(control, m_upstreams, coreNow, [this](decisions::Event event) { m_loop.post(std::move(event)); })
     , m_bookings(control,
@@ -307,6 +313,18 @@
     m_skipped.noteRecord(record.offset);
 }
 
+void Control::applyRoutes(const templates::WorkspaceTemplate &content)
+{
+    decisions::WorkspaceRouted event{m_workspaces.intern(content.workspace), {}};
+    for (const templates::ModelRoute &route : content.models) {
+        event.targets.push_back(m_upstreams.target(route.name));
+    }
+    for (const templates::ServiceRoute &route : content.services) {
+        event.targets.push_back(m_upstreams.target(route.name));
+    }
+    m_loop.post(std::move(event));
+}
+
 void Control::applyLimits()
 {
     const std::uint32_t hosts = static_cast<std::uint32_t>(m_upstreams.entryHosts());
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -90,6 +90,7 @@
     void perform(const decisions::CompleteRequest &action);
     void takeRecord(const platform::LogRecord &record);
     void applyLimits();
+    void applyRoutes(const templates::WorkspaceTemplate &content);
     [[nodiscard]] ControlStatus makeStatus() const;
     void takeHosts(const platform::HostList &list);
     /// True when the host is ready.
--- a/src/entry/internal/refusals.cpp
+++ b/src/entry/internal/refusals.cpp
@@ -30,6 +30,8 @@
         return {502, "every permitted attempt failed"};
     case RefusalCode::OutcomeUnknown:
         return {504, "the call may have run; it is not repeated"};
+    case RefusalCode::RouteWithdrawn:
+        return {404, "the workspace's template does not name the target any more"};
     case RefusalCode::Rejected:
         return {400, "the upstream rejected the request"};
     case RefusalCode::HostStopping:
