Tell the decisions which requests begin alike

What: the hash of the first message goes with the request and its copies. Not measured over real engines: the stand-in engine has no prefix cache.

--- a/src/entry/internal/callerfrontend.cpp
+++ b/src/entry/internal/callerfrontend.cpp
@@ -163,6 +163,7 @@
     spec.firstToken = policy.firstToken;
     spec.priority = policy.priority;
     spec.promptTokens = parsed->promptTokens;
+    spec.prefixHash = parsed->prefixHash;
     spec.maxTokens = parsed->maxTokens;
     spec.includeUsage = parsed->includeUsage;
     spec.body = std::move(request.body);
--- a/src/entry/internal/chatwire.cpp
+++ b/src/entry/internal/chatwire.cpp
@@ -26,6 +26,18 @@
     return bytes;
 }
 
+/// 64-bit FNV-1a hash.
+std::uint64_t hashOf(std::string_view text)
+{
+    constexpr std::uint64_t OffsetBasis = 14695981039346656037ULL;
+    constexpr std::uint64_t Prime = 1099511628211ULL;
+    std::uint64_t hash = OffsetBasis;
+    for (const char byte : text) {
+        hash = (hash ^ static_cast<unsigned char>(byte)) * Prime;
+    }
+    return hash;
+}
+
 std::uint32_t readMaxTokens(const Json::Value &body)
 {
     for (const char *const key : {"max_completion_tokens", "max_tokens"}) {
@@ -140,6 +152,7 @@
     request.includeUsage = options.isObject() && boolMember(options, "include_usage", false);
     request.maxTokens = readMaxTokens(*parsed);
     request.promptTokens = static_cast<std::uint32_t>(contentBytes((*parsed)["messages"]) / BytesPerToken) + 1;
+    request.prefixHash = hashOf(toText((*parsed)["messages"][0]));
     return request;
 }
 
--- a/src/entry/internal/chatwire.h
+++ b/src/entry/internal/chatwire.h
@@ -16,6 +16,7 @@
     bool includeUsage = false;      ///< Of a streamed answer.
     std::uint32_t maxTokens = 0;    ///< Zero when the caller set no bound.
     std::uint32_t promptTokens = 0; ///< Estimated from the length of the messages.
+    std::uint64_t prefixHash = 0;   ///< Of the first message, whose computation an engine may have cached.
 };
 
 /// Reads the body of a chat completion; nothing, with @p refusal set, when it cannot be served. Thread-safe.
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -163,6 +163,7 @@
         event.firstTokenBy = coreTime(record->arrivedAt + spec.firstToken);
     }
     event.promptTokens = spec.promptTokens;
+    event.prefixHash = spec.prefixHash;
     event.expectedTokens = spec.maxTokens;
     event.tokensDone = static_cast<std::uint32_t>(record->transcript.prefix().tokens);
     event.idempotent = spec.idempotent;
--- a/src/entry/tests/chatwiretests.cpp
+++ b/src/entry/tests/chatwiretests.cpp
@@ -18,6 +18,16 @@
         CHECK(request->maxTokens == 5);
         CHECK(request->promptTokens == 3);
     }
+    GIVEN("requests that begin alike")
+    {
+        const auto prefixOf = [&](const std::string &first, const std::string &rest) {
+            return parseChatRequest(R"({"model":"m","messages":[{"role":"system","content":")" + first + R"("},{"role":"user","content":")" + rest + R"("}]})",
+                                    refusal)
+                ->prefixHash;
+        };
+        CHECK(prefixOf("rules", "a") == prefixOf("rules", "b"));
+        CHECK(prefixOf("rules", "a") != prefixOf("other rules", "a"));
+    }
     GIVEN("malformed ones")
     {
         for (const std::string_view body : {"",
--- a/src/keeper/internal/recordjson.cpp
+++ b/src/keeper/internal/recordjson.cpp
@@ -28,6 +28,7 @@
     value["key"] = spec.idempotencyKey;
     value["priority"] = spec.priority;
     value["prompt_tokens"] = spec.promptTokens;
+    value["prefix_hash"] = Json::UInt64(spec.prefixHash);
     value["max_tokens"] = spec.maxTokens;
     value["include_usage"] = spec.includeUsage;
     value["method"] = spec.method;
@@ -63,6 +64,7 @@
     spec.idempotencyKey = stringMember(value, "key").value_or("");
     spec.priority = number(value, "priority");
     spec.promptTokens = number(value, "prompt_tokens");
+    spec.prefixHash = unsignedMember(value, "prefix_hash").value_or(0);
     spec.maxTokens = number(value, "max_tokens");
     spec.includeUsage = boolMember(value, "include_usage", false);
     spec.method = stringMember(value, "method").value_or("");
--- a/src/requests/requesttypes.h
+++ b/src/requests/requesttypes.h
@@ -56,6 +56,7 @@
     std::chrono::milliseconds firstToken{0}; ///< Target for the first token, from arrival; zero when there is none.
     std::uint32_t priority = 0;
     std::uint32_t promptTokens = 0;
+    std::uint64_t prefixHash = 0;                             ///< Requests with the same one begin alike; zero when not known.
     std::uint32_t maxTokens = 0;                              ///< Zero when the caller set no bound.
     bool includeUsage = false;                                ///< The streamed answer ends with its usage.
     std::string method;                                       ///< Of a service call.
