--- a/src/entry/internal/bookingrefusals.cpp
+++ b/src/entry/internal/bookingrefusals.cpp
@@ -1,5 +1,7 @@
 #include "entry/internal/bookingrefusals.h"
 
+#include "entry/internal/refusals.h"
+
 namespace rosemaryshift::entry {
 
 using bookings::BookingRefusal;
@@ -7,12 +9,7 @@
 
 namespace {
 
-struct Wording {
-    int status;
-    std::string_view message;
-};
-
-Wording wordingOf(BookingRefusal code)
+RefusalWording wordingOf(BookingRefusal code)
 {
     switch (code) {
     case BookingRefusal::KeyReused:
@@ -43,16 +40,7 @@
 
 Refusal refusalOf(const bookings::RefuseBooking &action)
 {
-    const Wording wording = wordingOf(action.code);
-    Refusal refusal;
-    refusal.status = wording.status;
-    refusal.code = std::string(name(action.code));
-    refusal.message = std::string(wording.message);
-    refusal.run = action.run;
-    if (action.retryAfter) {
-        refusal.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*action.retryAfter);
-    }
-    return refusal;
+    return makeRefusal(wordingOf(action.code), name(action.code), action.run, action.retryAfter);
 }
 
 }
--- a/src/entry/internal/bookingrunner.cpp
+++ b/src/entry/internal/bookingrunner.cpp
@@ -69,7 +69,7 @@
     , m_owner(policy.owner)
     , m_dispatch(std::move(dispatch))
     , m_coordinator(bookings::makeBookingCoordinator(policy))
-    , m_wake(control)
+    , m_wake(control, [this] { tick(); })
 {
 }
 
@@ -85,22 +85,7 @@
         std::visit([this](const auto &typed) { perform(typed); }, action);
     }
     m_open = m_coordinator->waiting() + (m_logTakes ? m_coordinator->unsaved() : 0);
-    armWake();
-}
-
-void BookingRunner::armWake()
-{
-    const std::optional<TimePoint> wake = m_coordinator->nextWake();
-    if (!wake) {
-        m_wake.cancel();
-        return;
-    }
-    m_wake.expires_at(std::chrono::steady_clock::time_point(wake->time_since_epoch()));
-    m_wake.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            tick();
-        }
-    });
+    m_wake.arm(m_coordinator->nextWake());
 }
 
 void BookingRunner::arrive(const RecordPtr &record)
@@ -116,8 +101,7 @@
     event.request = record->number;
     event.key = bookings::keyDigest(spec);
     event.digest = bookings::requestDigest(spec);
-    const std::chrono::steady_clock::time_point deadline = record->arrivedAt + spec.deadline;
-    event.deadline = TimePoint(std::chrono::duration_cast<Duration>(deadline.time_since_epoch()));
+    event.deadline = coreTime(record->arrivedAt + spec.deadline);
     event.ownTicket = ticket.has_value();
     const std::optional<std::int64_t> madeAt = bookings::keyTimeMs(spec.idempotencyKey);
     if (madeAt) {
--- a/src/entry/internal/bookingrunner.h
+++ b/src/entry/internal/bookingrunner.h
@@ -2,12 +2,12 @@
 
 #include "bookings/ibookingcoordinator.h"
 #include "entry/internal/requestjournal.h"
+#include "entry/internal/waketimer.h"
 #include "platform/iplatform.h"
 #include "requests/requestregistry.h"
 #include "timeline/itimeline.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <functional>
@@ -54,7 +54,6 @@
 private:
     void run(bookings::BookingEvent event);
     void tick();
-    void armWake();
     void perform(const bookings::AppendRecords &action);
     void perform(const bookings::DispatchBooking &action);
     void perform(const bookings::AnswerBooking &action);
@@ -67,7 +66,7 @@
     const std::string m_owner;
     const DispatchCallback m_dispatch;
     const std::unique_ptr<bookings::IBookingCoordinator> m_coordinator;
-    boost::asio::steady_timer m_wake;
+    WakeTimer m_wake;
     bool m_logTakes = true;
     std::atomic<std::size_t> m_open = 0;
 };
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -4,6 +4,7 @@
 #include "base/text.h"
 #include "entry/internal/leavingsection.h"
 #include "entry/internal/refusals.h"
+#include "entry/internal/requestarrival.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -152,25 +153,10 @@
 /// Hands a request to the decision core.
 void Control::decide(const std::shared_ptr<RequestRecord> &record)
 {
-    const requests::RequestSpec &spec = record->spec;
-    decisions::RequestArrived event{};
-    event.request = record->number;
-    event.workspace = m_workspaces.intern(spec.workspace);
-    event.trafficClass = spec.trafficClass;
-    event.target = m_upstreams.target(spec.target);
-    event.deadline = coreTime(record->arrivedAt + spec.deadline);
-    if (spec.firstToken.count() > 0 && spec.trafficClass != TrafficClass::Plan) {
-        event.firstTokenBy = coreTime(record->arrivedAt + spec.firstToken);
-    }
-    event.promptTokens = spec.promptTokens;
-    event.prefixHash = spec.prefixHash;
-    event.expectedTokens = spec.maxTokens;
-    event.tokensDone = static_cast<std::uint32_t>(record->transcript.prefix().tokens);
-    event.idempotent = spec.idempotent;
     record->parked = false;
     // The next tick counts the request; until then a stop has to wait for it.
     m_loop.expectRequest();
-    m_loop.post(event);
+    m_loop.post(arrivalOf(*record, m_workspaces.intern(record->spec.workspace), m_upstreams.target(record->spec.target)));
 }
 
 void Control::callerLeft(std::shared_ptr<RequestRecord> record)
--- a/src/entry/internal/decisionloop.cpp
+++ b/src/entry/internal/decisionloop.cpp
@@ -12,7 +12,7 @@
     : m_context(context)
     , m_core(std::move(core))
     , m_handler(std::move(handler))
-    , m_wake(context)
+    , m_wake(context, [this] { scheduleTick(); })
 {
 }
 
@@ -38,22 +38,7 @@
         m_handler(action);
     }
     m_openRequests = m_core->openRequests();
-    armWake();
-}
-
-void DecisionLoop::armWake()
-{
-    const std::optional<TimePoint> wake = m_core->nextWake();
-    if (!wake) {
-        m_wake.cancel();
-        return;
-    }
-    m_wake.expires_at(std::chrono::steady_clock::time_point(wake->time_since_epoch()));
-    m_wake.async_wait([this](const boost::system::error_code &error) {
-        if (!error) {
-            scheduleTick();
-        }
-    });
+    m_wake.arm(m_core->nextWake());
 }
 
 void DecisionLoop::expectRequest()
--- a/src/entry/internal/decisionloop.h
+++ b/src/entry/internal/decisionloop.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "decisions/idecisioncore.h"
+#include "entry/internal/waketimer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <functional>
@@ -31,12 +31,11 @@
 
 private:
     void tick();
-    void armWake();
 
     boost::asio::io_context &m_context;
     const std::unique_ptr<decisions::IDecisionCore> m_core;
     const ActionHandler m_handler;
-    boost::asio::steady_timer m_wake;
+    WakeTimer m_wake;
     bool m_tickScheduled = false;
     std::atomic<std::size_t> m_openRequests = 0;
 };
--- a/src/entry/internal/refusals.cpp
+++ b/src/entry/internal/refusals.cpp
@@ -10,12 +10,7 @@
 
 namespace {
 
-struct Wording {
-    int status;
-    std::string_view message;
-};
-
-Wording wordingOf(RefusalCode code)
+RefusalWording wordingOf(RefusalCode code)
 {
     switch (code) {
     case RefusalCode::OverLimit:
@@ -48,30 +43,29 @@
 
 }
 
-Refusal refusalOf(const decisions::RefuseRequest &action)
+Refusal makeRefusal(const RefusalWording &wording, std::string_view code, RunState run, std::optional<Duration> retryAfter)
 {
-    const Wording wording = wordingOf(action.code);
     Refusal refusal;
     refusal.status = wording.status;
-    refusal.code = std::string(name(action.code));
+    refusal.code = std::string(code);
     refusal.message = std::string(wording.message);
-    refusal.run = action.run;
-    if (action.retryAfter > Duration(0)) {
-        refusal.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(action.retryAfter);
-    }
-    if (action.code == RefusalCode::HostStopping) {
-        refusal.retryAfter = std::chrono::milliseconds(0);
+    refusal.run = run;
+    if (retryAfter) {
+        refusal.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*retryAfter);
     }
     return refusal;
 }
 
+Refusal refusalOf(const decisions::RefuseRequest &action)
+{
+    const bool comeBack = action.retryAfter > Duration(0) || action.code == RefusalCode::HostStopping;
+    const Duration retryAfter = action.code == RefusalCode::HostStopping ? Duration(0) : action.retryAfter;
+    return makeRefusal(wordingOf(action.code), name(action.code), action.run, comeBack ? std::optional(retryAfter) : std::nullopt);
+}
+
 Refusal badRequest(int status, std::string_view code, std::string_view message)
 {
-    Refusal refusal;
-    refusal.status = status;
-    refusal.code = std::string(code);
-    refusal.message = std::string(message);
-    return refusal;
+    return makeRefusal({status, message}, code, RunState::NotRun, std::nullopt);
 }
 
 std::string errorBody(const Refusal &refusal)
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -1,6 +1,7 @@
 #include "http/internal/connection.h"
 
 #include "base/text.h"
+#include "http/internal/requestfaults.h"
 
 #include <sys/socket.h>
 
@@ -21,33 +22,6 @@
 /// Time that a stopping server gives a new connection for its first request.
 constexpr std::chrono::milliseconds StopGrace{1'000};
 
-struct Fault {
-    int status;
-    std::string_view code;
-    std::string_view message;
-};
-
-Fault faultOf(beast::error_code error)
-{
-    if (error == bhttp::error::header_limit) {
-        return {431, "header_too_large", "the header is larger than this server accepts"};
-    }
-    if (error == bhttp::error::body_limit) {
-        return {413, "body_too_large", "the body is larger than this server accepts"};
-    }
-    if (error == beast::error::timeout) {
-        return {408, "request_timeout", "the request did not arrive in time"};
-    }
-    return {400, "malformed_request", "the request is not valid HTTP"};
-}
-
-bool deservesAnswer(beast::error_code error)
-{
-    return error == beast::error::timeout
-        || (error.category() == make_error_code(bhttp::error::bad_method).category() && error != bhttp::error::end_of_stream
-            && error != bhttp::error::partial_message);
-}
-
 Request converted(bhttp::request<bhttp::string_body> &&message)
 {
     Request request;
@@ -168,7 +142,7 @@
     if (!deservesAnswer(error)) {
         co_return;
     }
-    const Fault fault = faultOf(error);
+    const RequestFault fault = faultOf(error);
     m_keepAlive = false;
     m_started = false;
     Response response;
--- /dev/null
+++ b/src/http/internal/requestfaults.cpp
@@ -0,0 +1,32 @@
+#include "http/internal/requestfaults.h"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace rosemaryshift::http {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+RequestFault faultOf(beast::error_code error)
+{
+    if (error == bhttp::error::header_limit) {
+        return {431, "header_too_large", "the header is larger than this server accepts"};
+    }
+    if (error == bhttp::error::body_limit) {
+        return {413, "body_too_large", "the body is larger than this server accepts"};
+    }
+    if (error == beast::error::timeout) {
+        return {408, "request_timeout", "the request did not arrive in time"};
+    }
+    return {400, "malformed_request", "the request is not valid HTTP"};
+}
+
+bool deservesAnswer(beast::error_code error)
+{
+    return error == beast::error::timeout
+        || (error.category() == make_error_code(bhttp::error::bad_method).category() && error != bhttp::error::end_of_stream
+            && error != bhttp::error::partial_message);
+}
+
+}
