Refuse a limit that leaves entry hosts without a share

Cause: the limit in flight is split among the entry hosts, so that one below their number left some hosts refusing every caller of the workspace with over_limit, whoever the balancer sent there. What: publishing names the line and the least limit. Ruled out: rounding each share up, since the parts would add up to more than the limit.

--- a/src/entry/internal/templatepublisher.cpp
+++ b/src/entry/internal/templatepublisher.cpp
@@ -114,7 +114,7 @@
         return PublishResult{PublishVerdict::Invalid, 0, request.file + ": the template names workspace " + content->workspace};
     }
     if (content) {
-        errors = templates::checkAgainstFleet(*content, request.file, m_table.fold(), m_upstreams.liveTargets());
+        errors = templates::checkAgainstFleet(*content, request.file, m_table.fold(), {m_upstreams.liveTargets(), m_upstreams.entryHosts()});
     }
     if (errors.empty()) {
         return std::nullopt;
--- a/src/templates/internal/templatechecks.cpp
+++ b/src/templates/internal/templatechecks.cpp
@@ -18,15 +18,25 @@
         m_current = current == nullptr ? nullptr : &current->content;
     }
 
-    std::vector<SettingsError> run(const std::set<std::string> &liveTargets)
+    std::vector<SettingsError> run(const FleetView &fleet)
     {
-        checkTargets(liveTargets);
+        checkShares(fleet.entryHosts);
+        checkTargets(fleet.liveTargets);
         checkKeptKey();
         checkForeignKeys();
         return std::move(m_errors);
     }
 
 private:
+    void checkShares(std::size_t entryHosts)
+    {
+        if (m_content.limits.requestsInFlight < entryHosts) {
+            reject(m_content.limitsLine,
+                   "limits.requests_in_flight is " + std::to_string(m_content.limits.requestsInFlight) + ", but must be at least " + std::to_string(entryHosts)
+                       + ", one for each entry host");
+        }
+    }
+
     void checkTargets(const std::set<std::string> &liveTargets)
     {
         for (const ModelRoute &route : m_content.models) {
@@ -88,10 +98,9 @@
 
 }
 
-std::vector<SettingsError>
-checkAgainstFleet(const WorkspaceTemplate &content, std::string_view file, const ITemplateFold &fold, const std::set<std::string> &liveTargets)
+std::vector<SettingsError> checkAgainstFleet(const WorkspaceTemplate &content, std::string_view file, const ITemplateFold &fold, const FleetView &fleet)
 {
-    return FleetCheck(content, file, fold).run(liveTargets);
+    return FleetCheck(content, file, fold).run(fleet);
 }
 
 }
--- a/src/templates/internal/templateparser.cpp
+++ b/src/templates/internal/templateparser.cpp
@@ -55,6 +55,7 @@
         root.reject("limits", "must be given");
         return;
     }
+    parsed.limitsLine = table->lineOf("requests_in_flight");
     parsed.limits.requestsInFlight = static_cast<std::uint32_t>(table->number("requests_in_flight", {1, MaxRequests}));
     parsed.limits.requestsQueued = static_cast<std::uint32_t>(table->number("requests_queued", {0, MaxRequests}));
     table->rejectUnknownKeys();
--- a/src/templates/templatetypes.h
+++ b/src/templates/templatetypes.h
@@ -40,6 +40,7 @@
     std::string workspace;
     std::vector<std::string> keyDigests; ///< Lower-case hexadecimal SHA-256 of each caller key.
     std::uint32_t keysLine = 0;          ///< Where the template's text names the keys.
+    std::uint32_t limitsLine = 0;        ///< Where the template's text names the limit in flight.
     WorkspaceLimits limits;
     std::array<ClassPolicy, TrafficClassCount> classes;
     std::vector<ModelRoute> models;
--- a/src/templates/tests/templatechecktests.cpp
+++ b/src/templates/tests/templatechecktests.cpp
@@ -28,13 +28,13 @@
     return all;
 }
 
-std::string fleetFaultsOf(const std::string &text, const ITemplateFold &fold)
+std::string fleetFaultsOf(const std::string &text, const ITemplateFold &fold, std::size_t entryHosts = 2)
 {
     std::vector<SettingsError> errors;
     const std::optional<WorkspaceTemplate> content = parseTemplate(text, "yard.toml", errors);
     REQUIRE(content);
     std::string all;
-    for (const SettingsError &error : checkAgainstFleet(*content, "yard.toml", fold, {"small"})) {
+    for (const SettingsError &error : checkAgainstFleet(*content, "yard.toml", fold, {{"small"}, entryHosts})) {
         all += error.text() + "\n";
     }
     return all;
@@ -68,6 +68,11 @@
                    Catch::Contains("yard.toml:8: model large is served by no live upstream")
                        && Catch::Contains("yard.toml:10: service dispatch is served by no live upstream"));
     }
+    THEN("each entry host needs a share of the limit")
+    {
+        CHECK_THAT(fleetFaultsOf(templateOf("yard", OldKey, SmallModel), *fold, 3),
+                   Catch::Contains("yard.toml:4: limits.requests_in_flight is 2, but must be at least 3, one for each entry host"));
+    }
     THEN("a model routed before may be without one for a while")
     {
         fold->apply(1, {"yard", 1, "second", "anna", templateOf("yard", OldKey, "[[models]]\nname = \"away\"\n")});
