Call copies of requests replicas, and the tickets' handler a frontend

What: src/replication with IReplicator, ReplicaRecord and replica hosts, TicketFrontend, event replica_unreachable, status field replica_records.

--- a/src/entry/internal/callerfrontend.cpp
+++ b/src/entry/internal/callerfrontend.cpp
@@ -24,7 +24,7 @@
 constexpr std::string_view RequestsPath = "/v1/requests/";
 constexpr std::string_view ServicesPath = "/services/";
 constexpr std::string_view TicketsPath = "/v1/tickets";
-/// Until a lost host's keeper has noticed the loss.
+/// Until a lost host's replica host has noticed the loss.
 constexpr std::chrono::milliseconds TakeOverTime{1'000};
 constexpr std::uint64_t MaxDeadlineMs = 24ULL * 3600 * 1000;
 constexpr std::chrono::milliseconds ForwardPatience{60'000};
@@ -76,7 +76,7 @@
                                std::shared_ptr<requests::RequestRegistry> registry,
                                std::shared_ptr<TemplateView> templates,
                                std::shared_ptr<RequestLocator> locator,
-                               TicketDesk &tickets)
+                               TicketFrontend &tickets)
     : m_control(control)
     , m_registry(std::move(registry))
     , m_templates(std::move(templates))
--- a/src/entry/internal/callerfrontend.h
+++ b/src/entry/internal/callerfrontend.h
@@ -2,7 +2,7 @@
 
 #include "entry/internal/control.h"
 #include "entry/internal/requestlocator.h"
-#include "entry/internal/ticketdesk.h"
+#include "entry/internal/ticketfrontend.h"
 #include "http/ihttpserver.h"
 
 #include <memory>
@@ -18,7 +18,7 @@
                    std::shared_ptr<requests::RequestRegistry> registry,
                    std::shared_ptr<TemplateView> templates,
                    std::shared_ptr<RequestLocator> locator,
-                   TicketDesk &tickets);
+                   TicketFrontend &tickets);
 
     boost::asio::awaitable<void> handle(http::Request request, http::IResponseWriter &writer);
 
@@ -45,7 +45,7 @@
     const std::shared_ptr<requests::RequestRegistry> m_registry;
     const std::shared_ptr<TemplateView> m_templates;
     const std::shared_ptr<RequestLocator> m_locator;
-    TicketDesk &m_tickets;
+    TicketFrontend &m_tickets;
 };
 
 }
--- a/src/entry/internal/control.cpp
+++ b/src/entry/internal/control.cpp
@@ -77,7 +77,7 @@
     return hooks;
 }
 
-void Control::adopt(keeper::KeptRecord record)
+void Control::adopt(replication::ReplicaRecord record)
 {
     m_mover.adopt(std::move(record));
 }
@@ -92,9 +92,9 @@
     net::co_spawn(m_context, run, net::detached);
 }
 
-void Control::use(keeper::IKeeper &keeper)
+void Control::use(replication::IReplicator &replicator)
 {
-    m_mover.use(keeper);
+    m_mover.use(replicator);
 }
 
 void Control::join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server)
@@ -384,7 +384,7 @@
     status.openRequests = m_loop.openRequests();
     status.name = m_settings.name;
     status.zone = m_settings.zone;
-    status.keptRecords = m_mover.keptRecords();
+    status.replicaRecords = m_mover.replicaRecords();
     status.upstreams = m_upstreams.upstreams();
     for (const std::string &workspace : m_templates.fold().workspaces()) {
         status.templates.push_back(m_templates.fold().inForce(workspace)->stated);
--- a/src/entry/internal/control.h
+++ b/src/entry/internal/control.h
@@ -47,10 +47,10 @@
 
     /// Makes the membership known and adds what this host serves to peers. Precondition: called once, before start().
     void join(membership::IMembership &membership, const std::shared_ptr<rpc::IPeerClient> &client, rpc::IPeerServer &server);
-    /// Makes the keeper known. Precondition: called once, before start().
-    void use(keeper::IKeeper &keeper);
+    /// Makes the replicator known. Precondition: called once, before start().
+    void use(replication::IReplicator &replicator);
     /// Goes on with a request that another host has accepted. Precondition: called on the control thread.
-    void adopt(keeper::KeptRecord record);
+    void adopt(replication::ReplicaRecord record);
     /// Takes no new work, lets requests finish while @p notice allows, hands the others over and calls @p done.
     /// Precondition: called on the control thread.
     void leave(std::chrono::milliseconds notice, std::function<void()> done);
--- a/src/entry/internal/controlstatus.h
+++ b/src/entry/internal/controlstatus.h
@@ -28,7 +28,7 @@
     std::size_t openRequests = 0;
     std::string name;
     std::string zone;
-    std::size_t keptRecords = 0; ///< Copies of other hosts' requests.
+    std::size_t replicaRecords = 0; ///< Copies of other hosts' requests.
     std::vector<std::pair<platform::ListedHost, bool>> upstreams;
     std::vector<templates::StatedRevision> templates;
     std::vector<PeerStatus> peers;
--- a/src/entry/internal/entryhost.cpp
+++ b/src/entry/internal/entryhost.cpp
@@ -88,7 +88,7 @@
         m_timeline->record(EventKind::HostStarted, {.detail = "zone " + m_settings.zone});
         m_control.start();
         m_membership->start();
-        m_keeper->start();
+        m_replicator->start();
         net::co_spawn(m_controlContext, m_reclaimWatch.run(), net::detached);
         std::vector<std::thread> threads;
         threads.emplace_back([this] { runNamed("control", m_controlContext); });
@@ -153,11 +153,12 @@
         m_membership->addObserver([view = m_peerView](const membership::Peer &peer, membership::PeerChange change) { view->note(peer, change); });
         m_control.join(*m_membership, m_peerClient, *m_peerServer);
         const std::string hostId = m_settings.name + "." + m_incarnation;
-        m_keeper = keeper::makeKeeper(m_controlContext, {}, hostId, *m_membership, m_peerClient, *m_peerServer, m_timeline, [this](keeper::KeptRecord record) {
-            m_control.adopt(std::move(record));
-        });
-        serveLocations(*m_peerServer, m_registry, *m_keeper);
-        m_control.use(*m_keeper);
+        m_replicator = replication::makeReplicator(
+            m_controlContext, {}, hostId, *m_membership, m_peerClient, *m_peerServer, m_timeline, [this](replication::ReplicaRecord record) {
+                m_control.adopt(std::move(record));
+            });
+        serveLocations(*m_peerServer, m_registry, *m_replicator);
+        m_control.use(*m_replicator);
     }
 
     /// The platform takes this host back after @p notice.
@@ -200,11 +201,11 @@
     const std::shared_ptr<rpc::IPeerClient> m_peerClient;
     const std::unique_ptr<rpc::IPeerServer> m_peerServer;
     ReclaimWatch m_reclaimWatch;
-    TicketDesk m_tickets;
+    TicketFrontend m_tickets;
     CallerFrontend m_callerFrontend;
     OperatorFrontend m_operatorFrontend;
     std::unique_ptr<membership::IMembership> m_membership;
-    std::unique_ptr<keeper::IKeeper> m_keeper;
+    std::unique_ptr<replication::IReplicator> m_replicator;
     std::unique_ptr<http::IHttpServer> m_callers;
     std::unique_ptr<http::IHttpServer> m_operators;
     std::unique_ptr<http::IHttpServer> m_peers;
--- a/src/entry/internal/operatorfrontend.cpp
+++ b/src/entry/internal/operatorfrontend.cpp
@@ -234,7 +234,7 @@
     object["open_requests"] = Json::UInt64(status.openRequests);
     object["name"] = status.name;
     object["zone"] = status.zone;
-    object["kept_records"] = Json::UInt64(status.keptRecords);
+    object["replica_records"] = Json::UInt64(status.replicaRecords);
     object["upstreams"] = Json::Value(Json::arrayValue);
     for (const std::pair<platform::ListedHost, bool> &upstream : status.upstreams) {
         object["upstreams"].append(toJson(upstream));
--- a/src/entry/internal/requestlocator.cpp
+++ b/src/entry/internal/requestlocator.cpp
@@ -1,7 +1,7 @@
 #include "entry/internal/requestlocator.h"
 
 #include "base/json.h"
-#include "keeper/rendezvous.h"
+#include "replication/rendezvous.h"
 
 #include <algorithm>
 
@@ -32,7 +32,7 @@
     for (Peer &peer : asked) {
         peer.leaving = false;
     }
-    asked = keeper::keepersFor(id, std::move(asked), {});
+    asked = replication::replicaHostsFor(id, std::move(asked), {});
     const std::optional<Peer> accepted = m_peers->acceptedBy(id);
     if (accepted) {
         asked.insert(asked.begin(), *accepted);
@@ -52,14 +52,14 @@
     co_return location;
 }
 
-void serveLocations(rpc::IPeerServer &server, std::shared_ptr<requests::RequestRegistry> registry, const keeper::IKeeper &keeper)
+void serveLocations(rpc::IPeerServer &server, std::shared_ptr<requests::RequestRegistry> registry, const replication::IReplicator &replicator)
 {
-    server.add(LocateMethod, [registry = std::move(registry), &keeper](const Json::Value &params) -> std::optional<Json::Value> {
+    server.add(LocateMethod, [registry = std::move(registry), &replicator](const Json::Value &params) -> std::optional<Json::Value> {
         const std::string id = stringMember(params, "id").value_or("");
         const std::shared_ptr<requests::RequestRecord> record = registry->find(id);
         Json::Value result;
         result["holds"] = record && record->transcript.end() != requests::TranscriptEnd::Moved;
-        result["keeps"] = keeper.keeps(id);
+        result["keeps"] = replicator.holdsReplica(id);
         return result;
     });
 }
--- a/src/entry/internal/requestlocator.h
+++ b/src/entry/internal/requestlocator.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "entry/internal/peerview.h"
-#include "keeper/ikeeper.h"
+#include "replication/ireplicator.h"
 #include "requests/requestregistry.h"
 #include "rpc/ipeerrpc.h"
 
@@ -32,7 +32,7 @@
     const std::shared_ptr<rpc::IPeerClient> m_client;
 };
 
-/// Adds the method by which peers ask this host. Precondition: @p keeper outlives @p server.
-void serveLocations(rpc::IPeerServer &server, std::shared_ptr<requests::RequestRegistry> registry, const keeper::IKeeper &keeper);
+/// Adds the method by which peers ask this host. Precondition: @p replicator outlives @p server.
+void serveLocations(rpc::IPeerServer &server, std::shared_ptr<requests::RequestRegistry> registry, const replication::IReplicator &replicator);
 
 }
--- a/src/entry/internal/requestmover.cpp
+++ b/src/entry/internal/requestmover.cpp
@@ -29,22 +29,22 @@
 {
 }
 
-void RequestMover::use(keeper::IKeeper &keeper)
+void RequestMover::use(replication::IReplicator &replicator)
 {
-    m_keeper = &keeper;
+    m_replicator = &replicator;
 }
 
 void RequestMover::accepted(const RecordPtr &record)
 {
-    m_keeper->accepted(record);
+    m_replicator->accepted(record);
 }
 
 void RequestMover::ended(const requests::RequestRecord &record)
 {
-    m_keeper->ended(record.id);
+    m_replicator->ended(record.id);
 }
 
-void RequestMover::adopt(keeper::KeptRecord kept)
+void RequestMover::adopt(replication::ReplicaRecord kept)
 {
     const std::string from = kept.owner;
     const std::size_t pieces = kept.pieces.size();
@@ -54,7 +54,7 @@
     }
     m_timeline->record(EventKind::RequestResumed,
                        {.request = record->id, .workspace = record->spec.workspace, .detail = "of " + from + ", behind " + std::to_string(pieces) + " pieces"});
-    m_keeper->accepted(record);
+    m_replicator->accepted(record);
     m_hooks.decide(record);
 }
 
@@ -71,7 +71,7 @@
 {
     const steady_clock::time_point handOverAt = steady_clock::now() + notice - std::min(HandOverMargin, notice / 2);
     co_await awaitEnds(handOverAt);
-    const std::vector<RecordPtr> records = m_keeper->own();
+    const std::vector<RecordPtr> records = m_replicator->own();
     if (records.empty()) {
         co_return;
     }
@@ -81,7 +81,7 @@
         m_hooks.withdraw(record);
     }
     std::vector<RecordPtr> handed = records;
-    const std::optional<std::string> successor = co_await m_keeper->handOver(std::move(handed));
+    const std::optional<std::string> successor = co_await m_replicator->handOver(std::move(handed));
     settle(records, successor);
     m_moving = 0;
 }
@@ -95,15 +95,15 @@
             continue;
         }
         m_timeline->record(EventKind::RequestHandedOver, {.request = record->id, .workspace = record->spec.workspace, .detail = "to " + *successor});
-        m_keeper->ended(record->id);
+        m_replicator->ended(record->id);
         record->transcript.move();
         m_registry->finished(*record);
     }
 }
 
-std::size_t RequestMover::keptRecords() const
+std::size_t RequestMover::replicaRecords() const
 {
-    return m_keeper->keptRecords();
+    return m_replicator->replicaRecords();
 }
 
 std::size_t RequestMover::moving() const
--- a/src/entry/internal/requestmover.h
+++ b/src/entry/internal/requestmover.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "keeper/ikeeper.h"
+#include "replication/ireplicator.h"
 #include "requests/requestregistry.h"
 #include "timeline/itimeline.h"
 
@@ -27,18 +27,18 @@
     RequestMover(std::shared_ptr<requests::RequestRegistry> registry, std::shared_ptr<timeline::ITimeline> timeline, Hooks hooks);
 
     /// Precondition: called once, before any other method.
-    void use(keeper::IKeeper &keeper);
+    void use(replication::IReplicator &replicator);
     /// Has a request copied to another host from now on.
     void accepted(const RecordPtr &record);
     /// The request has its final answer.
     void ended(const requests::RequestRecord &record);
     /// Goes on with a request that another host has accepted.
-    void adopt(keeper::KeptRecord kept);
+    void adopt(replication::ReplicaRecord kept);
     /// Lets requests finish while @p notice allows, then hands the others over to one successor, stops acting on them and tells
     /// their callers. What no host takes goes on here.
     boost::asio::awaitable<void> leave(std::chrono::milliseconds notice);
     /// Copies of other hosts' requests that are kept here.
-    [[nodiscard]] std::size_t keptRecords() const;
+    [[nodiscard]] std::size_t replicaRecords() const;
     /// Requests that are being handed over. Thread-safe.
     [[nodiscard]] std::size_t moving() const;
 
@@ -49,7 +49,7 @@
     const std::shared_ptr<requests::RequestRegistry> m_registry;
     const std::shared_ptr<timeline::ITimeline> m_timeline;
     const Hooks m_hooks;
-    keeper::IKeeper *m_keeper = nullptr;
+    replication::IReplicator *m_replicator = nullptr;
     std::atomic<std::size_t> m_moving = 0;
 };
 
--- a/src/entry/internal/ticketdesk.cpp
+++ b/src/entry/internal/ticketfrontend.cpp
@@ -1,4 +1,4 @@
-#include "entry/internal/ticketdesk.h"
+#include "entry/internal/ticketfrontend.h"
 
 #include "base/json.h"
 #include "base/text.h"
@@ -24,7 +24,7 @@
 
 }
 
-TicketDesk::TicketDesk(Control &control, std::shared_ptr<PeerView> peers, std::string hostId, Duration window)
+TicketFrontend::TicketFrontend(Control &control, std::shared_ptr<PeerView> peers, std::string hostId, Duration window)
     : m_control(control)
     , m_peers(std::move(peers))
     , m_hostId(std::move(hostId))
@@ -32,7 +32,7 @@
 {
 }
 
-net::awaitable<void> TicketDesk::mint(http::IResponseWriter &writer) const
+net::awaitable<void> TicketFrontend::mint(http::IResponseWriter &writer) const
 {
     Json::Value object;
     object["ticket"] = bookings::mintTicket(m_hostId, timeline::systemWallMs());
@@ -45,13 +45,13 @@
     co_await writer.respond(std::move(response));
 }
 
-std::optional<std::string> TicketDesk::foreignOwner(std::string_view key) const
+std::optional<std::string> TicketFrontend::foreignOwner(std::string_view key) const
 {
     const std::optional<bookings::Ticket> ticket = bookings::parseTicket(key);
     return ticket && ticket->owner != m_hostId ? std::optional<std::string>(ticket->owner) : std::nullopt;
 }
 
-net::awaitable<void> TicketDesk::answer(std::string owner, requests::RequestSpec spec, http::Request request, http::IResponseWriter &writer)
+net::awaitable<void> TicketFrontend::answer(std::string owner, requests::RequestSpec spec, http::Request request, http::IResponseWriter &writer)
 {
     const std::optional<bookings::Outcome> outcome = co_await m_control.bookingOutcome(bookings::keyDigest(spec));
     if (outcome) {
@@ -62,7 +62,7 @@
     co_await ask(std::move(owner), spec.deadline, std::move(request), writer);
 }
 
-Response TicketDesk::keptResponse(const bookings::Outcome &outcome, const requests::RequestSpec &spec) const
+Response TicketFrontend::keptResponse(const bookings::Outcome &outcome, const requests::RequestSpec &spec) const
 {
     if (outcome.digest != bookings::requestDigest(spec)) {
         return refusal(BookingRefusal::KeyReused, RunState::NotRun);
@@ -73,7 +73,7 @@
     return outcome.answer ? serviceResponse(*outcome.answer, false) : refusal(BookingRefusal::AnswerNotKept, RunState::Ran);
 }
 
-net::awaitable<void> TicketDesk::ask(std::string owner, std::chrono::milliseconds deadline, http::Request request, http::IResponseWriter &writer)
+net::awaitable<void> TicketFrontend::ask(std::string owner, std::chrono::milliseconds deadline, http::Request request, http::IResponseWriter &writer)
 {
     const std::optional<membership::Peer> peer = isForwarded(request) ? std::nullopt : m_peers->incarnation(owner);
     if (peer) {
--- a/src/entry/internal/ticketdesk.h
+++ b/src/entry/internal/ticketfrontend.h
@@ -10,10 +10,10 @@
 namespace rosemaryshift::entry {
 
 /// Mints tickets, and passes bookings under another host's ticket on to that host. Thread-safe.
-class TicketDesk
+class TicketFrontend
 {
 public:
-    TicketDesk(Control &control, std::shared_ptr<PeerView> peers, std::string hostId, Duration window);
+    TicketFrontend(Control &control, std::shared_ptr<PeerView> peers, std::string hostId, Duration window);
 
     /// Answers a caller with a new ticket of this host.
     boost::asio::awaitable<void> mint(http::IResponseWriter &writer) const;
--- a/src/keeper/internal/recordjson.cpp
+++ b/src/replication/internal/recordjson.cpp
@@ -1,11 +1,11 @@
-#include "keeper/recordjson.h"
+#include "replication/recordjson.h"
 
 #include "base/json.h"
 #include "base/text.h"
 
 #include <algorithm>
 
-namespace rosemaryshift::keeper {
+namespace rosemaryshift::replication {
 
 using requests::RequestKind;
 using requests::RequestSpec;
@@ -78,7 +78,7 @@
 
 }
 
-Json::Value toJson(const KeptRecord &record, std::size_t from, steady_clock::time_point now)
+Json::Value toJson(const ReplicaRecord &record, std::size_t from, steady_clock::time_point now)
 {
     Json::Value value;
     value["id"] = record.id;
@@ -98,7 +98,7 @@
     return value;
 }
 
-std::optional<KeptRecord> recordFromJson(const Json::Value &value, steady_clock::time_point now)
+std::optional<ReplicaRecord> recordFromJson(const Json::Value &value, steady_clock::time_point now)
 {
     const std::optional<std::string> id = stringMember(value, "id");
     const std::optional<std::string> owner = stringMember(value, "owner");
@@ -110,7 +110,7 @@
     if (!spec) {
         return std::nullopt;
     }
-    KeptRecord record;
+    ReplicaRecord record;
     record.id = *id;
     record.owner = *owner;
     record.spec = std::move(*spec);
--- a/src/keeper/internal/rendezvous.cpp
+++ b/src/replication/internal/rendezvous.cpp
@@ -1,4 +1,4 @@
-#include "keeper/rendezvous.h"
+#include "replication/rendezvous.h"
 
 #include "base/text.h"
 
@@ -6,11 +6,11 @@
 #include <string>
 #include <utility>
 
-namespace rosemaryshift::keeper {
+namespace rosemaryshift::replication {
 
 using membership::Peer;
 
-std::vector<Peer> keepersFor(std::string_view key, std::vector<Peer> peers, std::string_view ownZone)
+std::vector<Peer> replicaHostsFor(std::string_view key, std::vector<Peer> peers, std::string_view ownZone)
 {
     using Ranked = std::pair<std::pair<bool, std::string>, Peer>;
     std::vector<Ranked> ranked;
--- a/src/keeper/internal/keeper.cpp
+++ b/src/replication/internal/replicator.cpp
@@ -1,8 +1,8 @@
-#include "keeper/internal/keeper.h"
+#include "replication/internal/replicator.h"
 
 #include "base/json.h"
-#include "keeper/recordjson.h"
-#include "keeper/rendezvous.h"
+#include "replication/recordjson.h"
+#include "replication/rendezvous.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -12,7 +12,7 @@
 
 #include <algorithm>
 
-namespace rosemaryshift::keeper {
+namespace rosemaryshift::replication {
 
 namespace net = boost::asio;
 using membership::Peer;
@@ -23,7 +23,7 @@
 constexpr const char *KeepMethod = "keep";
 constexpr const char *DropMethod = "drop";
 constexpr const char *HandOverMethod = "hand_over";
-/// Calls in which the keeper may say that it holds less than was thought.
+/// Calls in which the replica host may say that it holds less than was thought.
 constexpr int MaxRounds = 4;
 
 Json::Value emptyResult()
@@ -33,13 +33,13 @@
 
 }
 
-Keeper::Keeper(net::io_context &control,
-               const KeeperSettings &settings,
-               std::string hostId,
-               membership::IMembership &membership,
-               std::shared_ptr<rpc::IPeerClient> client,
-               std::shared_ptr<timeline::ITimeline> timeline,
-               Adopt adopt)
+Replicator::Replicator(net::io_context &control,
+                       const ReplicationSettings &settings,
+                       std::string hostId,
+                       membership::IMembership &membership,
+                       std::shared_ptr<rpc::IPeerClient> client,
+                       std::shared_ptr<timeline::ITimeline> timeline,
+                       Adopt adopt)
     : m_control(control)
     , m_settings(settings)
     , m_hostId(std::move(hostId))
@@ -50,7 +50,7 @@
 {
 }
 
-void Keeper::attach(rpc::IPeerServer &server)
+void Replicator::attach(rpc::IPeerServer &server)
 {
     server.add(KeepMethod, [this](const Json::Value &params) { return keep(params); });
     server.add(HandOverMethod, [this](const Json::Value &params) { return takeOver(params); });
@@ -67,12 +67,12 @@
     });
 }
 
-void Keeper::start()
+void Replicator::start()
 {
     net::co_spawn(m_control, run(), net::detached);
 }
 
-net::awaitable<void> Keeper::run()
+net::awaitable<void> Replicator::run()
 {
     net::steady_timer timer(m_control);
     while (true) {
@@ -83,7 +83,7 @@
     }
 }
 
-void Keeper::accepted(const RecordPtr &record)
+void Replicator::accepted(const RecordPtr &record)
 {
     Own &own = m_own[record->id];
     own.record = record;
@@ -93,11 +93,11 @@
     }
 }
 
-void Keeper::copyWhatIsDue()
+void Replicator::copyWhatIsDue()
 {
     const Clock::time_point now = Clock::now();
     for (auto &[id, own] : m_own) {
-        const bool due = !own.keeper || own.record->transcript.size() >= own.copied + m_settings.piecesPerCopy;
+        const bool due = !own.replicaHost || own.record->transcript.size() >= own.copied + m_settings.piecesPerCopy;
         if (own.copying || !due || now < own.retryAt) {
             continue;
         }
@@ -106,32 +106,32 @@
     }
 }
 
-bool Keeper::chooseKeeper(Own &own)
+bool Replicator::chooseReplicaHost(Own &own)
 {
-    for (const Peer &peer : keepersFor(own.record->id, m_membership.peers(), m_membership.self().zone)) {
+    for (const Peer &peer : replicaHostsFor(own.record->id, m_membership.peers(), m_membership.self().zone)) {
         if (!own.failed.contains(peer.name)) {
-            own.keeper = peer;
+            own.replicaHost = peer;
             own.copied = 0;
             return true;
         }
     }
     if (own.retryAt == Clock::time_point()) {
-        m_timeline->record(EventKind::KeeperUnreachable, {.request = own.record->id, .workspace = own.record->spec.workspace});
+        m_timeline->record(EventKind::ReplicaUnreachable, {.request = own.record->id, .workspace = own.record->spec.workspace});
     }
     own.failed.clear();
     own.retryAt = Clock::now() + m_settings.retryDelay;
     return false;
 }
 
-net::awaitable<void> Keeper::copy(std::string id)
+net::awaitable<void> Replicator::copy(std::string id)
 {
     for (int round = 0; round < MaxRounds; ++round) {
         const std::map<std::string, Own>::iterator before = m_own.find(id);
-        if (before == m_own.end() || (!before->second.keeper && !chooseKeeper(before->second))) {
+        if (before == m_own.end() || (!before->second.replicaHost && !chooseReplicaHost(before->second))) {
             break;
         }
-        const Peer peer = *before->second.keeper;
-        const KeptRecord record = kept(*before->second.record);
+        const Peer peer = *before->second.replicaHost;
+        const ReplicaRecord record = kept(*before->second.record);
         Json::Value params = toJson(record, before->second.copied, Clock::now());
         rpc::RpcFailure failure;
         const std::optional<Json::Value> result = co_await m_client->call(peer.peers, KeepMethod, std::move(params), m_settings.callTimeout, failure);
@@ -143,7 +143,7 @@
         Own &own = after->second;
         if (!result) {
             own.failed.insert(peer.name);
-            own.keeper.reset();
+            own.replicaHost.reset();
             continue;
         }
         own.copied = unsignedMember(*result, "have").value_or(0);
@@ -157,19 +157,19 @@
     }
 }
 
-void Keeper::ended(const std::string &id)
+void Replicator::ended(const std::string &id)
 {
     const std::map<std::string, Own>::iterator found = m_own.find(id);
     if (found == m_own.end()) {
         return;
     }
-    if (found->second.keeper) {
-        net::co_spawn(m_control, drop(*found->second.keeper, id), net::detached);
+    if (found->second.replicaHost) {
+        net::co_spawn(m_control, drop(*found->second.replicaHost, id), net::detached);
     }
     m_own.erase(found);
 }
 
-net::awaitable<void> Keeper::drop(Peer peer, std::string id)
+net::awaitable<void> Replicator::drop(Peer peer, std::string id)
 {
     Json::Value params;
     params["id"] = id;
@@ -177,7 +177,7 @@
     co_await m_client->call(peer.peers, DropMethod, std::move(params), m_settings.callTimeout, failure);
 }
 
-std::vector<IKeeper::RecordPtr> Keeper::own() const
+std::vector<IReplicator::RecordPtr> Replicator::own() const
 {
     std::vector<RecordPtr> records;
     for (const auto &[id, own] : m_own) {
@@ -186,29 +186,29 @@
     return records;
 }
 
-std::size_t Keeper::keptRecords() const
+std::size_t Replicator::replicaRecords() const
 {
     return m_kept.size();
 }
 
-bool Keeper::keeps(const std::string &id) const
+bool Replicator::holdsReplica(const std::string &id) const
 {
     return m_kept.contains(id);
 }
 
-KeptRecord Keeper::kept(const requests::RequestRecord &record) const
+ReplicaRecord Replicator::kept(const requests::RequestRecord &record) const
 {
     return {record.id, m_hostId, record.spec, record.arrivedAt + record.spec.deadline, record.transcript.view(0).pieces};
 }
 
-std::optional<Json::Value> Keeper::keep(const Json::Value &params)
+std::optional<Json::Value> Replicator::keep(const Json::Value &params)
 {
-    std::optional<KeptRecord> record = recordFromJson(params, Clock::now());
+    std::optional<ReplicaRecord> record = recordFromJson(params, Clock::now());
     const std::size_t from = unsignedMember(params, "from").value_or(0);
     if (!record) {
         return std::nullopt;
     }
-    const std::map<std::string, KeptRecord>::iterator known = m_kept.find(record->id);
+    const std::map<std::string, ReplicaRecord>::iterator known = m_kept.find(record->id);
     Json::Value result;
     if (known == m_kept.end() && from == 0 && m_kept.size() < m_settings.maxKept) {
         result["have"] = Json::UInt64(record->pieces.size());
@@ -228,48 +228,48 @@
     return result;
 }
 
-void Keeper::expire()
+void Replicator::expire()
 {
     const Clock::time_point now = Clock::now();
     std::erase_if(m_own, [now](const auto &entry) { return entry.second.record->arrivedAt + entry.second.record->spec.deadline < now; });
     std::erase_if(m_kept, [now](const auto &entry) { return entry.second.deadline < now; });
 }
 
-void Keeper::peerAppeared()
+void Replicator::peerAppeared()
 {
     for (auto &[id, own] : m_own) {
         own.retryAt = {};
     }
 }
 
-void Keeper::peerLost(const Peer &peer)
+void Replicator::peerLost(const Peer &peer)
 {
     for (auto &[id, own] : m_own) {
-        if (own.keeper && own.keeper->name == peer.name) {
-            own.keeper.reset();
+        if (own.replicaHost && own.replicaHost->name == peer.name) {
+            own.replicaHost.reset();
         }
     }
     const std::string owner = peer.name + "." + peer.incarnation;
-    std::vector<KeptRecord> taken;
+    std::vector<ReplicaRecord> taken;
     for (auto &[id, record] : m_kept) {
         if (record.owner == owner) {
             taken.push_back(std::move(record));
         }
     }
-    for (KeptRecord &record : taken) {
+    for (ReplicaRecord &record : taken) {
         m_kept.erase(record.id);
         m_adopt(std::move(record));
     }
 }
 
-net::awaitable<std::optional<std::string>> Keeper::handOver(std::vector<RecordPtr> records)
+net::awaitable<std::optional<std::string>> Replicator::handOver(std::vector<RecordPtr> records)
 {
     Json::Value params;
     params["records"] = Json::Value(Json::arrayValue);
     for (const RecordPtr &record : records) {
         params["records"].append(toJson(kept(*record), 0, Clock::now()));
     }
-    for (const Peer &peer : keepersFor(m_hostId, m_membership.peers(), m_membership.self().zone)) {
+    for (const Peer &peer : replicaHostsFor(m_hostId, m_membership.peers(), m_membership.self().zone)) {
         rpc::RpcFailure failure;
         Json::Value copy = params;
         const std::optional<Json::Value> result = co_await m_client->call(peer.peers, HandOverMethod, std::move(copy), m_settings.callTimeout, failure);
@@ -280,39 +280,39 @@
     co_return std::nullopt;
 }
 
-std::optional<Json::Value> Keeper::takeOver(const Json::Value &params)
+std::optional<Json::Value> Replicator::takeOver(const Json::Value &params)
 {
     if (m_membership.self().leaving || !params["records"].isArray()) {
         return std::nullopt;
     }
-    std::vector<KeptRecord> records;
+    std::vector<ReplicaRecord> records;
     for (const Json::Value &value : params["records"]) {
-        std::optional<KeptRecord> record = recordFromJson(value, Clock::now());
+        std::optional<ReplicaRecord> record = recordFromJson(value, Clock::now());
         if (!record) {
             return std::nullopt;
         }
         records.push_back(std::move(*record));
     }
-    for (KeptRecord &record : records) {
+    for (ReplicaRecord &record : records) {
         m_kept.erase(record.id);
         m_adopt(std::move(record));
     }
     return emptyResult();
 }
 
-std::unique_ptr<IKeeper> makeKeeper(net::io_context &control,
-                                    const KeeperSettings &settings,
-                                    std::string hostId,
-                                    membership::IMembership &membership,
-                                    std::shared_ptr<rpc::IPeerClient> client,
-                                    rpc::IPeerServer &server,
-                                    std::shared_ptr<timeline::ITimeline> timeline,
-                                    IKeeper::Adopt adopt)
+std::unique_ptr<IReplicator> makeReplicator(net::io_context &control,
+                                            const ReplicationSettings &settings,
+                                            std::string hostId,
+                                            membership::IMembership &membership,
+                                            std::shared_ptr<rpc::IPeerClient> client,
+                                            rpc::IPeerServer &server,
+                                            std::shared_ptr<timeline::ITimeline> timeline,
+                                            IReplicator::Adopt adopt)
 {
-    std::unique_ptr<Keeper> keeper
-        = std::make_unique<Keeper>(control, settings, std::move(hostId), membership, std::move(client), std::move(timeline), std::move(adopt));
-    keeper->attach(server);
-    return keeper;
+    std::unique_ptr<Replicator> replicator
+        = std::make_unique<Replicator>(control, settings, std::move(hostId), membership, std::move(client), std::move(timeline), std::move(adopt));
+    replicator->attach(server);
+    return replicator;
 }
 
 }
--- a/src/keeper/internal/keeper.h
+++ b/src/replication/internal/replicator.h
@@ -1,24 +1,24 @@
 #pragma once
 
-#include "keeper/ikeeper.h"
+#include "replication/ireplicator.h"
 
 #include <map>
 #include <set>
 
-namespace rosemaryshift::keeper {
+namespace rosemaryshift::replication {
 
-/// See IKeeper. Records go by JSON-RPC: "keep" extends a copy and answers how many pieces it holds, "drop" ends it,
+/// See IReplicator. Records go by JSON-RPC: "keep" extends a copy and answers how many pieces it holds, "drop" ends it,
 /// "hand_over" makes the callee the owner.
-class Keeper : public IKeeper
+class Replicator : public IReplicator
 {
 public:
-    Keeper(boost::asio::io_context &control,
-           const KeeperSettings &settings,
-           std::string hostId,
-           membership::IMembership &membership,
-           std::shared_ptr<rpc::IPeerClient> client,
-           std::shared_ptr<timeline::ITimeline> timeline,
-           Adopt adopt);
+    Replicator(boost::asio::io_context &control,
+               const ReplicationSettings &settings,
+               std::string hostId,
+               membership::IMembership &membership,
+               std::shared_ptr<rpc::IPeerClient> client,
+               std::shared_ptr<timeline::ITimeline> timeline,
+               Adopt adopt);
 
     /// Adds the methods and the observer. Precondition: called once.
     void attach(rpc::IPeerServer &server);
@@ -28,15 +28,15 @@
     void ended(const std::string &id) override;
     [[nodiscard]] std::vector<RecordPtr> own() const override;
     boost::asio::awaitable<std::optional<std::string>> handOver(std::vector<RecordPtr> records) override;
-    [[nodiscard]] std::size_t keptRecords() const override;
-    [[nodiscard]] bool keeps(const std::string &id) const override;
+    [[nodiscard]] std::size_t replicaRecords() const override;
+    [[nodiscard]] bool holdsReplica(const std::string &id) const override;
 
 private:
     using Clock = std::chrono::steady_clock;
 
     struct Own {
         RecordPtr record;
-        std::optional<membership::Peer> keeper;
+        std::optional<membership::Peer> replicaHost;
         std::set<std::string> failed; ///< Hosts that did not take the copy.
         std::size_t copied = 0;
         bool copying = false;
@@ -48,22 +48,22 @@
     boost::asio::awaitable<void> drop(membership::Peer peer, std::string id);
     void copyWhatIsDue();
     void expire();
-    bool chooseKeeper(Own &own);
+    bool chooseReplicaHost(Own &own);
     void peerAppeared();
     void peerLost(const membership::Peer &peer);
-    [[nodiscard]] KeptRecord kept(const requests::RequestRecord &record) const;
+    [[nodiscard]] ReplicaRecord kept(const requests::RequestRecord &record) const;
     std::optional<Json::Value> keep(const Json::Value &params);
     std::optional<Json::Value> takeOver(const Json::Value &params);
 
     boost::asio::io_context &m_control;
-    const KeeperSettings m_settings;
+    const ReplicationSettings m_settings;
     const std::string m_hostId;
     membership::IMembership &m_membership;
     const std::shared_ptr<rpc::IPeerClient> m_client;
     const std::shared_ptr<timeline::ITimeline> m_timeline;
     const Adopt m_adopt;
     std::map<std::string, Own> m_own;
-    std::map<std::string, KeptRecord> m_kept;
+    std::map<std::string, ReplicaRecord> m_kept;
 };
 
 }
--- a/src/keeper/keepertypes.h
+++ b/src/replication/replicationtypes.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
-namespace rosemaryshift::keeper {
+namespace rosemaryshift::replication {
 
 /// What another host needs to go on with an accepted request.
-struct KeptRecord {
+struct ReplicaRecord {
     std::string id;
     std::string owner; ///< Host and incarnation that acts on the request, "name.incarnation".
     requests::RequestSpec spec;
@@ -17,7 +17,7 @@
     std::vector<requests::Piece> pieces;            ///< The answer so far.
 };
 
-struct KeeperSettings {
+struct ReplicationSettings {
     std::size_t piecesPerCopy = 16; ///< New pieces of an answer after which they are copied.
     std::size_t maxKept = 20'000;   ///< Records of other hosts.
     std::chrono::milliseconds tick{50};
--- a/src/keeper/tests/keepertests.cpp
+++ b/src/replication/tests/replicationtests.cpp
@@ -1,12 +1,12 @@
-#include "keeper/recordjson.h"
-#include "keeper/rendezvous.h"
+#include "replication/recordjson.h"
+#include "replication/rendezvous.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 
 using namespace rosemaryshift;
-using namespace rosemaryshift::keeper;
+using namespace rosemaryshift::replication;
 
 namespace {
 
@@ -23,7 +23,7 @@
 SCENARIO("A record keeps all that another host needs to go on")
 {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
-    KeptRecord record;
+    ReplicaRecord record;
     record.id = "a.1-7";
     record.owner = "a.1";
     record.spec.kind = requests::RequestKind::Service;
@@ -39,7 +39,7 @@
     record.deadline = now + std::chrono::seconds(5);
     record.pieces = {{R"({"content":"a"})", "a", 2}, {R"({"content":"b"})", "b", 1}};
 
-    const std::optional<KeptRecord> read = recordFromJson(toJson(record, 1, now), now);
+    const std::optional<ReplicaRecord> read = recordFromJson(toJson(record, 1, now), now);
     REQUIRE(read);
     CHECK(read->id == record.id);
     CHECK(read->owner == record.owner);
@@ -56,19 +56,19 @@
     CHECK_FALSE(recordFromJson(Json::Value("x"), now));
 }
 
-SCENARIO("Keepers are chosen in other zones first and change little when a host goes")
+SCENARIO("Replica hosts are chosen in other zones first and change little when a host goes")
 {
     const std::vector<membership::Peer> peers{host("a", "eger"), host("b", "miskolc"), host("c", "miskolc"), host("d", "randers")};
-    const std::vector<membership::Peer> order = keepersFor("request-1", peers, "eger");
+    const std::vector<membership::Peer> order = replicaHostsFor("request-1", peers, "eger");
     REQUIRE(order.size() == 4);
     CHECK(order.back().name == "a");
     WHEN("the second of them leaves")
     {
         std::vector<membership::Peer> fewer = peers;
         std::ranges::find(fewer, order[1].name, &membership::Peer::name)->leaving = true;
-        THEN("the first stays the keeper")
+        THEN("the first stays the replica host")
         {
-            const std::vector<membership::Peer> after = keepersFor("request-1", fewer, "eger");
+            const std::vector<membership::Peer> after = replicaHostsFor("request-1", fewer, "eger");
             REQUIRE(after.size() == 3);
             CHECK(after[0].name == order[0].name);
         }
--- a/src/timeline/internal/eventkinds.cpp
+++ b/src/timeline/internal/eventkinds.cpp
@@ -43,7 +43,7 @@
     Named{EventKind::UpstreamRestored, "upstream_restored"},
     Named{EventKind::PeerSeen, "peer_seen"},
     Named{EventKind::PeerLost, "peer_lost"},
-    Named{EventKind::KeeperUnreachable, "keeper_unreachable"},
+    Named{EventKind::ReplicaUnreachable, "replica_unreachable"},
     Named{EventKind::PlatformLost, "platform_lost"},
     Named{EventKind::PlatformBack, "platform_back"},
     Named{EventKind::RecordSkipped, "record_skipped"},
--- a/src/timeline/internal/explanation.cpp
+++ b/src/timeline/internal/explanation.cpp
@@ -55,7 +55,7 @@
         return "the booking was sent to " + fields.upstream + "; it is not sent again" + because(fields);
     case EventKind::BookingOutcome:
         return "the outcome of the booking is known" + because(fields);
-    case EventKind::KeeperUnreachable:
+    case EventKind::ReplicaUnreachable:
         return "no other host could be reached to keep a copy of it" + because(fields);
     default:
         return std::string(name(event.kind)) + because(fields);
--- a/src/timeline/timelinetypes.h
+++ b/src/timeline/timelinetypes.h
@@ -52,7 +52,7 @@
     UpstreamRestored,
     PeerSeen,
     PeerLost,
-    KeeperUnreachable,
+    ReplicaUnreachable,
     PlatformLost,
     PlatformBack,
     RecordSkipped,
--- a/tests/promises/reclaimtests.cpp
+++ b/tests/promises/reclaimtests.cpp
@@ -63,7 +63,7 @@
 {
     stream.awaitText("-20 ");
     awaitCondition("the copies", [&] {
-        return fleet.operatorGet(1, "/v1/status")["kept_records"].asInt() + fleet.operatorGet(2, "/v1/status")["kept_records"].asInt() == records;
+        return fleet.operatorGet(1, "/v1/status")["replica_records"].asInt() + fleet.operatorGet(2, "/v1/status")["replica_records"].asInt() == records;
     });
 }
 
@@ -146,7 +146,7 @@
     {
         fleet.entry(0).process->signal(SIGKILL);
         CHECK_FALSE(stream.awaitEnd());
-        THEN("its keeper goes on and the caller gets the whole answer")
+        THEN("its replica host goes on and the caller gets the whole answer")
         {
             const std::string body = stream.bodySoFar();
             CHECK(followToEnd(fleet, {1, 2}, requestId(body), wordNumbers(body)) == numbersBelow(Tokens));
@@ -158,7 +158,7 @@
         awaitCondition("the notice", [&] { return eventOf(fleet, 0, EventKind::ReclaimNotice).has_value(); });
         fleet.entry(0).process->signal(SIGKILL);
         CHECK_FALSE(stream.awaitEnd());
-        THEN("its keeper goes on and the caller gets the whole answer")
+        THEN("its replica host goes on and the caller gets the whole answer")
         {
             const std::string body = stream.bodySoFar();
             CHECK(followToEnd(fleet, {1, 2}, requestId(body), wordNumbers(body)) == numbersBelow(Tokens));
