Write the refusal of failed attempts down as a golden file

Ruled out: overloaded and host_stopping on the wire; their Retry-After and whether they are reached depend on timing, so they stay in the decision core's tests.

--- a/tests/sessions/refusaltests.cpp
+++ b/tests/sessions/refusaltests.cpp
@@ -64,6 +64,17 @@
             CHECK(Fleet::runs(fleet.engine(0).endpoint)["declined"] == 1);
         }
     }
+    GIVEN("an engine whose every answer belongs to another request")
+    {
+        Fleet::fail(fleet.engine(0).endpoint, "crossed");
+        THEN("the request is given up after the permitted attempts")
+        {
+            http::Request plan = question;
+            plan.headers.add("Rosemaryshift-Class", "plan");
+            play("refusedattemptsfailed", plan);
+            CHECK(Fleet::runs(fleet.engine(0).endpoint)["started"] == 3);
+        }
+    }
     GIVEN("an engine that says nothing")
     {
         Fleet::fail(fleet.engine(0).endpoint, "silent");
