Give up an answer that was cut behind a tool call at once

Cause: such an attempt ended as not offered, and since attempts that reach no upstream stopped counting as failures the request was tried again until its deadline, though no engine can go on with it. A request that is given up gets its answer at once. Ruled out: counting every attempt that reaches no upstream; a plan has to outlast an outage. Before: enginecalltests.cpp:31 CHECK( result.outcome == decisions::AttemptOutcome::Broken ), 1 == 3.

--- a/src/upstreams/internal/enginecall.cpp
+++ b/src/upstreams/internal/enginecall.cpp
@@ -106,7 +106,7 @@
     {
         m_prefix = m_record->transcript.prefix();
         if (!m_prefix.textOnly) {
-            co_return AttemptResult{AttemptOutcome::NotOffered, "no engine can go on behind a tool call"};
+            co_return AttemptResult{AttemptOutcome::Broken, "no engine can go on behind a tool call"};
         }
         if (m_record->spec.maxTokens > 0 && m_prefix.tokens >= m_record->spec.maxTokens) {
             m_finishReason = "length";
@@ -114,7 +114,7 @@
         }
         std::optional<http::Request> request = makeRequest();
         if (!request) {
-            co_return AttemptResult{AttemptOutcome::NotOffered, "the request's body cannot be read"};
+            co_return AttemptResult{AttemptOutcome::Rejected, "the request's body cannot be read"};
         }
         http::ClientFailure failure;
         const std::optional<http::Response> head = co_await m_exchange->open(m_spec.endpoint, std::move(*request), clientTimeouts(m_spec.timeouts), failure);
