Ask the index of live upstreams before moving a request

Cause: MoveSystem scanned all upstreams for one that serves the target, which the table of targets already knows. Ruled out: calling makeAttempt() from ReconnectSystem, its twin in most lines; it also arms the hedge's timer, so behaviour would change without a measurement.

--- a/src/decisions/internal/movesystem.cpp
+++ b/src/decisions/internal/movesystem.cpp
@@ -9,13 +9,6 @@
 /// Tokens of an attempt from which its pace can be told.
 constexpr std::uint32_t MinPaceTokens = 8;
 
-bool servedElsewhere(const Tables &tables, TargetId target)
-{
-    return std::ranges::any_of(tables.upstreams, [target](const UpstreamRow &row) {
-        return row.state == UpstreamState::Live && std::ranges::find(row.targets, target) != row.targets.end();
-    });
-}
-
 bool anyLeaving(const Tables &tables)
 {
     return std::ranges::any_of(tables.upstreams, [](const UpstreamRow &row) { return row.state == UpstreamState::Leaving; });
@@ -71,7 +64,7 @@
 bool MoveSystem::isDue(const Tables &tables, const RequestRow &request, TimePoint now) const
 {
     const std::optional<TimePoint> latest = latestMove(tables, request, m_settings);
-    if (!latest || !servedElsewhere(tables, request.spec.target)) {
+    if (!latest || tables.targets[static_cast<std::size_t>(request.spec.target)].live.empty()) {
         return false;
     }
     return now >= *latest || expectedEnd(request, tables.attempts.at(*request.running), now) > *latest;
