--- /dev/null
+++ b/src/balancing/tests/upstreambalancertests.cpp
@@ -0,0 +1,172 @@
+#include "balancing/upstreambalancer.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::balancing;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+constexpr std::chrono::milliseconds Tick{1};
+
+std::vector<Candidate> makeCandidates(std::span<const std::string> names)
+{
+    std::vector<Candidate> candidates;
+    for (const std::string &name : names) {
+        candidates.push_back({name, "miskolc", 64, false});
+    }
+    return candidates;
+}
+
+Demand makePlan(std::span<const ports::PromptPart> parts)
+{
+    Demand demand;
+    demand.service = "engines";
+    demand.promptParts = parts;
+    for (const ports::PromptPart &part : parts) {
+        demand.promptTokens += part.tokens;
+    }
+    return demand;
+}
+
+}
+
+TEST_CASE("Requests go where their first event is expected soonest")
+{
+    const std::vector<std::string> names{"a", "b", "c"};
+    const std::vector<Candidate> candidates = makeCandidates(names);
+    UpstreamBalancer balancer;
+
+    SECTION("nobody to choose from")
+    {
+        CHECK(!balancer.choose(Demand{}, {}, Start));
+    }
+    SECTION("a burst of long plans is spread over the upstreams")
+    {
+        std::set<std::string> chosen;
+        for (std::uint64_t plan = 0; plan < 3; ++plan) {
+            const std::vector<ports::PromptPart> parts{{1, 100}, {1000 + plan, 12'000}};
+            const std::optional<Choice> choice = balancer.choose(makePlan(parts), candidates, Start);
+            REQUIRE(choice);
+            balancer.begin(makePlan(parts), *choice, Start);
+            chosen.insert(choice->instance);
+        }
+        CHECK(chosen.size() == 3);
+    }
+    SECTION("plans that a peer has sent count as this host's own do")
+    {
+        const std::vector<ports::PromptPart> parts{{7, 400}};
+        const std::string first = balancer.choose(makePlan(parts), candidates, Start)->instance;
+        balancer.setPeerOutstanding("entry-2", {{first, Outstanding{4, 50'000}}}, Start);
+        CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance != first);
+
+        SECTION("until the peer's news is old")
+        {
+            CHECK(balancer.choose(makePlan(parts), candidates, Start + std::chrono::seconds(3))->instance == first);
+        }
+    }
+    SECTION("a prompt goes back to the upstream that has read its beginning")
+    {
+        const std::vector<ports::PromptPart> first{{1, 500}, {2, 5'000}, {3, 300}};
+        const std::optional<Choice> choice = balancer.choose(makePlan(first), candidates, Start);
+        const std::uint64_t attempt = balancer.begin(makePlan(first), *choice, Start);
+        balancer.noteFirst(attempt, Start + std::chrono::milliseconds(100));
+        balancer.end(attempt, AttemptEnd::Good, Start + std::chrono::milliseconds(200));
+
+        const std::vector<ports::PromptPart> second{{1, 500}, {2, 5'000}, {4, 300}};
+        const std::optional<Choice> next = balancer.choose(makePlan(second), candidates, Start + std::chrono::seconds(1));
+        CHECK(next->instance == choice->instance);
+        CHECK(next->uncachedTokens == 300);
+
+        SECTION("unless that one is far behind")
+        {
+            balancer.setPeerOutstanding("entry-2", {{choice->instance, Outstanding{20, 200'000}}}, Start + std::chrono::seconds(1));
+            CHECK(balancer.choose(makePlan(second), candidates, Start + std::chrono::seconds(1))->instance != choice->instance);
+        }
+    }
+}
+
+TEST_CASE("All hosts agree on the home of a shared prompt part")
+{
+    const std::vector<std::string> names{"a", "b", "c", "d"};
+    const std::vector<std::string> turned{"d", "c", "b", "a"};
+    std::set<std::string_view> homes;
+    for (std::uint64_t key = 0; key < 50; ++key) {
+        const std::string_view home = rendezvousHome(key, makeCandidates(names));
+        CHECK(home == rendezvousHome(key, makeCandidates(turned)));
+        homes.insert(home);
+    }
+    CHECK(homes.size() == 4);
+
+    SECTION("and only the parts of a lost upstream move")
+    {
+        const std::vector<std::string> left{"a", "b", "c"};
+        for (std::uint64_t key = 0; key < 50; ++key) {
+            const std::string_view before = rendezvousHome(key, makeCandidates(names));
+            if (before != "d") {
+                CHECK(rendezvousHome(key, makeCandidates(left)) == before);
+            }
+        }
+    }
+}
+
+TEST_CASE("An upstream that fails part of its requests while others do not gets fewer")
+{
+    const std::vector<std::string> names{"good", "grey"};
+    const std::vector<Candidate> candidates = makeCandidates(names);
+    UpstreamBalancer balancer;
+    Demand lookup;
+    lookup.service = "dispatch";
+    std::map<std::string, int> sent;
+    TimePoint now = Start;
+    for (int request = 0; request < 200; ++request) {
+        const std::optional<Choice> choice = balancer.choose(lookup, candidates, now);
+        const std::uint64_t attempt = balancer.begin(lookup, *choice, now);
+        now += std::chrono::milliseconds(20);
+        balancer.noteFirst(attempt, now);
+        balancer.end(attempt, choice->instance == "grey" && request % 2 == 0 ? AttemptEnd::Failed : AttemptEnd::Good, now);
+        ++sent[choice->instance];
+        now += Tick;
+    }
+    CHECK(sent["good"] > 2 * sent["grey"]);
+
+    SECTION("and one that fails three times in a row rests while another serves")
+    {
+        UpstreamBalancer fresh;
+        const Choice grey{"grey", Duration(0), 0, "", Duration(0), false};
+        for (int failure = 0; failure < 3; ++failure) {
+            fresh.end(fresh.begin(lookup, grey, now), AttemptEnd::Failed, now);
+        }
+        CHECK(fresh.choose(lookup, candidates, now)->instance == "good");
+        const std::vector<std::string> only{"grey"};
+        CHECK(fresh.choose(lookup, makeCandidates(only), now)->instance == "grey");
+    }
+}
+
+TEST_CASE("What an attempt had under way is given back when it ends")
+{
+    UpstreamBalancer balancer;
+    const std::vector<std::string> names{"a"};
+    const std::vector<ports::PromptPart> parts{{1, 100}, {2, 900}};
+    const std::optional<Choice> choice = balancer.choose(makePlan(parts), makeCandidates(names), Start);
+    const std::uint64_t attempt = balancer.begin(makePlan(parts), *choice, Start);
+    REQUIRE(balancer.outstanding().at("a").running == 1);
+    CHECK(balancer.outstanding().at("a").prefillTokens == choice->uncachedTokens);
+
+    SECTION("before its first event")
+    {
+        balancer.end(attempt, AttemptEnd::Left, Start + Tick);
+        CHECK(balancer.outstanding().empty());
+    }
+    SECTION("after its first event, and only once")
+    {
+        balancer.noteFirst(attempt, Start + Tick);
+        CHECK(balancer.outstanding().at("a").prefillTokens == 0);
+        balancer.end(attempt, AttemptEnd::Good, Start + 2 * Tick);
+        balancer.end(attempt, AttemptEnd::Good, Start + 3 * Tick);
+        CHECK(balancer.outstanding().empty());
+    }
+}
--- a/src/base/internal/text.cpp
+++ b/src/base/internal/text.cpp
@@ -120,6 +120,40 @@
     return text;
 }
 
+std::optional<std::string> fromBase64(std::string_view text)
+{
+    constexpr std::size_t GroupCharacters = 4;
+    constexpr std::size_t GroupBytes = 3;
+    if (text.size() % GroupCharacters != 0) {
+        return std::nullopt;
+    }
+    std::string bytes(text.size() / GroupCharacters * GroupBytes, '\0');
+    const int length
+        = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
+    if (length < 0) {
+        return std::nullopt;
+    }
+    // The decoder counts the padding as bytes.
+    const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with('=') ? 1 : 0);
+    bytes.resize(static_cast<std::size_t>(length) - padding);
+    return bytes;
+}
+
+std::string percentEncoded(std::string_view text)
+{
+    constexpr std::string_view Digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char character : text) {
+        const unsigned char byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || std::string_view("-._~").find(character) != std::string_view::npos) {
+            encoded += character;
+        } else {
+            encoded += {'%', Digits[byte >> 4U], Digits[byte & 15U]};
+        }
+    }
+    return encoded;
+}
+
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view Space = " \t\r\n";
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -25,6 +25,10 @@
 std::optional<std::uint64_t> parseUnsigned(std::string_view text);
 /// Reads a file of at most @p maxBytes; nothing, with @p reason set, when it cannot be read or is larger.
 std::optional<std::string> readFile(const std::string &path, std::size_t maxBytes, std::string &reason);
+/// The bytes that @p text holds in base64 with padding (RFC 4648); nothing when it is malformed. Thread-safe.
+std::optional<std::string> fromBase64(std::string_view text);
+/// @p text with every byte percent-encoded that is not unreserved in URIs (RFC 3986). Thread-safe.
+std::string percentEncoded(std::string_view text);
 /// @p text without leading and trailing white space. Thread-safe.
 std::string_view trimmed(std::string_view text);
 
--- /dev/null
+++ b/src/duties/internal/dutyrecords.cpp
@@ -0,0 +1,76 @@
+#include "base/json.h"
+#include "duties/dutylease.h"
+
+#include <json/value.h>
+
+namespace rosemaryshift::duties {
+
+namespace {
+
+std::optional<ports::UsageReport> decodedReport(const Json::Value &value)
+{
+    const std::optional<std::uint64_t> window = unsignedMember(value, "window");
+    if (!window || !value["requests"].isObject()) {
+        return std::nullopt;
+    }
+    ports::UsageReport report;
+    report.window = *window;
+    for (const std::string &workspace : value["requests"].getMemberNames()) {
+        const std::optional<std::uint64_t> requests = unsignedMember(value["requests"], workspace.c_str());
+        if (!requests) {
+            return std::nullopt;
+        }
+        report.requests.emplace(workspace, *requests);
+    }
+    return report;
+}
+
+}
+
+std::string encoded(const DutyRecord &record)
+{
+    Json::Value value;
+    value["holder"] = record.holder;
+    value["start"] = record.start;
+    value["fence"] = record.fence;
+    value["renewal"] = record.renewal;
+    value["decided"] = Json::Value(Json::arrayValue);
+    for (const ports::UsageReport &report : record.decided) {
+        Json::Value entry;
+        entry["window"] = report.window;
+        entry["requests"] = Json::Value(Json::objectValue);
+        for (const auto &[workspace, requests] : report.requests) {
+            entry["requests"][workspace] = requests;
+        }
+        value["decided"].append(std::move(entry));
+    }
+    return toText(value);
+}
+
+std::optional<DutyRecord> decodedDutyRecord(std::string_view text, std::string &reason)
+{
+    const std::optional<Json::Value> value = parseJson(text, reason);
+    if (!value) {
+        return std::nullopt;
+    }
+    const std::optional<std::string> holder = stringMember(*value, "holder");
+    const std::optional<std::string> start = stringMember(*value, "start");
+    const std::optional<std::uint64_t> fence = unsignedMember(*value, "fence");
+    const std::optional<std::uint64_t> renewal = unsignedMember(*value, "renewal");
+    if (!holder || !start || !fence || !renewal || !(*value)["decided"].isArray()) {
+        reason = "a field is missing or malformed";
+        return std::nullopt;
+    }
+    DutyRecord record{*holder, *start, *fence, *renewal, {}};
+    for (const Json::Value &entry : (*value)["decided"]) {
+        std::optional<ports::UsageReport> report = decodedReport(entry);
+        if (!report) {
+            reason = "a decided window is malformed";
+            return std::nullopt;
+        }
+        record.decided.push_back(std::move(*report));
+    }
+    return record;
+}
+
+}
--- /dev/null
+++ b/src/duties/internal/upstreamplanner.cpp
@@ -0,0 +1,97 @@
+#include "duties/upstreamplanner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rosemaryshift::duties {
+
+namespace {
+
+/// Part of their time that permanent upstreams may be busy when all reclaimable ones are gone.
+constexpr double PermanentUse = 0.7;
+/// Part of their time that all upstreams together may be busy, so that first tokens come soon.
+constexpr double TotalUse = 0.35;
+/// The load that counts is the highest of this time: orders fall slowly and rise at once.
+constexpr std::chrono::seconds PeakWindow{8};
+/// An order is repeated when it has no effect for this long, as when its answer was lost.
+constexpr std::chrono::seconds RepeatAfter{10};
+/// Reclaimable upstreams that were not to be had are asked for again after this time.
+constexpr std::chrono::seconds UnavailableTime{3};
+
+}
+
+std::vector<ports::UpstreamOrder> UpstreamPlanner::plan(const routing::Service &service, const ServiceLoad &load, TimePoint now)
+{
+    std::vector<ports::UpstreamOrder> orders;
+    // Without callers nothing is known of the load, and what stands there stays.
+    if (!service.scaling || load.zones.empty() || !load.known) {
+        return orders;
+    }
+    const routing::ScalingSpec &scaling = *service.scaling;
+    const bool reclaimables = scaling.reclaimablePrice && *scaling.reclaimablePrice < 1;
+    const double zones = static_cast<double>(load.zones.size());
+    const double peak = peakLoad(service.name, load, now);
+    const double permanentWanted = peak / PermanentUse;
+    const double totalWanted = peak / TotalUse;
+    for (const auto &[zone, replicas] : load.zones) {
+        const std::uint32_t least = std::max(1U, scaling.minReplicas);
+        const std::uint32_t total = std::clamp(static_cast<std::uint32_t>(std::ceil(totalWanted / zones)), least, scaling.maxReplicas);
+        std::uint32_t permanent = std::clamp(static_cast<std::uint32_t>(std::ceil(permanentWanted / zones)), least, total);
+        std::uint32_t reclaimable = reclaimables ? total - permanent : 0;
+        permanent = reclaimables ? permanent : total;
+        const auto unavailable = m_unavailable.find({service.name, zone, true});
+        const bool dry = unavailable != m_unavailable.end() && now - unavailable->second < UnavailableTime;
+        if (dry) {
+            reclaimable = std::min(reclaimable, replicas.reclaimable);
+        }
+        // The permanent ones leave once the reclaimable ones are there.
+        const std::uint32_t missing = reclaimable > replicas.reclaimable ? reclaimable - replicas.reclaimable : 0;
+        if (permanent < replicas.permanent) {
+            permanent = std::min(replicas.permanent, permanent + missing);
+        }
+        permanent = std::min(permanent, scaling.maxReplicas - std::min(reclaimable, scaling.maxReplicas));
+        for (const ports::UpstreamOrder &order :
+             {ports::UpstreamOrder{service.name, zone, true, reclaimable}, ports::UpstreamOrder{service.name, zone, false, permanent}}) {
+            if (order.reclaimable && !reclaimables) {
+                continue;
+            }
+            const std::uint32_t there = order.reclaimable ? replicas.reclaimable : replicas.permanent;
+            const auto given = m_orders.find({order.service, order.zone, order.reclaimable});
+            const bool repeated = given != m_orders.end() && given->second.replicas == order.replicas;
+            const bool effective = there == order.replicas;
+            if (repeated ? !effective && now - given->second.at > RepeatAfter : !(effective && given == m_orders.end())) {
+                m_orders[{order.service, order.zone, order.reclaimable}] = {order.replicas, now};
+                orders.push_back(order);
+            }
+        }
+    }
+    return orders;
+}
+
+void UpstreamPlanner::noteUnavailable(const ports::UpstreamOrder &order, TimePoint now)
+{
+    m_unavailable[{order.service, order.zone, order.reclaimable}] = now;
+    m_orders.erase({order.service, order.zone, order.reclaimable});
+}
+
+void UpstreamPlanner::reset()
+{
+    m_orders.clear();
+    m_unavailable.clear();
+}
+
+double UpstreamPlanner::peakLoad(const std::string &service, const ServiceLoad &load, TimePoint now)
+{
+    std::deque<std::pair<TimePoint, double>> &loads = m_loads[service];
+    loads.emplace_back(now, load.busyUpstreams);
+    while (now - loads.front().first > PeakWindow) {
+        loads.pop_front();
+    }
+    double peak = 0;
+    for (const auto &[time, busy] : loads) {
+        peak = std::max(peak, busy);
+    }
+    return peak;
+}
+
+}
--- /dev/null
+++ b/src/duties/tests/dutyleasetests.cpp
@@ -0,0 +1,177 @@
+#include "duties/dutylease.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::duties;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+constexpr std::chrono::milliseconds Lease{3'000};
+
+/// The log as the hosts see it: one record, replaced at a known end only.
+struct FakeLog {
+    std::optional<DutyRecord> record;
+    std::uint64_t end = 0;
+
+    bool append(const DutyRecord &next, std::uint64_t expectedEnd)
+    {
+        if (expectedEnd != end) {
+            return false;
+        }
+        record = next;
+        ++end;
+        return true;
+    }
+};
+
+void step(DutyLease &lease, FakeLog &log, TimePoint now)
+{
+    if (lease.needsRead(now)) {
+        lease.observe(log.record, log.end, now);
+    }
+    const std::vector<ports::UsageReport> decided = lease.record() ? lease.record()->decided : std::vector<ports::UsageReport>();
+    const std::optional<DutyRecord> next = lease.proposal(now, decided);
+    if (!next) {
+        return;
+    }
+    if (log.append(*next, lease.end())) {
+        lease.appended(*next, now);
+    } else {
+        lease.mustRead();
+    }
+}
+
+}
+
+TEST_CASE("The first host takes the duties, and another follows when it is gone")
+{
+    FakeLog log;
+    DutyLease first("entry-1", "a", Lease);
+    DutyLease second("entry-2", "a", Lease);
+    step(first, log, Start);
+    step(second, log, Start);
+    REQUIRE(first.holds(Start));
+    REQUIRE(!second.holds(Start));
+    const std::uint64_t fence = first.fence();
+
+    SECTION("while it renews, nobody else takes them")
+    {
+        for (int tick = 0; tick < 100; ++tick) {
+            const TimePoint now = Start + std::chrono::milliseconds(300) * tick;
+            step(first, log, now);
+            step(second, log, now);
+            CHECK(first.holds(now));
+            CHECK(!second.holds(now));
+        }
+        CHECK(first.fence() == fence);
+    }
+    SECTION("a host that has stopped renewing stops acting before another begins, and its successor has a higher fence")
+    {
+        TimePoint now = Start;
+        while (!second.holds(now)) {
+            now += std::chrono::milliseconds(100);
+            step(second, log, now);
+        }
+        CHECK(!first.holds(Start + Lease));
+        CHECK(now - Start > Lease);
+        CHECK(now - Start < 2 * Lease);
+        CHECK(second.fence() > fence);
+
+        SECTION("and it finds out when it wakes")
+        {
+            step(first, log, now);
+            CHECK(!first.holds(now));
+            step(first, log, now);
+            CHECK(!first.holds(now));
+        }
+    }
+    SECTION("a new start of the holder takes them at once, under a new fence")
+    {
+        DutyLease restarted("entry-1", "b", Lease);
+        step(restarted, log, Start + std::chrono::milliseconds(500));
+        CHECK(restarted.holds(Start + std::chrono::milliseconds(500)));
+        CHECK(restarted.fence() > fence);
+    }
+    SECTION("windows once decided are kept by the successor")
+    {
+        const ports::UsageReport report{7, {{"yard", 5}}};
+        const std::optional<DutyRecord> next = first.proposal(Start, {report});
+        REQUIRE(next);
+        REQUIRE(log.append(*next, first.end()));
+        first.appended(*next, Start);
+        TimePoint now = Start;
+        while (!second.holds(now)) {
+            now += std::chrono::milliseconds(100);
+            step(second, log, now);
+        }
+        CHECK(second.record()->decided == std::vector<ports::UsageReport>{report});
+    }
+}
+
+TEST_CASE("Two hosts never hold the duties at a time, though hosts freeze and answers get lost")
+{
+    const std::uint64_t seed = GENERATE(range(1, 41));
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    FakeLog log;
+    std::vector<DutyLease> hosts;
+    for (const char *const name : {"entry-1", "entry-2", "entry-3"}) {
+        hosts.emplace_back(name, "a", Lease);
+    }
+    std::vector<TimePoint> awake(hosts.size(), Start);
+    std::vector<std::pair<std::size_t, TimePoint>> acts;
+    std::uint64_t highestFence = 0;
+    for (int tick = 0; tick < 600; ++tick) {
+        const TimePoint now = Start + std::chrono::milliseconds(100) * tick;
+        int holders = 0;
+        for (std::size_t host = 0; host < hosts.size(); ++host) {
+            DutyLease &lease = hosts[host];
+            if (now >= awake[host]) {
+                if (random() % 50 == 0) {
+                    awake[host] = now + std::chrono::milliseconds(random() % 8'000);
+                } else if (random() % 10 == 0 && !lease.needsRead(now)) {
+                    // The append is done, and its answer is lost.
+                    const std::optional<DutyRecord> next = lease.proposal(now, {});
+                    if (next) {
+                        log.append(*next, lease.end());
+                        lease.mustRead();
+                    }
+                } else {
+                    step(lease, log, now);
+                }
+            }
+            if (lease.holds(now)) {
+                ++holders;
+                CHECK(lease.fence() >= highestFence);
+                highestFence = std::max(highestFence, lease.fence());
+                acts.emplace_back(host, now);
+            }
+        }
+        CHECK(holders <= 1);
+    }
+    SECTION("and the duties do not return to a host within the lease of another's act")
+    {
+        for (std::size_t act = 0; act < acts.size(); ++act) {
+            bool other = false;
+            for (std::size_t later = act + 1; later < acts.size() && acts[later].second - acts[act].second < Lease; ++later) {
+                other = other || acts[later].first != acts[act].first;
+                CHECK(!(other && acts[later].first == acts[act].first));
+            }
+        }
+    }
+}
+
+TEST_CASE("A record survives the log")
+{
+    DutyRecord record{"entry-1", "a", 7, 3, {{12, {{"yard", 5}, {"office", 0}}}}};
+    std::string reason;
+    CHECK(decodedDutyRecord(encoded(record), reason) == record);
+    CHECK(!decodedDutyRecord("{}", reason));
+    CHECK(!decodedDutyRecord("no JSON", reason));
+    CHECK(!decodedDutyRecord(R"({"holder":"a","start":"b","fence":-1,"renewal":1,"decided":[]})", reason));
+    CHECK(!decodedDutyRecord(R"({"holder":"a","start":"b","fence":1,"renewal":1,"decided":[7]})", reason));
+}
--- /dev/null
+++ b/src/duties/tests/usageledgertests.cpp
@@ -0,0 +1,36 @@
+#include "duties/usageledger.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::duties;
+
+TEST_CASE("Requests are counted in the window in which they began to run")
+{
+    UsageLedger ledger(std::chrono::seconds(5));
+    ledger.count("yard", std::chrono::milliseconds(9'999));
+    ledger.count("yard", std::chrono::milliseconds(10'000));
+    ledger.count("office", std::chrono::milliseconds(14'999));
+
+    CHECK(ledger.windowAt(std::chrono::milliseconds(10'000)) == 2);
+    CHECK(ledger.endOf(2) == std::chrono::seconds(15));
+    CHECK(ledger.windows().at(1) == UsageCounts{{"yard", 1}});
+    CHECK(ledger.windows().at(2) == UsageCounts{{"yard", 1}, {"office", 1}});
+}
+
+TEST_CASE("Counts of all hosts add up, whatever order they come in")
+{
+    UsageCollector collector;
+    collector.note("entry-1/a", 7, {{"yard", 5}});
+    collector.note("entry-1/a", 7, {{"yard", 3}});
+    collector.note("entry-1/b", 7, {{"yard", 1}});
+    collector.note("entry-2/a", 7, {{"yard", 2}, {"office", 4}});
+    collector.note("entry-2/a", 7, {{"yard", 2}, {"office", 4}});
+    CHECK(collector.total(7) == UsageCounts{{"yard", 8}, {"office", 4}});
+
+    SECTION("and windows that are over are forgotten")
+    {
+        collector.dropBefore(8);
+        CHECK(collector.total(7).empty());
+    }
+}
--- /dev/null
+++ b/src/duties/upstreamplanner.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/types.h"
+#include "ports/idutyclient.h"
+#include "routing/routingtypes.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rosemaryshift::duties {
+
+/// Upstreams of a service that serve in one availability zone.
+struct ZoneReplicas {
+    std::uint32_t permanent = 0;
+    std::uint32_t reclaimable = 0;
+};
+
+/// What a plan for one service goes by.
+struct ServiceLoad {
+    std::map<std::string, ZoneReplicas> zones; ///< All availability zones in which the service may run.
+    double busyUpstreams = 0;                  ///< Upstreams that the work of all hosts would keep busy all the time.
+    bool known = false;                        ///< Whether that was measured: callers have come.
+};
+
+/// Orders upstreams by the load: permanent ones for what must go on when all reclaimable ones are taken at once, reclaimable ones, which are
+/// cheaper, for the head room that short waits need. Time comes in with each call. Not thread-safe.
+class UpstreamPlanner
+{
+public:
+    /// The orders to give now, for what differs from the orders given before.
+    [[nodiscard]] std::vector<ports::UpstreamOrder> plan(const routing::Service &service, const ServiceLoad &load, TimePoint now);
+    /// The platform had none of these to give.
+    void noteUnavailable(const ports::UpstreamOrder &order, TimePoint now);
+    /// Forgets what was ordered: another host has held the duty meanwhile.
+    void reset();
+
+private:
+    struct Key {
+        std::string service;
+        std::string zone;
+        bool reclaimable = false;
+
+        auto operator<=>(const Key &) const = default;
+    };
+    struct Ordered {
+        std::uint32_t replicas = 0;
+        TimePoint at;
+    };
+
+    double peakLoad(const std::string &service, const ServiceLoad &load, TimePoint now);
+
+    std::map<Key, Ordered> m_orders;
+    std::map<Key, TimePoint> m_unavailable;
+    std::map<std::string, std::deque<std::pair<TimePoint, double>>> m_loads;
+};
+
+}
--- /dev/null
+++ b/src/eventlog/internal/eventlog.cpp
@@ -0,0 +1,125 @@
+#include "eventlog/eventlog.h"
+
+#include <json/writer.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <chrono>
+
+namespace rosemaryshift::eventlog {
+
+namespace {
+
+/// Bytes that wait for a slow reader.
+constexpr std::size_t MaxBufferedBytes = 256 * 1024;
+/// Part of the budget that lines of each importance may fill.
+constexpr double OrdinaryPart = 0.6;
+constexpr double FailurePart = 0.9;
+
+double partOf(Importance importance)
+{
+    switch (importance) {
+    case Importance::Ordinary:
+        return OrdinaryPart;
+    case Importance::Failure:
+        return FailurePart;
+    case Importance::Belief:
+        break;
+    }
+    return 1;
+}
+
+std::int64_t steadyMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+std::int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+void appendValue(std::string &line, const Field &field)
+{
+    if (const std::string_view *text = std::get_if<std::string_view>(&field.value)) {
+        line += Json::valueToQuotedString(std::string(*text).c_str());
+    } else if (const std::int64_t *number = std::get_if<std::int64_t>(&field.value)) {
+        line += std::to_string(*number);
+    } else if (const double *real = std::get_if<double>(&field.value)) {
+        line += fmt::format("{:.4g}", *real);
+    } else {
+        line += std::get<bool>(field.value) ? "true" : "false";
+    }
+}
+
+}
+
+EventLog::EventLog(std::string host, std::string start, Budget budget, std::unique_ptr<ILineWriter> writer)
+    : m_host(std::move(host))
+    , m_start(std::move(start))
+    , m_budget(budget)
+    , m_writer(std::move(writer))
+{
+}
+
+void EventLog::write(std::string_view event, Importance importance, std::initializer_list<Field> fields)
+{
+    beginSecond(steadyMilliseconds() / 1000);
+    const std::size_t before = m_buffer.size();
+    append(event, fields);
+    const std::size_t bytes = m_buffer.size() - before;
+    if (!admits(importance, bytes)) {
+        m_buffer.resize(before);
+        ++m_dropped;
+        ++m_droppedInSecond;
+        return;
+    }
+    ++m_lines;
+    m_bytes += static_cast<std::uint32_t>(bytes);
+}
+
+void EventLog::flush()
+{
+    beginSecond(steadyMilliseconds() / 1000);
+    if (!m_buffer.empty()) {
+        m_buffer.erase(0, m_writer->write(m_buffer));
+    }
+}
+
+std::uint64_t EventLog::dropped() const
+{
+    return m_dropped;
+}
+
+bool EventLog::admits(Importance importance, std::size_t bytes)
+{
+    const double part = partOf(importance);
+    return m_buffer.size() <= MaxBufferedBytes && m_lines + 1 <= part * m_budget.linesPerSecond
+        && static_cast<double>(m_bytes + bytes) <= part * m_budget.bytesPerSecond;
+}
+
+void EventLog::beginSecond(std::int64_t second)
+{
+    if (second == m_second) {
+        return;
+    }
+    m_second = second;
+    m_lines = 0;
+    m_bytes = 0;
+    if (m_droppedInSecond > 0 && m_buffer.size() <= MaxBufferedBytes) {
+        append("lines_dropped", {{"lines", static_cast<std::int64_t>(m_droppedInSecond)}});
+        m_droppedInSecond = 0;
+    }
+}
+
+void EventLog::append(std::string_view event, std::initializer_list<Field> fields)
+{
+    m_buffer += fmt::format(
+        R"({{"time_ms":{},"steady_ms":{},"host":"{}","start":"{}","event":"{}")", wallMilliseconds(), steadyMilliseconds(), m_host, m_start, event);
+    for (const Field &field : fields) {
+        m_buffer += fmt::format(R"(,"{}":)", field.name);
+        appendValue(m_buffer, field);
+    }
+    m_buffer += "}\n";
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/activeconfiguration.cpp
@@ -0,0 +1,48 @@
+#include "gateway/internal/activeconfiguration.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::gateway {
+
+bool ActiveConfiguration::accept(routing::Configuration configuration, std::string text)
+{
+    if (configuration.version <= version()) {
+        return false;
+    }
+    m_table = std::make_shared<const routing::RouteTable>(std::move(configuration));
+    m_text = std::move(text);
+    return true;
+}
+
+void ActiveConfiguration::confirm(std::uint64_t version, TimePoint at)
+{
+    // What confirms an older version says that this one was not there yet.
+    if (m_table && version >= this->version() && (!m_confirmed || at > *m_confirmed)) {
+        m_confirmed = at;
+    }
+}
+
+const std::shared_ptr<const routing::RouteTable> &ActiveConfiguration::table() const
+{
+    return m_table;
+}
+
+std::uint64_t ActiveConfiguration::version() const
+{
+    return m_table ? m_table->configuration().version : 0;
+}
+
+const std::string &ActiveConfiguration::text() const
+{
+    return m_text;
+}
+
+std::optional<Duration> ActiveConfiguration::age(TimePoint now) const
+{
+    if (!m_confirmed) {
+        return std::nullopt;
+    }
+    return std::max(now - *m_confirmed, Duration::zero());
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gateway.cpp
@@ -0,0 +1,251 @@
+#include "base/text.h"
+#include "gateway/igateway.h"
+#include "gateway/internal/backgroundtask.h"
+#include "gateway/internal/configurationfollower.h"
+#include "gateway/internal/dutyrunner.h"
+#include "gateway/internal/gossipendpoint.h"
+#include "gateway/internal/hostclock.h"
+#include "gateway/internal/requestrun.h"
+#include "gateway/internal/upstreamfollower.h"
+
+#include <boost/asio.hpp>
+
+#include <csignal>
+
+namespace rosemaryshift::gateway {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds HousekeepingInterval{250};
+/// How often the settings are read again, since they may change without a signal.
+constexpr std::chrono::seconds SettingsInterval{5};
+/// After a signal to stop, requests are still taken for this part of the time that is left: the balancer needs two of its checks to see
+/// that this host is not ready.
+constexpr double TakingPart = 0.3;
+/// After this part of the time, connections close and the process ends.
+constexpr double ServingPart = 0.85;
+/// How often a stopping process looks whether all is answered.
+constexpr std::chrono::milliseconds StopPoll{50};
+
+http::Response plainAnswer(int status, std::string body)
+{
+    http::Response response;
+    response.status = status;
+    response.headers.add("Content-Type", "text/plain");
+    response.body = std::move(body);
+    return response;
+}
+
+net::awaitable<void> answer(http::IResponseWriter &writer, http::Response response)
+{
+    co_await writer.respond(std::move(response));
+}
+
+std::vector<std::string> seedAddresses(const std::vector<std::string> &seeds)
+{
+    std::vector<std::string> addresses;
+    for (const std::string &seed : seeds) {
+        addresses.push_back(seed.substr(0, seed.find(':')));
+    }
+    return addresses;
+}
+
+class Gateway : public IGateway
+{
+public:
+    Gateway(const GatewaySettings &settings, PlatformPorts ports, std::function<std::optional<GatewaySettings>()> reload)
+        : m_reload(std::move(reload))
+        , m_context(settings, std::move(ports), randomId().substr(0, 8))
+        , m_configurations(m_context, [this] { takeConfiguration(); })
+        , m_upstreams(m_context)
+        , m_gossip(m_context, m_configurations, m_usage)
+        , m_duties(m_context, m_gossip, m_usage)
+        , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+    {
+        m_gossip.setSeeds(seedAddresses(settings.seeds));
+    }
+
+    bool listen(std::string &reason)
+    {
+        const GatewaySettings &settings = m_context.settings;
+        m_callers = http::makeHttpServer(
+            m_io, settings.callers, {}, [this](http::Request request, http::IResponseWriter &writer) { return serve(std::move(request), writer); }, reason);
+        m_readiness = http::makeHttpServer(
+            m_io,
+            settings.readiness,
+            {},
+            [this](http::Request, http::IResponseWriter &writer) { return answer(writer, plainAnswer(ready() ? 200 : 503, {})); },
+            reason);
+        m_peers = http::makeHttpServer(
+            m_io,
+            settings.peers,
+            {},
+            [this](http::Request, http::IResponseWriter &writer) {
+                return answer(writer, plainAnswer(m_context.configuration.version() > 0 ? 200 : 503, m_context.configuration.text()));
+            },
+            reason);
+        if (!m_callers || !m_readiness || !m_peers || !m_gossip.open(m_io, reason)) {
+            return false;
+        }
+        if (settings.metrics) {
+            m_metrics = http::makeHttpServer(
+                m_io,
+                *settings.metrics,
+                {},
+                [this](http::Request, http::IResponseWriter &writer) { return answer(writer, plainAnswer(200, metricsText())); },
+                reason);
+        }
+        return m_metrics || !settings.metrics;
+    }
+
+    void run() override
+    {
+        m_context.log.write("started", eventlog::Importance::Belief, {{"zone", m_context.settings.zone}, {"callers", m_context.settings.callers.text()}});
+        startTask(m_io.get_executor(), m_configurations.run());
+        startTask(m_io.get_executor(), m_upstreams.run());
+        startTask(m_io.get_executor(), m_gossip.send());
+        startTask(m_io.get_executor(), m_gossip.receive());
+        startTask(m_io.get_executor(), housekeep());
+        if (m_context.ports.duties) {
+            startTask(m_io.get_executor(), m_duties.run());
+        }
+        watchSignals();
+        m_io.run();
+        m_context.log.write("stopped", eventlog::Importance::Belief, {});
+        m_context.log.flush();
+    }
+
+private:
+    net::awaitable<void> serve(http::Request request, http::IResponseWriter &writer)
+    {
+        ++m_open;
+        const std::shared_ptr<RequestRun> run = std::make_shared<RequestRun>(m_context, std::move(request), writer);
+        co_await run->run();
+        --m_open;
+    }
+
+    [[nodiscard]] bool ready() const
+    {
+        const std::optional<Duration> age = m_context.configuration.age(hostNow());
+        return !m_context.stopping && m_upstreams.known() && age && *age < m_context.settings.revocation;
+    }
+
+    void takeConfiguration()
+    {
+        const routing::Configuration &configuration = m_context.configuration.table()->configuration();
+        m_context.quotas.configure(configuration.workspaces, hostNow());
+        http::ServerLimits limits;
+        limits.headerBytes = configuration.limits.headerBytes;
+        limits.bodyBytes = configuration.limits.bodyBytes;
+        limits.headerTimeout = configuration.limits.headerTimeout;
+        limits.idleTimeout = configuration.limits.idleTimeout;
+        m_callers->setLimits(limits);
+    }
+
+    net::awaitable<void> housekeep()
+    {
+        TimePoint settingsRead = hostNow();
+        while (true) {
+            m_context.log.flush();
+            m_context.upstreamConnections->closeExpired();
+            if (hostNow() - settingsRead > SettingsInterval) {
+                settingsRead = hostNow();
+                reload("interval");
+            }
+            co_await pause(HousekeepingInterval);
+        }
+    }
+
+    void reload(std::string_view cause)
+    {
+        const std::optional<GatewaySettings> settings = m_reload();
+        if (!settings) {
+            m_context.log.write("reload_failed", eventlog::Importance::Belief, {{"cause", cause}});
+            return;
+        }
+        const bool changed = settings->seeds != m_seeds;
+        m_seeds = settings->seeds;
+        m_gossip.setSeeds(seedAddresses(settings->seeds));
+        if (changed || cause != "interval") {
+            m_context.log.write("reloaded", eventlog::Importance::Belief, {{"cause", cause}, {"seeds", static_cast<std::int64_t>(m_seeds.size())}});
+        }
+    }
+
+    void watchSignals()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                reload("signal");
+            } else if (!m_context.stopping) {
+                startTask(m_io.get_executor(), stop());
+            }
+            watchSignals();
+        });
+    }
+
+    net::awaitable<void> stop()
+    {
+        const TimePoint began = hostNow();
+        const std::chrono::milliseconds stopTime = m_context.settings.stopTime;
+        m_context.stopping = true;
+        m_context.log.write("stopping", eventlog::Importance::Belief, {{"open_requests", static_cast<std::int64_t>(m_open)}});
+        m_callers->announceClose();
+        co_await pause(std::chrono::duration_cast<std::chrono::milliseconds>(stopTime * TakingPart));
+        m_context.refusing = true;
+        m_callers->stopAccepting();
+        const Duration serving = std::chrono::duration_cast<Duration>(stopTime * ServingPart);
+        while ((m_open > 0 || m_callers->connections() > 0) && hostNow() - began < serving) {
+            co_await pause(StopPoll);
+        }
+        m_io.stop();
+    }
+
+    std::string metricsText()
+    {
+        const TimePoint now = hostNow();
+        GatewayMetrics &metrics = m_context.metrics;
+        metrics.set("rosemaryshift_ready", "", ready() ? 1 : 0);
+        metrics.set("rosemaryshift_open_requests", "", static_cast<double>(m_open));
+        metrics.set("rosemaryshift_caller_connections", "", static_cast<double>(m_callers->connections()));
+        metrics.set("rosemaryshift_idle_upstream_connections", "", static_cast<double>(m_context.upstreamConnections->size()));
+        metrics.set("rosemaryshift_configuration_version", "", static_cast<double>(m_context.configuration.version()));
+        metrics.set(
+            "rosemaryshift_configuration_age_seconds", "", std::chrono::duration<double>(m_context.configuration.age(now).value_or(Duration::max())).count());
+        metrics.set("rosemaryshift_peers", "", static_cast<double>(m_gossip.board().peers().size()));
+        metrics.set("rosemaryshift_upstreams", "", static_cast<double>(m_context.directory.all().size()));
+        metrics.set("rosemaryshift_log_lines_dropped", "", static_cast<double>(m_context.log.dropped()));
+        return metrics.text();
+    }
+
+    const std::function<std::optional<GatewaySettings>()> m_reload;
+    net::io_context m_io{1};
+    GatewayContext m_context;
+    duties::UsageCollector m_usage;
+    ConfigurationFollower m_configurations;
+    UpstreamFollower m_upstreams;
+    GossipEndpoint m_gossip;
+    DutyRunner m_duties;
+    net::signal_set m_signals;
+    std::unique_ptr<http::IHttpServer> m_callers;
+    std::unique_ptr<http::IHttpServer> m_readiness;
+    std::unique_ptr<http::IHttpServer> m_peers;
+    std::unique_ptr<http::IHttpServer> m_metrics;
+    std::vector<std::string> m_seeds;
+    std::size_t m_open = 0;
+};
+
+}
+
+std::unique_ptr<IGateway>
+makeGateway(const GatewaySettings &settings, PlatformPorts ports, std::function<std::optional<GatewaySettings>()> reload, std::string &reason)
+{
+    std::unique_ptr<Gateway> gateway = std::make_unique<Gateway>(settings, std::move(ports), std::move(reload));
+    return gateway->listen(reason) ? std::move(gateway) : nullptr;
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -0,0 +1,42 @@
+#include "gateway/internal/gatewaycontext.h"
+
+#include "gateway/internal/hostclock.h"
+
+namespace rosemaryshift::gateway {
+
+namespace {
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+}
+
+GatewayContext::GatewayContext(const GatewaySettings &hostSettings, PlatformPorts platformPorts, std::string processStart)
+    : settings(hostSettings)
+    , ports(std::move(platformPorts))
+    , start(std::move(processStart))
+    , log(settings.name, start, eventlog::Budget{}, eventlog::makeOutputWriter())
+    , directory([this](const directory::Upstream &upstream, std::string_view change) {
+        log.write("upstream",
+                  eventlog::Importance::Belief,
+                  {{"instance", upstream.entry.instance}, {"service", upstream.entry.service}, {"change", change}, {"zone", upstream.entry.zone}});
+        if (change == "removed") {
+            balancer.forgetUpstream(upstream.entry.instance);
+        }
+    })
+    , retries(settings.retries)
+    , usage(settings.usageWindow)
+    , upstreamConnections(std::make_shared<http::ConnectionPool>())
+    , random(randomSeed())
+{
+}
+
+double GatewayContext::chance()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -0,0 +1,83 @@
+#include "gateway/internal/gatewaymetrics.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace rosemaryshift::gateway {
+
+namespace {
+
+/// Label sets of one name; more than these are counted together.
+constexpr std::size_t MaxLabelSets = 128;
+constexpr std::string_view OtherLabels = R"(other="true")";
+
+template <typename Value, typename SeriesMap>
+Value &seriesOf(SeriesMap &series, std::string_view name, std::string_view labels)
+{
+    auto named = series.find(name);
+    if (named == series.end()) {
+        named = series.emplace(std::string(name), typename SeriesMap::mapped_type()).first;
+    }
+    const auto found = named->second.find(labels);
+    if (found != named->second.end()) {
+        return found->second;
+    }
+    return named->second[std::string(named->second.size() < MaxLabelSets ? labels : OtherLabels)];
+}
+
+std::string braced(std::string_view labels)
+{
+    return labels.empty() ? std::string() : fmt::format("{{{}}}", labels);
+}
+
+}
+
+void GatewayMetrics::count(std::string_view name, std::string_view labels)
+{
+    ++seriesOf<std::uint64_t>(m_counters, name, labels);
+}
+
+void GatewayMetrics::observe(std::string_view name, std::string_view labels, Duration latency)
+{
+    Histogram &histogram = seriesOf<Histogram>(m_histograms, name, labels);
+    for (std::size_t bucket = 0; bucket < BucketBounds.size(); ++bucket) {
+        histogram.buckets[bucket] += latency <= std::chrono::milliseconds(BucketBounds[bucket]) ? 1 : 0;
+    }
+    ++histogram.count;
+    histogram.sumSeconds += std::chrono::duration<double>(latency).count();
+}
+
+void GatewayMetrics::set(std::string_view name, std::string_view labels, double value)
+{
+    seriesOf<double>(m_gauges, name, labels) = value;
+}
+
+std::string GatewayMetrics::text() const
+{
+    std::string text;
+    for (const auto &[name, series] : m_counters) {
+        text += fmt::format("# TYPE {} counter\n", name);
+        for (const auto &[labels, value] : series) {
+            text += fmt::format("{}{} {}\n", name, braced(labels), value);
+        }
+    }
+    for (const auto &[name, series] : m_gauges) {
+        text += fmt::format("# TYPE {} gauge\n", name);
+        for (const auto &[labels, value] : series) {
+            text += fmt::format("{}{} {:.6g}\n", name, braced(labels), value);
+        }
+    }
+    for (const auto &[name, series] : m_histograms) {
+        text += fmt::format("# TYPE {} histogram\n", name);
+        for (const auto &[labels, histogram] : series) {
+            const std::string prefix = labels.empty() ? std::string() : labels + ",";
+            for (std::size_t bucket = 0; bucket < BucketBounds.size(); ++bucket) {
+                text += fmt::format("{}_bucket{{{}le=\"{}\"}} {}\n", name, prefix, BucketBounds[bucket] / 1000.0, histogram.buckets[bucket]);
+            }
+            text += fmt::format("{}_bucket{{{}le=\"+Inf\"}} {}\n", name, prefix, histogram.count);
+            text += fmt::format("{}_sum{} {:.6f}\n{}_count{} {}\n", name, braced(labels), histogram.sumSeconds, name, braced(labels), histogram.count);
+        }
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -0,0 +1,99 @@
+#include "gateway/gatewaysettings.h"
+
+#include "settings/endpointsetting.h"
+
+namespace rosemaryshift::gateway {
+
+namespace {
+
+constexpr std::uint64_t MaxMilliseconds = 3'600'000;
+constexpr double MaxSeconds = 3'600;
+constexpr std::uint64_t MaxPort = 65'535;
+
+std::chrono::milliseconds milliseconds(SettingsTable &table, std::string_view key, std::chrono::milliseconds fallback)
+{
+    const double value = table.real(key, {0, static_cast<double>(MaxMilliseconds)}, static_cast<double>(fallback.count()));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(value));
+}
+
+std::chrono::milliseconds seconds(SettingsTable &table, std::string_view key, std::chrono::milliseconds fallback)
+{
+    const double value = table.real(key, {0, MaxSeconds}, std::chrono::duration<double>(fallback).count());
+    return std::chrono::milliseconds(static_cast<std::int64_t>(value * 1000));
+}
+
+void readListeners(SettingsTable &root, GatewaySettings &settings)
+{
+    std::optional<SettingsTable> listen = root.table("listen");
+    if (!listen) {
+        root.reject("listen", "is missing");
+        return;
+    }
+    settings.callers = endpointSetting(*listen, "callers");
+    settings.readiness = endpointSetting(*listen, "readiness");
+    settings.peers = endpointSetting(*listen, "peers");
+    settings.gossipPort = static_cast<std::uint16_t>(listen->number("gossip_port", {1, MaxPort}));
+    const std::uint64_t metricsPort = listen->number("metrics_port", {0, MaxPort}, 0);
+    if (metricsPort > 0) {
+        settings.metrics = http::Endpoint{settings.address, static_cast<std::uint16_t>(metricsPort)};
+    }
+}
+
+void readPlatform(SettingsTable &root, GatewaySettings &settings)
+{
+    std::optional<SettingsTable> platform = root.table("platform");
+    if (!platform) {
+        root.reject("platform", "is missing");
+        return;
+    }
+    settings.log = endpointSetting(*platform, "log");
+    const std::string duties = platform->text("duties", "");
+    if (!duties.empty()) {
+        settings.duties = endpointSetting(*platform, "duties");
+    }
+}
+
+void readPromises(SettingsTable &root, GatewaySettings &settings)
+{
+    std::optional<SettingsTable> promises = root.table("promises");
+    if (!promises) {
+        return;
+    }
+    settings.leaving = milliseconds(*promises, "leaving_ms", settings.leaving);
+    settings.stopTime = seconds(*promises, "stop_s", settings.stopTime);
+    settings.configuration = milliseconds(*promises, "configuration_ms", settings.configuration);
+    settings.revocation = milliseconds(*promises, "revocation_ms", settings.revocation);
+    settings.lease = milliseconds(*promises, "lease_ms", settings.lease);
+    settings.usageWindow = seconds(*promises, "usage_window_s", settings.usageWindow);
+    settings.usageLate = seconds(*promises, "usage_late_s", settings.usageLate);
+    settings.retries.window = seconds(*promises, "retry_window_s", std::chrono::seconds(10));
+    settings.retries.ratio = promises->real("retry_ratio", {0, 10}, settings.retries.ratio);
+    settings.retries.slack = promises->real("retry_slack", {}, settings.retries.slack);
+    settings.quotas.window = seconds(*promises, "quota_window_s", std::chrono::seconds(8));
+    settings.quotas.excess = promises->real("quota_excess", {0, 10}, settings.quotas.excess);
+}
+
+}
+
+GatewaySettings readGatewaySettings(SettingsDocument &document)
+{
+    SettingsTable root = document.root();
+    GatewaySettings settings;
+    settings.name = root.text("name");
+    settings.zone = root.text("zone");
+    settings.address = root.text("address");
+    readListeners(root, settings);
+    readPlatform(root, settings);
+    readPromises(root, settings);
+    if (std::optional<SettingsTable> peers = root.table("peers")) {
+        settings.seeds = peers->texts("seeds");
+    }
+    if (std::optional<SettingsTable> machine = root.table("machine")) {
+        settings.memoryMegabytes = machine->number("memory_mb", {16, 1'048'576}, settings.memoryMegabytes);
+        settings.descriptors = machine->number("descriptors", {64, 1'048'576}, settings.descriptors);
+    }
+    root.rejectUnknownKeys();
+    return settings;
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -0,0 +1,253 @@
+#include "gateway/internal/gossipendpoint.h"
+
+#include "gateway/internal/backgroundtask.h"
+#include "gateway/internal/hostclock.h"
+#include "http/ihttpclient.h"
+
+#include <array>
+
+namespace rosemaryshift::gateway {
+
+namespace net = boost::asio;
+using net::ip::udp;
+
+namespace {
+
+/// How often peers are told.
+constexpr std::chrono::milliseconds SendInterval{400};
+/// Largest datagram that is taken.
+constexpr std::size_t MaxDatagram = 16 * 1024;
+/// Windows of usage that peers are told of.
+constexpr std::size_t ToldWindows = 3;
+/// Share of a quota that a host takes before it has heard any peer: small, since it does not know how many there are.
+constexpr double UnsharedPart = 0.05;
+/// A newer version is fetched from a peer when the log has not shown it after this time.
+constexpr std::chrono::milliseconds LogHeadStart{250};
+constexpr std::chrono::milliseconds FetchTimeout{800};
+
+std::uint64_t microseconds(TimePoint time)
+{
+    return static_cast<std::uint64_t>(time.time_since_epoch().count());
+}
+
+}
+
+GossipEndpoint::GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurations, duties::UsageCollector &usage)
+    : m_context(context)
+    , m_configurations(configurations)
+    , m_usage(usage)
+    , m_board(context.settings.address, [&context](const gossip::Peer &peer, std::string_view change) {
+        context.log.write(
+            "peer", eventlog::Importance::Belief, {{"peer", peer.news.host}, {"change", change}, {"silent_ms", wholeMilliseconds(hostNow() - peer.heard)}});
+        if (change == "forgotten") {
+            context.balancer.forgetPeer(peer.news.host);
+            context.trueTime.forgetPeer(peer.news.host);
+        }
+    })
+{
+}
+
+bool GossipEndpoint::open(net::io_context &ioContext, std::string &reason)
+{
+    boost::system::error_code error;
+    const net::ip::address address = net::ip::make_address(m_context.settings.address, error);
+    m_socket.emplace(ioContext);
+    if (!error) {
+        m_socket->open(udp::v4(), error);
+    }
+    if (!error) {
+        m_socket->bind(udp::endpoint(address, m_context.settings.gossipPort), error);
+    }
+    if (error) {
+        reason = "cannot bind " + m_context.settings.address + ":" + std::to_string(m_context.settings.gossipPort) + ": " + error.message();
+        return false;
+    }
+    return true;
+}
+
+void GossipEndpoint::setSeeds(const std::vector<std::string> &addresses)
+{
+    m_board.setSeeds(addresses);
+}
+
+const gossip::PeerBoard &GossipEndpoint::board() const
+{
+    return m_board;
+}
+
+net::awaitable<void> GossipEndpoint::send()
+{
+    while (true) {
+        const TimePoint now = hostNow();
+        m_board.expire(now);
+        share(now);
+        gossip::PeerNews news = ownNews(now);
+        for (const std::string &address : m_board.addresses()) {
+            news.echoUs = m_board.echoFor(address, now);
+            const std::string datagram = encoded(news);
+            boost::system::error_code error;
+            const net::ip::address to = net::ip::make_address(address, error);
+            if (!error) {
+                // A datagram that does not go out is as good as lost; the next one follows.
+                m_socket->send_to(net::buffer(datagram), udp::endpoint(to, m_context.settings.gossipPort), 0, error);
+            }
+        }
+        co_await pause(SendInterval);
+    }
+}
+
+net::awaitable<void> GossipEndpoint::receive()
+{
+    std::string buffer(MaxDatagram, '\0');
+    while (true) {
+        udp::endpoint from;
+        const auto [error, bytes] = co_await m_socket->async_receive_from(net::buffer(buffer), from, net::as_tuple(net::use_awaitable));
+        if (error == net::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            continue;
+        }
+        std::optional<gossip::PeerNews> news = gossip::decodedPeerNews(std::string_view(buffer.data(), bytes));
+        if (!news) {
+            m_context.log.write("news_unreadable", eventlog::Importance::Failure, {{"from", from.address().to_string()}});
+            continue;
+        }
+        take(std::move(*news));
+    }
+}
+
+gossip::PeerNews GossipEndpoint::ownNews(TimePoint now) const
+{
+    gossip::PeerNews news;
+    news.host = m_context.settings.name;
+    news.start = m_context.start;
+    news.address = m_context.settings.address;
+    news.sentUs = microseconds(now);
+    news.configuration = m_context.configuration.version();
+    if (const std::optional<Duration> age = m_context.configuration.age(now)) {
+        news.confirmedAgeMs = static_cast<std::uint64_t>(wholeMilliseconds(*age)) + 1;
+    }
+    news.wallUs = static_cast<std::uint64_t>(m_context.trueTime.ownSinceEpoch(now).count());
+    news.demand = m_context.quotas.demand(now);
+    news.busy = ownBusy(now);
+    news.outstanding = m_context.balancer.outstanding();
+    const std::map<std::uint64_t, duties::UsageCounts> &windows = m_context.usage.windows();
+    for (auto window = windows.rbegin(); window != windows.rend() && news.usage.size() < ToldWindows; ++window) {
+        news.usage.insert(*window);
+    }
+    for (const auto &[host, peer] : m_board.peers()) {
+        if (!peer.silent) {
+            news.peers.push_back(peer.news.address);
+        }
+    }
+    return news;
+}
+
+std::map<std::string, double> GossipEndpoint::ownBusy(TimePoint now) const
+{
+    std::map<std::string, double> busy;
+    const std::shared_ptr<const routing::RouteTable> &table = m_context.configuration.table();
+    if (!table) {
+        return busy;
+    }
+    std::map<std::string, std::uint32_t> running;
+    for (const auto &[instance, outstanding] : m_context.balancer.outstanding()) {
+        if (const directory::Upstream *const upstream = m_context.directory.find(instance)) {
+            running[upstream->entry.service] += outstanding.running;
+        }
+    }
+    for (const routing::Service &service : table->configuration().services) {
+        if (!service.engine) {
+            continue;
+        }
+        const double reading = m_context.balancer.prefillRate(service.name, now) * m_context.balancer.prefillCost(service.name).value_or(0) / 1e6;
+        const double batching = static_cast<double>(running[service.name]) / std::max(1U, service.engine->slots);
+        busy[service.name] = reading + batching;
+    }
+    return busy;
+}
+
+std::map<std::string, double> GossipEndpoint::busyUpstreams(TimePoint now) const
+{
+    std::map<std::string, double> sum = ownBusy(now);
+    for (const auto &[host, peer] : m_board.peers()) {
+        for (const auto &[service, busy] : peer.news.busy) {
+            sum[service] += busy;
+        }
+    }
+    return sum;
+}
+
+void GossipEndpoint::take(gossip::PeerNews news)
+{
+    const TimePoint now = hostNow();
+    const std::string host = news.host;
+    if (!m_board.take(std::move(news), now)) {
+        return;
+    }
+    const gossip::PeerNews &taken = m_board.peers().at(host).news;
+    m_context.balancer.setPeerOutstanding(host, taken.outstanding, now);
+    m_context.trueTime.notePeer(host, Duration(static_cast<Duration::rep>(taken.wallUs)), now);
+    for (const auto &[window, counts] : taken.usage) {
+        m_usage.note(taken.host + "/" + taken.start, window, counts);
+    }
+    // What the peer knew when it sent this is at least as fresh as when this host sent what the peer echoes.
+    if (taken.echoUs && taken.confirmedAgeMs) {
+        const TimePoint sent{Duration(static_cast<Duration::rep>(*taken.echoUs))};
+        m_context.configuration.confirm(taken.configuration, sent - std::chrono::milliseconds(*taken.confirmedAgeMs));
+    }
+    if (taken.configuration > m_context.configuration.version() && !m_fetching) {
+        m_fetching = true;
+        startTask(m_socket->get_executor(), fetchConfiguration(taken.address));
+    }
+}
+
+net::awaitable<void> GossipEndpoint::fetchConfiguration(std::string address)
+{
+    const std::uint64_t before = m_context.configuration.version();
+    if (before > 0) {
+        co_await pause(LogHeadStart);
+    }
+    if (m_context.configuration.version() == before) {
+        http::Request request;
+        request.target = "/configuration";
+        http::ClientTimeouts timeouts;
+        timeouts.connect = FetchTimeout;
+        timeouts.end = std::chrono::steady_clock::now() + FetchTimeout;
+        http::ClientFailure failure;
+        const http::Endpoint endpoint{address, m_context.settings.peers.port};
+        const std::optional<http::Response> answer = co_await http::fetch(endpoint, std::move(request), timeouts, failure);
+        if (answer && answer->status == 200) {
+            m_configurations.take(answer->body, "peer");
+        } else {
+            m_context.log.write("configuration_not_fetched", eventlog::Importance::Belief, {{"from", address}, {"reason", failure.detail}});
+        }
+    }
+    m_fetching = false;
+}
+
+void GossipEndpoint::share(TimePoint now)
+{
+    const std::size_t hosts = m_board.hosts();
+    m_context.retries.setHosts(hosts);
+    std::map<std::string, double> total = m_context.quotas.demand(now);
+    const std::map<std::string, double> own = total;
+    for (const auto &[host, peer] : m_board.peers()) {
+        for (const auto &[workspace, demand] : peer.news.demand) {
+            total[workspace] += demand;
+        }
+    }
+    for (const auto &[workspace, demand] : own) {
+        double part = hosts > 1 ? limits::shareOf(demand, total[workspace], hosts) : UnsharedPart;
+        const auto agreed = m_shares.find(workspace);
+        if (m_board.anySilent() && agreed != m_shares.end()) {
+            // A silent peer goes on by what it heard last, so that this host's part must not grow.
+            part = std::min(part, agreed->second);
+        }
+        m_shares[workspace] = part;
+        m_context.quotas.setShare(workspace, part, now);
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/gossipendpoint.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "gateway/internal/configurationfollower.h"
+#include "gateway/internal/gatewaycontext.h"
+#include "gossip/peerboard.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+namespace rosemaryshift::gateway {
+
+/// Exchanges news with the other gateways and carries what they say to where it belongs. Used from the gateway's thread.
+class GossipEndpoint
+{
+public:
+    GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurations, duties::UsageCollector &usage);
+
+    /// Binds the socket; false, with @p reason set, when that fails.
+    bool open(boost::asio::io_context &ioContext, std::string &reason);
+    /// Tells the peers for ever.
+    boost::asio::awaitable<void> send();
+    /// Hears the peers for ever.
+    boost::asio::awaitable<void> receive();
+    /// Takes addresses of gateways that may be there.
+    void setSeeds(const std::vector<std::string> &addresses);
+    [[nodiscard]] const gossip::PeerBoard &board() const;
+    /// Upstreams that the requests of all hosts keep busy, by service.
+    [[nodiscard]] std::map<std::string, double> busyUpstreams(TimePoint now) const;
+
+private:
+    [[nodiscard]] gossip::PeerNews ownNews(TimePoint now) const;
+    [[nodiscard]] std::map<std::string, double> ownBusy(TimePoint now) const;
+    void take(gossip::PeerNews news);
+    void share(TimePoint now);
+    boost::asio::awaitable<void> fetchConfiguration(std::string address);
+
+    GatewayContext &m_context;
+    ConfigurationFollower &m_configurations;
+    duties::UsageCollector &m_usage;
+    gossip::PeerBoard m_board;
+    std::optional<boost::asio::ip::udp::socket> m_socket;
+    std::map<std::string, double> m_shares; ///< Of each workspace's quota, when all peers were last heard.
+    bool m_fetching = false;
+};
+
+}
--- /dev/null
+++ b/src/gateway/internal/hostclock.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <ctime>
+
+namespace rosemaryshift::gateway {
+
+/// Time since the machine's start, also counting the time in which it was suspended. Thread-safe.
+inline TimePoint hostNow()
+{
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+/// A duration in whole milliseconds, as logs hold it.
+inline std::int64_t wholeMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -0,0 +1,133 @@
+#include "gateway/internal/upstreamfollower.h"
+
+#include "gateway/internal/backgroundtask.h"
+#include "gateway/internal/hostclock.h"
+
+namespace rosemaryshift::gateway {
+
+namespace net = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds CallTimeout{700};
+/// Reads in the time within which a leaving upstream must get nothing new.
+constexpr int ReadsPerLeavingTime = 5;
+/// An outage longer than this may have made entries lapse.
+constexpr std::chrono::milliseconds ShortOutage{1'000};
+/// Upstreams that live are listed again within this time after an outage.
+constexpr std::chrono::milliseconds SettlingTime{2'000};
+
+}
+
+UpstreamFollower::UpstreamFollower(GatewayContext &context)
+    : m_context(context)
+{
+}
+
+net::awaitable<void> UpstreamFollower::run()
+{
+    while (true) {
+        ports::LogFailure failure;
+        bool done = false;
+        if (m_offset) {
+            done = co_await readOn(failure);
+        } else {
+            done = co_await readNewest(failure);
+        }
+        noteReachable(done, failure.detail);
+        const TimePoint now = hostNow();
+        if (m_unsettledUntil && now >= *m_unsettledUntil) {
+            m_context.directory.settle(now);
+            m_unsettledUntil.reset();
+        }
+        if (m_offset || !done) {
+            co_await pause(m_context.settings.leaving / ReadsPerLeavingTime);
+        }
+    }
+}
+
+bool UpstreamFollower::known() const
+{
+    return m_known;
+}
+
+net::awaitable<bool> UpstreamFollower::readNewest(ports::LogFailure &failure)
+{
+    const std::optional<ports::NewestRecords> newest = co_await m_context.ports.log->readNewest(ports::Topic::Upstreams, CallTimeout, failure);
+    if (!newest) {
+        co_return false;
+    }
+    noteReachable(true, {});
+    std::vector<directory::UpstreamEntry> entries;
+    for (const ports::Record &record : newest->records) {
+        if (const std::optional<directory::UpstreamEntry> entry = entryOf(record)) {
+            entries.push_back(*entry);
+        }
+    }
+    const TimePoint now = hostNow();
+    m_context.directory.applyAll(entries, now, unsettled(now));
+    m_offset = newest->end;
+    m_known = true;
+    co_return true;
+}
+
+net::awaitable<bool> UpstreamFollower::readOn(ports::LogFailure &failure)
+{
+    const std::optional<ports::LogPiece> piece
+        = co_await m_context.ports.log->readFrom(ports::Topic::Upstreams, *m_offset, std::chrono::milliseconds::zero(), CallTimeout, failure);
+    if (!piece) {
+        co_return false;
+    }
+    noteReachable(true, {});
+    if (piece->historyLost) {
+        m_context.log.write("history_lost", eventlog::Importance::Belief, {{"topic", "upstreams"}, {"offset", static_cast<std::int64_t>(*m_offset)}});
+        m_offset.reset();
+        co_return true;
+    }
+    const TimePoint now = hostNow();
+    for (const ports::Record &record : piece->records) {
+        if (!record.value) {
+            m_context.directory.remove(record.key, now, unsettled(now));
+        } else if (const std::optional<directory::UpstreamEntry> entry = entryOf(record)) {
+            m_context.directory.apply(*entry, now);
+        }
+    }
+    m_offset = piece->next;
+    co_return true;
+}
+
+std::optional<directory::UpstreamEntry> UpstreamFollower::entryOf(const ports::Record &record) const
+{
+    std::string reason = "no value";
+    std::optional<directory::UpstreamEntry> entry;
+    if (record.value) {
+        entry = m_context.ports.records->upstreamEntry(record, reason);
+    }
+    if (!entry) {
+        m_context.log.write("upstream_unreadable", eventlog::Importance::Belief, {{"instance", record.key}, {"reason", reason}});
+    }
+    return entry;
+}
+
+bool UpstreamFollower::unsettled(TimePoint now) const
+{
+    return m_unsettledUntil && now < *m_unsettledUntil;
+}
+
+void UpstreamFollower::noteReachable(bool reachable, std::string_view reason)
+{
+    const TimePoint now = hostNow();
+    if (!reachable && !m_lostSince) {
+        m_lostSince = now;
+        m_context.log.write("log_lost", eventlog::Importance::Belief, {{"topic", "upstreams"}, {"reason", reason}});
+    }
+    if (reachable && m_lostSince) {
+        if (now - *m_lostSince > ShortOutage) {
+            m_unsettledUntil = now + SettlingTime;
+        }
+        m_context.log.write("log_regained", eventlog::Importance::Belief, {{"topic", "upstreams"}, {"lost_ms", wholeMilliseconds(now - *m_lostSince)}});
+        m_lostSince.reset();
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/internal/upstreamfollower.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "gateway/internal/gatewaycontext.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace rosemaryshift::gateway {
+
+/// Keeps the list of upstreams up to date from the platform's log. Used from the gateway's thread.
+class UpstreamFollower
+{
+public:
+    explicit UpstreamFollower(GatewayContext &context);
+
+    /// Follows the log for ever.
+    boost::asio::awaitable<void> run();
+    /// Whether the list was read at least once.
+    [[nodiscard]] bool known() const;
+
+private:
+    boost::asio::awaitable<bool> readNewest(ports::LogFailure &failure);
+    boost::asio::awaitable<bool> readOn(ports::LogFailure &failure);
+    [[nodiscard]] std::optional<directory::UpstreamEntry> entryOf(const ports::Record &record) const;
+    [[nodiscard]] bool unsettled(TimePoint now) const;
+    void noteReachable(bool reachable, std::string_view reason);
+
+    GatewayContext &m_context;
+    std::optional<std::uint64_t> m_offset;
+    std::optional<TimePoint> m_lostSince;
+    std::optional<TimePoint> m_unsettledUntil; ///< Until then, entries that lapsed during an outage may come back.
+    bool m_known = false;
+};
+
+}
--- /dev/null
+++ b/src/gossip/internal/peerboard.cpp
@@ -0,0 +1,119 @@
+#include "gossip/peerboard.h"
+
+namespace rosemaryshift::gossip {
+
+namespace {
+
+/// A peer is silent after this time without news.
+constexpr std::chrono::milliseconds SilentAfter{1'500};
+/// A silent peer is forgotten after this time; its share of the quotas is free then.
+constexpr std::chrono::seconds ForgottenAfter{20};
+/// An address that peers told of is tried for this long.
+constexpr std::chrono::seconds ToldAddressLifetime{30};
+/// An echo is worth nothing when the news it answers is older than this.
+constexpr std::chrono::seconds EchoLifetime{2};
+
+}
+
+PeerBoard::PeerBoard(std::string ownAddress, Listener listener)
+    : m_ownAddress(std::move(ownAddress))
+    , m_listener(std::move(listener))
+{
+}
+
+void PeerBoard::setSeeds(const std::vector<std::string> &addresses)
+{
+    m_seeds = std::set<std::string>(addresses.begin(), addresses.end());
+    m_seeds.erase(m_ownAddress);
+}
+
+bool PeerBoard::take(PeerNews news, TimePoint now)
+{
+    if (news.address == m_ownAddress) {
+        return false;
+    }
+    for (const std::string &address : news.peers) {
+        if (address != m_ownAddress) {
+            m_told[address] = now;
+        }
+    }
+    const auto known = m_peers.find(news.host);
+    if (known == m_peers.end()) {
+        Peer &peer = m_peers[news.host];
+        peer = Peer{std::move(news), now, false};
+        m_listener(peer, "found");
+        return true;
+    }
+    Peer &peer = known->second;
+    if (peer.news.start == news.start && news.sentUs <= peer.news.sentUs) {
+        return false;
+    }
+    const bool restarted = peer.news.start != news.start;
+    const bool back = peer.silent;
+    peer = Peer{std::move(news), now, false};
+    if (restarted || back) {
+        m_listener(peer, restarted ? "restarted" : "heard again");
+    }
+    return true;
+}
+
+void PeerBoard::expire(TimePoint now)
+{
+    for (auto entry = m_peers.begin(); entry != m_peers.end();) {
+        Peer &peer = entry->second;
+        if (!peer.silent && now - peer.heard > SilentAfter) {
+            peer.silent = true;
+            m_listener(peer, "silent");
+        }
+        const bool forgotten = now - peer.heard > ForgottenAfter;
+        if (forgotten) {
+            m_listener(peer, "forgotten");
+        }
+        entry = forgotten ? m_peers.erase(entry) : std::next(entry);
+    }
+    std::erase_if(m_told, [now](const std::pair<const std::string, TimePoint> &told) { return now - told.second > ToldAddressLifetime; });
+}
+
+std::set<std::string> PeerBoard::addresses() const
+{
+    std::set<std::string> all = m_seeds;
+    for (const auto &[address, time] : m_told) {
+        all.insert(address);
+    }
+    for (const auto &[host, peer] : m_peers) {
+        all.insert(peer.news.address);
+    }
+    return all;
+}
+
+const std::map<std::string, Peer> &PeerBoard::peers() const
+{
+    return m_peers;
+}
+
+std::optional<std::uint64_t> PeerBoard::echoFor(const std::string &address, TimePoint now) const
+{
+    for (const auto &[host, peer] : m_peers) {
+        if (peer.news.address == address && now - peer.heard < EchoLifetime) {
+            return peer.news.sentUs;
+        }
+    }
+    return std::nullopt;
+}
+
+std::size_t PeerBoard::hosts() const
+{
+    return m_peers.size() + 1;
+}
+
+bool PeerBoard::anySilent() const
+{
+    for (const auto &[host, peer] : m_peers) {
+        if (peer.silent) {
+            return true;
+        }
+    }
+    return false;
+}
+
+}
--- /dev/null
+++ b/src/gossip/internal/peernews.cpp
@@ -0,0 +1,152 @@
+#include "gossip/peernews.h"
+
+#include "base/json.h"
+
+#include <json/value.h>
+
+namespace rosemaryshift::gossip {
+
+namespace {
+
+Json::Value object()
+{
+    return Json::Value(Json::objectValue);
+}
+
+/// Reads an object of numbers; false when something else stands in it.
+template <typename Target>
+bool readNumbers(const Json::Value &value, Target &target)
+{
+    if (!value.isObject()) {
+        return false;
+    }
+    for (auto member = value.begin(); member != value.end(); ++member) {
+        if (!member->isNumeric() || member->asDouble() < 0) {
+            return false;
+        }
+        if constexpr (std::is_same_v<typename Target::mapped_type, double>) {
+            target[member.name()] = member->asDouble();
+        } else {
+            if (!member->isUInt64()) {
+                return false;
+            }
+            target[member.name()] = member->asUInt64();
+        }
+    }
+    return true;
+}
+
+bool readOutstanding(const Json::Value &value, std::map<std::string, balancing::Outstanding> &outstanding)
+{
+    if (!value.isObject()) {
+        return false;
+    }
+    for (auto member = value.begin(); member != value.end(); ++member) {
+        if (!member->isArray() || member->size() != 2 || !(*member)[0].isUInt() || !(*member)[1].isUInt64()) {
+            return false;
+        }
+        outstanding[member.name()] = {(*member)[0].asUInt(), (*member)[1].asUInt64()};
+    }
+    return true;
+}
+
+bool readUsage(const Json::Value &value, std::map<std::uint64_t, duties::UsageCounts> &usage)
+{
+    if (!value.isArray()) {
+        return false;
+    }
+    for (const Json::Value &entry : value) {
+        if (!entry.isArray() || entry.size() != 2 || !entry[0].isUInt64() || !readNumbers(entry[1], usage[entry[0].asUInt64()])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+}
+
+std::string encoded(const PeerNews &news)
+{
+    Json::Value value;
+    value["host"] = news.host;
+    value["start"] = news.start;
+    value["address"] = news.address;
+    value["sent_us"] = news.sentUs;
+    if (news.echoUs) {
+        value["echo_us"] = *news.echoUs;
+    }
+    value["configuration"] = news.configuration;
+    if (news.confirmedAgeMs) {
+        value["confirmed_age_ms"] = *news.confirmedAgeMs;
+    }
+    value["wall_us"] = news.wallUs;
+    value["demand"] = object();
+    for (const auto &[workspace, demand] : news.demand) {
+        value["demand"][workspace] = static_cast<std::uint64_t>(demand + 0.5);
+    }
+    value["busy"] = object();
+    for (const auto &[service, busy] : news.busy) {
+        value["busy"][service] = busy;
+    }
+    value["outstanding"] = object();
+    for (const auto &[instance, outstanding] : news.outstanding) {
+        value["outstanding"][instance].append(outstanding.running);
+        value["outstanding"][instance].append(outstanding.prefillTokens);
+    }
+    value["usage"] = Json::Value(Json::arrayValue);
+    for (const auto &[window, counts] : news.usage) {
+        Json::Value entry(Json::arrayValue);
+        entry.append(window);
+        Json::Value numbers = object();
+        for (const auto &[workspace, requests] : counts) {
+            numbers[workspace] = requests;
+        }
+        entry.append(std::move(numbers));
+        value["usage"].append(std::move(entry));
+    }
+    value["peers"] = Json::Value(Json::arrayValue);
+    for (const std::string &peer : news.peers) {
+        value["peers"].append(peer);
+    }
+    return toText(value);
+}
+
+std::optional<PeerNews> decodedPeerNews(std::string_view datagram)
+{
+    std::string reason;
+    const std::optional<Json::Value> value = parseJson(datagram, reason);
+    if (!value) {
+        return std::nullopt;
+    }
+    const std::optional<std::string> host = stringMember(*value, "host");
+    const std::optional<std::string> start = stringMember(*value, "start");
+    const std::optional<std::string> address = stringMember(*value, "address");
+    const std::optional<std::uint64_t> sent = unsignedMember(*value, "sent_us");
+    const std::optional<std::uint64_t> configuration = unsignedMember(*value, "configuration");
+    const std::optional<std::uint64_t> wall = unsignedMember(*value, "wall_us");
+    if (!host || !start || !address || !sent || !configuration || !wall || !(*value)["peers"].isArray()) {
+        return std::nullopt;
+    }
+    PeerNews news;
+    news.host = *host;
+    news.start = *start;
+    news.address = *address;
+    news.sentUs = *sent;
+    news.echoUs = unsignedMember(*value, "echo_us");
+    news.configuration = *configuration;
+    news.confirmedAgeMs = unsignedMember(*value, "confirmed_age_ms");
+    news.wallUs = *wall;
+    if (!readNumbers((*value)["demand"], news.demand) || !readNumbers((*value)["busy"], news.busy)
+        || !readOutstanding((*value)["outstanding"], news.outstanding) || !readUsage((*value)["usage"], news.usage)) {
+        return std::nullopt;
+    }
+    for (const Json::Value &peer : (*value)["peers"]) {
+        if (!peer.isString()) {
+            return std::nullopt;
+        }
+        news.peers.push_back(peer.asString());
+    }
+    return news;
+}
+
+}
--- /dev/null
+++ b/src/gossip/peerboard.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "gossip/peernews.h"
+
+#include <functional>
+#include <set>
+
+namespace rosemaryshift::gossip {
+
+/// A gateway as the others know it.
+struct Peer {
+    PeerNews news;
+    TimePoint heard;
+    bool silent = false;
+};
+
+/// What this host knows of the other gateways. A peer that says nothing is silent first, which makes this host careful, and forgotten later.
+/// Time comes in with each call. Not thread-safe.
+class PeerBoard
+{
+public:
+    /// Called with a host's name when it is heard first, falls silent, is heard again, or is forgotten.
+    using Listener = std::function<void(const Peer &peer, std::string_view change)>;
+
+    PeerBoard(std::string ownAddress, Listener listener);
+
+    /// Takes addresses of gateways that may be there; they are told of this host.
+    void setSeeds(const std::vector<std::string> &addresses);
+    /// Takes news of a peer; false when it is older than what is known, or this host's own.
+    bool take(PeerNews news, TimePoint now);
+    /// Marks peers silent and forgets those that have been for long.
+    void expire(TimePoint now);
+
+    /// Addresses to send news to.
+    [[nodiscard]] std::set<std::string> addresses() const;
+    /// All peers that are not forgotten, by name.
+    [[nodiscard]] const std::map<std::string, Peer> &peers() const;
+    /// The last sending time heard from the peer at @p address, to be echoed.
+    [[nodiscard]] std::optional<std::uint64_t> echoFor(const std::string &address, TimePoint now) const;
+    /// Hosts that share quotas and budgets: this one, and each peer that is not forgotten.
+    [[nodiscard]] std::size_t hosts() const;
+    /// Whether any peer is silent.
+    [[nodiscard]] bool anySilent() const;
+
+private:
+    const std::string m_ownAddress;
+    const Listener m_listener;
+    std::set<std::string> m_seeds;
+    std::map<std::string, TimePoint> m_told; ///< Addresses that peers have told of, and when.
+    std::map<std::string, Peer> m_peers;
+};
+
+}
--- /dev/null
+++ b/src/gossip/tests/gossiptests.cpp
@@ -0,0 +1,89 @@
+#include "gossip/peerboard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::gossip;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+
+PeerNews makeNews(const std::string &host, std::uint64_t sentUs)
+{
+    PeerNews news;
+    news.host = host;
+    news.start = "a";
+    news.address = "10.0.0." + host.substr(host.size() - 1);
+    news.sentUs = sentUs;
+    return news;
+}
+
+}
+
+TEST_CASE("News survives the way, and nothing else is taken for it")
+{
+    PeerNews news = makeNews("entry-2", 5);
+    news.echoUs = 7;
+    news.configuration = 12;
+    news.confirmedAgeMs = 300;
+    news.wallUs = 1'700'000'000'000'000;
+    news.demand = {{"yard", 1'200}};
+    news.busy = {{"engines", 1.5}};
+    news.outstanding = {{"i-1", {3, 12'000}}};
+    news.usage = {{7, {{"yard", 4}}}};
+    news.peers = {"10.0.0.1"};
+    CHECK(decodedPeerNews(encoded(news)) == news);
+
+    CHECK(!decodedPeerNews(""));
+    CHECK(!decodedPeerNews("[]"));
+    CHECK(!decodedPeerNews("{}"));
+    std::string damaged = encoded(news);
+    damaged.resize(damaged.size() / 2);
+    CHECK(!decodedPeerNews(damaged));
+    std::string mistyped = encoded(news);
+    mistyped.replace(mistyped.find("[3,12000]"), 9, "[3,\"no\"]");
+    CHECK(!decodedPeerNews(mistyped));
+}
+
+TEST_CASE("Hosts find each other through any that they know")
+{
+    std::vector<std::string> changes;
+    PeerBoard board("10.0.0.1", [&changes](const Peer &peer, std::string_view change) { changes.push_back(peer.news.host + " " + std::string(change)); });
+    board.setSeeds({"10.0.0.1", "10.0.0.9"});
+    CHECK(board.addresses() == std::set<std::string>{"10.0.0.9"});
+
+    PeerNews news = makeNews("entry-2", 5);
+    news.peers = {"10.0.0.1", "10.0.0.3"};
+    REQUIRE(board.take(news, Start));
+    CHECK(board.addresses() == std::set<std::string>{"10.0.0.2", "10.0.0.3", "10.0.0.9"});
+    CHECK(board.hosts() == 2);
+    CHECK(board.echoFor("10.0.0.2", Start) == 5);
+    CHECK(!board.echoFor("10.0.0.3", Start));
+
+    SECTION("news that was overtaken is not taken")
+    {
+        CHECK(!board.take(makeNews("entry-2", 4), Start));
+        CHECK(!board.take(makeNews("entry-2", 5), Start));
+        CHECK(board.take(makeNews("entry-2", 6), Start));
+    }
+    SECTION("a peer that says nothing is silent, and keeps its share until it is forgotten")
+    {
+        board.expire(Start + std::chrono::seconds(2));
+        CHECK(board.anySilent());
+        CHECK(board.hosts() == 2);
+        CHECK(!board.echoFor("10.0.0.2", Start + std::chrono::seconds(3)));
+        board.expire(Start + std::chrono::seconds(21));
+        CHECK(!board.anySilent());
+        CHECK(board.hosts() == 1);
+        CHECK(changes == std::vector<std::string>{"entry-2 found", "entry-2 silent", "entry-2 forgotten"});
+    }
+    SECTION("a new start of its process is another one, whose clock may be behind")
+    {
+        PeerNews restarted = makeNews("entry-2", 1);
+        restarted.start = "b";
+        CHECK(board.take(restarted, Start));
+        CHECK(board.hosts() == 2);
+        CHECK(changes.back() == "entry-2 restarted");
+    }
+}
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -79,7 +79,8 @@
 struct ClientTimeouts {
     std::chrono::milliseconds connect{1'000};
     std::chrono::milliseconds header{10'000};
-    std::chrono::milliseconds body{10'000}; ///< Between two reads of the body.
+    std::chrono::milliseconds body{10'000};                                  ///< Between two reads of the body.
+    std::optional<std::chrono::steady_clock::time_point> end = std::nullopt; ///< Bound on the whole exchange.
 };
 
 /// Percent-decodes a target's path or query part; nothing when an escape is malformed.
--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -11,7 +11,10 @@
 
 namespace rosemaryshift::http {
 
-/// One exchange with a server on a connection of its own. Used from one coroutine; cancel() may be called from any thread.
+class ConnectionPool;
+
+/// One exchange with a server, on a connection of its own or on one kept from an earlier exchange. Used from one coroutine; cancel() may be called from any
+/// thread.
 class IExchange
 {
 public:
@@ -23,14 +26,23 @@
         = 0;
     /// Next piece of the body; an empty text at its end. Precondition: open() succeeded.
     virtual boost::asio::awaitable<std::optional<std::string>> readSome(ClientFailure &failure) = 0;
+    /// Skips the rest of the answer at hand and reads the head of the next one on the same connection, for a server that answered
+    /// an earlier request twice. Precondition: open() succeeded.
+    virtual boost::asio::awaitable<std::optional<Response>> openNext(ClientFailure &failure) = 0;
     /// Ends the exchange; a pending call fails with Cancelled. Thread-safe.
     virtual void cancel() = 0;
+    /// True when the request went out on a connection that had carried another one. Precondition: open() was called.
+    [[nodiscard]] virtual bool reused() const = 0;
 };
 
-/// Makes an exchange that runs on @p executor.
-std::shared_ptr<IExchange> makeExchange(const boost::asio::any_io_executor &executor);
+/// Makes an exchange that runs on @p executor; with a @p pool its connection is taken from there, and given back once the answer
+/// was read to its end. Precondition: the pool is used from that executor only.
+std::shared_ptr<IExchange> makeExchange(const boost::asio::any_io_executor &executor, std::shared_ptr<ConnectionPool> pool = nullptr);
 
 /// Sends @p request and reads the whole answer on the current executor; nothing, with @p failure set, when any part of that fails.
 boost::asio::awaitable<std::optional<Response>> fetch(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure);
+/// The same on a connection of @p pool. Precondition: the pool is used from the current executor only.
+boost::asio::awaitable<std::optional<Response>>
+fetch(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure, std::shared_ptr<ConnectionPool> pool);
 
 }
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -49,6 +49,10 @@
     /// Stops accepting; running requests go on, idle connections close, and connections opened before get a short time
     /// for their first request. Thread-safe.
     virtual void stopAccepting() = 0;
+    /// Ends each connection behind its next answer, while requests are still taken, so that callers move away. Thread-safe.
+    virtual void announceClose() = 0;
+    /// Takes other bounds for the requests that follow. Not thread-safe: call from the only thread of the server's context.
+    virtual void setLimits(const ServerLimits &limits) = 0;
     /// Number of open connections. Thread-safe.
     [[nodiscard]] virtual std::size_t connections() const = 0;
 };
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -36,18 +36,18 @@
 
 }
 
-Connection::Connection(net::ip::tcp::socket socket, const ServerLimits &limits, const RequestHandler &handler, const std::atomic<bool> &stopping)
+Connection::Connection(net::ip::tcp::socket socket, const ServerLimits &limits, const RequestHandler &handler, const ServerState &state)
     : m_stream(std::move(socket))
     , m_deadline(m_stream.get_executor())
     , m_limits(limits)
     , m_handler(handler)
-    , m_stopping(stopping)
+    , m_state(state)
 {
 }
 
 net::awaitable<void> Connection::run()
 {
-    while (m_open && m_keepAlive && !(m_stopping && m_served)) {
+    while (m_open && m_keepAlive && !(m_state.stopping && m_served)) {
         if (!co_await waitForRequest()) {
             break;
         }
@@ -68,7 +68,7 @@
         co_return true;
     }
     m_idle = true;
-    if (m_stopping) {
+    if (m_state.stopping) {
         startDeadline(StopGrace);
     } else {
         m_stream.expires_after(m_limits.idleTimeout);
@@ -202,7 +202,7 @@
     for (const Header &field : response.headers.all()) {
         message.insert(field.name, field.value);
     }
-    m_keepAlive = m_keepAlive && !m_stopping;
+    m_keepAlive = m_keepAlive && !m_state.closing;
     message.keep_alive(m_keepAlive);
     message.body() = std::move(response.body);
     message.prepare_payload();
@@ -227,7 +227,7 @@
         message.insert(field.name, field.value);
     }
     m_chunked = m_version >= 11;
-    m_keepAlive = m_keepAlive && m_chunked && !m_stopping;
+    m_keepAlive = m_keepAlive && m_chunked && !m_state.closing;
     message.chunked(m_chunked);
     message.keep_alive(m_keepAlive);
     bhttp::response_serializer<bhttp::empty_body> serializer(message);
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -11,11 +11,17 @@
 
 namespace rosemaryshift::http {
 
+/// What all connections of a server look at.
+struct ServerState {
+    std::atomic<bool> stopping = false; ///< Idle connections close.
+    std::atomic<bool> closing = false;  ///< Connections close behind their next answer.
+};
+
 /// One accepted connection: reads requests one after the other and hands them to the handler. Runs on its own strand.
 class Connection : public std::enable_shared_from_this<Connection>, public IResponseWriter
 {
 public:
-    Connection(boost::asio::ip::tcp::socket socket, const ServerLimits &limits, const RequestHandler &handler, const std::atomic<bool> &stopping);
+    Connection(boost::asio::ip::tcp::socket socket, const ServerLimits &limits, const RequestHandler &handler, const ServerState &state);
 
     /// Serves until the connection ends. Precondition: started once, on the strand of the socket.
     boost::asio::awaitable<void> run();
@@ -55,9 +61,9 @@
     boost::beast::tcp_stream m_stream;
     boost::asio::steady_timer m_deadline;
     boost::beast::flat_buffer m_buffer;
-    const ServerLimits m_limits;
+    const ServerLimits &m_limits;
     const RequestHandler &m_handler;
-    const std::atomic<bool> &m_stopping;
+    const ServerState &m_state;
     std::function<void()> m_callerGone;
     std::shared_ptr<bool> m_answered;
     unsigned int m_version = 11;
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -1,11 +1,15 @@
+#include "http/connectionpool.h"
 #include "http/ihttpclient.h"
+#include "http/internal/clientconnection.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <array>
+#include <algorithm>
 #include <atomic>
+#include <cstdlib>
+#include <cstring>
 
 namespace rosemaryshift::http {
 
@@ -22,45 +26,68 @@
 class Exchange : public IExchange, public std::enable_shared_from_this<Exchange>
 {
 public:
-    explicit Exchange(const net::any_io_executor &executor)
-        : m_stream(executor)
+    Exchange(const net::any_io_executor &executor, std::shared_ptr<ConnectionPool> pool)
+        : m_executor(executor)
+        , m_pool(std::move(pool))
     {
-        m_parser.body_limit(MaxAnswerBytes);
+    }
+
+    ~Exchange() override
+    {
+        keepConnection();
     }
 
     net::awaitable<std::optional<Response>> open(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure) override
     {
         m_timeouts = timeouts;
+        m_endpoint = endpoint;
+        m_head = request.method == "HEAD";
         if (!co_await connect(endpoint, failure)) {
             co_return std::nullopt;
         }
         if (!co_await send(endpoint, std::move(request), failure)) {
             co_return std::nullopt;
         }
-        m_stream.expires_after(m_timeouts.header);
-        const auto [error, bytes] = co_await bhttp::async_read_header(m_stream, m_buffer, m_parser, Token);
-        if (error) {
-            failure = failureOf(error, ClientError::Closed);
+        std::optional<Response> result = co_await readHead(failure);
+        co_return result;
+    }
+
+    net::awaitable<std::optional<Response>> openNext(ClientFailure &failure) override
+    {
+        while (true) {
+            const std::optional<std::string> piece = co_await readSome(failure);
+            if (!piece) {
+                co_return std::nullopt;
+            }
+            if (piece->empty()) {
+                break;
+            }
+        }
+        if (!m_parser->keep_alive()) {
+            failure = {ClientError::Closed, "the connection ended behind an answer to another request"};
             co_return std::nullopt;
         }
-        co_return head();
+        std::optional<Response> result = co_await readHead(failure);
+        co_return result;
     }
 
     net::awaitable<std::optional<std::string>> readSome(ClientFailure &failure) override
     {
-        std::array<char, PieceBytes> piece{};
-        while (!m_parser.is_done()) {
-            m_parser.get().body().data = piece.data();
-            m_parser.get().body().size = piece.size();
-            m_stream.expires_after(m_timeouts.body);
-            const auto [error, bytes] = co_await bhttp::async_read_some(m_stream, m_buffer, m_parser, Token);
+        if (m_piece.empty()) {
+            m_piece.resize(PieceBytes);
+        }
+        while (!m_parser->is_done()) {
+            m_parser->get().body().data = m_piece.data();
+            m_parser->get().body().size = m_piece.size();
+            expireAfter(m_timeouts.body);
+            const auto [error, bytes] = co_await bhttp::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, Token);
             if (error && error != bhttp::error::need_buffer) {
                 failure = failureOf(error, ClientError::Closed);
                 co_return std::nullopt;
             }
-            const std::size_t length = piece.size() - m_parser.get().body().size;
+            const std::size_t length = m_piece.size() - m_parser->get().body().size;
             if (length > 0) {
-                co_return std::string(piece.data(), length);
+                co_return std::string(m_piece.data(), length);
             }
         }
         co_return std::string();
@@ -69,7 +96,16 @@
     void cancel() override
     {
         m_cancelled = true;
-        net::post(m_stream.get_executor(), [self = shared_from_this()] { self->m_stream.close(); });
+        net::post(m_executor, [self = shared_from_this()] {
+            if (self->m_connection) {
+                self->m_connection->stream.close();
+            }
+        });
+    }
+
+    [[nodiscard]] bool reused() const override
+    {
+        return m_connection && m_connection->exchanges > 1;
     }
 
 private:
@@ -81,14 +117,23 @@
             failure = {m_cancelled ? ClientError::Cancelled : ClientError::ConnectFailed, endpoint.text()};
             co_return false;
         }
-        m_stream.expires_after(m_timeouts.connect);
-        const auto [error] = co_await m_stream.async_connect(net::ip::tcp::endpoint(address, endpoint.port), Token);
+        if (m_pool) {
+            m_connection = m_pool->take(endpoint);
+        }
+        if (m_connection) {
+            ++m_connection->exchanges;
+            co_return true;
+        }
+        m_connection = std::make_unique<ClientConnection>(m_executor);
+        ++m_connection->exchanges;
+        expireAfter(m_timeouts.connect);
+        const auto [error] = co_await m_connection->stream.async_connect(net::ip::tcp::endpoint(address, endpoint.port), Token);
         if (error || m_cancelled) {
             failure = {m_cancelled ? ClientError::Cancelled : ClientError::ConnectFailed, endpoint.text() + ": " + error.message()};
             co_return false;
         }
         beast::error_code ignored;
-        m_stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
+        m_connection->stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
         co_return true;
     }
 
@@ -98,16 +143,17 @@
         if (message.method() == bhttp::verb::unknown) {
             message.method_string(request.method);
         }
-        message.set(bhttp::field::host, endpoint.text());
+        if (!request.headers.find("Host")) {
+            message.set(bhttp::field::host, endpoint.text());
+        }
         for (const Header &field : request.headers.all()) {
             message.insert(field.name, field.value);
         }
-        message.keep_alive(false);
+        message.keep_alive(m_pool != nullptr);
         message.body() = std::move(request.body);
         message.prepare_payload();
-        m_parser.skip(message.method() == bhttp::verb::head);
-        m_stream.expires_after(m_timeouts.header);
-        const auto [error, bytes] = co_await bhttp::async_write(m_stream, message, Token);
+        expireAfter(m_timeouts.header);
+        const auto [error, bytes] = co_await bhttp::async_write(m_connection->stream, message, Token);
         if (error) {
             failure = failureOf(error, ClientError::SendFailed);
             co_return false;
@@ -115,11 +161,47 @@
         co_return true;
     }
 
+    net::awaitable<std::optional<Response>> readHead(ClientFailure &failure)
+    {
+        m_parser.emplace();
+        m_parser->body_limit(MaxAnswerBytes);
+        m_parser->skip(m_head);
+        expireAfter(m_timeouts.header);
+        const auto [error, bytes] = co_await bhttp::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, Token);
+        if (error) {
+            failure = failureOf(error, ClientError::Closed);
+            co_return std::nullopt;
+        }
+        co_return head();
+    }
+
+    /// Bounds the next operation by @p timeout and by the end of the whole exchange.
+    void expireAfter(std::chrono::milliseconds timeout)
+    {
+        const std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now() + timeout;
+        m_connection->stream.expires_at(m_timeouts.end ? std::min(at, *m_timeouts.end) : at);
+    }
+
+    /// Hands a connection whose answer was read to its end back for the next exchange.
+    void keepConnection()
+    {
+        if (!m_pool || !m_connection || m_cancelled || !m_parser || !m_parser->is_done() || !m_parser->keep_alive() || m_connection->buffer.size() > 0) {
+            return;
+        }
+        std::optional<std::chrono::milliseconds> idleTimeout;
+        const beast::string_view keepAlive = m_parser->get()["Keep-Alive"];
+        const std::size_t at = keepAlive.find("timeout=");
+        if (at != beast::string_view::npos) {
+            idleTimeout = std::chrono::seconds(std::strtoul(std::string(keepAlive.substr(at + std::strlen("timeout="))).c_str(), nullptr, 10));
+        }
+        m_pool->keep(m_endpoint, std::move(m_connection), idleTimeout);
+    }
+
     [[nodiscard]] Response head() const
     {
         Response response;
-        response.status = static_cast<int>(m_parser.get().result_int());
-        for (const auto &field : m_parser.get()) {
+        response.status = static_cast<int>(m_parser->get().result_int());
+        for (const auto &field : m_parser->get()) {
             response.headers.add(field.name_string(), field.value());
         }
         return response;
@@ -131,6 +213,10 @@
             return {ClientError::Cancelled, "cancelled"};
         }
         if (error == beast::error::timeout) {
+            if (m_pool) {
+                // What lost track of one connection may have lost track of all that were open with it.
+                m_pool->drop(m_endpoint);
+            }
             return {ClientError::Silent, "nothing came within the timeout"};
         }
         const bool closed = error == bhttp::error::end_of_stream || error == bhttp::error::partial_message;
@@ -140,24 +226,37 @@
         return {otherwise, error.message()};
     }
 
-    beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
-    bhttp::response_parser<bhttp::buffer_body> m_parser;
+    net::any_io_executor m_executor;
+    std::shared_ptr<ConnectionPool> m_pool;
+    std::unique_ptr<ClientConnection> m_connection;
+    std::optional<bhttp::response_parser<bhttp::buffer_body>> m_parser;
+    std::string m_piece;
     ClientTimeouts m_timeouts;
+    Endpoint m_endpoint;
+    bool m_head = false;
     std::atomic<bool> m_cancelled = false;
 };
 
 }
 
-std::shared_ptr<IExchange> makeExchange(const net::any_io_executor &executor)
+std::shared_ptr<IExchange> makeExchange(const net::any_io_executor &executor, std::shared_ptr<ConnectionPool> pool)
 {
-    return std::make_shared<Exchange>(executor);
+    return std::make_shared<Exchange>(executor, std::move(pool));
 }
 
 net::awaitable<std::optional<Response>> fetch(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure)
+{
+    // GCC 12 destroys a temporary of this type twice.
+    const std::shared_ptr<ConnectionPool> noPool;
+    std::optional<Response> response = co_await fetch(endpoint, std::move(request), timeouts, failure, noPool);
+    co_return response;
+}
+
+net::awaitable<std::optional<Response>>
+fetch(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure, std::shared_ptr<ConnectionPool> pool)
 {
     const net::any_io_executor executor = co_await net::this_coro::executor;
-    const std::shared_ptr<IExchange> exchange = makeExchange(executor);
+    const std::shared_ptr<IExchange> exchange = makeExchange(executor, std::move(pool));
     std::optional<Response> response = co_await exchange->open(endpoint, std::move(request), timeouts, failure);
     if (!response) {
         co_return std::nullopt;
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -59,7 +59,8 @@
 
     void stopAccepting() override
     {
-        m_stopping = true;
+        m_state.closing = true;
+        m_state.stopping = true;
         net::post(m_acceptor.get_executor(), [self = shared_from_this()] {
             self->acceptWaiting();
             self->m_acceptor.close();
@@ -69,6 +70,16 @@
         }
     }
 
+    void announceClose() override
+    {
+        m_state.closing = true;
+    }
+
+    void setLimits(const ServerLimits &limits) override
+    {
+        m_limits = limits;
+    }
+
     [[nodiscard]] std::size_t connections() const override
     {
         return m_open;
@@ -77,7 +88,7 @@
 private:
     net::awaitable<void> acceptLoop()
     {
-        while (!m_stopping) {
+        while (!m_state.stopping) {
             auto [error, socket] = co_await m_acceptor.async_accept(net::make_strand(m_context), net::as_tuple(net::use_awaitable));
             if (error == net::error::operation_aborted) {
                 co_return;
@@ -110,7 +121,7 @@
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
         const net::any_io_executor executor = socket.get_executor();
-        const std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(socket), m_limits, m_handler, m_stopping);
+        const std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(socket), m_limits, m_handler, m_state);
         remember(connection);
         ++m_open;
         net::co_spawn(
@@ -143,10 +154,10 @@
 
     net::io_context &m_context;
     tcp::acceptor m_acceptor;
-    const ServerLimits m_limits;
+    ServerLimits m_limits;
     const RequestHandler m_handler;
     Endpoint m_endpoint;
-    std::atomic<bool> m_stopping = false;
+    ServerState m_state;
     std::atomic<std::size_t> m_open = 0;
     std::mutex m_mutex;
     std::vector<std::weak_ptr<Connection>> m_connections;
@@ -176,6 +187,16 @@
         m_server->stopAccepting();
     }
 
+    void announceClose() override
+    {
+        m_server->announceClose();
+    }
+
+    void setLimits(const ServerLimits &limits) override
+    {
+        m_server->setLimits(limits);
+    }
+
     [[nodiscard]] std::size_t connections() const override
     {
         return m_server->connections();
--- /dev/null
+++ b/src/limits/internal/retrybudget.cpp
@@ -0,0 +1,51 @@
+#include "limits/retrybudget.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::limits {
+
+namespace {
+
+/// Part of the promise that is used; the rest covers windows that slide differently at the upstreams.
+constexpr double UsedPart = 0.8;
+
+}
+
+RetryBudget::RetryBudget(RetryPromise promise)
+    : m_promise(promise)
+{
+}
+
+void RetryBudget::setHosts(std::size_t hosts)
+{
+    m_hosts = std::max<std::size_t>(hosts, 1);
+}
+
+void RetryBudget::noteRequest(const std::string &service, TimePoint now)
+{
+    std::deque<TimePoint> &requests = m_usage[service].requests;
+    requests.push_back(now);
+    expire(requests, now);
+}
+
+bool RetryBudget::take(const std::string &service, TimePoint now)
+{
+    Usage &usage = m_usage[service];
+    expire(usage.requests, now);
+    expire(usage.retries, now);
+    const double allowed = UsedPart * (m_promise.ratio * static_cast<double>(usage.requests.size()) + m_promise.slack / static_cast<double>(m_hosts));
+    if (static_cast<double>(usage.retries.size()) + 1 > allowed) {
+        return false;
+    }
+    usage.retries.push_back(now);
+    return true;
+}
+
+void RetryBudget::expire(std::deque<TimePoint> &times, TimePoint now) const
+{
+    while (!times.empty() && now - times.front() > m_promise.window) {
+        times.pop_front();
+    }
+}
+
+}
--- /dev/null
+++ b/src/limits/tests/limitstests.cpp
@@ -0,0 +1,160 @@
+#include "limits/retrybudget.h"
+#include "limits/workspacequotas.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::limits;
+
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(100)};
+
+routing::Workspace makeWorkspace(double perSecond, double burst)
+{
+    routing::Workspace workspace;
+    workspace.name = "yard";
+    workspace.unit = routing::QuotaUnit::Tokens;
+    workspace.perSecond = perSecond;
+    workspace.burst = burst;
+    return workspace;
+}
+
+}
+
+TEST_CASE("A workspace gets its quota and no more")
+{
+    WorkspaceQuotas quotas;
+    const std::vector<routing::Workspace> workspaces{makeWorkspace(1'000, 2'000)};
+    quotas.configure(workspaces, Start);
+    quotas.setShare("yard", 1, Start);
+
+    SECTION("over a long time its rate passes")
+    {
+        double passed = 0;
+        for (int request = 0; request < 6'000; ++request) {
+            const TimePoint now = Start + std::chrono::milliseconds(10) * request;
+            passed += quotas.take("yard", 100, now) ? 0 : 100;
+        }
+        CHECK(passed <= 60 * 1'000 + 2'000 + 100);
+        CHECK(passed >= 60 * 1'000 * 0.98);
+    }
+    SECTION("a request larger than the burst passes, and the debt is paid back first")
+    {
+        REQUIRE(!quotas.take("yard", 5'000, Start + std::chrono::milliseconds(10)));
+        const std::optional<Duration> wait = quotas.take("yard", 1, Start + std::chrono::milliseconds(10));
+        REQUIRE(wait);
+        CHECK(*wait > std::chrono::milliseconds(3'900));
+        CHECK(!quotas.take("yard", 1, Start + std::chrono::milliseconds(20) + *wait));
+    }
+    SECTION("what did not run is given back")
+    {
+        REQUIRE(!quotas.take("yard", 5'000, Start + std::chrono::milliseconds(10)));
+        quotas.giveBack("yard", 5'000);
+        CHECK(!quotas.take("yard", 1, Start + std::chrono::milliseconds(10)));
+    }
+    SECTION("a workspace without a limit is not held back")
+    {
+        const std::vector<routing::Workspace> unlimited{makeWorkspace(0, 0)};
+        quotas.configure(unlimited, Start);
+        for (int request = 0; request < 1'000; ++request) {
+            CHECK(!quotas.take("yard", 1e6, Start));
+        }
+    }
+    SECTION("a quota cut far below the demand holds at once")
+    {
+        const std::vector<routing::Workspace> cut{makeWorkspace(10, 10)};
+        quotas.configure(cut, Start + std::chrono::seconds(1));
+        double passed = 0;
+        for (int request = 0; request < 800; ++request) {
+            passed += quotas.take("yard", 10, Start + std::chrono::seconds(1) + std::chrono::milliseconds(10) * request) ? 0 : 10;
+        }
+        CHECK(passed <= 8 * 10 + 10 + 10);
+    }
+}
+
+TEST_CASE("Hosts that share a quota by their demand keep the sum, though their callers move")
+{
+    constexpr std::size_t Hosts = 8;
+    constexpr double PerSecond = 100'000;
+    constexpr double Cost = 2'000;
+    const std::uint64_t seed = GENERATE(1U, 2U, 3U, 4U, 5U);
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    std::vector<WorkspaceQuotas> hosts(Hosts);
+    const std::vector<routing::Workspace> workspaces{makeWorkspace(PerSecond, PerSecond)};
+    for (WorkspaceQuotas &host : hosts) {
+        host.configure(workspaces, Start);
+    }
+    std::vector<double> weights(Hosts, 1);
+    std::vector<std::map<std::string, double>> told(Hosts);
+    std::deque<std::pair<TimePoint, double>> passed;
+    double inWindow = 0;
+    double worst = 0;
+    for (int step = 0; step < 60'000; ++step) {
+        const TimePoint now = Start + std::chrono::milliseconds(1) * step;
+        if (step % 2'000 == 0) {
+            for (double &weight : weights) {
+                weight = std::uniform_real_distribution<double>(0, 1)(random) < 0.3 ? 5 : 0.5;
+            }
+        }
+        if (step % 400 == 0) {
+            for (std::size_t host = 0; host < Hosts; ++host) {
+                told[host] = hosts[host].demand(now);
+            }
+            double total = 0;
+            for (const std::map<std::string, double> &demand : told) {
+                total += demand.at("yard");
+            }
+            for (std::size_t host = 0; host < Hosts; ++host) {
+                hosts[host].setShare("yard", shareOf(told[host].at("yard"), total, Hosts), now);
+            }
+        }
+        std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+        // Seven times what the quota allows.
+        if (std::uniform_real_distribution<double>(0, 1)(random) < 7 * PerSecond / Cost / 1'000) {
+            if (!hosts[pick(random)].take("yard", Cost, now)) {
+                passed.emplace_back(now, Cost);
+                inWindow += Cost;
+            }
+        }
+        while (!passed.empty() && now - passed.front().first > std::chrono::seconds(8)) {
+            inWindow -= passed.front().second;
+            passed.pop_front();
+        }
+        worst = std::max(worst, inWindow);
+    }
+    CHECK(worst <= (PerSecond * 8 + PerSecond) * 1.1);
+    CHECK(worst >= PerSecond * 8 * 0.7);
+}
+
+TEST_CASE("Second offers stay within the budget of all hosts")
+{
+    RetryBudget budget({std::chrono::seconds(10), 0.2, 56});
+    budget.setHosts(8);
+
+    SECTION("a host without requests has its part of the slack")
+    {
+        int taken = 0;
+        while (taken < 100 && budget.take("engines", Start)) {
+            ++taken;
+        }
+        CHECK(taken == 5);
+        CHECK(budget.take("dispatch", Start));
+    }
+    SECTION("requests earn second offers, for as long as the window lasts")
+    {
+        for (int request = 0; request < 100; ++request) {
+            budget.noteRequest("engines", Start);
+        }
+        int taken = 0;
+        while (taken < 100 && budget.take("engines", Start)) {
+            ++taken;
+        }
+        CHECK(taken == 21);
+        CHECK(!budget.take("engines", Start + std::chrono::seconds(9)));
+        CHECK(budget.take("engines", Start + std::chrono::seconds(11)));
+    }
+}
--- /dev/null
+++ b/src/ports/idutyclient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace rosemaryshift::ports {
+
+/// Who performs a duty, and under which fencing token.
+struct DutyProof {
+    std::string holder;
+    std::uint64_t fence = 0; ///< Grows with each change of the holder.
+};
+
+/// Requests of each workspace that began to run in one window.
+struct UsageReport {
+    std::uint64_t window = 0; ///< Number of the window since the start of 1970.
+    std::map<std::string, std::uint64_t> requests;
+
+    bool operator==(const UsageReport &) const = default;
+};
+
+/// How many upstreams of a kind a service is to have in an availability zone.
+struct UpstreamOrder {
+    std::string service;
+    std::string zone;
+    bool reclaimable = false;
+    std::uint32_t replicas = 0;
+
+    bool operator==(const UpstreamOrder &) const = default;
+};
+
+enum class DutyOutcome : std::uint8_t {
+    Done,
+    Unavailable, ///< The platform has none of these to give at the moment.
+    Rejected,    ///< The platform refused the call; nothing was done.
+    Unknown,     ///< No answer came; it may have been done.
+};
+
+/// The platform's calls that only one host at a time may make. Not thread-safe.
+class IDutyClient
+{
+public:
+    virtual ~IDutyClient() = default;
+
+    virtual boost::asio::awaitable<DutyOutcome> reportUsage(UsageReport report, DutyProof proof, std::chrono::milliseconds timeout, std::string &reason) = 0;
+    virtual boost::asio::awaitable<DutyOutcome> orderUpstreams(UpstreamOrder order, DutyProof proof, std::chrono::milliseconds timeout, std::string &reason)
+        = 0;
+};
+
+}
--- /dev/null
+++ b/src/routing/tests/routetabletests.cpp
@@ -0,0 +1,92 @@
+#include "routing/routetable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift::routing;
+
+namespace {
+
+Route makeRoute(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route route;
+    route.name = name;
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.services = {{"dispatch", 1}};
+    return route;
+}
+
+std::string nameOf(const Route *route)
+{
+    return route == nullptr ? "none" : route->name;
+}
+
+}
+
+TEST_CASE("A request is routed by its host and the longest prefix of its path")
+{
+    Configuration configuration;
+    configuration.routes = {makeRoute("short", "yard.example", "/a/"),
+                            makeRoute("long", "yard.example", "/a/b/"),
+                            makeRoute("other", "office.example", "/a/"),
+                            makeRoute("everything", "all.example", "/")};
+    const RouteTable table(configuration);
+
+    SECTION("the longest prefix wins")
+    {
+        CHECK(nameOf(table.route("yard.example", "/a/b/c")) == "long");
+        CHECK(nameOf(table.route("yard.example", "/a/b/")) == "long");
+        CHECK(nameOf(table.route("yard.example", "/a/c/b/")) == "short");
+    }
+    SECTION("a prefix ends at a slash")
+    {
+        CHECK(nameOf(table.route("yard.example", "/a/bc")) == "short");
+        CHECK(nameOf(table.route("yard.example", "/a")) == "none");
+    }
+    SECTION("a prefix of another host is of no use")
+    {
+        CHECK(nameOf(table.route("office.example", "/a/b/c")) == "other");
+        CHECK(nameOf(table.route("unknown.example", "/a/b/c")) == "none");
+    }
+    SECTION("case and port of the host do not matter")
+    {
+        CHECK(nameOf(table.route("Yard.Example:8080", "/a/")) == "short");
+    }
+    SECTION("the root takes every path")
+    {
+        CHECK(nameOf(table.route("all.example", "/x/y")) == "everything");
+        CHECK(nameOf(table.route("all.example", "")) == "none");
+    }
+}
+
+TEST_CASE("A key belongs to the workspace that holds it")
+{
+    Configuration configuration;
+    Workspace yard;
+    yard.name = "yard";
+    yard.keys = {"first", "second"};
+    configuration.workspaces = {yard};
+    const RouteTable table(configuration);
+
+    REQUIRE(table.workspaceOfKey("second") != nullptr);
+    CHECK(table.workspaceOfKey("second")->name == "yard");
+    CHECK(table.workspaceOfKey("") == nullptr);
+    CHECK(table.workspaceOfKey("third") == nullptr);
+}
+
+TEST_CASE("A route's requests are split among its services by weight")
+{
+    Route route = makeRoute("split", "yard.example", "/a/");
+    route.services = {{"old", 90}, {"new", 10}, {"withdrawn", 0}};
+
+    CHECK(RouteTable::chooseService(route, 0.0)->service == "old");
+    CHECK(RouteTable::chooseService(route, 0.89)->service == "old");
+    CHECK(RouteTable::chooseService(route, 0.9)->service == "new");
+    CHECK(RouteTable::chooseService(route, 0.9999)->service == "new");
+
+    SECTION("a route without weight leads nowhere")
+    {
+        route.services = {{"withdrawn", 0}};
+        CHECK(RouteTable::chooseService(route, 0.5) == nullptr);
+    }
+}
