--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -134,6 +134,8 @@
         }
         beast::error_code ignored;
         m_connection->stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
+        // Closing resets, so that a request held up on the way is lost with its exchange and does not arrive later.
+        m_connection->stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
         co_return true;
     }
 
--- /dev/null
+++ b/src/http/tests/exchangetests.cpp
@@ -0,0 +1,152 @@
+#include "http/connectionpool.h"
+#include "http/ihttpclient.h"
+
+#include <boost/asio.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift::http;
+namespace net = boost::asio;
+using net::ip::tcp;
+
+namespace {
+
+constexpr auto Token = net::as_tuple(net::use_awaitable);
+
+/// A server that is scripted byte for byte.
+class RawServer
+{
+public:
+    explicit RawServer(net::io_context &context)
+        : m_acceptor(context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0))
+    {
+    }
+
+    [[nodiscard]] Endpoint endpoint() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    net::awaitable<tcp::socket> accept()
+    {
+        tcp::socket socket = co_await m_acceptor.async_accept(net::use_awaitable);
+        co_return socket;
+    }
+
+private:
+    tcp::acceptor m_acceptor;
+};
+
+net::awaitable<std::string> readHead(tcp::socket &socket)
+{
+    std::string head;
+    co_await net::async_read_until(socket, net::dynamic_buffer(head), "\r\n\r\n", Token);
+    co_return head;
+}
+
+net::awaitable<void> answer(tcp::socket &socket, std::string body, std::string extra)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body + extra;
+    co_await net::async_write(socket, net::buffer(bytes), Token);
+}
+
+net::awaitable<std::string> fetchBody(Endpoint endpoint, std::shared_ptr<ConnectionPool> pool)
+{
+    ClientFailure failure;
+    Request request;
+    const ClientTimeouts timeouts;
+    const std::optional<Response> response = co_await fetch(endpoint, std::move(request), timeouts, failure, pool);
+    co_return response ? response->body : "failed: " + failure.detail;
+}
+
+void play(net::io_context &context, net::awaitable<void> script)
+{
+    bool done = false;
+    net::co_spawn(context, std::move(script), [&done](const std::exception_ptr &exception) {
+        if (exception) {
+            std::rethrow_exception(exception);
+        }
+        done = true;
+    });
+    context.run();
+    REQUIRE(done);
+}
+
+}
+
+TEST_CASE("A request whose answer does not come in time is reset, so that it cannot arrive later")
+{
+    net::io_context context;
+    RawServer server(context);
+    boost::system::error_code end;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            tcp::socket socket = co_await server.accept();
+            const std::string head = co_await readHead(socket);
+            std::string rest;
+            std::tie(end, std::ignore) = co_await net::async_read(socket, net::dynamic_buffer(rest), Token);
+        },
+        net::detached);
+    play(context, [&]() -> net::awaitable<void> {
+        ClientFailure failure;
+        Request request;
+        ClientTimeouts timeouts;
+        timeouts.header = std::chrono::milliseconds(20);
+        const std::optional<Response> response = co_await fetch(server.endpoint(), std::move(request), timeouts, failure);
+        CHECK(!response);
+        CHECK(failure.error == ClientError::Silent);
+    }());
+    CHECK(end == net::error::connection_reset);
+}
+
+TEST_CASE("A connection whose answer was read to its end carries the next request")
+{
+    net::io_context context;
+    RawServer server(context);
+    const std::shared_ptr<ConnectionPool> pool = std::make_shared<ConnectionPool>();
+    int connections = 0;
+    std::string extra;
+    bool serving = true;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            for (; serving; ++connections) {
+                tcp::socket socket = co_await server.accept();
+                std::string head = co_await readHead(socket);
+                while (serving && !head.empty()) {
+                    std::string body = "connection " + std::to_string(connections);
+                    co_await answer(socket, std::move(body), extra);
+                    head = co_await readHead(socket);
+                }
+            }
+        },
+        net::detached);
+
+    SECTION("so that no new one is opened")
+    {
+        play(context, [&]() -> net::awaitable<void> {
+            const std::string first = co_await fetchBody(server.endpoint(), pool);
+            CHECK(first == "connection 0");
+            const std::string second = co_await fetchBody(server.endpoint(), pool);
+            CHECK(second == "connection 0");
+            CHECK(pool->size() == 1);
+            serving = false;
+            pool->drop(server.endpoint());
+        }());
+    }
+    SECTION("but not when bytes that belong to no request came on it")
+    {
+        extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+        play(context, [&]() -> net::awaitable<void> {
+            const std::string first = co_await fetchBody(server.endpoint(), pool);
+            CHECK(first == "connection 0");
+            net::steady_timer delay(co_await net::this_coro::executor, std::chrono::milliseconds(20));
+            co_await delay.async_wait(net::use_awaitable);
+            const std::string second = co_await fetchBody(server.endpoint(), pool);
+            CHECK(second == "connection 1");
+            serving = false;
+            pool->drop(server.endpoint());
+        }());
+    }
+}
