--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds PeerNewsLifetime{2'000};
 /// What one more request in a batch adds to the time of each, as a part of the time to a first event.
 constexpr double BatchCostPerRequest = 0.02;
+/// A prompt that meets no more running requests than this is read nearly as fast as alone.
+constexpr std::uint32_t FewRunning = 6;
 /// Failures in a row after which an upstream rests.
 constexpr std::uint32_t FailuresBeforeRest = 3;
 /// First rest of an upstream, doubled with each failure after it, and its bound.
@@ -64,6 +66,7 @@
 
 struct UpstreamBalancer::Service {
     double prefillCost = InitialPrefillCost;
+    double unloadedCost = InitialPrefillCost; ///< As prefillCost, from prompts that met no others.
     double base = InitialBase;
     bool seen = false;
     double failures = 0;
@@ -77,6 +80,7 @@
     std::uint64_t prefillTokens = 0; ///< Of this request.
     std::uint64_t aheadTokens = 0;   ///< Of those before it.
     bool engine = false;
+    bool alone = false; ///< Few others were under way at the upstream when it began.
     bool first = false;
 };
 
@@ -191,7 +195,9 @@
     attempt.instance = choice.instance;
     attempt.began = now;
     attempt.engine = demand.promptTokens > 0;
-    attempt.aheadTokens = total(choice.instance, now).prefillTokens;
+    const Outstanding ahead = total(choice.instance, now);
+    attempt.aheadTokens = ahead.prefillTokens;
+    attempt.alone = ahead.prefillTokens == 0 && ahead.running <= FewRunning;
     Service &service = m_services[attempt.service];
     Upstream &upstream = m_upstreams[choice.instance];
     ++upstream.own.running;
@@ -247,7 +253,10 @@
     upstream.prefillCost = cost;
     average(*upstream.prefillCost, sample);
     average(service.prefillCost, sample);
-    service.seen = true;
+    if (attempt.alone) {
+        average(service.unloadedCost, sample);
+        service.seen = true;
+    }
 }
 
 void UpstreamBalancer::end(std::uint64_t number, AttemptEnd how, TimePoint now)
@@ -323,7 +332,7 @@
 std::optional<double> UpstreamBalancer::prefillCost(const std::string &service) const
 {
     const auto found = m_services.find(service);
-    return found == m_services.end() || !found->second.seen ? std::nullopt : std::optional(found->second.prefillCost);
+    return found == m_services.end() || !found->second.seen ? std::nullopt : std::optional(found->second.unloadedCost);
 }
 
 }
--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -44,8 +44,9 @@
     /// Another record came first, or it is not known whether the append was done; the log must be read before the next proposal.
     void mustRead();
 
-    /// Whether the log must be read before anything else.
-    [[nodiscard]] bool needsRead(TimePoint now) const;
+    /// Whether the log must be read before anything else. @p holderHeard: another host says that it holds the duties, so that there is nothing
+    /// to claim.
+    [[nodiscard]] bool needsRead(TimePoint now, bool holderHeard) const;
     /// Whether this host may act on the duties now.
     [[nodiscard]] bool holds(TimePoint now) const;
     /// Fencing token of this holder. Precondition: holds().
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -84,10 +84,10 @@
     m_mustRead = true;
 }
 
-bool DutyLease::needsRead(TimePoint now) const
+bool DutyLease::needsRead(TimePoint now, bool holderHeard) const
 {
     const bool stale = !m_read || now - *m_read >= scaled(m_lease, ReadPart);
-    return m_mustRead || (!own() && stale);
+    return !m_read || (!holderHeard && (m_mustRead || (!own() && stale)));
 }
 
 bool DutyLease::holds(TimePoint now) const
--- a/src/duties/upstreamplanner.h
+++ b/src/duties/upstreamplanner.h
@@ -50,11 +50,26 @@
         TimePoint at;
     };
 
-    double peakLoad(const std::string &service, const ServiceLoad &load, TimePoint now);
+    /// Upstreams of a service before callers come.
+    struct Standing {
+        std::uint32_t replicas = 0; ///< In all zones together.
+        TimePoint since;
+        std::map<std::string, std::uint32_t> settled; ///< By zone, once their number has stayed the same for some time.
+    };
+
+    /// Whether the number of upstreams has stayed the same for some time.
+    bool settled(const std::string &service, const ServiceLoad &load, TimePoint now);
+    /// Takes a load and forgets those that are older than what counts.
+    void noteLoad(const std::string &service, const ServiceLoad &load, TimePoint now);
+    [[nodiscard]] double peakLoad(const std::string &service) const;
+    /// Whether the load is known for long enough to order less than what stands there.
+    [[nodiscard]] bool mayShrink(const std::string &service, TimePoint now) const;
 
     std::map<Key, Ordered> m_orders;
     std::map<Key, TimePoint> m_unavailable;
     std::map<std::string, std::deque<std::pair<TimePoint, double>>> m_loads;
+    std::map<std::string, Standing> m_standing;
+    std::map<std::string, TimePoint> m_firstLoads; ///< When a service's load was known first.
 };
 
 }
--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -14,7 +14,7 @@
 /// Pause after a call that failed.
 constexpr std::chrono::milliseconds FailurePause{200};
 /// How long a read may wait, as a part of the bound on withdrawn keys: its start is what confirms the configuration.
-constexpr int WaitsPerRevocation = 5;
+constexpr int WaitsPerRevocation = 3;
 
 }
 
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -48,6 +48,7 @@
             co_await keepLease();
             noteHolding();
         }
+        m_gossip.setHoldsDuties(holds());
         if (holds()) {
             co_await reportUsage();
         }
@@ -60,9 +61,13 @@
 
 net::awaitable<void> DutyRunner::keepLease()
 {
-    if (m_lease.needsRead(hostNow())) {
+    const TimePoint now = hostNow();
+    if (m_lease.needsRead(now, m_gossip.holderHeard(now))) {
         co_await readRecord();
     }
+    if (m_gossip.holderHeard(hostNow())) {
+        co_return;
+    }
     const TimePoint began = hostNow();
     const std::optional<duties::DutyRecord> next = m_lease.proposal(began, decided(began));
     if (!next) {
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -15,6 +15,8 @@
 
 /// How often peers are told.
 constexpr std::chrono::milliseconds SendInterval{400};
+/// What a peer said of holding the duties counts for this long: two rounds of news.
+constexpr std::chrono::milliseconds HolderNewsLifetime{1'000};
 /// Largest datagram that is taken.
 constexpr std::size_t MaxDatagram = 16 * 1024;
 /// Windows of usage that peers are told of.
@@ -41,6 +43,7 @@
             "peer", eventlog::Importance::Belief, {{"peer", peer.news.host}, {"change", change}, {"silent_ms", wholeMilliseconds(hostNow() - peer.heard)}});
         if (change == "forgotten") {
             context.balancer.forgetPeer(peer.news.host);
+            context.quotas.forgetPeer(peer.news.host + "/" + peer.news.start);
             context.trueTime.forgetPeer(peer.news.host);
         }
     })
@@ -70,6 +73,21 @@
     m_board.setSeeds(addresses);
 }
 
+void GossipEndpoint::setHoldsDuties(bool holds)
+{
+    m_holdsDuties = holds;
+}
+
+bool GossipEndpoint::holderHeard(TimePoint now) const
+{
+    for (const auto &[host, peer] : m_board.peers()) {
+        if (peer.news.holdsDuties && now - peer.heard < HolderNewsLifetime) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const gossip::PeerBoard &GossipEndpoint::board() const
 {
     return m_board;
@@ -83,19 +101,24 @@
         share(now);
         gossip::PeerNews news = ownNews(now);
         for (const std::string &address : m_board.addresses()) {
-            news.echoUs = m_board.echoFor(address, now);
-            const std::string datagram = encoded(news);
-            boost::system::error_code error;
-            const net::ip::address to = net::ip::make_address(address, error);
-            if (!error) {
-                // A datagram that does not go out is as good as lost; the next one follows.
-                m_socket->send_to(net::buffer(datagram), udp::endpoint(to, m_context.settings.gossipPort), 0, error);
-            }
+            sendTo(news, address, now);
         }
         co_await pause(SendInterval);
     }
 }
 
+void GossipEndpoint::sendTo(gossip::PeerNews &news, const std::string &address, TimePoint now)
+{
+    news.echoUs = m_board.echoFor(address, now);
+    const std::string datagram = encoded(news);
+    boost::system::error_code error;
+    const net::ip::address to = net::ip::make_address(address, error);
+    if (!error) {
+        // A datagram that does not go out is as good as lost; the next one follows.
+        m_socket->send_to(net::buffer(datagram), udp::endpoint(to, m_context.settings.gossipPort), 0, error);
+    }
+}
+
 net::awaitable<void> GossipEndpoint::receive()
 {
     std::string buffer(MaxDatagram, '\0');
@@ -129,7 +152,9 @@
         news.confirmedAgeMs = static_cast<std::uint64_t>(wholeMilliseconds(*age)) + 1;
     }
     news.wallUs = static_cast<std::uint64_t>(m_context.trueTime.ownSinceEpoch(now).count());
+    news.holdsDuties = m_holdsDuties;
     news.demand = m_context.quotas.demand(now);
+    news.used = m_context.quotas.used();
     news.busy = ownBusy(now);
     news.outstanding = m_context.balancer.outstanding();
     const std::map<std::uint64_t, duties::UsageCounts> &windows = m_context.usage.windows();
@@ -183,10 +208,19 @@
 {
     const TimePoint now = hostNow();
     const std::string host = news.host;
+    const auto known = m_board.peers().find(host);
+    const bool newStart = known == m_board.peers().end() || known->second.news.start != news.start;
     if (!m_board.take(std::move(news), now)) {
         return;
     }
     const gossip::PeerNews &taken = m_board.peers().at(host).news;
+    if (newStart) {
+        // A host that has just started knows little; it need not wait for the next round.
+        gossip::PeerNews own = ownNews(now);
+        sendTo(own, taken.address, now);
+        share(now);
+    }
+    m_context.quotas.notePeer(taken.host + "/" + taken.start, taken.used, now);
     m_context.balancer.setPeerOutstanding(host, taken.outstanding, now);
     m_context.trueTime.notePeer(host, Duration(static_cast<Duration::rep>(taken.wallUs)), now);
     for (const auto &[window, counts] : taken.usage) {
@@ -231,6 +265,7 @@
 {
     const std::size_t hosts = m_board.hosts();
     m_context.retries.setHosts(hosts);
+    m_context.quotas.setPooled(hosts > 1 && !m_board.anySilent(), now);
     std::map<std::string, double> total = m_context.quotas.demand(now);
     const std::map<std::string, double> own = total;
     for (const auto &[host, peer] : m_board.peers()) {
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -22,6 +22,10 @@
     boost::asio::awaitable<void> receive();
     /// Takes addresses of gateways that may be there.
     void setSeeds(const std::vector<std::string> &addresses);
+    /// Whether peers are told that this host holds the duties.
+    void setHoldsDuties(bool holds);
+    /// Whether a peer has said of late that it holds the duties.
+    [[nodiscard]] bool holderHeard(TimePoint now) const;
     [[nodiscard]] const gossip::PeerBoard &board() const;
     /// Upstreams that the requests of all hosts keep busy, by service.
     [[nodiscard]] std::map<std::string, double> busyUpstreams(TimePoint now) const;
@@ -30,6 +34,7 @@
     [[nodiscard]] gossip::PeerNews ownNews(TimePoint now) const;
     [[nodiscard]] std::map<std::string, double> ownBusy(TimePoint now) const;
     void take(gossip::PeerNews news);
+    void sendTo(gossip::PeerNews &news, const std::string &address, TimePoint now);
     void share(TimePoint now);
     boost::asio::awaitable<void> fetchConfiguration(std::string address);
 
@@ -40,6 +45,7 @@
     std::optional<boost::asio::ip::udp::socket> m_socket;
     std::map<std::string, double> m_shares; ///< Of each workspace's quota, when all peers were last heard.
     bool m_fetching = false;
+    bool m_holdsDuties = false;
 };
 
 }
--- a/src/gateway/internal/requestoffer.cpp
+++ b/src/gateway/internal/requestoffer.cpp
@@ -21,7 +21,7 @@
 constexpr int GoalsOfPatience = 2;
 /// A stream that can be resumed goes elsewhere after a pause of this many times what the operator aims at, and no sooner than the bound.
 constexpr int GapFactor = 2;
-constexpr std::chrono::milliseconds LeastGap{1'000};
+constexpr std::chrono::milliseconds LeastGap{2'000};
 /// When a caller may come back after an upstream was full.
 constexpr std::chrono::milliseconds UpstreamFullRetry{150};
 /// Answers to earlier requests that are skipped on one connection.
--- a/src/gateway/internal/requestrun.cpp
+++ b/src/gateway/internal/requestrun.cpp
@@ -238,7 +238,7 @@
         co_await refuse(503, m_reason, m_retryAfter.value_or(UpstreamRetry));
         co_return;
     }
-    const bool late = left(hostNow()) <= AnswerMargin;
+    const bool late = left(hostNow()) <= 2 * AnswerMargin;
     http::Response response;
     response.status = late ? 504 : 502;
     response.headers.add("Content-Type", "application/json");
--- a/src/gateway/internal/upstreamfollower.cpp
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::chrono::milliseconds CallTimeout{700};
 /// Reads in the time within which a leaving upstream must get nothing new.
-constexpr int ReadsPerLeavingTime = 5;
+constexpr int ReadsPerLeavingTime = 3;
 /// An outage longer than this may have made entries lapse.
 constexpr std::chrono::milliseconds ShortOutage{1'000};
 /// Upstreams that live are listed again within this time after an outage.
--- a/src/gossip/internal/peernews.cpp
+++ b/src/gossip/internal/peernews.cpp
@@ -80,10 +80,17 @@
         value["confirmed_age_ms"] = *news.confirmedAgeMs;
     }
     value["wall_us"] = news.wallUs;
+    if (news.holdsDuties) {
+        value["holds_duties"] = true;
+    }
     value["demand"] = object();
     for (const auto &[workspace, demand] : news.demand) {
         value["demand"][workspace] = static_cast<std::uint64_t>(demand + 0.5);
     }
+    value["used"] = object();
+    for (const auto &[workspace, used] : news.used) {
+        value["used"][workspace] = used;
+    }
     value["busy"] = object();
     for (const auto &[service, busy] : news.busy) {
         value["busy"][service] = busy;
@@ -136,7 +143,8 @@
     news.configuration = *configuration;
     news.confirmedAgeMs = unsignedMember(*value, "confirmed_age_ms");
     news.wallUs = *wall;
-    if (!readNumbers((*value)["demand"], news.demand) || !readNumbers((*value)["busy"], news.busy)
+    news.holdsDuties = boolMember(*value, "holds_duties", false);
+    if (!readNumbers((*value)["demand"], news.demand) || !readNumbers((*value)["used"], news.used) || !readNumbers((*value)["busy"], news.busy)
         || !readOutstanding((*value)["outstanding"], news.outstanding) || !readUsage((*value)["usage"], news.usage)) {
         return std::nullopt;
     }
--- a/src/gossip/peernews.h
+++ b/src/gossip/peernews.h
@@ -18,12 +18,14 @@
     std::string host;
     std::string start; ///< Which start of the host's process.
     std::string address;
-    std::uint64_t sentUs = 0;                                  ///< On the sender's own clock; means nothing elsewhere, and is echoed.
-    std::optional<std::uint64_t> echoUs;                       ///< The last sentUs that the sender has had from the receiver.
-    std::uint64_t configuration = 0;                           ///< Version in force at the sender.
-    std::optional<std::uint64_t> confirmedAgeMs;               ///< Time since the sender was certain that nothing newer was in force.
-    std::uint64_t wallUs = 0;                                  ///< What the sender's own clock makes of the time since the start of 1970.
+    std::uint64_t sentUs = 0;                    ///< On the sender's own clock; means nothing elsewhere, and is echoed.
+    std::optional<std::uint64_t> echoUs;         ///< The last sentUs that the sender has had from the receiver.
+    std::uint64_t configuration = 0;             ///< Version in force at the sender.
+    std::optional<std::uint64_t> confirmedAgeMs; ///< Time since the sender was certain that nothing newer was in force.
+    std::uint64_t wallUs = 0;                    ///< What the sender's own clock makes of the time since the start of 1970.
+    bool holdsDuties = false;
     std::map<std::string, double> demand;                      ///< What callers ask for a second, by workspace, in the unit of its quota.
+    std::map<std::string, std::uint64_t> used;                 ///< What the sender's start has used of the quotas, by workspace.
     std::map<std::string, double> busy;                        ///< Upstreams that the sender's requests keep busy, by service.
     std::map<std::string, balancing::Outstanding> outstanding; ///< By instance.
     std::map<std::uint64_t, duties::UsageCounts> usage;        ///< The last windows.
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -28,7 +28,9 @@
     news.configuration = 12;
     news.confirmedAgeMs = 300;
     news.wallUs = 1'700'000'000'000'000;
+    news.holdsDuties = true;
     news.demand = {{"yard", 1'200}};
+    news.used = {{"yard", 90'000}};
     news.busy = {{"engines", 1.5}};
     news.outstanding = {{"i-1", {3, 12'000}}};
     news.usage = {{7, {{"yard", 4}}}};
--- a/src/limits/workspacequotas.h
+++ b/src/limits/workspacequotas.h
@@ -3,6 +3,7 @@
 #include "base/types.h"
 #include "routing/routingtypes.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -16,8 +17,10 @@
     double excess = 0.1;                      ///< Part of the quota that the sum may lie above it.
 };
 
-/// This host's part of the quotas of all workspaces. Each is a token bucket that may run into debt by one request, so that a request
-/// larger than the bucket passes now and then. Time comes in with each call. Not thread-safe.
+/// The quotas of all workspaces as one host enforces them. While all other hosts are heard, each host follows the one bucket of all of them:
+/// it takes from it what its own callers use at once, what others say they have used when it hears of it, and what they have probably used
+/// since. Otherwise it keeps to its own share. Buckets may run into debt by one request, so that a request larger than the bucket passes now
+/// and then. Time comes in with each call. Not thread-safe.
 class WorkspaceQuotas
 {
 public:
@@ -26,27 +29,55 @@
     /// Takes this host's share of a workspace's quota, 0 to 1.
     void setShare(const std::string &workspace, double share, TimePoint now);
 
-    /// Takes @p cost from the workspace's part; nothing when that passes, else the time until it will.
+    /// Whether all other hosts are heard, so that what they use is known.
+    void setPooled(bool pooled, TimePoint now);
+    /// Takes what one start of another host has used of each workspace's quota since that start.
+    void notePeer(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, TimePoint now);
+    /// Forgets a start of a host that is gone.
+    void forgetPeer(const std::string &hostStart);
+
+    /// Takes @p cost from the workspace's quota; nothing when that passes, else the time until it will.
     std::optional<Duration> take(const std::string &workspace, double cost, TimePoint now);
     /// Gives back what a request that did not run had taken.
     void giveBack(const std::string &workspace, double cost);
+    /// What this host has used of each workspace's quota since it started, for the other hosts.
+    [[nodiscard]] const std::map<std::string, std::uint64_t> &used() const;
     /// What callers of each workspace ask for a second, refused or not, as a moving average.
     [[nodiscard]] std::map<std::string, double> demand(TimePoint now) const;
 
 private:
+    /// A token bucket.
     struct Bucket {
+        double rate = 0; ///< A second.
+        double capacity = 0;
+        double level = 0;
+        TimePoint filled;
+
+        void fill(TimePoint now);
+    };
+    struct Quota {
         double perSecond = 0; ///< 0 means no limit.
         double burst = 0;
         double share = 0;
-        double level = 0;
-        TimePoint filled;
+        Bucket own;        ///< This host's share.
+        Bucket pooled;     ///< The whole quota.
         double demand = 0; ///< A second, decaying.
         TimePoint demanded;
     };
+    /// What one start of another host has used.
+    struct PeerUse {
+        std::map<std::string, std::uint64_t> used;
+        std::map<std::string, double> rate; ///< A second, between the last two times that it was heard.
+        TimePoint heard;
+    };
 
-    static void fill(Bucket &bucket, TimePoint now);
+    void resize(Quota &quota, TimePoint now) const;
+    [[nodiscard]] double probablyUsed(const std::string &workspace, TimePoint now) const;
 
-    std::map<std::string, Bucket> m_buckets;
+    std::map<std::string, Quota> m_quotas;
+    std::map<std::string, std::uint64_t> m_used;
+    std::map<std::string, PeerUse> m_peers;
+    bool m_pooled = false;
 };
 
 /// Demand of one workspace at all hosts, and how this host's part of a quota follows from it. A part of the quota is split evenly, so that
