--- a/src/duties/internal/upstreamplanner.cpp
+++ b/src/duties/internal/upstreamplanner.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-/// Part of their time that permanent upstreams may be busy when all reclaimable ones are gone.
-constexpr double PermanentUse = 0.75;
-/// Part of their time that all upstreams together may be busy, so that first tokens come soon.
-constexpr double TotalUse = 0.45;
+/// Work that a permanent upstream carries when all reclaimable ones are gone, in busy upstreams as ServiceLoad counts them. An engine batches, so
+/// that it carries more than the sum of its requests' times alone.
+constexpr double PermanentUse = 1.4;
+/// Work that an upstream carries while all are there, so that first tokens come soon.
+constexpr double TotalUse = 0.9;
 /// The load that counts is the highest of this time: orders fall slowly and rise at once.
 constexpr std::chrono::seconds PeakWindow{8};
 /// No less is ordered before the load was known for this long: it seems small while callers begin to come.
