--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -102,7 +102,9 @@
 
     void run() override
     {
-        m_context.log.write("started", eventlog::Importance::Belief, {{"zone", m_context.settings.zone}, {"callers", m_callers->endpoint().text()}, {"readiness", m_readiness->endpoint().text()}});
+        m_context.log.write("started",
+                            eventlog::Importance::Belief,
+                            {{"zone", m_context.settings.zone}, {"callers", m_callers->endpoint().text()}, {"readiness", m_readiness->endpoint().text()}});
         m_context.log.flush();
         startTask(m_io.get_executor(), m_configurations.run());
         startTask(m_io.get_executor(), m_upstreams.run());
