Confirm the configuration at once after an outage of the log

Cause: after the store came back at 7.0 s the first long read confirmed at 10.05 s only, and keyed requests were refused until then; reads waited so long that an outage could begin 3.3 s after the last confirmation.

--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -13,8 +13,9 @@
 constexpr std::chrono::milliseconds CallTimeout{700};
 /// Pause after a call that failed.
 constexpr std::chrono::milliseconds FailurePause{200};
-/// How long a read may wait, as a part of the bound on withdrawn keys: its start is what confirms the configuration.
-constexpr int WaitsPerRevocation = 3;
+/// How long a read may wait, as a part of the bound on withdrawn keys. Its start is what confirms the configuration, so that an outage may begin
+/// two waits after the last confirmation.
+constexpr int WaitsPerRevocation = 5;
 
 }
 
@@ -57,7 +58,8 @@
 net::awaitable<bool> ConfigurationFollower::readOn(ports::LogFailure &failure)
 {
     const TimePoint began = hostNow();
-    const std::chrono::milliseconds wait = m_context.settings.revocation / WaitsPerRevocation;
+    // After an outage it matters most to know soon whether anything has changed.
+    const std::chrono::milliseconds wait = m_reachable ? m_context.settings.revocation / WaitsPerRevocation : std::chrono::milliseconds::zero();
     const std::optional<ports::LogPiece> piece
         = co_await m_context.ports.configurationLog->readFrom(ports::Topic::Configuration, *m_offset, wait, CallTimeout, failure);
     if (!piece) {
