Say goodbye to peers, give the duties up on a planned stop, and share quotas among the hosts that hear each other

Ruled out: the rolling stop itself, no request was cut. Hosts forgotten after a cut of 20 s could have used a quota twice; what silent hosts may use is now left out for two minutes.

--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -68,7 +68,6 @@
     double prefillCost = InitialPrefillCost;
     double unloadedCost = InitialPrefillCost; ///< As prefillCost, from prompts that met no others.
     double base = InitialBase;
-    bool seen = false;
     double failures = 0;
     std::deque<std::pair<TimePoint, std::uint64_t>> reads; ///< When how many prompt tokens were asked to be read.
 };
@@ -255,7 +254,6 @@
     average(service.prefillCost, sample);
     if (attempt.alone) {
         average(service.unloadedCost, sample);
-        service.seen = true;
     }
 }
 
@@ -329,10 +327,10 @@
     return static_cast<double>(tokens) / std::chrono::duration<double>(RateWindow).count();
 }
 
-std::optional<double> UpstreamBalancer::prefillCost(const std::string &service) const
+double UpstreamBalancer::prefillCost(const std::string &service) const
 {
     const auto found = m_services.find(service);
-    return found == m_services.end() || !found->second.seen ? std::nullopt : std::optional(found->second.unloadedCost);
+    return found == m_services.end() ? InitialPrefillCost : found->second.unloadedCost;
 }
 
 }
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -41,9 +41,9 @@
 
     /// Prompt tokens of @p service that had to be read, a second, over the last seconds at this host.
     [[nodiscard]] double prefillRate(const std::string &service, TimePoint now) const;
-    /// Milliseconds that an average upstream of @p service, not held up by others, takes for a thousand prompt tokens; nothing before any
-    /// was seen.
-    [[nodiscard]] std::optional<double> prefillCost(const std::string &service) const;
+    /// Milliseconds that an average upstream of @p service, not held up by others, takes for a thousand prompt tokens; a usual value
+    /// before any was seen.
+    [[nodiscard]] double prefillCost(const std::string &service) const;
 
 private:
     struct Upstream;
--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -13,7 +13,7 @@
 
 /// The record in the log that says who holds the duties, and what must not be decided twice.
 struct DutyRecord {
-    std::string holder; ///< Name of a host.
+    std::string holder; ///< Name of a host; empty when its last holder has given the duties up.
     std::string start;  ///< Which start of that host's process.
     std::uint64_t fence = 0;
     std::uint64_t renewal = 0;               ///< Grows with each renewal, so that each record differs from the one before.
@@ -39,6 +39,8 @@
     void observe(std::optional<DutyRecord> record, std::uint64_t end, TimePoint began);
     /// The record to append at end() now, to claim or to renew; nothing while there is nothing to do. @p decided: windows to fix with it.
     [[nodiscard]] std::optional<DutyRecord> proposal(TimePoint now, const std::vector<ports::UsageReport> &decided) const;
+    /// The record to append at end() to give the duties up; nothing when this host does not hold them.
+    [[nodiscard]] std::optional<DutyRecord> release(TimePoint now) const;
     /// The proposed record was appended at end() by a call that began at @p began.
     void appended(const DutyRecord &record, TimePoint began);
     /// Another record came first, or it is not known whether the append was done; the log must be read before the next proposal.
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -62,7 +62,8 @@
     }
     // An earlier start of this host's own process has ended.
     const bool ownBefore = m_record && m_record->holder == m_host;
-    if (m_record && !ownBefore && now - *m_changed < scaled(m_lease, AbandonedMultiple)) {
+    const bool givenUp = m_record && m_record->holder.empty();
+    if (m_record && !ownBefore && !givenUp && now - *m_changed < scaled(m_lease, AbandonedMultiple)) {
         return std::nullopt;
     }
     // The append succeeds at this end only, so that no other claim has this fence.
@@ -71,6 +72,17 @@
     return next;
 }
 
+std::optional<DutyRecord> DutyLease::release(TimePoint now) const
+{
+    if (!holds(now)) {
+        return std::nullopt;
+    }
+    DutyRecord next = *m_record;
+    next.holder.clear();
+    ++next.renewal;
+    return next;
+}
+
 void DutyLease::appended(const DutyRecord &record, TimePoint began)
 {
     m_record = record;
--- a/src/duties/internal/usageledger.cpp
+++ b/src/duties/internal/usageledger.cpp
@@ -63,6 +63,13 @@
     return sum;
 }
 
+const std::map<std::string, UsageCounts> &UsageCollector::starts(std::uint64_t window) const
+{
+    static const std::map<std::string, UsageCounts> None;
+    const auto found = m_windows.find(window);
+    return found == m_windows.end() ? None : found->second;
+}
+
 void UsageCollector::dropBefore(std::uint64_t window)
 {
     m_windows.erase(m_windows.begin(), m_windows.lower_bound(window));
--- a/src/duties/tests/dutyleasetests.cpp
+++ b/src/duties/tests/dutyleasetests.cpp
@@ -89,6 +89,19 @@
             CHECK(!first.holds(now));
         }
     }
+    SECTION("a holder that gives them up is followed at once, under a higher fence, and acts no more")
+    {
+        const std::optional<DutyRecord> last = first.release(Start);
+        REQUIRE(last);
+        REQUIRE(log.append(*last, first.end()));
+        first.appended(*last, Start);
+        CHECK(!first.holds(Start));
+        const TimePoint next = Start + std::chrono::milliseconds(1'300);
+        step(second, log, next);
+        CHECK(second.holds(next));
+        CHECK(second.fence() > fence);
+        CHECK(!second.release(next + Lease));
+    }
     SECTION("a new start of the holder takes them at once, under a new fence")
     {
         DutyLease restarted("entry-1", "b", Lease);
--- a/src/duties/usageledger.h
+++ b/src/duties/usageledger.h
@@ -40,6 +40,8 @@
     void note(const std::string &hostStart, std::uint64_t window, const UsageCounts &counts);
     /// The sum of all hosts.
     [[nodiscard]] UsageCounts total(std::uint64_t window) const;
+    /// What each start of a host has counted in a window.
+    [[nodiscard]] const std::map<std::string, UsageCounts> &starts(std::uint64_t window) const;
     /// Forgets the windows before @p window.
     void dropBefore(std::uint64_t window);
 
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -44,10 +44,12 @@
         for (const auto &[window, counts] : m_context.usage.windows()) {
             m_usage.note(m_context.settings.name + "/" + m_context.start, window, counts);
         }
-        if (!m_context.stopping) {
+        if (m_context.stopping) {
+            co_await release();
+        } else {
             co_await keepLease();
-            noteHolding();
         }
+        noteHolding();
         m_gossip.setHoldsDuties(holds());
         if (holds()) {
             co_await reportUsage();
@@ -73,21 +75,35 @@
     if (!next) {
         co_return;
     }
+    co_await append(*next, began);
+}
+
+net::awaitable<void> DutyRunner::release()
+{
+    const TimePoint now = hostNow();
+    const std::optional<duties::DutyRecord> last = m_lease.release(now);
+    if (last) {
+        co_await append(*last, now);
+    }
+}
+
+net::awaitable<void> DutyRunner::append(const duties::DutyRecord &next, TimePoint began)
+{
     ports::Record record;
     record.key = "holder";
-    record.value = encoded(*next);
+    record.value = encoded(next);
     ports::LogFailure failure;
     const std::optional<ports::AppendOutcome> outcome
         = co_await m_context.ports.log->append(ports::Topic::Duties, std::move(record), m_lease.end(), LogTimeout, failure);
     if (outcome == ports::AppendOutcome::Appended) {
-        m_lease.appended(*next, began);
+        m_lease.appended(next, began);
         co_return;
     }
     m_lease.mustRead();
     m_context.log.write(
         "lease_not_written",
         eventlog::Importance::Belief,
-        {{"fence", static_cast<std::int64_t>(next->fence)}, {"reason", outcome ? std::string_view("conflict") : std::string_view(failure.detail)}});
+        {{"fence", static_cast<std::int64_t>(next.fence)}, {"reason", outcome ? std::string_view("conflict") : std::string_view(failure.detail)}});
 }
 
 net::awaitable<void> DutyRunner::readRecord()
--- a/src/gateway/internal/dutyrunner.h
+++ b/src/gateway/internal/dutyrunner.h
@@ -24,6 +24,8 @@
 
 private:
     boost::asio::awaitable<void> keepLease();
+    boost::asio::awaitable<void> release();
+    boost::asio::awaitable<void> append(const duties::DutyRecord &next, TimePoint began);
     boost::asio::awaitable<void> readRecord();
     boost::asio::awaitable<void> reportUsage();
     boost::asio::awaitable<void> orderUpstreams();
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -4,7 +4,8 @@
 #include "gateway/internal/hostclock.h"
 #include "http/ihttpclient.h"
 
-#include <array>
+#include <algorithm>
+#include <set>
 
 namespace rosemaryshift::gateway {
 
@@ -20,13 +21,24 @@
 /// Largest datagram that is taken.
 constexpr std::size_t MaxDatagram = 16 * 1024;
 /// Windows of usage that peers are told of.
-constexpr std::size_t ToldWindows = 3;
+constexpr std::uint64_t ToldWindows = 3;
 /// Share of a quota that a host takes before it has heard any peer: small, since it does not know how many there are.
 constexpr double UnsharedPart = 0.05;
 /// A newer version is fetched from a peer when the log has not shown it after this time.
 constexpr std::chrono::milliseconds LogHeadStart{250};
 constexpr std::chrono::milliseconds FetchTimeout{800};
 
+std::string startName(const std::string &host, const std::string &start)
+{
+    return host + "/" + start;
+}
+
+double demandOf(const gossip::Peer &peer, const std::string &workspace)
+{
+    const auto found = peer.news.demand.find(workspace);
+    return found == peer.news.demand.end() ? 0 : found->second;
+}
+
 std::uint64_t microseconds(TimePoint time)
 {
     return static_cast<std::uint64_t>(time.time_since_epoch().count());
@@ -41,9 +53,9 @@
     , m_board(context.settings.address, [&context](const gossip::Peer &peer, std::string_view change) {
         context.log.write(
             "peer", eventlog::Importance::Belief, {{"peer", peer.news.host}, {"change", change}, {"silent_ms", wholeMilliseconds(hostNow() - peer.heard)}});
-        if (change == "forgotten") {
+        if (change == "forgotten" || change == "left") {
             context.balancer.forgetPeer(peer.news.host);
-            context.quotas.forgetPeer(peer.news.host + "/" + peer.news.start);
+            context.quotas.forgetPeer(startName(peer.news.host, peer.news.start));
             context.trueTime.forgetPeer(peer.news.host);
         }
     })
@@ -157,10 +169,7 @@
     news.used = m_context.quotas.used();
     news.busy = ownBusy(now);
     news.outstanding = m_context.balancer.outstanding();
-    const std::map<std::uint64_t, duties::UsageCounts> &windows = m_context.usage.windows();
-    for (auto window = windows.rbegin(); window != windows.rend() && news.usage.size() < ToldWindows; ++window) {
-        news.usage.insert(*window);
-    }
+    addUsage(news, now);
     for (const auto &[host, peer] : m_board.peers()) {
         if (!peer.silent) {
             news.peers.push_back(peer.news.address);
@@ -169,6 +178,28 @@
     return news;
 }
 
+void GossipEndpoint::addUsage(gossip::PeerNews &news, TimePoint now) const
+{
+    const std::uint64_t current = m_context.usage.windowAt(m_context.trueTime.sinceEpoch(now));
+    std::set<std::string> heard;
+    for (const auto &[host, peer] : m_board.peers()) {
+        if (!peer.silent) {
+            heard.insert(startName(host, peer.news.start));
+        }
+    }
+    for (std::uint64_t window = current - std::min(current, ToldWindows - 1); window <= current; ++window) {
+        for (const auto &[start, counts] : m_usage.starts(window)) {
+            if (!heard.contains(start)) {
+                news.usage[window][start] = counts;
+            }
+        }
+        const auto own = m_context.usage.windows().find(window);
+        if (own != m_context.usage.windows().end()) {
+            news.usage[window][startName(m_context.settings.name, m_context.start)] = own->second;
+        }
+    }
+}
+
 std::map<std::string, double> GossipEndpoint::ownBusy(TimePoint now) const
 {
     std::map<std::string, double> busy;
@@ -186,7 +217,7 @@
         if (!service.engine) {
             continue;
         }
-        const double reading = m_context.balancer.prefillRate(service.name, now) * m_context.balancer.prefillCost(service.name).value_or(0) / 1e6;
+        const double reading = m_context.balancer.prefillRate(service.name, now) * m_context.balancer.prefillCost(service.name) / 1e6;
         const double batching = static_cast<double>(running[service.name]) / std::max(1U, service.engine->slots);
         busy[service.name] = reading + batching;
     }
@@ -220,11 +251,13 @@
         sendTo(own, taken.address, now);
         share(now);
     }
-    m_context.quotas.notePeer(taken.host + "/" + taken.start, taken.used, now);
+    m_context.quotas.notePeer(startName(taken.host, taken.start), taken.used, now);
     m_context.balancer.setPeerOutstanding(host, taken.outstanding, now);
     m_context.trueTime.notePeer(host, Duration(static_cast<Duration::rep>(taken.wallUs)), now);
-    for (const auto &[window, counts] : taken.usage) {
-        m_usage.note(taken.host + "/" + taken.start, window, counts);
+    for (const auto &[window, starts] : taken.usage) {
+        for (const auto &[start, counts] : starts) {
+            m_usage.note(start, window, counts);
+        }
     }
     // What the peer knew when it sent this is at least as fresh as when this host sent what the peer echoes.
     if (taken.echoUs && taken.confirmedAgeMs) {
@@ -265,23 +298,44 @@
 {
     const std::size_t hosts = m_board.hosts();
     m_context.retries.setHosts(hosts);
-    m_context.quotas.setPooled(hosts > 1 && !m_board.anySilent(), now);
-    std::map<std::string, double> total = m_context.quotas.demand(now);
-    const std::map<std::string, double> own = total;
-    for (const auto &[host, peer] : m_board.peers()) {
-        for (const auto &[workspace, demand] : peer.news.demand) {
-            total[workspace] += demand;
-        }
-    }
+    m_context.quotas.setPooled(hosts > 1, now);
+    const std::map<std::string, double> own = m_context.quotas.demand(now);
     for (const auto &[workspace, demand] : own) {
-        double part = hosts > 1 ? limits::shareOf(demand, total[workspace], hosts) : UnsharedPart;
-        const auto agreed = m_shares.find(workspace);
-        if (m_board.anySilent() && agreed != m_shares.end()) {
-            // A silent peer goes on by what it heard last, so that this host's part must not grow.
-            part = std::min(part, agreed->second);
+        double total = demand;
+        double reserved = 0;
+        std::size_t heard = 1;
+        for (const auto &[host, peer] : m_board.peers()) {
+            if (peer.silent) {
+                reserved += m_peerShares[host][workspace];
+            } else {
+                total += demandOf(peer, workspace);
+                ++heard;
+            }
+        }
+        // Silent peers go on with what they may have thought to be theirs.
+        const double available = std::max(1 - reserved, 0.0);
+        if (!m_board.anySilent()) {
+            for (const auto &[host, peer] : m_board.peers()) {
+                m_peerShares[host][workspace] = limits::shareOf(demandOf(peer, workspace), total, hosts);
+            }
         }
-        m_shares[workspace] = part;
+        const double part = hosts > 1 ? available * limits::shareOf(demand, total, heard) : UnsharedPart;
         m_context.quotas.setShare(workspace, part, now);
+        m_context.quotas.setPooledPart(workspace, available, now);
+    }
+}
+
+void GossipEndpoint::sayLeaving()
+{
+    const TimePoint now = hostNow();
+    gossip::PeerNews last = ownNews(now);
+    for (const bool leaving : {false, true}) {
+        // The last counts come first, since nothing is taken from a peer that leaves.
+        last.leaving = leaving;
+        for (const std::string &address : m_board.addresses()) {
+            sendTo(last, address, now);
+        }
+        ++last.sentUs;
     }
 }
 
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -22,6 +22,8 @@
     boost::asio::awaitable<void> receive();
     /// Takes addresses of gateways that may be there.
     void setSeeds(const std::vector<std::string> &addresses);
+    /// Tells the peers the last counts, and that this host says no more.
+    void sayLeaving();
     /// Whether peers are told that this host holds the duties.
     void setHoldsDuties(bool holds);
     /// Whether a peer has said of late that it holds the duties.
@@ -32,6 +34,7 @@
 
 private:
     [[nodiscard]] gossip::PeerNews ownNews(TimePoint now) const;
+    void addUsage(gossip::PeerNews &news, TimePoint now) const;
     [[nodiscard]] std::map<std::string, double> ownBusy(TimePoint now) const;
     void take(gossip::PeerNews news);
     void sendTo(gossip::PeerNews &news, const std::string &address, TimePoint now);
@@ -43,7 +46,7 @@
     duties::UsageCollector &m_usage;
     gossip::PeerBoard m_board;
     std::optional<boost::asio::ip::udp::socket> m_socket;
-    std::map<std::string, double> m_shares; ///< Of each workspace's quota, when all peers were last heard.
+    std::map<std::string, std::map<std::string, double>> m_peerShares; ///< Of the quotas, by peer and workspace, when all were last heard.
     bool m_fetching = false;
     bool m_holdsDuties = false;
 };
--- a/src/gossip/internal/peerboard.cpp
+++ b/src/gossip/internal/peerboard.cpp
@@ -6,8 +6,8 @@
 
 /// A peer is silent after this time without news.
 constexpr std::chrono::milliseconds SilentAfter{1'500};
-/// A silent peer is forgotten after this time; its share of the quotas is free then.
-constexpr std::chrono::seconds ForgottenAfter{20};
+/// A silent peer is forgotten after this time; its share of the quotas is free then. Longer than regions usually lose each other.
+constexpr std::chrono::seconds ForgottenAfter{120};
 /// An address that peers told of is tried for this long.
 constexpr std::chrono::seconds ToldAddressLifetime{30};
 /// An echo is worth nothing when the news it answers is older than this.
@@ -37,7 +37,19 @@
             m_told[address] = now;
         }
     }
+    const auto left = m_left.find(news.host);
+    if (left != m_left.end() && left->second == news.start) {
+        return false;
+    }
     const auto known = m_peers.find(news.host);
+    if (news.leaving) {
+        m_left[news.host] = news.start;
+        if (known != m_peers.end()) {
+            m_listener(known->second, "left");
+            m_peers.erase(known);
+        }
+        return false;
+    }
     if (known == m_peers.end()) {
         Peer &peer = m_peers[news.host];
         peer = Peer{std::move(news), now, false};
--- a/src/gossip/internal/peernews.cpp
+++ b/src/gossip/internal/peernews.cpp
@@ -4,6 +4,8 @@
 
 #include <json/value.h>
 
+#include <cmath>
+
 namespace rosemaryshift::gossip {
 
 namespace {
@@ -50,15 +52,21 @@
     return true;
 }
 
-bool readUsage(const Json::Value &value, std::map<std::uint64_t, duties::UsageCounts> &usage)
+bool readUsage(const Json::Value &value, std::map<std::uint64_t, std::map<std::string, duties::UsageCounts>> &usage)
 {
     if (!value.isArray()) {
         return false;
     }
     for (const Json::Value &entry : value) {
-        if (!entry.isArray() || entry.size() != 2 || !entry[0].isUInt64() || !readNumbers(entry[1], usage[entry[0].asUInt64()])) {
+        if (!entry.isArray() || entry.size() != 2 || !entry[0].isUInt64() || !entry[1].isObject()) {
             return false;
         }
+        std::map<std::string, duties::UsageCounts> &starts = usage[entry[0].asUInt64()];
+        for (auto start = entry[1].begin(); start != entry[1].end(); ++start) {
+            if (!readNumbers(*start, starts[start.name()])) {
+                return false;
+            }
+        }
     }
     return true;
 }
@@ -80,12 +88,15 @@
         value["confirmed_age_ms"] = *news.confirmedAgeMs;
     }
     value["wall_us"] = news.wallUs;
+    if (news.leaving) {
+        value["leaving"] = true;
+    }
     if (news.holdsDuties) {
         value["holds_duties"] = true;
     }
     value["demand"] = object();
     for (const auto &[workspace, demand] : news.demand) {
-        value["demand"][workspace] = static_cast<std::uint64_t>(demand + 0.5);
+        value["demand"][workspace] = static_cast<std::uint64_t>(std::llround(demand));
     }
     value["used"] = object();
     for (const auto &[workspace, used] : news.used) {
@@ -101,14 +112,17 @@
         value["outstanding"][instance].append(outstanding.prefillTokens);
     }
     value["usage"] = Json::Value(Json::arrayValue);
-    for (const auto &[window, counts] : news.usage) {
+    for (const auto &[window, starts] : news.usage) {
         Json::Value entry(Json::arrayValue);
         entry.append(window);
-        Json::Value numbers = object();
-        for (const auto &[workspace, requests] : counts) {
-            numbers[workspace] = requests;
+        entry.append(object());
+        for (const auto &[start, counts] : starts) {
+            Json::Value &numbers = entry[1][start];
+            numbers = object();
+            for (const auto &[workspace, requests] : counts) {
+                numbers[workspace] = requests;
+            }
         }
-        entry.append(std::move(numbers));
         value["usage"].append(std::move(entry));
     }
     value["peers"] = Json::Value(Json::arrayValue);
@@ -143,6 +157,7 @@
     news.configuration = *configuration;
     news.confirmedAgeMs = unsignedMember(*value, "confirmed_age_ms");
     news.wallUs = *wall;
+    news.leaving = boolMember(*value, "leaving", false);
     news.holdsDuties = boolMember(*value, "holds_duties", false);
     if (!readNumbers((*value)["demand"], news.demand) || !readNumbers((*value)["used"], news.used) || !readNumbers((*value)["busy"], news.busy)
         || !readOutstanding((*value)["outstanding"], news.outstanding) || !readUsage((*value)["usage"], news.usage)) {
--- a/src/gossip/peerboard.h
+++ b/src/gossip/peerboard.h
@@ -19,14 +19,14 @@
 class PeerBoard
 {
 public:
-    /// Called with a host's name when it is heard first, falls silent, is heard again, or is forgotten.
+    /// Called when a peer is heard first, falls silent, is heard again, has left, or is forgotten.
     using Listener = std::function<void(const Peer &peer, std::string_view change)>;
 
     PeerBoard(std::string ownAddress, Listener listener);
 
     /// Takes addresses of gateways that may be there; they are told of this host.
     void setSeeds(const std::vector<std::string> &addresses);
-    /// Takes news of a peer; false when it is older than what is known, or this host's own.
+    /// Takes news of a peer; false when it is older than what is known, this host's own, or the last of a peer that leaves.
     bool take(PeerNews news, TimePoint now);
     /// Marks peers silent and forgets those that have been for long.
     void expire(TimePoint now);
@@ -48,6 +48,7 @@
     std::set<std::string> m_seeds;
     std::map<std::string, TimePoint> m_told; ///< Addresses that peers have told of, and when.
     std::map<std::string, Peer> m_peers;
+    std::map<std::string, std::string> m_left; ///< Starts of hosts that have said they leave, by host.
 };
 
 }
--- a/src/gossip/peernews.h
+++ b/src/gossip/peernews.h
@@ -24,12 +24,14 @@
     std::optional<std::uint64_t> confirmedAgeMs; ///< Time since the sender was certain that nothing newer was in force.
     std::uint64_t wallUs = 0;                    ///< What the sender's own clock makes of the time since the start of 1970.
     bool holdsDuties = false;
+    bool leaving = false;                                      ///< The sender is about to end and says no more.
     std::map<std::string, double> demand;                      ///< What callers ask for a second, by workspace, in the unit of its quota.
     std::map<std::string, std::uint64_t> used;                 ///< What the sender's start has used of the quotas, by workspace.
     std::map<std::string, double> busy;                        ///< Upstreams that the sender's requests keep busy, by service.
     std::map<std::string, balancing::Outstanding> outstanding; ///< By instance.
-    std::map<std::uint64_t, duties::UsageCounts> usage;        ///< The last windows.
-    std::vector<std::string> peers;                            ///< Addresses of the hosts that the sender has heard of late.
+    /// Requests of the last windows, by the start of a host: the sender's own, and those of starts that are gone.
+    std::map<std::uint64_t, std::map<std::string, duties::UsageCounts>> usage;
+    std::vector<std::string> peers; ///< Addresses of the hosts that the sender has heard of late.
 
     bool operator==(const PeerNews &) const = default;
 };
--- a/src/limits/internal/workspacequotas.cpp
+++ b/src/limits/internal/workspacequotas.cpp
@@ -43,8 +43,8 @@
     quota.own.capacity = quota.burst * SharedBurstPart * quota.share;
     quota.own.level = std::min(quota.own.level, quota.own.capacity);
     quota.pooled.fill(now);
-    quota.pooled.rate = quota.perSecond;
-    quota.pooled.capacity = quota.burst;
+    quota.pooled.rate = quota.perSecond * quota.pooledPart;
+    quota.pooled.capacity = quota.burst * quota.pooledPart;
     quota.pooled.level = std::min(quota.pooled.level, quota.pooled.capacity);
 }
 
@@ -79,6 +79,15 @@
     }
 }
 
+void WorkspaceQuotas::setPooledPart(const std::string &workspace, double part, TimePoint now)
+{
+    const auto found = m_quotas.find(workspace);
+    if (found != m_quotas.end()) {
+        found->second.pooledPart = part;
+        resize(found->second, now);
+    }
+}
+
 void WorkspaceQuotas::setPooled(bool pooled, TimePoint now)
 {
     if (m_pooled && !pooled) {
@@ -134,7 +143,7 @@
     double level = quota.own.level;
     if (m_pooled) {
         const double pooled = quota.pooled.level - probablyUsed(workspace, now);
-        level = pooled < ScarcePart * quota.burst ? std::min(pooled, quota.own.level) : pooled;
+        level = pooled < ScarcePart * quota.pooled.capacity ? std::min(pooled, quota.own.level) : pooled;
     }
     if (level > 0) {
         quota.pooled.level -= cost;
--- a/src/limits/workspacequotas.h
+++ b/src/limits/workspacequotas.h
@@ -17,10 +17,10 @@
     double excess = 0.1;                      ///< Part of the quota that the sum may lie above it.
 };
 
-/// The quotas of all workspaces as one host enforces them. While all other hosts are heard, each host follows the one bucket of all of them:
-/// it takes from it what its own callers use at once, what others say they have used when it hears of it, and what they have probably used
-/// since. Otherwise it keeps to its own share. Buckets may run into debt by one request, so that a request larger than the bucket passes now
-/// and then. Time comes in with each call. Not thread-safe.
+/// The quotas of all workspaces as one host enforces them. The hosts that hear each other follow one bucket: each takes from it what its own
+/// callers use at once, what others say they have used when it hears of it, and what they have probably used since. What silent hosts may use
+/// is left out of that bucket, so that the sum holds though hosts are cut off. A host that hears nobody keeps to its own share. Buckets may run into debt by
+/// one request, so that a request larger than the bucket passes now and then. Time comes in with each call. Not thread-safe.
 class WorkspaceQuotas
 {
 public:
@@ -29,8 +29,10 @@
     /// Takes this host's share of a workspace's quota, 0 to 1.
     void setShare(const std::string &workspace, double share, TimePoint now);
 
-    /// Whether all other hosts are heard, so that what they use is known.
+    /// Whether any other host is heard.
     void setPooled(bool pooled, TimePoint now);
+    /// Takes the part of a workspace's quota, 0 to 1, that the hosts that hear each other may use together.
+    void setPooledPart(const std::string &workspace, double part, TimePoint now);
     /// Takes what one start of another host has used of each workspace's quota since that start.
     void notePeer(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, TimePoint now);
     /// Forgets a start of a host that is gone.
@@ -59,6 +61,7 @@
         double perSecond = 0; ///< 0 means no limit.
         double burst = 0;
         double share = 0;
+        double pooledPart = 1;
         Bucket own;        ///< This host's share.
         Bucket pooled;     ///< The whole quota.
         double demand = 0; ///< A second, decaying.
