--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,7 +2,6 @@
 
 #include "http/httptypes.h"
 #include "limits/retrybudget.h"
-#include "limits/workspacequotas.h"
 #include "settings/settingsdocument.h"
 
 #include <chrono>
@@ -26,9 +25,6 @@
     std::optional<http::Endpoint> metrics;
     std::vector<std::string> seeds; ///< Addresses of other gateways' listeners for peers; may be stale.
 
-    std::uint64_t memoryMegabytes = 256;
-    std::uint64_t descriptors = 1024;
-
     http::Endpoint log;
     std::optional<http::Endpoint> duties;
 
@@ -40,7 +36,6 @@
     std::chrono::milliseconds usageWindow{5'000};
     std::chrono::milliseconds usageLate{10'000}; ///< A window's usage is due this long after its end.
     limits::RetryPromise retries;
-    limits::QuotaPromise quotas;
 };
 
 /// Reads the settings; faults are noted in the document.
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -37,6 +37,7 @@
     if (metricsPort > 0) {
         settings.metrics = http::Endpoint{settings.address, static_cast<std::uint16_t>(metricsPort)};
     }
+    listen->rejectUnknownKeys();
 }
 
 void readPlatform(SettingsTable &root, GatewaySettings &settings)
@@ -51,6 +52,7 @@
     if (!duties.empty()) {
         settings.duties = endpointSetting(*platform, "duties");
     }
+    platform->rejectUnknownKeys();
 }
 
 void readPromises(SettingsTable &root, GatewaySettings &settings)
@@ -69,8 +71,7 @@
     settings.retries.window = seconds(*promises, "retry_window_s", std::chrono::seconds(10));
     settings.retries.ratio = promises->real("retry_ratio", {0, 10}, settings.retries.ratio);
     settings.retries.slack = promises->real("retry_slack", {}, settings.retries.slack);
-    settings.quotas.window = seconds(*promises, "quota_window_s", std::chrono::seconds(8));
-    settings.quotas.excess = promises->real("quota_excess", {0, 10}, settings.quotas.excess);
+    promises->rejectUnknownKeys();
 }
 
 }
@@ -87,10 +88,7 @@
     readPromises(root, settings);
     if (std::optional<SettingsTable> peers = root.table("peers")) {
         settings.seeds = peers->texts("seeds");
-    }
-    if (std::optional<SettingsTable> machine = root.table("machine")) {
-        settings.memoryMegabytes = machine->number("memory_mb", {16, 1'048'576}, settings.memoryMegabytes);
-        settings.descriptors = machine->number("descriptors", {64, 1'048'576}, settings.descriptors);
+        peers->rejectUnknownKeys();
     }
     root.rejectUnknownKeys();
     return settings;
--- a/src/gateway/internal/requestrun.cpp
+++ b/src/gateway/internal/requestrun.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::milliseconds AnswerMargin{20};
 /// Part of the revocation bound after which keys are no longer trusted; the rest covers the time between the check and the offer.
 constexpr double TrustedPart = 0.95;
-/// Age beyond which a configuration says nothing about routes and keys that it does not know.
-constexpr std::chrono::milliseconds CertainAge{3'000};
+/// Age beyond which a configuration says nothing about routes and keys that it does not know, as a multiple of the bound on configurations.
+constexpr double CertainMultiple = 1.5;
 /// When a caller may come back to a host that knows no configuration, or none that is fresh.
 constexpr std::chrono::milliseconds ConfigurationRetry{500};
 /// When a caller may come back if no upstream is listed, or none took the request.
@@ -102,7 +102,7 @@
         return false;
     }
     m_end = m_arrived + m_caller.timeLeft.value_or(DefaultTimeLeft);
-    const bool certain = *age < CertainAge;
+    const bool certain = *age < std::chrono::duration_cast<Duration>(m_context.settings.configuration * CertainMultiple);
     m_route = m_table->route(m_request.headers.find("Host").value_or(""), http::path(m_request.target));
     if (m_route == nullptr) {
         m_refusalStatus = certain ? 404 : 503;
@@ -294,6 +294,7 @@
                          {"offers", static_cast<std::int64_t>(m_state ? m_state->offers() : 0)},
                          {"instance", m_instance},
                          {"first_ms", m_firstAfter ? wholeMilliseconds(*m_firstAfter) : std::int64_t{-1}},
+                         {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
                          {"took_ms", wholeMilliseconds(now - m_arrived)}});
 }
 
--- a/src/gateway/internal/requestrun.h
+++ b/src/gateway/internal/requestrun.h
@@ -61,7 +61,7 @@
     double m_cost = 0; ///< Taken from the workspace's quota.
     TimePoint m_end;   ///< When the caller's time or the route's timeout is over.
     std::optional<AttemptState> m_state;
-    std::optional<Duration> m_retryAfter;
+    std::optional<Duration> m_retryAfter; ///< What a refusal tells the caller to wait, before it is spread.
     int m_refusalStatus = 0;
     std::string m_reason;
 
--- a/src/limits/workspacequotas.h
+++ b/src/limits/workspacequotas.h
@@ -11,12 +11,6 @@
 
 namespace rosemaryshift::limits {
 
-/// What a quota may let through beyond its rate, as the operators promise it.
-struct QuotaPromise {
-    Duration window{std::chrono::seconds(8)}; ///< The sum over all hosts is bounded for each window of this length.
-    double excess = 0.1;                      ///< Part of the quota that the sum may lie above it.
-};
-
 /// The quotas of all workspaces as one host enforces them. The hosts that hear each other follow one bucket: each takes from it what its own
 /// callers use at once, what others say they have used when it hears of it, and what they have probably used since. What silent hosts may use
 /// is left out of that bucket, so that the sum holds though hosts are cut off. A host that hears nobody keeps to its own share. Buckets may run into debt by
--- a/tests/product/examplestests.cpp
+++ b/tests/product/examplestests.cpp
@@ -1,5 +1,6 @@
 #include "base/text.h"
 #include "entry/entrysettings.h"
+#include "gateway/gatewaysettings.h"
 #include "settings/settingsdocument.h"
 #include "standins/standinengine.h"
 #include "standins/standinplatform.h"
@@ -158,6 +159,7 @@
 SCENARIO("The annotated examples name every setting that the programs read, with its default")
 {
     checkDocumented("entry.toml", absentSettings(entry::readEntrySettings));
+    checkDocumented("gateway.toml", absentSettings(gateway::readGatewaySettings));
     checkDocumented("standin-engine.toml", absentSettings(standins::readEngineSettings));
     checkDocumented("standin-service.toml", absentSettings(standins::readServiceSettings));
     checkDocumented("standin-platform.toml", absentSettings(standins::readPlatformSettings));
@@ -168,6 +170,8 @@
     const auto exitOf = [](const std::string &program, const std::vector<std::string> &arguments) { return Process(program, arguments).awaitExit(); };
     const std::string check = "--check-settings";
     CHECK(exitOf("rosemaryshift-entry", {"--settings", examplePath("entry.toml"), check}) == 0);
+    CHECK(exitOf("rosemaryshift-gateway", {"--settings", examplePath("gateway.toml"), check}) == 0);
+    CHECK(exitOf("rosemaryshift-gateway", {"--settings", examplePath("yard.toml"), check}) == 2);
     CHECK(exitOf("rosemaryshift-standin-engine", {"--settings", examplePath("standin-engine.toml"), check}) == 0);
     CHECK(exitOf("rosemaryshift-standin-service", {"--settings", examplePath("standin-service.toml"), check}) == 0);
     CHECK(exitOf("rosemaryshift-standin-platform", {"--settings", examplePath("standin-platform.toml"), check}) == 0);
@@ -179,6 +183,7 @@
 SCENARIO("Each setting with a wrong type, out of range or misspelt is refused with file, line and reason")
 {
     checkEachSetting("entry.toml", settingsCheck(entry::readEntrySettings));
+    checkEachSetting("gateway.toml", settingsCheck(gateway::readGatewaySettings));
     checkEachSetting("standin-engine.toml", settingsCheck(standins::readEngineSettings));
     checkEachSetting("standin-service.toml", settingsCheck(standins::readServiceSettings));
     checkEachSetting("standin-platform.toml", settingsCheck(standins::readPlatformSettings));
