--- a/src/balancing/balancingtypes.h
+++ b/src/balancing/balancingtypes.h
@@ -14,6 +14,7 @@
 /// What choosing an upstream needs to know about a request.
 struct Demand {
     std::string_view service;
+    std::string_view zone;                          ///< Where this host stands.
     std::span<const ports::PromptPart> promptParts; ///< Empty for plain services.
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0; ///< As far as the caller states them.
@@ -25,6 +26,7 @@
     std::string_view zone;
     std::uint32_t slots = 1;
     bool reclaimable = false;
+    bool cutOff = false; ///< Nothing is heard from its availability zone.
 };
 
 /// The upstream chosen, with what decided.
--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -32,6 +32,10 @@
 constexpr double RestPenalty = 100'000;
 /// Added to the expected time of an upstream that fails always, in milliseconds; in proportion when it fails at times.
 constexpr double FailurePenalty = 3'000;
+/// Added to the expected time of an upstream whose zone may be cut off, in milliseconds: it is chosen when the others are far behind.
+constexpr double CutOffPenalty = 300;
+/// Added to the expected time of a plain service's upstream in another zone, in milliseconds: what crosses zones is lost when they are cut.
+constexpr double OtherZonePenalty = 5;
 /// Part of failures above the service's mean that is taken for chance.
 constexpr double FailureTolerance = 0.1;
 /// Prompt tokens are counted over this time for the rate of a service.
@@ -156,7 +160,8 @@
     } else {
         scored.expected = base * (1 + waiting + static_cast<double>(load.running) / (4.0 * slots));
     }
-    scored.ranking = scored.expected + failurePenalty(upstream, service, now);
+    const bool elsewhere = demand.promptTokens == 0 && !demand.zone.empty() && candidate.zone != demand.zone;
+    scored.ranking = scored.expected + failurePenalty(upstream, service, now) + (candidate.cutOff ? CutOffPenalty : 0) + (elsewhere ? OtherZonePenalty : 0);
     return scored;
 }
 
--- a/src/balancing/tests/upstreambalancertests.cpp
+++ b/src/balancing/tests/upstreambalancertests.cpp
@@ -16,7 +16,7 @@
 {
     std::vector<Candidate> candidates;
     for (const std::string &name : names) {
-        candidates.push_back({name, "miskolc", 64, false});
+        candidates.push_back({name, "miskolc", 64, false, false});
     }
     return candidates;
 }
@@ -146,6 +146,39 @@
     }
 }
 
+TEST_CASE("A zone that is cut off in the middle of the day")
+{
+    const std::vector<std::string> names{"eger-1", "eger-2", "miskolc-1"};
+    std::vector<Candidate> candidates = makeCandidates(names);
+    candidates[0].zone = "eger";
+    candidates[1].zone = "eger";
+    UpstreamBalancer balancer;
+
+    SECTION("its upstreams get nothing while others have room")
+    {
+        candidates[0].cutOff = true;
+        candidates[1].cutOff = true;
+        for (std::uint64_t plan = 0; plan < 4; ++plan) {
+            const std::vector<ports::PromptPart> parts{{1, 500}, {100 + plan, 500}, {1000 + plan, 500}};
+            CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance == "miskolc-1");
+        }
+        balancer.setPeerOutstanding("entry-2", {{"miskolc-1", Outstanding{40, 100'000}}}, Start);
+        const std::vector<ports::PromptPart> parts{{1, 500}, {2, 500}};
+        CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance != "miskolc-1");
+    }
+    SECTION("lookups keep to their own zone, so that few cross when it is cut")
+    {
+        Demand lookup;
+        lookup.service = "dispatch";
+        lookup.zone = "miskolc";
+        for (int request = 0; request < 5; ++request) {
+            const std::optional<Choice> choice = balancer.choose(lookup, candidates, Start);
+            CHECK(choice->instance == "miskolc-1");
+            balancer.begin(lookup, *choice, Start);
+        }
+    }
+}
+
 TEST_CASE("What an attempt had under way is given back when it ends")
 {
     UpstreamBalancer balancer;
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -15,6 +15,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 
 namespace rosemaryshift::gateway {
 
@@ -36,6 +37,7 @@
     TrueTime trueTime;
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
     std::mt19937_64 random;
+    std::set<std::string> silentZones; ///< Availability zones from which no gateway is heard.
     bool stopping = false; ///< A stop was asked for; readiness is denied.
     bool refusing = false; ///< New requests are refused, since they would not end before the process does.
 
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -110,6 +110,7 @@
     while (true) {
         const TimePoint now = hostNow();
         m_board.expire(now);
+        m_context.silentZones = m_board.silentZones();
         share(now);
         gossip::PeerNews news = ownNews(now);
         for (const std::string &address : m_board.addresses()) {
@@ -157,6 +158,7 @@
     gossip::PeerNews news;
     news.host = m_context.settings.name;
     news.start = m_context.start;
+    news.zone = m_context.settings.zone;
     news.address = m_context.settings.address;
     news.sentUs = microseconds(now);
     news.configuration = m_context.configuration.version();
--- a/src/gateway/internal/requestrun.cpp
+++ b/src/gateway/internal/requestrun.cpp
@@ -169,6 +169,7 @@
 {
     balancing::Demand demand;
     demand.service = m_service;
+    demand.zone = m_context.settings.zone;
     demand.promptParts = m_caller.promptParts;
     demand.promptTokens = m_caller.promptTokens.value_or(0);
     demand.outputTokens = m_caller.expectedOutputTokens.value_or(m_caller.maxOutputTokens);
@@ -180,7 +181,9 @@
     std::vector<balancing::Candidate> candidates;
     for (const directory::Upstream *const upstream : m_context.directory.usable(m_service, now)) {
         if (!m_tried.contains(upstream->entry.instance)) {
-            candidates.push_back({upstream->entry.instance, upstream->entry.zone, upstream->entry.slots, upstream->entry.reclaimable});
+            const directory::UpstreamEntry &entry = upstream->entry;
+            const bool cutOff = entry.zone != m_context.settings.zone && m_context.silentZones.contains(entry.zone);
+            candidates.push_back({entry.instance, entry.zone, entry.slots, entry.reclaimable, cutOff});
         }
     }
     std::optional<balancing::Choice> choice = m_context.balancer.choose(demand(), candidates, now);
--- a/src/gossip/internal/peerboard.cpp
+++ b/src/gossip/internal/peerboard.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 /// A peer is silent after this time without news.
-constexpr std::chrono::milliseconds SilentAfter{1'500};
+constexpr std::chrono::milliseconds SilentAfter{1'200};
 /// A silent peer is forgotten after this time; its share of the quotas is free then. Longer than regions usually lose each other.
 constexpr std::chrono::seconds ForgottenAfter{120};
 /// An address that peers told of is tried for this long.
@@ -118,6 +118,22 @@
     return m_peers.size() + 1;
 }
 
+std::set<std::string> PeerBoard::silentZones() const
+{
+    std::set<std::string> zones;
+    for (const auto &[host, peer] : m_peers) {
+        if (peer.silent) {
+            zones.insert(peer.news.zone);
+        }
+    }
+    for (const auto &[host, peer] : m_peers) {
+        if (!peer.silent) {
+            zones.erase(peer.news.zone);
+        }
+    }
+    return zones;
+}
+
 bool PeerBoard::anySilent() const
 {
     for (const auto &[host, peer] : m_peers) {
--- a/src/gossip/internal/peernews.cpp
+++ b/src/gossip/internal/peernews.cpp
@@ -78,6 +78,7 @@
     Json::Value value;
     value["host"] = news.host;
     value["start"] = news.start;
+    value["zone"] = news.zone;
     value["address"] = news.address;
     value["sent_us"] = news.sentUs;
     if (news.echoUs) {
@@ -141,16 +142,18 @@
     }
     const std::optional<std::string> host = stringMember(*value, "host");
     const std::optional<std::string> start = stringMember(*value, "start");
+    const std::optional<std::string> zone = stringMember(*value, "zone");
     const std::optional<std::string> address = stringMember(*value, "address");
     const std::optional<std::uint64_t> sent = unsignedMember(*value, "sent_us");
     const std::optional<std::uint64_t> configuration = unsignedMember(*value, "configuration");
     const std::optional<std::uint64_t> wall = unsignedMember(*value, "wall_us");
-    if (!host || !start || !address || !sent || !configuration || !wall || !(*value)["peers"].isArray()) {
+    if (!host || !start || !zone || !address || !sent || !configuration || !wall || !(*value)["peers"].isArray()) {
         return std::nullopt;
     }
     PeerNews news;
     news.host = *host;
     news.start = *start;
+    news.zone = *zone;
     news.address = *address;
     news.sentUs = *sent;
     news.echoUs = unsignedMember(*value, "echo_us");
--- a/src/gossip/peerboard.h
+++ b/src/gossip/peerboard.h
@@ -39,6 +39,8 @@
     [[nodiscard]] std::optional<std::uint64_t> echoFor(const std::string &address, TimePoint now) const;
     /// Hosts that share quotas and budgets: this one, and each peer that is not forgotten.
     [[nodiscard]] std::size_t hosts() const;
+    /// Availability zones of which peers are known and all are silent: they may be cut off from this host.
+    [[nodiscard]] std::set<std::string> silentZones() const;
     /// Whether any peer is silent.
     [[nodiscard]] bool anySilent() const;
 
--- a/src/gossip/peernews.h
+++ b/src/gossip/peernews.h
@@ -17,6 +17,7 @@
 struct PeerNews {
     std::string host;
     std::string start; ///< Which start of the host's process.
+    std::string zone;
     std::string address;
     std::uint64_t sentUs = 0;                    ///< On the sender's own clock; means nothing elsewhere, and is echoed.
     std::optional<std::uint64_t> echoUs;         ///< The last sentUs that the sender has had from the receiver.
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -14,6 +14,7 @@
     PeerNews news;
     news.host = host;
     news.start = "a";
+    news.zone = "zone-" + host.substr(host.size() - 1);
     news.address = "10.0.0." + host.substr(host.size() - 1);
     news.sentUs = sentUs;
     return news;
@@ -81,6 +82,16 @@
         CHECK(board.hosts() == 1);
         CHECK(changes == std::vector<std::string>{"entry-2 found", "entry-2 silent", "entry-2 forgotten"});
     }
+    SECTION("a zone is silent when all of its peers are")
+    {
+        PeerNews other = makeNews("entry-3", 5);
+        other.zone = news.zone;
+        REQUIRE(board.take(other, Start + std::chrono::seconds(1)));
+        board.expire(Start + std::chrono::seconds(2));
+        CHECK(board.silentZones().empty());
+        board.expire(Start + std::chrono::seconds(3));
+        CHECK(board.silentZones() == std::set<std::string>{news.zone});
+    }
     SECTION("a peer that says it leaves is forgotten at once, and its late news is not taken")
     {
         PeerNews last = makeNews("entry-2", 7);
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <atomic>
 #include <cstdlib>
@@ -21,6 +23,8 @@
 
 constexpr auto Token = net::as_tuple(net::use_awaitable);
 constexpr std::size_t PieceBytes = 16 * 1024;
+/// Sent bytes that are not acknowledged for this long end the connection: several retransmissions of TCP.
+constexpr std::chrono::milliseconds UnacknowledgedTimeout{1'200};
 constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
 
 class Exchange : public IExchange, public std::enable_shared_from_this<Exchange>
@@ -134,6 +138,9 @@
         }
         beast::error_code ignored;
         m_connection->stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
+        // A link that was cut shows sooner than by the answer's timeout.
+        using UserTimeout = net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+        m_connection->stream.socket().set_option(UserTimeout(static_cast<int>(UnacknowledgedTimeout.count())), ignored);
         // Closing resets, so that a request held up on the way is lost with its exchange and does not arrive later.
         m_connection->stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
         co_return true;
