--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -36,6 +36,8 @@
 constexpr double CutOffPenalty = 300;
 /// Added to the expected time of a plain service's upstream in another zone, in milliseconds: what crosses zones is lost when they are cut.
 constexpr double OtherZonePenalty = 5;
+/// Weight of the work that reading a prompt anew makes for the requests behind it, beside its own wait.
+constexpr double RereadWeight = 2;
 /// Part of failures above the service's mean that is taken for chance.
 constexpr double FailureTolerance = 0.1;
 /// Prompt tokens are counted over this time for the rate of a service.
@@ -140,6 +142,7 @@
     const double waiting = load.running >= slots ? (load.running - slots + 1.0) / slots : 0;
 
     Scored scored;
+    double reread = 0;
     scored.busy = waiting > 0 || 2 * load.running >= slots;
     if (demand.promptTokens > 0) {
         const double cost = (upstream != nullptr ? upstream->prefillCost.value_or(service.prefillCost) : service.prefillCost) / 1000;
@@ -155,13 +158,15 @@
             const std::uint64_t cached = upstream->cache.cachedTokens(demand.promptParts, now);
             scored.uncached = std::min(scored.uncached, demand.promptTokens - std::min(cached, demand.promptTokens));
         }
+        reread = RereadWeight * cost * static_cast<double>(scored.uncached);
         scored.expected = (base + cost * static_cast<double>(load.prefillTokens + scored.uncached)) * (1 + BatchCostPerRequest * load.running);
         scored.expected += waiting * milliseconds(std::chrono::seconds(1));
     } else {
         scored.expected = base * (1 + waiting + static_cast<double>(load.running) / (4.0 * slots));
     }
     const bool elsewhere = demand.promptTokens == 0 && !demand.zone.empty() && candidate.zone != demand.zone;
-    scored.ranking = scored.expected + failurePenalty(upstream, service, now) + (candidate.cutOff ? CutOffPenalty : 0) + (elsewhere ? OtherZonePenalty : 0);
+    scored.ranking
+        = scored.expected + reread + failurePenalty(upstream, service, now) + (candidate.cutOff ? CutOffPenalty : 0) + (elsewhere ? OtherZonePenalty : 0);
     return scored;
 }
 
