--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -38,8 +38,8 @@
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
     std::mt19937_64 random;
     std::set<std::string> silentZones; ///< Availability zones from which no gateway is heard.
-    bool stopping = false; ///< A stop was asked for; readiness is denied.
-    bool refusing = false; ///< New requests are refused, since they would not end before the process does.
+    bool stopping = false;             ///< A stop was asked for; readiness is denied.
+    bool refusing = false;             ///< New requests are refused, since they would not end before the process does.
 
     /// Uniform in [0, 1).
     double chance();
