--- a/src/balancing/balancingtypes.h
+++ b/src/balancing/balancingtypes.h
@@ -17,7 +17,6 @@
     std::string_view zone;                          ///< Where this host stands.
     std::span<const ports::PromptPart> promptParts; ///< Empty for plain services.
     std::uint64_t promptTokens = 0;
-    std::uint64_t outputTokens = 0; ///< As far as the caller states them.
 };
 
 /// An upstream that may be chosen.
@@ -25,7 +24,6 @@
     std::string_view instance;
     std::string_view zone;
     std::uint32_t slots = 1;
-    bool reclaimable = false;
     bool cutOff = false; ///< Nothing is heard from its availability zone.
 };
 
@@ -36,7 +34,6 @@
     std::uint64_t uncachedTokens = 0; ///< Prompt tokens that the upstream is thought to have to read.
     std::string runnerUp;             ///< Empty when there was no other.
     Duration runnerUpExpected{0};
-    bool busy = false; ///< At least half of the chosen upstream's slots are taken, or requests wait there.
 };
 
 /// What one host has under way at one upstream.
--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -98,7 +98,6 @@
     double expected = 0;
     double ranking = 0;
     std::uint64_t uncached = 0;
-    bool busy = false;
 };
 
 UpstreamBalancer::UpstreamBalancer() = default;
@@ -118,7 +117,7 @@
             const Duration beforeExpected = best ? best->expected : Duration(0);
             secondRanking = bestRanking;
             bestRanking = scored.ranking;
-            best = Choice{std::string(candidate.instance), fromMilliseconds(scored.expected), scored.uncached, before, beforeExpected, scored.busy};
+            best = Choice{std::string(candidate.instance), fromMilliseconds(scored.expected), scored.uncached, before, beforeExpected};
         } else if (best->runnerUp.empty() || scored.ranking < secondRanking) {
             secondRanking = scored.ranking;
             best->runnerUp = candidate.instance;
@@ -143,7 +142,6 @@
 
     Scored scored;
     double reread = 0;
-    scored.busy = waiting > 0 || 2 * load.running >= slots;
     if (demand.promptTokens > 0) {
         const double cost = (upstream != nullptr ? upstream->prefillCost.value_or(service.prefillCost) : service.prefillCost) / 1000;
         scored.uncached = demand.promptTokens;
--- a/src/balancing/tests/upstreambalancertests.cpp
+++ b/src/balancing/tests/upstreambalancertests.cpp
@@ -16,7 +16,7 @@
 {
     std::vector<Candidate> candidates;
     for (const std::string &name : names) {
-        candidates.push_back({name, "miskolc", 64, false, false});
+        candidates.push_back({name, "miskolc", 64, false});
     }
     return candidates;
 }
@@ -136,7 +136,7 @@
     SECTION("and one that fails three times in a row rests while another serves")
     {
         UpstreamBalancer fresh;
-        const Choice grey{"grey", Duration(0), 0, "", Duration(0), false};
+        const Choice grey{"grey", Duration(0), 0, "", Duration(0)};
         for (int failure = 0; failure < 3; ++failure) {
             fresh.end(fresh.begin(lookup, grey, now), AttemptEnd::Failed, now);
         }
--- a/src/gateway/internal/requestoffer.cpp
+++ b/src/gateway/internal/requestoffer.cpp
@@ -12,8 +12,6 @@
 
 /// How long a new connection to an upstream may take. Nothing was sent before, so that another upstream can be tried.
 constexpr std::chrono::milliseconds ConnectTimeout{400};
-/// Kept of the caller's time, for the way back of the answer.
-constexpr std::chrono::milliseconds AnswerMargin{20};
 /// An upstream may be silent for this many times what was expected, before a request that may run twice goes elsewhere.
 constexpr int PatienceFactor = 4;
 /// The least patience, and in parts of the latency goal.
--- a/src/gateway/internal/requestrun.cpp
+++ b/src/gateway/internal/requestrun.cpp
@@ -13,8 +13,6 @@
 
 /// How long a caller waits that does not say so.
 constexpr std::chrono::milliseconds DefaultTimeLeft{30'000};
-/// Kept of the caller's time, for the way back of the answer.
-constexpr std::chrono::milliseconds AnswerMargin{20};
 /// Part of the revocation bound after which keys are no longer trusted; the rest covers the time between the check and the offer.
 constexpr double TrustedPart = 0.95;
 /// Age beyond which a configuration says nothing about routes and keys that it does not know, as a multiple of the bound on configurations.
@@ -172,7 +170,6 @@
     demand.zone = m_context.settings.zone;
     demand.promptParts = m_caller.promptParts;
     demand.promptTokens = m_caller.promptTokens.value_or(0);
-    demand.outputTokens = m_caller.expectedOutputTokens.value_or(m_caller.maxOutputTokens);
     return demand;
 }
 
@@ -183,7 +180,7 @@
         if (!m_tried.contains(upstream->entry.instance)) {
             const directory::UpstreamEntry &entry = upstream->entry;
             const bool cutOff = entry.zone != m_context.settings.zone && m_context.silentZones.contains(entry.zone);
-            candidates.push_back({entry.instance, entry.zone, entry.slots, entry.reclaimable, cutOff});
+            candidates.push_back({entry.instance, entry.zone, entry.slots, cutOff});
         }
     }
     std::optional<balancing::Choice> choice = m_context.balancer.choose(demand(), candidates, now);
--- a/src/gateway/internal/requestrun.h
+++ b/src/gateway/internal/requestrun.h
@@ -21,6 +21,9 @@
     boost::asio::awaitable<void> run();
 
 private:
+    /// Kept of the caller's time, for the way back of the answer.
+    static constexpr std::chrono::milliseconds AnswerMargin{20};
+
     /// How one offer to an upstream ended.
     enum class OfferEnd : std::uint8_t {
         Answered, ///< The caller has its final answer, or is gone.
--- a/src/ports/messages.h
+++ b/src/ports/messages.h
@@ -24,8 +24,7 @@
     std::string model;                                 ///< Empty for plain services.
     std::optional<std::uint64_t> promptTokens;
     std::uint64_t maxOutputTokens = 0;
-    std::optional<std::uint64_t> expectedOutputTokens; ///< The caller's own estimate; often far off.
-    std::vector<PromptPart> promptParts;               ///< In the order of the prompt; the last one is the request's own.
+    std::vector<PromptPart> promptParts; ///< In the order of the prompt; the last one is the request's own.
 };
 
 /// How urgently an upstream admits a request; 0 is first.
@@ -40,20 +39,11 @@
     std::optional<std::string> resumeAfter; ///< Id of the last event that the caller has, when another upstream goes on.
 };
 
-/// What an upstream says about its load in its answers.
-struct LoadReport {
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-    double slowness = 1; ///< How long work takes at this moment, as a multiple of the usual.
-};
-
 /// What an upstream says in the head of an answer.
 struct AnswerMarks {
     std::string attemptId;
     bool sealed = false;      ///< It bears the upstream's signature.
     bool notExecuted = false; ///< The upstream states that it did not run the request.
-    std::optional<LoadReport> load;
 };
 
 }
