--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -37,7 +37,7 @@
 /// Added to the expected time of a plain service's upstream in another zone, in milliseconds: what crosses zones is lost when they are cut.
 constexpr double OtherZonePenalty = 5;
 /// Weight of the work that reading a prompt anew makes for the requests behind it, beside its own wait.
-constexpr double RereadWeight = 2;
+constexpr double RereadWeight = 1;
 /// Part of failures above the service's mean that is taken for chance.
 constexpr double FailureTolerance = 0.1;
 /// Prompt tokens are counted over this time for the rate of a service.
