Read and write counts in JSON in one place

Cause: the lease's record, the news between gateways and the report of usage each had their own loop over counts by name. They now call countsToJson and countsFromJson of src/base. Ruled out for now: one runner for the two stand-ins of platform/tests (the order in which their members end matters), and the loop that both followers of the log share (their pauses differ on purpose).

--- a/src/base/internal/json.cpp
+++ b/src/base/internal/json.cpp
@@ -49,6 +49,30 @@
     return object[key].asUInt64();
 }
 
+Json::Value countsToJson(const std::map<std::string, std::uint64_t> &counts)
+{
+    Json::Value value(Json::objectValue);
+    for (const auto &[name, count] : counts) {
+        value[name] = count;
+    }
+    return value;
+}
+
+std::optional<std::map<std::string, std::uint64_t>> countsFromJson(const Json::Value &value)
+{
+    if (!value.isObject()) {
+        return std::nullopt;
+    }
+    std::map<std::string, std::uint64_t> counts;
+    for (auto member = value.begin(); member != value.end(); ++member) {
+        if (!member->isUInt64()) {
+            return std::nullopt;
+        }
+        counts[member.name()] = member->asUInt64();
+    }
+    return counts;
+}
+
 bool boolMember(const Json::Value &object, const char *key, bool fallback)
 {
     if (!object.isObject() || !object[key].isBool()) {
--- a/src/duties/internal/dutyrecords.cpp
+++ b/src/duties/internal/dutyrecords.cpp
@@ -10,19 +10,14 @@
 std::optional<ports::UsageReport> decodedReport(const Json::Value &value)
 {
     const std::optional<std::uint64_t> window = unsignedMember(value, "window");
-    if (!window || !value["requests"].isObject()) {
+    if (!window) {
         return std::nullopt;
     }
-    ports::UsageReport report;
-    report.window = *window;
-    for (const std::string &workspace : value["requests"].getMemberNames()) {
-        const std::optional<std::uint64_t> requests = unsignedMember(value["requests"], workspace.c_str());
-        if (!requests) {
-            return std::nullopt;
-        }
-        report.requests.emplace(workspace, *requests);
+    std::optional<std::map<std::string, std::uint64_t>> requests = countsFromJson(value["requests"]);
+    if (!requests) {
+        return std::nullopt;
     }
-    return report;
+    return ports::UsageReport{*window, std::move(*requests)};
 }
 
 }
@@ -38,10 +33,7 @@
     for (const ports::UsageReport &report : record.decided) {
         Json::Value entry;
         entry["window"] = report.window;
-        entry["requests"] = Json::Value(Json::objectValue);
-        for (const auto &[workspace, requests] : report.requests) {
-            entry["requests"][workspace] = requests;
-        }
+        entry["requests"] = countsToJson(report.requests);
         value["decided"].append(std::move(entry));
     }
     return toText(value);
--- a/src/gossip/internal/peernews.cpp
+++ b/src/gossip/internal/peernews.cpp
@@ -15,9 +15,8 @@
     return Json::Value(Json::objectValue);
 }
 
-/// Reads an object of numbers; false when something else stands in it.
-template <typename Target>
-bool readNumbers(const Json::Value &value, Target &target)
+/// Reads an object of rates; false when something else stands in it.
+bool readRates(const Json::Value &value, std::map<std::string, double> &rates)
 {
     if (!value.isObject()) {
         return false;
@@ -26,18 +25,21 @@
         if (!member->isNumeric() || member->asDouble() < 0) {
             return false;
         }
-        if constexpr (std::is_same_v<typename Target::mapped_type, double>) {
-            target[member.name()] = member->asDouble();
-        } else {
-            if (!member->isUInt64()) {
-                return false;
-            }
-            target[member.name()] = member->asUInt64();
-        }
+        rates[member.name()] = member->asDouble();
     }
     return true;
 }
 
+bool readCounts(const Json::Value &value, std::map<std::string, std::uint64_t> &counts)
+{
+    std::optional<std::map<std::string, std::uint64_t>> read = countsFromJson(value);
+    if (!read) {
+        return false;
+    }
+    counts = std::move(*read);
+    return true;
+}
+
 bool readOutstanding(const Json::Value &value, std::map<std::string, balancing::Outstanding> &outstanding)
 {
     if (!value.isObject()) {
@@ -63,7 +65,7 @@
         }
         std::map<std::string, duties::UsageCounts> &starts = usage[entry[0].asUInt64()];
         for (auto start = entry[1].begin(); start != entry[1].end(); ++start) {
-            if (!readNumbers(*start, starts[start.name()])) {
+            if (!readCounts(*start, starts[start.name()])) {
                 return false;
             }
         }
@@ -99,10 +101,7 @@
     for (const auto &[workspace, demand] : news.demand) {
         value["demand"][workspace] = static_cast<std::uint64_t>(std::llround(demand));
     }
-    value["used"] = object();
-    for (const auto &[workspace, used] : news.used) {
-        value["used"][workspace] = used;
-    }
+    value["used"] = countsToJson(news.used);
     value["busy"] = object();
     for (const auto &[service, busy] : news.busy) {
         value["busy"][service] = busy;
@@ -118,11 +117,7 @@
         entry.append(window);
         entry.append(object());
         for (const auto &[start, counts] : starts) {
-            Json::Value &numbers = entry[1][start];
-            numbers = object();
-            for (const auto &[workspace, requests] : counts) {
-                numbers[workspace] = requests;
-            }
+            entry[1][start] = countsToJson(counts);
         }
         value["usage"].append(std::move(entry));
     }
@@ -162,7 +157,7 @@
     news.wallUs = *wall;
     news.leaving = boolMember(*value, "leaving", false);
     news.holdsDuties = boolMember(*value, "holds_duties", false);
-    if (!readNumbers((*value)["demand"], news.demand) || !readNumbers((*value)["used"], news.used) || !readNumbers((*value)["busy"], news.busy)
+    if (!readRates((*value)["demand"], news.demand) || !readCounts((*value)["used"], news.used) || !readRates((*value)["busy"], news.busy)
         || !readOutstanding((*value)["outstanding"], news.outstanding) || !readUsage((*value)["usage"], news.usage)) {
         return std::nullopt;
     }
