Spread upstreams over zones by whole ones, and give head room when no reclaimable ones are to be had

Ruled out: quotas (429s were the same before and after), slow upstreams (p50 doubled at all of them).

--- a/src/duties/tests/upstreamplannertests.cpp
+++ b/src/duties/tests/upstreamplannertests.cpp
@@ -46,6 +46,24 @@
     return orders;
 }
 
+std::uint32_t permanentOf(const ServiceLoad &load)
+{
+    std::uint32_t sum = 0;
+    for (const auto &[zone, replicas] : load.zones) {
+        sum += replicas.permanent;
+    }
+    return sum;
+}
+
+std::uint32_t reclaimableOf(const ServiceLoad &load)
+{
+    std::uint32_t sum = 0;
+    for (const auto &[zone, replicas] : load.zones) {
+        sum += replicas.reclaimable;
+    }
+    return sum;
+}
+
 }
 
 TEST_CASE("A calm day needs fewer permanent upstreams than stand there")
@@ -62,8 +80,8 @@
     SECTION("then the reclaimable ones take over the head room")
     {
         play(planner, service, load, 0, 20);
-        CHECK(load.zones.at("eger").permanent == 3);
-        CHECK(load.zones.at("eger").reclaimable == 1);
+        CHECK(permanentOf(load) == 9);
+        CHECK(reclaimableOf(load) == 11);
 
         SECTION("and nothing more is ordered")
         {
@@ -73,8 +91,8 @@
         {
             load.busyUpstreams = 18;
             play(planner, service, load, 20, 21);
-            CHECK(load.zones.at("eger").permanent == 5);
-            CHECK(load.zones.at("eger").reclaimable == 2);
+            CHECK(permanentOf(load) == 18);
+            CHECK(reclaimableOf(load) == 18);
             load.busyUpstreams = 9;
             CHECK(play(planner, service, load, 21, 28) == 0);
             CHECK(play(planner, service, load, 28, 40) > 0);
@@ -87,7 +105,19 @@
             CHECK(load.zones.at("eger").permanent == 3);
             CHECK(load.zones.at("eger").reclaimable == 0);
             play(planner, service, load, 30, 40);
-            CHECK(load.zones.at("eger").reclaimable == 1);
+            CHECK(load.zones.at("eger").reclaimable == 4);
+        }
+        SECTION("when all reclaimable ones are gone and none are to be had, permanent ones give some of the head room")
+        {
+            // Pattern: a reclaim of all zones with nothing to be had, at a load of 9, which would keep 9 permanent ones busy without a break.
+            for (auto &[zone, replicas] : load.zones) {
+                replicas.reclaimable = 0;
+            }
+            play(planner, service, load, 20, 30, false);
+            CHECK(permanentOf(load) == 10);
+            play(planner, service, load, 30, 50);
+            CHECK(permanentOf(load) == 9);
+            CHECK(reclaimableOf(load) == 11);
         }
         SECTION("and a host that takes the duty over orders nothing less before it has seen the load")
         {
@@ -103,8 +133,39 @@
     UpstreamPlanner planner;
     ServiceLoad load = makeLoad(9, {6, 0});
     play(planner, makeService(std::nullopt), load, 0, 20);
-    CHECK(load.zones.at("eger").permanent == 4);
-    CHECK(load.zones.at("eger").reclaimable == 0);
+    CHECK(permanentOf(load) == 10);
+    CHECK(reclaimableOf(load) == 0);
+}
+
+TEST_CASE("What does not divide by the availability zones goes to the cheapest")
+{
+    // Pattern: a small service of three zones, where one upstream more in each zone than is needed is a third of the price.
+    UpstreamPlanner planner;
+    routing::Service service = makeService(std::nullopt);
+    service.scaling->zonePrices = {{"eger", 1.2}, {"miskolc", 0.85}, {"nyiregyhaza", 1.0}};
+    ServiceLoad load = makeLoad(4, {6, 0});
+    play(planner, service, load, 0, 20);
+    CHECK(load.zones.at("miskolc").permanent == 2);
+    CHECK(load.zones.at("nyiregyhaza").permanent == 2);
+    CHECK(load.zones.at("eger").permanent == 1);
+}
+
+TEST_CASE("Reclaimable upstreams that were ordered before callers came stay ordered while the load is being learned")
+{
+    // Pattern: the first callers come while the upstreams ordered for them are still starting. Taken back, they were not to be had again.
+    UpstreamPlanner planner;
+    const routing::Service service = makeService(0.18);
+    ServiceLoad load = makeLoad(0, {3, 0});
+    load.known = false;
+    std::vector<ports::UpstreamOrder> orders;
+    for (int second = 0; second < 4 && orders.empty(); ++second) {
+        orders = planner.plan(service, load, Start + std::chrono::seconds(second));
+    }
+    REQUIRE(orders.size() == 3);
+    CHECK(orders.front().reclaimable);
+    load.known = true;
+    load.busyUpstreams = 0.3;
+    CHECK(planner.plan(service, load, Start + std::chrono::seconds(4)).empty());
 }
 
 TEST_CASE("The bounds of a service hold for both kinds together")
@@ -134,8 +195,8 @@
             replicas.permanent = 6;
         }
         play(planner, makeService(0.18), load, 0, 20);
-        CHECK(load.zones.at("eger").permanent == 4);
-        CHECK(load.zones.at("eger").reclaimable == 2);
+        CHECK(load.zones.at("eger").permanent == 3);
+        CHECK(load.zones.at("eger").reclaimable == 3);
     }
     SECTION("permanent ones alone stay as they are")
     {
--- a/src/duties/upstreamplanner.h
+++ b/src/duties/upstreamplanner.h
@@ -57,6 +57,12 @@
         std::map<std::string, std::uint32_t> settled; ///< By zone, once their number has stayed the same for some time.
     };
 
+    /// Upstreams of both kinds that the load asks for, as far as they are to be had.
+    [[nodiscard]] std::map<std::string, ZoneReplicas> wantedReplicas(const routing::Service &service, const ServiceLoad &load, TimePoint now);
+    /// Adds an order unless it stands already.
+    void addOrder(const ports::UpstreamOrder &order, std::uint32_t there, TimePoint now, std::vector<ports::UpstreamOrder> &orders);
+    /// What was ordered last; 0 when nothing was.
+    [[nodiscard]] std::uint32_t ordered(const Key &key) const;
     /// Whether the number of upstreams has stayed the same for some time.
     bool settled(const std::string &service, const ServiceLoad &load, TimePoint now);
     /// Takes a load and forgets those that are older than what counts.
