Tell from gateways' logs what became of a request

rosemaryshift-timeline explain ID LOGFILE... merges logs of several hosts in plain sentences, with what the hosts that took part went through, allows for damaged or missing lines and for clocks that jump or differ, and says what is missing.

--- a/programs/timeline/main.cpp
+++ b/programs/timeline/main.cpp
@@ -1,19 +1,23 @@
 #include "operators/timelineclient.h"
 #include "program/program.h"
+#include "timeline/gatewaylog.h"
 #include "timeline/itimeline.h"
 #include "timeline/mergedtimeline.h"
 
 #include <cstdio>
+#include <fstream>
+#include <sstream>
 
 using namespace rosemaryshift;
 
 namespace {
 
 constexpr std::string_view Name = "rosemaryshift-timeline";
-constexpr std::string_view Usage = R"(Prints one time line of events over all hosts.
+constexpr std::string_view Usage = R"(Prints one time line of events over all hosts, or tells from gateways' logs what became of a request.
 
 Usage:
   rosemaryshift-timeline --token-file FILE [--request ID] [--workspace NAME] [--since TIME] [--json] HOST...
+  rosemaryshift-timeline explain ID LOGFILE...
   rosemaryshift-timeline (--help | --version)
 
 Options:
@@ -26,7 +30,8 @@
   --version          Show the version.
 
 HOST is a host's listener for operators, as in 127.0.0.1:9000. Events that a process has lost show as a gap.
-Exit codes: 0 done, 1 a host could not be read, wholly or in part, 2 wrong command line.
+ID is a request's attempt id, LOGFILE what a gateway wrote to standard output; text before the first brace of a line is ignored.
+Exit codes: 0 done, 1 a host or file could not be read, wholly or in part, or no line names the request, 2 wrong command line.
 )";
 
 void print(const std::vector<std::string> &lines)
@@ -36,11 +41,38 @@
     }
 }
 
+int explain(const std::string &request, const std::vector<std::string> &files)
+{
+    std::vector<timeline::LogText> texts;
+    bool complete = true;
+    for (const std::string &name : files) {
+        std::ifstream file(name, std::ios::binary);
+        std::ostringstream text;
+        text << file.rdbuf();
+        if (!file.is_open() || file.bad()) {
+            std::fprintf(stderr, "%s: cannot be read\n", name.c_str());
+            complete = false;
+            continue;
+        }
+        texts.push_back({name, text.str()});
+    }
+    const std::vector<std::string> sentences = timeline::accountOf(timeline::mergedLog(texts), request);
+    if (sentences.empty()) {
+        std::fprintf(stderr, "no line names the request %s\n", request.c_str());
+        return program::Failed;
+    }
+    print(sentences);
+    return complete ? program::Success : program::Failed;
+}
+
 }
 
 int main(int argc, char **argv)
 {
     const program::Arguments arguments(Usage, std::span(argv, static_cast<std::size_t>(argc)), Name);
+    if (arguments.flag("explain")) {
+        return explain(arguments.text("ID"), arguments.texts("LOGFILE"));
+    }
     std::string reason;
     const std::optional<std::string> token = program::readToken(arguments.text("--token-file"), reason);
     if (!token) {
--- /dev/null
+++ b/src/timeline/internal/gatewaylog.cpp
@@ -0,0 +1,138 @@
+#include "timeline/gatewaylog.h"
+
+#include "base/json.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+namespace rosemaryshift::timeline {
+
+namespace {
+
+/// Hosts bring a configuration into force within this time of each other; smaller differences say nothing about their clocks.
+constexpr double ConfigurationSpreadMs = 2'000;
+
+using ProcessStart = std::pair<std::string, std::string>;
+
+std::optional<LogLine> parsedLine(std::string_view text)
+{
+    const std::size_t brace = text.find('{');
+    if (brace == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::string reason;
+    std::optional<Json::Value> value = parseJson(text.substr(brace), reason);
+    if (!value || !value->isObject()) {
+        return std::nullopt;
+    }
+    const std::optional<std::string> host = stringMember(*value, "host");
+    const std::optional<std::string> start = stringMember(*value, "start");
+    const std::optional<std::string> event = stringMember(*value, "event");
+    const std::optional<std::uint64_t> wall = unsignedMember(*value, "time_ms");
+    const std::optional<std::uint64_t> steady = unsignedMember(*value, "steady_ms");
+    if (!host || !start || !event || !wall || !steady) {
+        return std::nullopt;
+    }
+    return LogLine{*host, *start, *event, static_cast<std::int64_t>(*wall), static_cast<std::int64_t>(*steady), 0, std::move(*value)};
+}
+
+double median(std::vector<double> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+/// Puts each line on the scale of its host's usual wall clock.
+void useSteadyClocks(std::vector<LogLine> &lines)
+{
+    std::map<ProcessStart, std::vector<double>> differences;
+    for (const LogLine &line : lines) {
+        differences[{line.host, line.start}].push_back(static_cast<double>(line.wallMs - line.steadyMs));
+    }
+    std::map<ProcessStart, double> offsets;
+    for (const auto &[start, values] : differences) {
+        offsets[start] = median(values);
+    }
+    for (LogLine &line : lines) {
+        line.timeMs = static_cast<double>(line.steadyMs) + offsets.at({line.host, line.start});
+    }
+}
+
+/// When each version came into force, by host.
+std::map<std::string, std::map<std::int64_t, double>> versionTimes(const std::vector<LogLine> &lines)
+{
+    std::map<std::string, std::map<std::int64_t, double>> times;
+    for (const LogLine &line : lines) {
+        if (line.event == "configuration_in_force" && line.fields["version"].isInt64()) {
+            times[line.host].emplace(line.fields["version"].asInt64(), line.timeMs);
+        }
+    }
+    return times;
+}
+
+/// Sets the clocks of hosts by the first host's, where configurations show that they differ.
+void alignHosts(GatewayLog &log)
+{
+    const std::map<std::string, std::map<std::int64_t, double>> times = versionTimes(log.lines);
+    if (times.empty()) {
+        return;
+    }
+    const auto &[reference, referenceTimes] = *times.begin();
+    std::map<std::string, double> ahead;
+    for (const auto &[host, versions] : times) {
+        std::vector<double> differences;
+        for (const auto &[version, time] : versions) {
+            const auto found = referenceTimes.find(version);
+            if (found != referenceTimes.end()) {
+                differences.push_back(time - found->second);
+            }
+        }
+        const double difference = differences.empty() ? 0 : median(differences);
+        if (std::abs(difference) > ConfigurationSpreadMs) {
+            ahead[host] = difference;
+            std::ostringstream text;
+            text << "The clock of " << host << " is about " << static_cast<std::int64_t>(std::abs(difference)) << " ms "
+                 << (difference > 0 ? "ahead of" : "behind") << " that of " << reference
+                 << ", by the configurations that came into force on both; its lines were moved by that.";
+            log.faults.push_back(text.str());
+        }
+    }
+    for (LogLine &line : log.lines) {
+        const auto found = ahead.find(line.host);
+        line.timeMs -= found == ahead.end() ? 0 : found->second;
+    }
+}
+
+}
+
+GatewayLog mergedLog(const std::vector<LogText> &files)
+{
+    GatewayLog log;
+    for (const LogText &file : files) {
+        std::istringstream text(file.text);
+        std::size_t unreadable = 0;
+        for (std::string line; std::getline(text, line);) {
+            if (line.empty()) {
+                continue;
+            }
+            if (std::optional<LogLine> parsed = parsedLine(line)) {
+                log.lines.push_back(std::move(*parsed));
+            } else {
+                ++unreadable;
+            }
+        }
+        if (unreadable > 0) {
+            log.faults.push_back(std::to_string(unreadable) + " lines of " + file.name + " cannot be read.");
+        }
+    }
+    useSteadyClocks(log.lines);
+    alignHosts(log);
+    std::stable_sort(log.lines.begin(), log.lines.end(), [](const LogLine &left, const LogLine &right) { return left.timeMs < right.timeMs; });
+    return log;
+}
+
+}
--- /dev/null
+++ b/src/timeline/tests/gatewaylogtests.cpp
@@ -0,0 +1,142 @@
+#include "timeline/gatewaylog.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace rosemaryshift::timeline;
+
+namespace {
+
+std::string makeLine(const std::string &host, std::int64_t wallMs, std::int64_t steadyMs, const std::string &event, const std::string &fields = {})
+{
+    return R"({"time_ms":)" + std::to_string(wallMs) + R"(,"steady_ms":)" + std::to_string(steadyMs) + R"(,"host":")" + host + R"(","start":"s1","event":")"
+        + event + '"' + fields + "}\n";
+}
+
+const std::string Offered
+    = R"(,"request":"r1","route":"plans","service":"engines","instance":"i-1","expected_ms":120,"uncached_tokens":10,"runner_up":"i-2","runner_up_ms":150,"left_ms":3000,"resume_after":"")";
+const std::string OfferFailed = R"(,"request":"r1","instance":"i-1","reason":"no_answer: nothing came within the timeout","run":"offered")";
+const std::string Ended
+    = R"(,"request":"r1","kind":"non_idempotent","route":"plans","workspace":"yard","configuration":7,"configuration_age_ms":300,"outcome":"failed","status":504,"reason":"no_answer: nothing came within the timeout","run":"offered","offers":1,"instance":"i-1","first_ms":-1,"retry_after_ms":-1,"took_ms":3000)";
+
+bool says(const std::vector<std::string> &account, const std::string &part)
+{
+    return std::any_of(account.begin(), account.end(), [&part](const std::string &sentence) { return sentence.find(part) != std::string::npos; });
+}
+
+/// The sentence that holds @p part, as its place in the account; the account's size when there is none.
+std::size_t placeOf(const std::vector<std::string> &account, const std::string &part)
+{
+    const auto found = std::find_if(account.begin(), account.end(), [&part](const std::string &sentence) { return sentence.find(part) != std::string::npos; });
+    return static_cast<std::size_t>(found - account.begin());
+}
+
+}
+
+TEST_CASE("A failed request is told from the logs of several hosts")
+{
+    const std::string first = makeLine("entry-1", 50'000, 1'000, "offered", Offered) + makeLine("entry-1", 53'000, 4'000, "offer_failed", OfferFailed)
+        + makeLine("entry-1", 53'000, 4'000, "request_ended", Ended);
+    const std::string second = makeLine("entry-2",
+                                        51'000,
+                                        9'000,
+                                        "upstreams_ordered",
+                                        R"(,"service":"engines","zone":"eger","reclaimable":true,"replicas":4,"done":false,"reason":"none")")
+        + makeLine("entry-2", 51'500, 9'500, "offered", R"(,"request":"r2","instance":"i-9")");
+
+    SECTION("by its id, with what it was sent to and what is known of its run")
+    {
+        const std::vector<std::string> account = accountOf(mergedLog({{"a.log", first}, {"b.log", second}}), "r1");
+        CHECK(says(account, "entry-1: It was sent to i-1 of engines, expected to begin its answer after 120 ms, with 3000 ms left; next best was i-2"));
+        CHECK(says(account, "no_answer: nothing came within the timeout); it may have run."));
+        CHECK(says(account, "ended as 'failed' with status 504 after 3000 ms"));
+        CHECK(says(account, "entry-2: The holder of the duties ordered 4 upstreams of engines in eger, in vain: none."));
+        CHECK(!says(account, "i-9"));
+        CHECK(!says(account, "Missing"));
+    }
+    SECTION("whatever stands before a line, as a collector may add")
+    {
+        std::string collected;
+        for (const char *prefix : {"   9.81 entry-1 ", "2026-03-02 entry-1 out: ", ""}) {
+            collected += prefix + makeLine("entry-1", 50'000, 1'000, "offered", Offered);
+        }
+        CHECK(mergedLog({{"a.log", collected}}).lines.size() == 3);
+    }
+    SECTION("with the surroundings of the hosts that took part, and of no others")
+    {
+        const std::string around = makeLine("entry-1", 49'000, 0, "log_lost", R"(,"topic":"upstreams","reason":"timeout")")
+            + makeLine("entry-1", 52'000, 3'000, "upstream", R"(,"instance":"i-1","service":"engines","change":"removed","zone":"eger")")
+            + makeLine("entry-2", 52'000, 3'000, "log_lost", R"(,"topic":"configuration","reason":"timeout")");
+        const std::vector<std::string> account = accountOf(mergedLog({{"a.log", first + around}}), "r1");
+        CHECK(says(account, "The platform's log of upstreams was out of reach (timeout)."));
+        CHECK(says(account, "Upstream i-1 was removed."));
+        CHECK(!says(account, "log of configuration"));
+        CHECK(placeOf(account, "out of reach") < placeOf(account, "was sent to"));
+        CHECK(placeOf(account, "i-1 was removed") < placeOf(account, "ended as"));
+    }
+    SECTION("nothing is told of a request that no line names")
+    {
+        CHECK(accountOf(mergedLog({{"a.log", first}}), "r7").empty());
+        CHECK(accountOf(mergedLog({{"a.log", first}}), "").empty());
+        CHECK(accountOf(mergedLog({}), "r1").empty());
+    }
+}
+
+TEST_CASE("What the logs do not hold is said")
+{
+    SECTION("damaged lines are counted")
+    {
+        const std::string damaged = makeLine("entry-1", 50'000, 1'000, "offered", Offered) + "{\"time_ms\":1,\n" + "no line at all\n" + R"({"host":"entry-1"})"
+            + "\n" + makeLine("entry-1", 53'000, 4'000, "request_ended", Ended);
+        CHECK(says(accountOf(mergedLog({{"a.log", damaged}}), "r1"), "3 lines of a.log cannot be read."));
+    }
+    SECTION("the end is missing since the process ended")
+    {
+        const std::string cut = makeLine("entry-1", 50'000, 1'000, "offered", Offered);
+        CHECK(says(accountOf(mergedLog({{"a.log", cut}}), "r1"), "Missing: how it ended. The log of entry-1 ends here"));
+
+        SECTION("or since the line was left out")
+        {
+            const std::string goesOn = cut + makeLine("entry-1", 60'000, 11'000, "peer", R"(,"peer":"entry-2","change":"silent")");
+            CHECK(says(accountOf(mergedLog({{"a.log", goesOn}}), "r1"), "goes on, so that the line was left out or lost"));
+        }
+    }
+    SECTION("an offer is missing, and lines were left out")
+    {
+        const std::string sampled
+            = makeLine("entry-1", 53'000, 4'000, "request_ended", Ended) + makeLine("entry-1", 53'500, 4'500, "lines_dropped", R"(,"lines":12)");
+        const std::vector<std::string> account = accountOf(mergedLog({{"a.log", sampled}}), "r1");
+        CHECK(says(account, "Missing: 1 of 1 offers to upstreams."));
+        CHECK(says(account, "12 were left out of the log"));
+    }
+}
+
+TEST_CASE("Clocks that jump or differ do not mix up the order")
+{
+    SECTION("the time of day jumps between two lines of a process")
+    {
+        const std::string jumped = makeLine("entry-1", 50'000, 1'000, "offered", Offered) + makeLine("entry-1", 47'000, 4'000, "offer_failed", OfferFailed)
+            + makeLine("entry-1", 53'100, 4'100, "request_ended", Ended);
+        const std::vector<std::string> account = accountOf(mergedLog({{"a.log", jumped}}), "r1");
+        CHECK(placeOf(account, "was sent to") < placeOf(account, "brought no whole answer"));
+        CHECK(placeOf(account, "brought no whole answer") < placeOf(account, "ended as"));
+        CHECK(says(account, "   +0.000 s entry-1"));
+        CHECK(says(account, "   +3.000 s entry-1"));
+    }
+    SECTION("a host's clock is a minute ahead, and configurations show it")
+    {
+        std::string one = makeLine("entry-1", 50'000, 21'000, "offered", Offered) + makeLine("entry-1", 53'000, 24'000, "request_ended", Ended);
+        std::string two
+            = makeLine("entry-2", 111'000, 19'000, "upstreams_ordered", R"(,"service":"engines","zone":"eger","replicas":4,"done":true,"reason":"")");
+        for (int version = 1; version <= 3; ++version) {
+            const std::string fields = R"(,"source":"log","routes":1,"version":)" + std::to_string(version);
+            one += makeLine("entry-1", 40'000 + version * 1'000, 11'000 + version * 1'000, "configuration_in_force", fields);
+            two += makeLine("entry-2", 100'000 + version * 1'000, 8'000 + version * 1'000, "configuration_in_force", fields);
+        }
+        const GatewayLog log = mergedLog({{"b.log", two}, {"a.log", one}});
+        REQUIRE(log.faults.size() == 1);
+        CHECK(log.faults.front().find("The clock of entry-2 is about 60000 ms ahead of that of entry-1") == 0);
+        CHECK(says(accountOf(log, "r1"), "ordered 4 upstreams"));
+    }
+}
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -55,6 +55,7 @@
         ::kill(m_pid, SIGKILL);
         reap(true);
     }
+    resumeReading();
     m_reader.join();
 }
 
@@ -65,13 +66,14 @@
     ssize_t count = 0;
     while ((count = ::read(descriptor, bytes.data(), bytes.size())) > 0) {
         partial.append(bytes.data(), static_cast<std::size_t>(count));
-        const std::lock_guard lock(m_mutex);
+        std::unique_lock lock(m_mutex);
         std::size_t end = 0;
         while ((end = partial.find('\n')) != std::string::npos) {
             m_lines.push_back(partial.substr(0, end));
             partial.erase(0, end + 1);
         }
         m_changed.notify_all();
+        m_changed.wait(lock, [this] { return !m_paused; });
     }
     ::close(descriptor);
     const std::lock_guard lock(m_mutex);
@@ -131,6 +133,19 @@
     REQUIRE(::waitid(P_PID, static_cast<id_t>(m_pid), &info, WSTOPPED) == 0);
 }
 
+void Process::pauseReading()
+{
+    const std::lock_guard lock(m_mutex);
+    m_paused = true;
+}
+
+void Process::resumeReading()
+{
+    const std::lock_guard lock(m_mutex);
+    m_paused = false;
+    m_changed.notify_all();
+}
+
 int Process::awaitExit()
 {
     {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -30,6 +30,9 @@
     void signal(int number) const;
     /// Stops the process with SIGSTOP and waits until all of its threads stand still.
     void freeze() const;
+    /// Leaves what the process writes unread until resumeReading(), so that its pipe fills up. A read under way still ends.
+    void pauseReading();
+    void resumeReading();
     /// Waits for the end and gives the exit code, or minus the signal that ended it.
     int awaitExit();
     [[nodiscard]] pid_t pid() const;
@@ -46,6 +49,7 @@
     std::condition_variable m_changed;
     std::vector<std::string> m_lines;
     bool m_closed = false;
+    bool m_paused = false;
     std::thread m_reader;
 };
 
