Let a holder that only missed a renewal plan on, and hosts that do not hold the duty learn the load

Cause: each time the lease could not be renewed the planner forgot the load, and the five seconds in which nothing less is ordered began anew; with the store away every few seconds, all that stood there at the start stayed ordered. So a host that takes over from another one still waits, and the host whose own fence stands goes on.

--- a/src/duties/internal/upstreamplanner.cpp
+++ b/src/duties/internal/upstreamplanner.cpp
@@ -19,7 +19,7 @@
 constexpr double StandingPart = 0.45;
 /// The load that counts is the highest of this time: orders fall slowly and rise at once.
 constexpr std::chrono::seconds PeakWindow{8};
-/// No less is ordered before the load was known for this long: it seems small while callers begin to come.
+/// No less is ordered before the load was known, and the duty held, for this long: the load seems small while callers begin to come.
 constexpr std::chrono::seconds LearningTime{5};
 /// Before callers come, nothing is ordered until the list of upstreams has stayed the same for this long.
 constexpr std::chrono::seconds SettledTime{3};
@@ -63,15 +63,26 @@
 
 }
 
+void UpstreamPlanner::observe(const routing::Service &service, const ServiceLoad &load, TimePoint now)
+{
+    if (!load.known) {
+        noteStanding(service.name, load, now);
+        return;
+    }
+    m_firstLoads.emplace(service.name, now);
+    std::deque<std::pair<TimePoint, double>> &loads = m_loads[service.name];
+    loads.emplace_back(now, load.busyUpstreams);
+    while (now - loads.front().first > PeakWindow) {
+        loads.pop_front();
+    }
+}
+
 std::vector<ports::UpstreamOrder> UpstreamPlanner::plan(const routing::Service &service, const ServiceLoad &load, TimePoint now)
 {
     std::vector<ports::UpstreamOrder> orders;
-    if (!service.scaling || load.zones.empty() || (!load.known && !settled(service.name, load, now))) {
+    if (!service.scaling || load.zones.empty() || (!load.known && !settled(service.name))) {
         return orders;
     }
-    if (load.known) {
-        noteLoad(service.name, load, now);
-    }
     const bool reclaimables = service.scaling->reclaimablePrice && *service.scaling->reclaimablePrice < 1;
     const bool shrinks = !load.known || mayShrink(service.name, now);
     for (const auto &[zone, wanted] : wantedReplicas(service, load, now)) {
@@ -152,23 +163,11 @@
     m_orders.erase({order.service, order.zone, order.reclaimable});
 }
 
-void UpstreamPlanner::reset()
+void UpstreamPlanner::takeOver(TimePoint now)
 {
+    m_tookOver = now;
     m_orders.clear();
     m_unavailable.clear();
-    m_loads.clear();
-    m_firstLoads.clear();
-    m_standing.clear();
-}
-
-void UpstreamPlanner::noteLoad(const std::string &service, const ServiceLoad &load, TimePoint now)
-{
-    m_firstLoads.emplace(service, now);
-    std::deque<std::pair<TimePoint, double>> &loads = m_loads[service];
-    loads.emplace_back(now, load.busyUpstreams);
-    while (now - loads.front().first > PeakWindow) {
-        loads.pop_front();
-    }
 }
 
 double UpstreamPlanner::peakLoad(const std::string &service) const
@@ -183,7 +182,7 @@
     return peak;
 }
 
-bool UpstreamPlanner::settled(const std::string &service, const ServiceLoad &load, TimePoint now)
+void UpstreamPlanner::noteStanding(const std::string &service, const ServiceLoad &load, TimePoint now)
 {
     std::uint32_t standing = 0;
     for (const auto &[zone, replicas] : load.zones) {
@@ -191,23 +190,30 @@
     }
     Standing &known = m_standing[service];
     if (!known.settled.empty()) {
-        return true;
+        return;
     }
     if (known.replicas != standing) {
         known = {standing, now, {}};
     }
     if (standing == 0 || now - known.since < SettledTime) {
-        return false;
+        return;
     }
     for (const auto &[zone, replicas] : load.zones) {
         known.settled[zone] = replicas.permanent + replicas.reclaimable;
     }
-    return true;
+}
+
+bool UpstreamPlanner::settled(const std::string &service) const
+{
+    const auto found = m_standing.find(service);
+    return found != m_standing.end() && !found->second.settled.empty();
 }
 
 bool UpstreamPlanner::mayShrink(const std::string &service, TimePoint now) const
 {
-    return now - m_firstLoads.at(service) >= LearningTime;
+    const auto first = m_firstLoads.find(service);
+    const bool tookOver = m_tookOver && now - *m_tookOver < LearningTime;
+    return !tookOver && first != m_firstLoads.end() && now - first->second >= LearningTime;
 }
 
 }
--- a/src/duties/tests/upstreamplannertests.cpp
+++ b/src/duties/tests/upstreamplannertests.cpp
@@ -32,6 +32,7 @@
     std::size_t orders = 0;
     for (int second = fromSecond; second < toSecond; ++second) {
         const TimePoint now = Start + std::chrono::seconds(second);
+        planner.observe(service, load, now);
         for (const ports::UpstreamOrder &order : planner.plan(service, load, now)) {
             ++orders;
             ZoneReplicas &replicas = load.zones.at(order.zone);
@@ -119,6 +120,28 @@
             CHECK(permanentOf(load) == 9);
             CHECK(reclaimableOf(load) == 11);
         }
+        SECTION("and a holder that lost the duty for a moment goes on from the load it has seen")
+        {
+            // Pattern: the store is away every few seconds, and with it the lease; learning anew each time would keep all that stands there.
+            load.busyUpstreams = 3;
+            for (int second = 20; second < 30; ++second) {
+                planner.observe(service, load, Start + std::chrono::seconds(second));
+            }
+            play(planner, service, load, 30, 33);
+            CHECK(permanentOf(load) == 3);
+        }
+        SECTION("and one that takes the duty over from another host waits with ordering less")
+        {
+            load.busyUpstreams = 3;
+            for (int second = 20; second < 30; ++second) {
+                planner.observe(service, load, Start + std::chrono::seconds(second));
+            }
+            planner.takeOver(Start + std::chrono::seconds(30));
+            play(planner, service, load, 30, 35);
+            CHECK(permanentOf(load) == 9);
+            play(planner, service, load, 35, 37);
+            CHECK(permanentOf(load) == 3);
+        }
         SECTION("and a host that takes the duty over orders nothing less before it has seen the load")
         {
             UpstreamPlanner successor;
@@ -159,12 +182,14 @@
     load.known = false;
     std::vector<ports::UpstreamOrder> orders;
     for (int second = 0; second < 4 && orders.empty(); ++second) {
+        planner.observe(service, load, Start + std::chrono::seconds(second));
         orders = planner.plan(service, load, Start + std::chrono::seconds(second));
     }
     REQUIRE(orders.size() == 3);
     CHECK(orders.front().reclaimable);
     load.known = true;
     load.busyUpstreams = 0.3;
+    planner.observe(service, load, Start + std::chrono::seconds(4));
     CHECK(planner.plan(service, load, Start + std::chrono::seconds(4)).empty());
 }
 
@@ -208,6 +233,7 @@
 {
     UpstreamPlanner planner;
     const ServiceLoad load = makeLoad(18, {2, 0});
+    planner.observe(makeService(std::nullopt), load, Start);
     REQUIRE(planner.plan(makeService(std::nullopt), load, Start).size() == 3);
     CHECK(planner.plan(makeService(std::nullopt), load, Start + std::chrono::seconds(5)).empty());
     CHECK(planner.plan(makeService(std::nullopt), load, Start + std::chrono::seconds(11)).size() == 3);
--- a/src/duties/upstreamplanner.h
+++ b/src/duties/upstreamplanner.h
@@ -30,12 +30,15 @@
 class UpstreamPlanner
 {
 public:
-    /// The orders to give now, for what differs from the orders given before.
+    /// Takes note of the load. A host does so whether it holds the duty or not, so that it can plan at once when it takes it over.
+    void observe(const routing::Service &service, const ServiceLoad &load, TimePoint now);
+    /// The orders to give now, for what differs from the orders given before. Precondition: the load was observed.
     [[nodiscard]] std::vector<ports::UpstreamOrder> plan(const routing::Service &service, const ServiceLoad &load, TimePoint now);
     /// The platform had none of these to give.
     void noteUnavailable(const ports::UpstreamOrder &order, TimePoint now);
-    /// Forgets what was ordered: another host has held the duty meanwhile.
-    void reset();
+    /// Takes the duty over from another host: nothing is known of its orders, and no less is ordered for some time, since a change of the
+    /// holder tells of trouble in which fewer callers come through.
+    void takeOver(TimePoint now);
 
 private:
     struct Key {
@@ -63,10 +66,10 @@
     void addOrder(const ports::UpstreamOrder &order, std::uint32_t there, TimePoint now, std::vector<ports::UpstreamOrder> &orders);
     /// What was ordered last; 0 when nothing was.
     [[nodiscard]] std::uint32_t ordered(const Key &key) const;
-    /// Whether the number of upstreams has stayed the same for some time.
-    bool settled(const std::string &service, const ServiceLoad &load, TimePoint now);
-    /// Takes a load and forgets those that are older than what counts.
-    void noteLoad(const std::string &service, const ServiceLoad &load, TimePoint now);
+    /// Takes note of the upstreams that stand there before callers come.
+    void noteStanding(const std::string &service, const ServiceLoad &load, TimePoint now);
+    /// Whether their number has stayed the same for some time.
+    [[nodiscard]] bool settled(const std::string &service) const;
     [[nodiscard]] double peakLoad(const std::string &service) const;
     /// Whether the load is known for long enough to order less than what stands there.
     [[nodiscard]] bool mayShrink(const std::string &service, TimePoint now) const;
@@ -75,6 +78,7 @@
     std::map<Key, TimePoint> m_unavailable;
     std::map<std::string, std::deque<std::pair<TimePoint, double>>> m_loads;
     std::map<std::string, Standing> m_standing;
+    std::optional<TimePoint> m_tookOver;
     std::map<std::string, TimePoint> m_firstLoads; ///< When a service's load was known first.
 };
 
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -54,9 +54,7 @@
         if (holds()) {
             co_await reportUsage();
         }
-        if (holds()) {
-            co_await orderUpstreams();
-        }
+        co_await planUpstreams();
         co_await pause(TickInterval);
     }
 }
@@ -135,7 +133,11 @@
     m_context.metrics.set("rosemaryshift_holds_duties", "", holding ? 1 : 0);
     m_context.log.write(holding ? "duties_taken" : "duties_lost", eventlog::Importance::Belief, {{"fence", static_cast<std::int64_t>(m_lease.fence())}});
     if (holding) {
-        m_planner.reset();
+        // A host that only could not renew has its fence still, and nobody has held the duties since.
+        if (m_lease.fence() != m_lastFence) {
+            m_planner.takeOver(hostNow());
+        }
+        m_lastFence = m_lease.fence();
         m_reported.clear();
     }
 }
@@ -194,7 +196,7 @@
     }
 }
 
-net::awaitable<void> DutyRunner::orderUpstreams()
+net::awaitable<void> DutyRunner::planUpstreams()
 {
     const TimePoint now = hostNow();
     const std::shared_ptr<const routing::RouteTable> table = m_context.configuration.table();
@@ -204,9 +206,13 @@
     m_planned = now;
     for (const routing::Service &service : table->configuration().services) {
         const duties::ServiceLoad load = serviceLoad(service, now);
+        m_planner.observe(service, load, now);
+        if (!holds()) {
+            continue;
+        }
         for (const ports::UpstreamOrder &order : m_planner.plan(service, load, now)) {
             if (!holds()) {
-                co_return;
+                break;
             }
             std::string reason;
             const ports::DutyProof proof = currentProof();
--- a/src/gateway/internal/dutyrunner.h
+++ b/src/gateway/internal/dutyrunner.h
@@ -28,7 +28,7 @@
     boost::asio::awaitable<void> append(const duties::DutyRecord &next, TimePoint began);
     boost::asio::awaitable<void> readRecord();
     boost::asio::awaitable<void> reportUsage();
-    boost::asio::awaitable<void> orderUpstreams();
+    boost::asio::awaitable<void> planUpstreams();
     [[nodiscard]] std::vector<ports::UsageReport> decided(TimePoint now);
     [[nodiscard]] bool complete(std::uint64_t window, TimePoint now) const;
     [[nodiscard]] duties::ServiceLoad serviceLoad(const routing::Service &service, TimePoint now) const;
@@ -44,6 +44,7 @@
     std::uint64_t m_firstWindow;        ///< The window in which this process started.
     std::optional<TimePoint> m_planned;
     bool m_holding = false;
+    std::optional<std::uint64_t> m_lastFence; ///< Of the last time this host held the duties.
 };
 
 }
