Give callers a part of the tolerance that a quota's promise has for distributed enforcement

Change: half of the promised excess on the rate and 0.3 of the slack; the settings name both. The window's bound is tested with the promise's figures.

--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,6 +2,7 @@
 
 #include "http/httptypes.h"
 #include "limits/retrybudget.h"
+#include "limits/workspacequotas.h"
 #include "settings/settingsdocument.h"
 
 #include <chrono>
@@ -37,6 +38,7 @@
     std::chrono::milliseconds usageWindow{5'000};
     std::chrono::milliseconds usageLate{10'000}; ///< A window's usage is due this long after its end.
     limits::RetryPromise retries;
+    limits::QuotaPromise quotas;
 };
 
 /// Reads the settings; faults are noted in the document.
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -28,6 +28,7 @@
         }
     })
     , listReach(settings.renewal)
+    , quotas(settings.quotas)
     , retries(settings.retries)
     , usage(settings.usageWindow)
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -72,6 +72,8 @@
     settings.retries.window = seconds(*promises, "retry_window_s", std::chrono::seconds(10));
     settings.retries.ratio = promises->real("retry_ratio", {0, 10}, settings.retries.ratio);
     settings.retries.slack = promises->real("retry_slack", {}, settings.retries.slack);
+    settings.quotas.excess = promises->real("quota_excess", {0, 1}, settings.quotas.excess);
+    settings.quotas.slack = promises->real("quota_slack", {}, settings.quotas.slack);
     promises->rejectUnknownKeys();
 }
 
--- a/src/limits/internal/workspacequotas.cpp
+++ b/src/limits/internal/workspacequotas.cpp
@@ -19,6 +19,9 @@
 constexpr double InitialPart = 0.3;
 /// Part of the whole bucket below which a host also keeps to its share: what others use at the same moment is heard of too late then.
 constexpr double ScarcePart = 0.3;
+/// Parts of the promised excess and slack that callers are given; the rest covers what hosts use at the same moment.
+constexpr double GivenExcessPart = 0.5;
+constexpr double GivenSlackPart = 0.3;
 /// Longest time that a caller is told to wait.
 constexpr double LongestWaitSeconds = 60;
 
@@ -36,14 +39,20 @@
     filled = now;
 }
 
+WorkspaceQuotas::WorkspaceQuotas(QuotaPromise promise)
+    : m_promise(promise)
+{
+}
+
 void WorkspaceQuotas::resize(Quota &quota, TimePoint now) const
 {
+    const double perSecond = quota.perSecond * (1 + GivenExcessPart * m_promise.excess);
     quota.own.fill(now);
-    quota.own.rate = quota.perSecond * quota.share;
+    quota.own.rate = perSecond * quota.share;
     quota.own.capacity = quota.burst * SharedBurstPart * quota.share;
     quota.own.level = std::min(quota.own.level, quota.own.capacity);
     quota.pooled.fill(now);
-    quota.pooled.rate = quota.perSecond * quota.pooledPart;
+    quota.pooled.rate = perSecond * quota.pooledPart;
     quota.pooled.capacity = quota.burst * quota.pooledPart;
     quota.pooled.level = std::min(quota.pooled.level, quota.pooled.capacity);
 }
@@ -140,15 +149,16 @@
     }
     quota.own.fill(now);
     quota.pooled.fill(now);
-    double level = quota.own.level;
+    const double allowance = GivenSlackPart * m_promise.slack;
+    double level = quota.own.level + allowance * quota.share;
     if (m_pooled) {
-        const double pooled = quota.pooled.level - probablyUsed(workspace, now);
-        level = pooled < ScarcePart * quota.pooled.capacity ? std::min(pooled, quota.own.level) : pooled;
+        const double pooled = quota.pooled.level - probablyUsed(workspace, now) + allowance * quota.pooledPart;
+        level = pooled < ScarcePart * quota.pooled.capacity ? std::min(pooled, level) : pooled;
     }
     if (level > 0) {
         quota.pooled.level -= cost;
         // A pooled quota may give this host more than its share.
-        quota.own.level = std::max(quota.own.level - cost, m_pooled ? -quota.own.capacity : quota.own.level - cost);
+        quota.own.level = std::max(quota.own.level - cost, m_pooled ? -quota.own.capacity - allowance * quota.share : quota.own.level - cost);
         m_used[workspace] += static_cast<std::uint64_t>(cost);
         return std::nullopt;
     }
--- a/src/limits/tests/limitstests.cpp
+++ b/src/limits/tests/limitstests.cpp
@@ -223,3 +223,77 @@
         CHECK(worst >= PerSecond * 8 * 0.85);
     }
 }
+
+TEST_CASE("What a workspace's quota allows is hardly ever refused while callers ask for several times as much")
+{
+    // Pattern: one workspace asks for more than its quota all day, at all hosts, with requests of very different sizes. Hosts that know of each
+    // other's use late refuse what a single bucket would pass, unless a part of the promised tolerance is given to callers.
+    constexpr std::size_t Hosts = 8;
+    constexpr double PerSecond = 36'000;
+    constexpr double Burst = 36'000;
+    const QuotaPromise promise{0.1, 140'000};
+    const double load = GENERATE(0.9, 1.2, 3.0);
+    const std::uint64_t seed = GENERATE(1U, 2U, 3U, 4U);
+    CAPTURE(load, seed);
+    std::mt19937_64 random(seed);
+    std::deque<WorkspaceQuotas> hosts;
+    const std::vector<routing::Workspace> workspaces{makeWorkspace(PerSecond, Burst)};
+    for (std::size_t host = 0; host < Hosts; ++host) {
+        hosts.emplace_back(promise).configure(workspaces, Start - std::chrono::seconds(10));
+        hosts.back().setPooled(true, Start);
+    }
+    double single = Burst;
+    double allowed = 0;
+    double refusedThough = 0;
+    double passed = 0;
+    double inWindow = 0;
+    double worst = 0;
+    std::deque<std::pair<TimePoint, double>> window;
+    for (int step = 0; step < 60'000; ++step) {
+        const TimePoint now = Start + std::chrono::milliseconds(1) * step;
+        if (step % 400 == 0) {
+            double total = 0;
+            for (const WorkspaceQuotas &host : hosts) {
+                total += host.demand(now).at("yard");
+            }
+            for (WorkspaceQuotas &host : hosts) {
+                host.setShare("yard", shareOf(host.demand(now).at("yard"), total, Hosts), now);
+            }
+        }
+        if (step % 50 == 0) {
+            const std::size_t teller = static_cast<std::size_t>(step) % 400 / 50;
+            for (std::size_t host = 0; host < Hosts; ++host) {
+                if (host != teller) {
+                    hosts[host].notePeer("entry-" + std::to_string(teller), hosts[teller].used(), now);
+                }
+            }
+        }
+        single = std::min(Burst, single + PerSecond / 1'000);
+        const bool plan = std::uniform_real_distribution<double>(0, 1)(random) < 0.2;
+        const double cost = plan ? 7'000 : 1'900;
+        const double meanCost = 0.2 * 7'000 + 0.8 * 1'900;
+        if (std::uniform_real_distribution<double>(0, 1)(random) >= load * PerSecond / meanCost / 1'000) {
+            continue;
+        }
+        const bool singlePasses = single > 0;
+        single -= singlePasses ? cost : 0;
+        const bool passes = !hosts[random() % Hosts].take("yard", cost, now);
+        allowed += singlePasses ? cost : 0;
+        refusedThough += singlePasses && !passes ? cost : 0;
+        if (passes) {
+            passed += cost;
+            inWindow += cost;
+            window.emplace_back(now, cost);
+        }
+        while (now - window.front().first > std::chrono::seconds(8)) {
+            inWindow -= window.front().second;
+            window.pop_front();
+        }
+        worst = std::max(worst, inWindow);
+    }
+    CHECK(worst <= (PerSecond * 8 + Burst) * (1 + promise.excess) + promise.slack);
+    CHECK(passed >= allowed * 0.98);
+    if (load < 1) {
+        CHECK(refusedThough <= allowed * 0.01);
+    }
+}
--- a/src/limits/workspacequotas.h
+++ b/src/limits/workspacequotas.h
@@ -11,6 +11,12 @@
 
 namespace rosemaryshift::limits {
 
+/// How far the use of a workspace's quota, summed over all hosts, may be above it.
+struct QuotaPromise {
+    double excess = 0; ///< As a part of the quota.
+    double slack = 0;  ///< Beyond that, in the unit of the quota.
+};
+
 /// The quotas of all workspaces as one host enforces them. The hosts that hear each other follow one bucket: each takes from it what its own
 /// callers use at once, what others say they have used when it hears of it, and what they have probably used since. What silent hosts may use
 /// is left out of that bucket, so that the sum holds though hosts are cut off. A host that hears nobody keeps to its own share. Buckets may run into debt by
@@ -18,6 +24,9 @@
 class WorkspaceQuotas
 {
 public:
+    /// A part of what @p promise allows is given to callers, so that hosts that know of each other's use late do not refuse what the quota allows.
+    explicit WorkspaceQuotas(QuotaPromise promise = {});
+
     /// Takes the quotas of a new configuration; what a workspace has used stays counted.
     void configure(std::span<const routing::Workspace> workspaces, TimePoint now);
     /// Takes this host's share of a workspace's quota, 0 to 1.
@@ -71,6 +80,7 @@
     void resize(Quota &quota, TimePoint now) const;
     [[nodiscard]] double probablyUsed(const std::string &workspace, TimePoint now) const;
 
+    const QuotaPromise m_promise;
     std::map<std::string, Quota> m_quotas;
     std::map<std::string, std::uint64_t> m_used;
     std::map<std::string, PeerUse> m_peers;
