Keep to the connections that an upstream takes, and answer refusals with a code only

Cause: max_conns was decoded and not used, so that a burst could open more connections than an upstream takes; those beyond are reset, and a booking on one may have run. Each host may have its share of the requests under way at an upstream, since each takes a connection of its own; when all upstreams are full the request is refused as not run. A refusal's body repeated the log's reason, which could name an upstream's address.

--- a/src/balancing/balancingtypes.h
+++ b/src/balancing/balancingtypes.h
@@ -24,7 +24,8 @@
     std::string_view instance;
     std::string_view zone;
     std::uint32_t slots = 1;
-    bool cutOff = false; ///< Nothing is heard from its availability zone.
+    std::uint32_t mostRequests = 0; ///< Requests that this host may have under way there at a time; 0 for no limit.
+    bool cutOff = false;            ///< Nothing is heard from its availability zone.
 };
 
 /// The upstream chosen, with what decided.
--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -103,6 +103,14 @@
 UpstreamBalancer::UpstreamBalancer() = default;
 UpstreamBalancer::~UpstreamBalancer() = default;
 
+std::uint32_t connectionShare(std::uint32_t maxConnections, std::size_t hosts)
+{
+    if (maxConnections == 0) {
+        return 0;
+    }
+    return std::max(1U, maxConnections / static_cast<std::uint32_t>(std::max<std::size_t>(hosts, 1)));
+}
+
 std::optional<Choice> UpstreamBalancer::choose(const Demand &demand, std::span<const Candidate> candidates, TimePoint now) const
 {
     const std::optional<std::uint64_t> shared = sharedPart(demand.promptParts);
@@ -111,6 +119,10 @@
     double bestRanking = 0;
     double secondRanking = 0;
     for (const Candidate &candidate : candidates) {
+        const auto known = m_upstreams.find(std::string(candidate.instance));
+        if (candidate.mostRequests > 0 && known != m_upstreams.end() && known->second.own.running >= candidate.mostRequests) {
+            continue;
+        }
         const Scored scored = score(demand, candidate, home, now);
         if (!best || scored.ranking < bestRanking) {
             const std::string before = best ? best->instance : std::string();
--- a/src/balancing/tests/upstreambalancertests.cpp
+++ b/src/balancing/tests/upstreambalancertests.cpp
@@ -16,7 +16,7 @@
 {
     std::vector<Candidate> candidates;
     for (const std::string &name : names) {
-        candidates.push_back({name, "miskolc", 64, false});
+        candidates.push_back({name, "miskolc", 64, 0, false});
     }
     return candidates;
 }
@@ -44,6 +44,25 @@
     {
         CHECK(!balancer.choose(Demand{}, {}, Start));
     }
+    SECTION("an upstream gets no more requests at a time than this host has connections for")
+    {
+        // Pattern: a burst of bookings meets a service that takes few connections; those beyond them are reset, and such a booking may have run.
+        std::vector<Candidate> limited = candidates;
+        for (Candidate &candidate : limited) {
+            candidate.mostRequests = connectionShare(20, 8);
+        }
+        Demand booking;
+        booking.service = "dispatch";
+        std::vector<std::uint64_t> attempts;
+        while (const std::optional<Choice> choice = balancer.choose(booking, limited, Start)) {
+            attempts.push_back(balancer.begin(booking, *choice, Start));
+        }
+        CHECK(attempts.size() == 2 * names.size());
+        balancer.end(attempts.front(), AttemptEnd::Good, Start + Tick);
+        CHECK(balancer.choose(booking, limited, Start + Tick));
+        CHECK(connectionShare(0, 8) == 0);
+        CHECK(connectionShare(370, 420) == 1);
+    }
     SECTION("a burst of long plans is spread over the upstreams")
     {
         std::set<std::string> chosen;
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -20,7 +20,7 @@
     UpstreamBalancer(const UpstreamBalancer &) = delete;
     UpstreamBalancer &operator=(const UpstreamBalancer &) = delete;
 
-    /// The best of @p candidates; nothing when there are none.
+    /// The best of @p candidates that may be sent one more request; nothing when there are none.
     [[nodiscard]] std::optional<Choice> choose(const Demand &demand, std::span<const Candidate> candidates, TimePoint now) const;
 
     /// A request with @p demand was sent to the chosen upstream; returns a number for the calls below.
@@ -64,6 +64,9 @@
     std::uint64_t m_nextAttempt = 1;
 };
 
+/// How many of the connections that one upstream takes from all hosts together one of @p hosts may have, at least one; 0 for no limit, as when
+/// @p maxConnections is 0. A request under way takes a connection of its own. Thread-safe.
+std::uint32_t connectionShare(std::uint32_t maxConnections, std::size_t hosts);
 /// The prompt part whose requests belong together: the last one that others may share. Nothing when there is none. Thread-safe.
 std::optional<std::uint64_t> sharedPart(std::span<const ports::PromptPart> parts);
 /// The candidate with the highest random weight for @p key; empty when there are none. Thread-safe.
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -40,6 +40,7 @@
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
     std::mt19937_64 random;
     std::set<std::string> silentZones; ///< Availability zones from which no gateway is heard.
+    std::size_t hosts = 1;             ///< This one and its peers.
     bool stopping = false;             ///< A stop was asked for; readiness is denied.
     bool refusing = false;             ///< New requests are refused, since they would not end before the process does.
 
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -306,6 +306,7 @@
 void GossipEndpoint::share(TimePoint now)
 {
     const std::size_t hosts = m_board.hosts();
+    m_context.hosts = hosts;
     m_context.retries.setHosts(hosts);
     m_context.quotas.setPooled(hosts > 1, now);
     const std::map<std::string, double> own = m_context.quotas.demand(now);
--- a/src/gateway/internal/requestrun.cpp
+++ b/src/gateway/internal/requestrun.cpp
@@ -176,16 +176,18 @@
 std::optional<balancing::Choice> RequestRun::choose(TimePoint now)
 {
     std::vector<balancing::Candidate> candidates;
+    const routing::Service *const service = m_table->service(m_service);
+    const std::uint32_t most = balancing::connectionShare(service != nullptr ? service->maxConnections : 0, m_context.hosts);
     for (const directory::Upstream *const upstream : m_context.directory.usable(m_service, now)) {
         if (!m_tried.contains(upstream->entry.instance)) {
             const directory::UpstreamEntry &entry = upstream->entry;
             const bool cutOff = entry.zone != m_context.settings.zone && m_context.silentZones.contains(entry.zone);
-            candidates.push_back({entry.instance, entry.zone, entry.slots, cutOff});
+            candidates.push_back({entry.instance, entry.zone, entry.slots, most, cutOff});
         }
     }
     std::optional<balancing::Choice> choice = m_context.balancer.choose(demand(), candidates, now);
     if (!choice) {
-        m_reason = "no_upstream";
+        m_reason = candidates.empty() ? "no_upstream" : "upstreams_full";
         m_retryAfter = UpstreamRetry;
         return std::nullopt;
     }
@@ -258,7 +260,9 @@
         const double seconds = std::chrono::duration<double>(*retryAfter).count() * (1 + RetrySpread * (2 * m_context.chance() - 1));
         response.headers.add("Retry-After", std::to_string(seconds));
     }
-    response.body = R"({"error":{"message":"not run","code":")" + std::string(reason) + R"("}})";
+    // What follows the colon may name hosts, which are no caller's business.
+    const std::string_view code = reason.substr(0, reason.find(':'));
+    response.body = R"({"error":{"message":"not run","code":")" + std::string(code) + R"("}})";
     co_await respond(std::move(response));
 }
 
--- a/src/timeline/internal/requestaccount.cpp
+++ b/src/timeline/internal/requestaccount.cpp
@@ -49,6 +49,9 @@
         {"stale_configuration", "the host had been without a confirmed configuration for too long to trust its keys"},
         {"no_configuration", "the host had no configuration yet"},
         {"no_upstream", "no upstream of the service was listed"},
+        {"upstreams_full", "the host had all the connections to each upstream that are its share"},
+        {"no_route", "no route of the configuration fits its host and path"},
+        {"unknown_key", "no workspace holds its key"},
         {"stopping", "the host was about to stop"},
     };
     const std::string reason = text(line, "reason");
