--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -103,14 +103,6 @@
 UpstreamBalancer::UpstreamBalancer() = default;
 UpstreamBalancer::~UpstreamBalancer() = default;
 
-std::uint32_t connectionShare(std::uint32_t maxConnections, std::size_t hosts)
-{
-    if (maxConnections == 0) {
-        return 0;
-    }
-    return std::max(1U, maxConnections / static_cast<std::uint32_t>(std::max<std::size_t>(hosts, 1)));
-}
-
 std::optional<Choice> UpstreamBalancer::choose(const Demand &demand, std::span<const Candidate> candidates, TimePoint now) const
 {
     const std::optional<std::uint64_t> shared = sharedPart(demand.promptParts);
--- a/src/balancing/tests/upstreambalancertests.cpp
+++ b/src/balancing/tests/upstreambalancertests.cpp
@@ -49,7 +49,7 @@
         // Pattern: a burst of bookings meets a service that takes few connections; those beyond them are reset, and such a booking may have run.
         std::vector<Candidate> limited = candidates;
         for (Candidate &candidate : limited) {
-            candidate.mostRequests = connectionShare(20, 8);
+            candidate.mostRequests = 2;
         }
         Demand booking;
         booking.service = "dispatch";
@@ -60,8 +60,6 @@
         CHECK(attempts.size() == 2 * names.size());
         balancer.end(attempts.front(), AttemptEnd::Good, Start + Tick);
         CHECK(balancer.choose(booking, limited, Start + Tick));
-        CHECK(connectionShare(0, 8) == 0);
-        CHECK(connectionShare(370, 420) == 1);
     }
     SECTION("a burst of long plans is spread over the upstreams")
     {
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -64,9 +64,6 @@
     std::uint64_t m_nextAttempt = 1;
 };
 
-/// How many of the connections that one upstream takes from all hosts together one of @p hosts may have, at least one; 0 for no limit, as when
-/// @p maxConnections is 0. A request under way takes a connection of its own. Thread-safe.
-std::uint32_t connectionShare(std::uint32_t maxConnections, std::size_t hosts);
 /// The prompt part whose requests belong together: the last one that others may share. Nothing when there is none. Thread-safe.
 std::optional<std::uint64_t> sharedPart(std::span<const ports::PromptPart> parts);
 /// The candidate with the highest random weight for @p key; empty when there are none. Thread-safe.
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "eventlog/eventlog.h"
 #include "http/httptypes.h"
 #include "limits/retrybudget.h"
 #include "limits/workspacequotas.h"
@@ -37,6 +38,7 @@
     std::chrono::milliseconds lease{3'000};         ///< Time in which two hosts may not take turns at a duty.
     std::chrono::milliseconds usageWindow{5'000};
     std::chrono::milliseconds usageLate{10'000}; ///< A window's usage is due this long after its end.
+    eventlog::Budget logBudget;
     limits::RetryPromise retries;
     limits::QuotaPromise quotas;
 };
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -18,7 +18,7 @@
     : settings(hostSettings)
     , ports(std::move(platformPorts))
     , start(std::move(processStart))
-    , log(settings.name, start, eventlog::Budget{}, eventlog::makeOutputWriter())
+    , log(settings.name, start, settings.logBudget, eventlog::makeOutputWriter())
     , directory([this](const directory::Upstream &upstream, std::string_view change) {
         log.write("upstream",
                   eventlog::Importance::Belief,
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint64_t MaxMilliseconds = 3'600'000;
 constexpr double MaxSeconds = 3'600;
+constexpr std::uint64_t MaxLogRate = 1U << 30U;
 constexpr std::uint64_t MaxPort = 65'535;
 
 std::chrono::milliseconds milliseconds(SettingsTable &table, std::string_view key, std::chrono::milliseconds fallback)
@@ -89,6 +90,11 @@
     readListeners(root, settings);
     readPlatform(root, settings);
     readPromises(root, settings);
+    if (std::optional<SettingsTable> log = root.table("log")) {
+        settings.logBudget.linesPerSecond = static_cast<std::uint32_t>(log->number("lines_per_s", {0, MaxLogRate}, settings.logBudget.linesPerSecond));
+        settings.logBudget.bytesPerSecond = static_cast<std::uint32_t>(log->number("bytes_per_s", {0, MaxLogRate}, settings.logBudget.bytesPerSecond));
+        log->rejectUnknownKeys();
+    }
     if (std::optional<SettingsTable> peers = root.table("peers")) {
         settings.seeds = peers->texts("seeds");
         peers->rejectUnknownKeys();
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/gossipendpoint.h"
 
 #include "gateway/internal/backgroundtask.h"
+#include "gateway/internal/busyupstreams.h"
 #include "gateway/internal/hostclock.h"
 #include "http/ihttpclient.h"
 
@@ -172,7 +173,7 @@
     news.holdsDuties = m_holdsDuties;
     news.demand = m_context.quotas.demand(now);
     news.used = m_context.quotas.used();
-    news.busy = ownBusy(now);
+    news.busy = ownBusyUpstreams(m_context, now);
     news.outstanding = m_context.balancer.outstanding();
     addUsage(news, now);
     for (const auto &[host, peer] : m_board.peers()) {
@@ -205,33 +206,9 @@
     }
 }
 
-std::map<std::string, double> GossipEndpoint::ownBusy(TimePoint now) const
-{
-    std::map<std::string, double> busy;
-    const std::shared_ptr<const routing::RouteTable> &table = m_context.configuration.table();
-    if (!table) {
-        return busy;
-    }
-    std::map<std::string, std::uint32_t> running;
-    for (const auto &[instance, outstanding] : m_context.balancer.outstanding()) {
-        if (const directory::Upstream *const upstream = m_context.directory.find(instance)) {
-            running[upstream->entry.service] += outstanding.running;
-        }
-    }
-    for (const routing::Service &service : table->configuration().services) {
-        if (!service.engine) {
-            continue;
-        }
-        const double reading = m_context.balancer.prefillRate(service.name, now) * m_context.balancer.prefillCost(service.name) / 1e6;
-        const double batching = static_cast<double>(running[service.name]) / std::max(1U, service.engine->slots);
-        busy[service.name] = reading + batching;
-    }
-    return busy;
-}
-
 std::map<std::string, double> GossipEndpoint::busyUpstreams(TimePoint now) const
 {
-    std::map<std::string, double> sum = ownBusy(now);
+    std::map<std::string, double> sum = ownBusyUpstreams(m_context, now);
     for (const auto &[host, peer] : m_board.peers()) {
         for (const auto &[service, busy] : peer.news.busy) {
             sum[service] += busy;
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -35,7 +35,6 @@
 private:
     [[nodiscard]] gossip::PeerNews ownNews(TimePoint now) const;
     void addUsage(gossip::PeerNews &news, TimePoint now) const;
-    [[nodiscard]] std::map<std::string, double> ownBusy(TimePoint now) const;
     void take(gossip::PeerNews news);
     void sendTo(gossip::PeerNews &news, const std::string &address, TimePoint now);
     void share(TimePoint now);
--- a/src/gateway/internal/requestrun.cpp
+++ b/src/gateway/internal/requestrun.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/internal/answerheaders.h"
 #include "gateway/internal/hostclock.h"
+#include "limits/connectionshare.h"
 
 #include <boost/asio.hpp>
 
@@ -177,7 +178,7 @@
 {
     std::vector<balancing::Candidate> candidates;
     const routing::Service *const service = m_table->service(m_service);
-    const std::uint32_t most = balancing::connectionShare(service != nullptr ? service->maxConnections : 0, m_context.hosts);
+    const std::uint32_t most = limits::connectionShare(service != nullptr ? service->maxConnections : 0, m_context.hosts);
     for (const directory::Upstream *const upstream : m_context.directory.usable(m_service, now)) {
         if (!m_tried.contains(upstream->entry.instance)) {
             const directory::UpstreamEntry &entry = upstream->entry;
--- a/src/limits/tests/limitstests.cpp
+++ b/src/limits/tests/limitstests.cpp
@@ -1,3 +1,4 @@
+#include "limits/connectionshare.h"
 #include "limits/retrybudget.h"
 #include "limits/workspacequotas.h"
 
@@ -297,3 +298,11 @@
         CHECK(refusedThough <= allowed * 0.01);
     }
 }
+
+TEST_CASE("Hosts share the connections that an upstream takes")
+{
+    CHECK(connectionShare(20, 8) == 2);
+    CHECK(connectionShare(370, 8) * 8 <= 370);
+    CHECK(connectionShare(370, 420) == 1);
+    CHECK(connectionShare(0, 8) == 0);
+}
