Order no upstreams of a service that may have none

The least number was 1 whatever the greatest, and std::clamp() is undefined when its bounds cross. The new test passed by luck before; it holds the case.

--- a/src/duties/internal/upstreamplanner.cpp
+++ b/src/duties/internal/upstreamplanner.cpp
@@ -110,7 +110,7 @@
 {
     const routing::ScalingSpec &scaling = *service.scaling;
     const bool reclaimables = scaling.reclaimablePrice && *scaling.reclaimablePrice < 1;
-    const std::uint32_t least = std::max(1U, scaling.minReplicas);
+    const std::uint32_t least = std::min(std::max(1U, scaling.minReplicas), scaling.maxReplicas);
     const double peak = peakLoad(service.name);
     const std::vector<std::string> zones = cheapestFirst(scaling, load);
     const std::map<std::string, std::uint32_t> totals = spread(peak / totalUse(scaling), zones);
--- a/src/duties/tests/upstreamplannertests.cpp
+++ b/src/duties/tests/upstreamplannertests.cpp
@@ -199,6 +199,15 @@
     ServiceLoad load = makeLoad(30, {6, 0});
     play(planner, makeService(0.18), load, 0, 20);
     CHECK(load.zones.at("eger").permanent + load.zones.at("eger").reclaimable <= 12);
+
+    SECTION("and a service that may have none at all is ordered none")
+    {
+        UpstreamPlanner other;
+        routing::Service service = makeService(0.18);
+        service.scaling->maxReplicas = 0;
+        play(other, service, load, 0, 20);
+        CHECK(permanentOf(load) + reclaimableOf(load) == 0);
+    }
 }
 
 TEST_CASE("Before callers come")
