--- a/src/timeline/internal/requestaccount.cpp
+++ b/src/timeline/internal/requestaccount.cpp
@@ -1,5 +1,7 @@
 #include "timeline/gatewaylog.h"
 
+#include "base/json.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <map>
@@ -105,7 +107,7 @@
 {
     if (line.event == "upstreams_ordered" && text(line, "service") == service) {
         return "The holder of the duties ordered " + std::to_string(number(line, "replicas")) + " upstreams of " + service + " in " + text(line, "zone")
-            + (line.fields["done"].asBool() ? "." : ", in vain: " + text(line, "reason") + ".");
+            + (boolMember(line.fields, "done", true) ? "." : ", in vain: " + text(line, "reason") + ".");
     }
     if (!hosts.contains(line.host)) {
         return {};
--- a/src/timeline/tests/gatewaylogtests.cpp
+++ b/src/timeline/tests/gatewaylogtests.cpp
@@ -91,6 +91,14 @@
             + "\n" + makeLine("entry-1", 53'000, 4'000, "request_ended", Ended);
         CHECK(says(accountOf(mergedLog({{"a.log", damaged}}), "r1"), "3 lines of a.log cannot be read."));
     }
+    SECTION("fields of another type are passed over")
+    {
+        const std::string odd = makeLine("entry-1", 50'000, 1'000, "offered", Offered)
+            + makeLine("entry-1", 50'100, 1'100, "upstreams_ordered", R"(,"service":"engines","zone":7,"replicas":"four","done":"yes")")
+            + makeLine("entry-1", 50'200, 1'200, "configuration_in_force", R"(,"version":{})")
+            + makeLine("entry-1", 53'000, 4'000, "request_ended", R"(,"request":"r1","outcome":4,"offers":[],"took_ms":null)");
+        CHECK(says(accountOf(mergedLog({{"a.log", odd}}), "r1"), "It was sent to i-1"));
+    }
     SECTION("the end is missing since the process ended")
     {
         const std::string cut = makeLine("entry-1", 50'000, 1'000, "offered", Offered);
