Judge clocks only by configurations that came while both hosts ran

A host that started half a minute after another one was taken for one whose clock is ahead, since both logged the configuration they found (test fails first).

--- a/src/timeline/internal/gatewaylog.cpp
+++ b/src/timeline/internal/gatewaylog.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -62,12 +63,13 @@
     }
 }
 
-/// When each version came into force, by host.
+/// When each version came into force, by host. The first one of a process tells when that started, and nothing of clocks.
 std::map<std::string, std::map<std::int64_t, double>> versionTimes(const std::vector<LogLine> &lines)
 {
     std::map<std::string, std::map<std::int64_t, double>> times;
+    std::set<ProcessStart> begun;
     for (const LogLine &line : lines) {
-        if (line.event == "configuration_in_force" && line.fields["version"].isInt64()) {
+        if (line.event == "configuration_in_force" && line.fields["version"].isInt64() && !begun.insert({line.host, line.start}).second) {
             times[line.host].emplace(line.fields["version"].asInt64(), line.timeMs);
         }
     }
--- a/src/timeline/tests/gatewaylogtests.cpp
+++ b/src/timeline/tests/gatewaylogtests.cpp
@@ -132,6 +132,13 @@
         CHECK(says(account, "   +0.000 s entry-1"));
         CHECK(says(account, "   +3.000 s entry-1"));
     }
+    SECTION("a host that started half a minute later is not taken for one whose clock differs")
+    {
+        const std::string version = R"(,"source":"log","routes":1,"version":1)";
+        const std::string one = makeLine("entry-1", 20'000, 0, "configuration_in_force", version) + makeLine("entry-1", 50'000, 30'000, "offered", Offered);
+        const std::string two = makeLine("entry-2", 49'000, 1'000, "configuration_in_force", version);
+        CHECK(mergedLog({{"a.log", one}, {"b.log", two}}).faults.empty());
+    }
     SECTION("a host's clock is a minute ahead, and configurations show it")
     {
         std::string one = makeLine("entry-1", 50'000, 21'000, "offered", Offered) + makeLine("entry-1", 53'000, 24'000, "request_ended", Ended);
