Look up and sum once what was done twice, and drop a topic that nothing used

Found while reading the change once more; behaviour stays. The balancer looked each candidate up twice once requests at an upstream were limited; the load of all peers was summed anew for each service, by now on every host; the account of a request compared every line's id in two passes; whether a service offers reclaimable upstreams was worked out in two places. The log's topic for usage was named and never read or written.

--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -112,10 +112,11 @@
     double secondRanking = 0;
     for (const Candidate &candidate : candidates) {
         const auto known = m_upstreams.find(std::string(candidate.instance));
-        if (candidate.mostRequests > 0 && known != m_upstreams.end() && known->second.own.running >= candidate.mostRequests) {
+        const Upstream *const upstream = known == m_upstreams.end() ? nullptr : &known->second;
+        if (candidate.mostRequests > 0 && upstream != nullptr && upstream->own.running >= candidate.mostRequests) {
             continue;
         }
-        const Scored scored = score(demand, candidate, home, now);
+        const Scored scored = score(demand, candidate, upstream, home, now);
         if (!best || scored.ranking < bestRanking) {
             const std::string before = best ? best->instance : std::string();
             const Duration beforeExpected = best ? best->expected : Duration(0);
@@ -131,14 +132,13 @@
     return best;
 }
 
-UpstreamBalancer::Scored UpstreamBalancer::score(const Demand &demand, const Candidate &candidate, std::string_view home, TimePoint now) const
+UpstreamBalancer::Scored
+UpstreamBalancer::score(const Demand &demand, const Candidate &candidate, const Upstream *upstream, std::string_view home, TimePoint now) const
 {
     static const Service Unseen;
     const std::string instance(candidate.instance);
     const auto foundService = m_services.find(demand.service);
     const Service &service = foundService == m_services.end() ? Unseen : foundService->second;
-    const auto found = m_upstreams.find(instance);
-    const Upstream *const upstream = found == m_upstreams.end() ? nullptr : &found->second;
     const Outstanding load = total(instance, now);
     const double base = upstream != nullptr ? upstream->base.value_or(service.base) : service.base;
     const std::uint32_t slots = std::max(1U, candidate.slots);
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -52,7 +52,7 @@
     struct Peer;
     struct Scored;
 
-    [[nodiscard]] Scored score(const Demand &demand, const Candidate &candidate, std::string_view home, TimePoint now) const;
+    [[nodiscard]] Scored score(const Demand &demand, const Candidate &candidate, const Upstream *upstream, std::string_view home, TimePoint now) const;
     [[nodiscard]] Outstanding total(const std::string &instance, TimePoint now) const;
     [[nodiscard]] double failurePenalty(const Upstream *upstream, const Service &service, TimePoint now) const;
     void learn(Attempt &attempt, TimePoint now);
--- a/src/duties/internal/upstreamplanner.cpp
+++ b/src/duties/internal/upstreamplanner.cpp
@@ -28,6 +28,11 @@
 /// Reclaimable upstreams that were not to be had are asked for again after this time.
 constexpr std::chrono::seconds UnavailableTime{3};
 
+bool offersReclaimables(const routing::ScalingSpec &scaling)
+{
+    return scaling.reclaimablePrice && *scaling.reclaimablePrice < 1;
+}
+
 /// Work that an upstream carries while all are there: the cheaper head room is, the less.
 double totalUse(const routing::ScalingSpec &scaling)
 {
@@ -83,7 +88,7 @@
     if (!service.scaling || load.zones.empty() || (!load.known && !settled(service.name))) {
         return orders;
     }
-    const bool reclaimables = service.scaling->reclaimablePrice && *service.scaling->reclaimablePrice < 1;
+    const bool reclaimables = offersReclaimables(*service.scaling);
     const bool shrinks = !load.known || mayShrink(service.name, now);
     for (const auto &[zone, wanted] : wantedReplicas(service, load, now)) {
         const ZoneReplicas &there = load.zones.at(zone);
@@ -109,7 +114,7 @@
 std::map<std::string, ZoneReplicas> UpstreamPlanner::wantedReplicas(const routing::Service &service, const ServiceLoad &load, TimePoint now)
 {
     const routing::ScalingSpec &scaling = *service.scaling;
-    const bool reclaimables = scaling.reclaimablePrice && *scaling.reclaimablePrice < 1;
+    const bool reclaimables = offersReclaimables(scaling);
     const std::uint32_t least = std::min(std::max(1U, scaling.minReplicas), scaling.maxReplicas);
     const double peak = peakLoad(service.name);
     const std::vector<std::string> zones = cheapestFirst(scaling, load);
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -204,8 +204,9 @@
         co_return;
     }
     m_planned = now;
+    const std::map<std::string, double> busy = m_gossip.busyUpstreams(now);
     for (const routing::Service &service : table->configuration().services) {
-        const duties::ServiceLoad load = serviceLoad(service, now);
+        const duties::ServiceLoad load = serviceLoad(service, busy);
         m_planner.observe(service, load, now);
         if (!holds()) {
             continue;
@@ -233,7 +234,7 @@
     }
 }
 
-duties::ServiceLoad DutyRunner::serviceLoad(const routing::Service &service, TimePoint now) const
+duties::ServiceLoad DutyRunner::serviceLoad(const routing::Service &service, const std::map<std::string, double> &busy) const
 {
     duties::ServiceLoad load;
     for (const auto &[instance, upstream] : m_context.directory.all()) {
@@ -250,7 +251,6 @@
             load.zones[zone];
         }
     }
-    const std::map<std::string, double> busy = m_gossip.busyUpstreams(now);
     const auto found = busy.find(service.name);
     load.busyUpstreams = found == busy.end() ? 0 : found->second;
     load.known = load.busyUpstreams > 0;
--- a/src/gateway/internal/dutyrunner.h
+++ b/src/gateway/internal/dutyrunner.h
@@ -31,7 +31,7 @@
     boost::asio::awaitable<void> planUpstreams();
     [[nodiscard]] std::vector<ports::UsageReport> decided(TimePoint now);
     [[nodiscard]] bool complete(std::uint64_t window, TimePoint now) const;
-    [[nodiscard]] duties::ServiceLoad serviceLoad(const routing::Service &service, TimePoint now) const;
+    [[nodiscard]] duties::ServiceLoad serviceLoad(const routing::Service &service, const std::map<std::string, double> &busy) const;
     [[nodiscard]] ports::DutyProof currentProof() const;
     void noteHolding();
 
--- a/src/ports/iplatformlog.h
+++ b/src/ports/iplatformlog.h
@@ -17,7 +17,6 @@
     Configuration, ///< Written by the operators.
     Upstreams,     ///< Written by the upstreams themselves.
     Duties,        ///< The system's own: who holds the singleton duties.
-    Usage,         ///< The system's own: what each host counted.
 };
 
 /// One record of a topic. A record without a value withdraws its key.
--- a/src/timeline/internal/requestaccount.cpp
+++ b/src/timeline/internal/requestaccount.cpp
@@ -188,8 +188,10 @@
     // The first line may be the last one too, and then tells how long the request had been there.
     const double came = first - static_cast<double>(std::max<std::int64_t>(0, own.front()->event == "request_ended" ? number(*own.front(), "took_ms") : 0));
     std::vector<std::string> sentences;
+    auto next = own.begin();
     for (const LogLine &line : log.lines) {
-        if (text(line, "request") == request) {
+        if (next != own.end() && *next == &line) {
+            ++next;
             sentences.push_back(stamped(line, came, ofRequest(line)));
         } else if (line.timeMs >= came - BeforeMs && line.timeMs <= own.back()->timeMs + AfterMs) {
             const std::string sentence = ofSurroundings(line, hosts, instances, service);
