Log how an answer was delimited and whether it ended inside an event

It now has framing (length, chunked or connection, as the HTTP client understood the answer) and partial_event_bytes (bytes after the last complete event when the stream ended). No decision changes.

The check of the service call, that an answer delimits its body, reads the same value in place of a second look at the headers.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -125,6 +125,7 @@
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
+    m_framing = upstreamResponse->framing;
     const DispatchResult result = co_await handleResponse(std::move(*upstreamResponse), metadata);
     co_return result;
 }
@@ -162,6 +163,7 @@
     http::ClientFailure failure;
     while (true) {
         const std::optional<std::string> chunk = co_await m_exchange->readSome(failure);
+        m_partialEventBytes = m_eventSplitter.partialEvent().size();
         if (!chunk) {
             m_reason = "stream broke: " + failure.detail;
             m_exchange->cancel();
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -301,6 +301,8 @@
                               {"run", m_attemptState ? name(m_attemptState->executionState()) : std::string_view("not_offered")},
                               {"offers", static_cast<std::int64_t>(m_attemptState ? m_attemptState->dispatches() : 0)},
                               {"instance", m_instance},
+                              {"framing", m_framing ? http::name(*m_framing) : std::string_view()},
+                              {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
                               {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
                               {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
                               {"took_ms", wholeMilliseconds(now - m_arrivedAt)}});
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -77,8 +77,10 @@
     std::shared_ptr<http::IExchange> m_exchange; ///< Exchange with the upstream of the current dispatch.
     std::uint64_t m_balancerAttempt = 0;         ///< Number of the current dispatch at the balancer.
     std::set<std::string> m_triedInstances;
-    std::string m_instance; ///< Upstream instance of the last dispatch.
+    std::string m_instance;                     ///< Upstream instance of the last dispatch.
+    std::optional<http::BodyFraming> m_framing; ///< Of the last upstream's response; nothing before there was one.
     EventSplitter m_eventSplitter;
+    std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
     bool m_usageCounted = false;
     bool m_streamStarted = false; ///< The headers of a streamed response were sent to the caller.
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -38,11 +38,22 @@
     std::string body;
 };
 
+/// What marks the end of a response's body.
+enum class BodyFraming : std::uint8_t {
+    Length,     ///< Content-Length, or a status that has no body.
+    Chunked,    ///< The last chunk.
+    Connection, ///< The end of the connection, which looks the same when the server breaks off.
+};
+
+/// Name of @p framing in log lines. Thread-safe.
+std::string_view name(BodyFraming framing);
+
 /// An HTTP response.
 struct Response {
     int status = 200;
     Headers headers;
     std::string body;
+    BodyFraming framing = BodyFraming::Length; ///< Of a received response; a sender ignores it.
 };
 
 /// Network address of a server.
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -215,9 +215,18 @@
         for (const auto &field : m_parser->get()) {
             response.headers.add(field.name_string(), field.value());
         }
+        response.framing = framing();
         return response;
     }
 
+    [[nodiscard]] BodyFraming framing() const
+    {
+        if (m_parser->need_eof()) {
+            return BodyFraming::Connection;
+        }
+        return m_parser->chunked() ? BodyFraming::Chunked : BodyFraming::Length;
+    }
+
     [[nodiscard]] ClientFailure failureOf(beast::error_code error, ClientError fallback) const
     {
         if (m_cancelled) {
--- a/src/http/internal/httptypes.cpp
+++ b/src/http/internal/httptypes.cpp
@@ -23,6 +23,19 @@
 
 }
 
+std::string_view name(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::Connection:
+        return "connection";
+    }
+    return "unknown";
+}
+
 std::optional<std::string_view> Headers::find(std::string_view name) const
 {
     for (const Header &field : m_fields) {
--- a/src/http/tests/exchangetests.cpp
+++ b/src/http/tests/exchangetests.cpp
@@ -151,3 +151,46 @@
         }());
     }
 }
+
+TEST_CASE("A response tells what marks the end of its body")
+{
+    net::io_context context;
+    RawServer server(context);
+    std::string head;
+    BodyFraming framing = BodyFraming::Length;
+    const auto framingOf = [&](std::string answerBytes) {
+        head = std::move(answerBytes);
+        net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                tcp::socket socket = co_await server.accept();
+                co_await readHead(socket);
+                co_await net::async_write(socket, net::buffer(head), Token);
+            },
+            net::detached);
+        context.restart();
+        runScript(context, [&]() -> net::awaitable<void> {
+            ClientFailure failure;
+            Request request;
+            const ClientTimeouts timeouts;
+            const std::optional<Response> response = co_await fetch(server.endpoint(), std::move(request), timeouts, failure);
+            REQUIRE(response);
+            framing = response->framing;
+        }());
+        return framing;
+    };
+
+    SECTION("a length, also of a status without a body")
+    {
+        CHECK(framingOf("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") == BodyFraming::Length);
+        CHECK(framingOf("HTTP/1.1 204 No Content\r\n\r\n") == BodyFraming::Length);
+    }
+    SECTION("the last chunk")
+    {
+        CHECK(framingOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n") == BodyFraming::Chunked);
+    }
+    SECTION("the end of the connection")
+    {
+        CHECK(framingOf("HTTP/1.1 200 OK\r\n\r\nok") == BodyFraming::Connection);
+    }
+}
--- a/src/upstreams/internal/servicecall.cpp
+++ b/src/upstreams/internal/servicecall.cpp
@@ -24,15 +24,6 @@
     return false;
 }
 
-/// True when the response delimits its body; otherwise the end of the body cannot be told from a broken connection.
-bool delimitsBody(const http::Response &response)
-{
-    constexpr int NoContent = 204;
-    constexpr int NotModified = 304;
-    const bool bodiless = response.status == NoContent || response.status == NotModified;
-    return bodiless || response.headers.find("Content-Length") || response.headers.find("Transfer-Encoding");
-}
-
 class ServiceCall : public IUpstreamCall
 {
 public:
@@ -75,7 +66,7 @@
         if (!echoesAttempt(*response, m_spec)) {
             co_return AttemptResult{AttemptOutcome::Broken, "the answer belongs to another request"};
         }
-        if (!delimitsBody(*response)) {
+        if (response->framing == http::BodyFraming::Connection) {
             co_return AttemptResult{AttemptOutcome::Broken, "the end of the answer could not be told from a cut"};
         }
         while (true) {
