Treat a stream that ends inside an event as broken off

Cause: the end of the bytes was taken for the end of the answer. An answer with neither a length nor chunks ends with its connection, and the HTTP client reports the close that follows a crash as a regular end. The session then passed on the bytes of the unfinished event and wrote the last chunk itself. The class of fault is completeness inferred from the absence of an error.

Change: a stream is complete only if it ends behind a whole event, whatever delimits the body; where only the connection ends it, at least one whole event must have come. Otherwise it is handled like any broken stream: resumed at another upstream where the route allows it, answered 502 before the first event, and cut for the caller after it. The unfinished event is not passed on.

--- a/src/gateway/internal/eventsplitter.cpp
+++ b/src/gateway/internal/eventsplitter.cpp
@@ -41,6 +41,11 @@
     return m_partialEvent;
 }
 
+bool EventSplitter::insideEvent() const
+{
+    return m_partialEvent.find_first_not_of("\r\n") != std::string::npos;
+}
+
 void EventSplitter::discardPartialEvent()
 {
     m_partialEvent.clear();
--- a/src/gateway/internal/eventsplitter.h
+++ b/src/gateway/internal/eventsplitter.h
@@ -16,6 +16,8 @@
     [[nodiscard]] const std::optional<std::string> &lastId() const;
     /// Bytes after the last complete event.
     [[nodiscard]] const std::string &partialEvent() const;
+    /// Whether the bytes so far end inside an event: something other than empty lines follows the last complete one.
+    [[nodiscard]] bool insideEvent() const;
     /// Discards the bytes after the last complete event, since the upstream that resumes the stream sends that event from its start.
     void discardPartialEvent();
 
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -161,9 +161,14 @@
 net::awaitable<RequestSession::DispatchResult> RequestSession::forwardStream(http::Response upstreamResponse)
 {
     http::ClientFailure failure;
+    bool receivedEvent = false;
     while (true) {
-        const std::optional<std::string> chunk = co_await m_exchange->readSome(failure);
+        std::optional<std::string> chunk = co_await m_exchange->readSome(failure);
         m_partialEventBytes = m_eventSplitter.partialEvent().size();
+        if (chunk && chunk->empty() && isTruncatedStream(receivedEvent)) {
+            failure = {http::ClientError::Closed, "it ended before the end of an event"};
+            chunk.reset();
+        }
         if (!chunk) {
             m_reason = "stream broke: " + failure.detail;
             m_exchange->cancel();
@@ -176,6 +181,7 @@
         if (events.empty() && !end) {
             continue;
         }
+        receivedEvent = true;
         noteFirstByte();
         bool callerConnected = true;
         if (!m_streamStarted) {
@@ -203,6 +209,13 @@
     }
 }
 
+bool RequestSession::isTruncatedStream(bool receivedEvent) const
+{
+    // The end of the connection is also what a crash looks like, so that only a whole event shows that the upstream had answered.
+    const bool endUnproven = m_framing == http::BodyFraming::Connection && !receivedEvent;
+    return endUnproven || m_eventSplitter.insideEvent();
+}
+
 net::awaitable<RequestSession::DispatchResult> RequestSession::forwardWhole(http::Response upstreamResponse, const ports::ResponseMetadata &metadata)
 {
     std::optional<std::string> body = co_await readBody();
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -39,6 +39,8 @@
     boost::asio::awaitable<std::optional<http::Response>> readHead(const directory::UpstreamEntry &upstream, ports::ResponseMetadata &metadata);
     boost::asio::awaitable<DispatchResult> handleResponse(http::Response upstreamResponse, const ports::ResponseMetadata &metadata);
     boost::asio::awaitable<DispatchResult> forwardStream(http::Response upstreamResponse);
+    /// Whether a stream whose body has just ended was broken off by its upstream. @p receivedEvent: a whole event came before the end.
+    [[nodiscard]] bool isTruncatedStream(bool receivedEvent) const;
     boost::asio::awaitable<DispatchResult> forwardWhole(http::Response upstreamResponse, const ports::ResponseMetadata &metadata);
     boost::asio::awaitable<std::optional<std::string>> readBody();
     /// Ends a request that no upstream completed: rejects it as not run, reports that it may have run, or cuts a stream that was started.
--- a/src/gateway/tests/eventsplittertests.cpp
+++ b/src/gateway/tests/eventsplittertests.cpp
@@ -33,3 +33,28 @@
     CHECK(splitter.push("id: 7\r\ndata: a\r\n\r\ndata: b\r\n\r\n") == "id: 7\r\ndata: a\r\n\r\ndata: b\r\n\r\n");
     CHECK(splitter.lastId() == "7");
 }
+
+TEST_CASE("EventSplitter tells whether a stream ends inside an event")
+{
+    EventSplitter splitter;
+    CHECK(!splitter.insideEvent());
+    splitter.push("id: 1\ndata: a\n");
+    CHECK(splitter.insideEvent());
+
+    SECTION("no longer after the empty line that ends the event")
+    {
+        splitter.push("\n");
+        CHECK(!splitter.insideEvent());
+
+        SECTION("nor after further empty lines")
+        {
+            splitter.push("\r\n");
+            CHECK(!splitter.insideEvent());
+        }
+        SECTION("but after the first byte of the next event")
+        {
+            splitter.push("i");
+            CHECK(splitter.insideEvent());
+        }
+    }
+}
