Reset the connection of an HTTP/1.0 caller when a stream is broken off

A stream to an HTTP/1.0 caller has no chunks and ends with its connection. When the gateway or an entry host broke such a stream off, it closed the connection in the same way as at a regular end, so that the caller took the part for the whole.

Change: while an answer without chunks is sent, closing the socket resets the connection; end() takes that back. Timeouts of a write and the end of the process are covered by the same option.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -228,6 +228,9 @@
         message.insert(field.name, field.value);
     }
     m_chunked = m_version >= 11;
+    if (!m_chunked) {
+        setResetOnClose(true);
+    }
     m_keepAlive = m_keepAlive && m_chunked && !m_state.closing;
     message.chunked(m_chunked);
     message.keep_alive(m_keepAlive);
@@ -259,6 +262,7 @@
 net::awaitable<bool> Connection::end()
 {
     if (!m_chunked) {
+        setResetOnClose(false);
         co_return m_open;
     }
     m_stream.expires_after(m_limits.writeTimeout);
@@ -267,6 +271,12 @@
     co_return !error;
 }
 
+void Connection::setResetOnClose(bool reset)
+{
+    beast::error_code ignored;
+    m_stream.socket().set_option(net::socket_base::linger(reset, 0), ignored);
+}
+
 void Connection::abort()
 {
     m_open = false;
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -50,6 +50,9 @@
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
     boost::asio::awaitable<void> serve(Request request);
     boost::asio::awaitable<void> watchCaller(std::shared_ptr<bool> answered);
+    /// Whether closing the socket resets the connection. Set while a stream without chunks is sent, whose caller would otherwise take the close for
+    /// the end of the answer.
+    void setResetOnClose(bool reset);
     /// Closes the sending side and discards received bytes, so that the answer is not lost to a reset of the connection.
     boost::asio::awaitable<void> discardInput();
     enum class PeekResult : std::uint8_t {
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -55,8 +55,8 @@
     co_await writer.respond(std::move(response));
 }
 
-/// Sends @p segments one by one on a TCP connection and returns all bytes received until the server closes it.
-std::string rawExchange(const Endpoint &endpoint, const std::vector<std::string_view> &segments)
+/// Sends @p segments one by one on a TCP connection and returns all bytes received until the server closes it. @p end: how reading ended.
+std::string rawExchange(const Endpoint &endpoint, const std::vector<std::string_view> &segments, boost::system::error_code &end)
 {
     net::io_context context;
     net::ip::tcp::socket socket(context);
@@ -67,10 +67,17 @@
         net::write(socket, net::buffer(bytes), ignored);
     }
     std::string answer;
-    net::read(socket, net::dynamic_buffer(answer), ignored);
+    net::read(socket, net::dynamic_buffer(answer), end);
     return answer;
 }
 
+/// As above, for tests that do not check how reading ended.
+std::string rawExchange(const Endpoint &endpoint, const std::vector<std::string_view> &segments)
+{
+    boost::system::error_code ignored;
+    return rawExchange(endpoint, segments, ignored);
+}
+
 /// A server with the handler echo(), run by two threads.
 class RunningServer
 {
@@ -186,6 +193,24 @@
     }
 }
 
+// Guards against a stream that was broken off reaching an HTTP/1.0 caller as complete: such an answer ends with its connection.
+SCENARIO("An HTTP/1.0 caller can tell an aborted stream from a complete one")
+{
+    const RunningServer server(ServerLimits{});
+    boost::system::error_code end;
+
+    GIVEN("a complete stream")
+    {
+        CHECK_THAT(rawExchange(server.endpoint(), {"GET /stream HTTP/1.0\r\n\r\n"}, end), Catch::EndsWith("one,two"));
+        CHECK(end == net::error::eof);
+    }
+    GIVEN("a stream that the server aborts")
+    {
+        rawExchange(server.endpoint(), {"GET /cut HTTP/1.0\r\n\r\n"}, end);
+        CHECK(end == net::error::connection_reset);
+    }
+}
+
 SCENARIO("A stopping server answers callers that connected before the stop")
 {
     net::io_context context;
