Log the parts of a prompt whose answer broke, and whether the answer had begun

It now has answer_begun (the head of an answer had come) and prompt_parts (ids of the first eight parts but for the last). No decision changes.

--- a/src/base/internal/text.cpp
+++ b/src/base/internal/text.cpp
@@ -16,6 +16,17 @@
 
 constexpr std::size_t RandomIdBytes = 16;
 
+std::optional<std::uint64_t> parseInteger(std::string_view text, int base)
+{
+    std::uint64_t value = 0;
+    const char *const end = text.data() + text.size();
+    const std::from_chars_result result = std::from_chars(text.data(), end, value, base);
+    if (text.empty() || result.ec != std::errc() || result.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 std::string hex(std::span<const unsigned char> bytes)
 {
     constexpr std::string_view Digits = "0123456789abcdef";
@@ -94,13 +105,20 @@
 
 std::optional<std::uint64_t> parseUnsigned(std::string_view text)
 {
-    std::uint64_t value = 0;
-    const char *const end = text.data() + text.size();
-    const std::from_chars_result result = std::from_chars(text.data(), end, value);
-    if (text.empty() || result.ec != std::errc() || result.ptr != end) {
-        return std::nullopt;
-    }
-    return value;
+    return parseInteger(text, 10);
+}
+
+std::string hexadecimal(std::uint64_t value)
+{
+    constexpr std::size_t MaxDigits = 16;
+    std::array<char, MaxDigits> digits{};
+    const std::to_chars_result end = std::to_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    return {digits.data(), end.ptr};
+}
+
+std::optional<std::uint64_t> parseHexadecimal(std::string_view text)
+{
+    return parseInteger(text, 16);
 }
 
 std::optional<std::string> readFile(const std::string &path, std::size_t maxBytes, std::string &reason)
--- a/src/base/tests/texttests.cpp
+++ b/src/base/tests/texttests.cpp
@@ -18,6 +18,17 @@
             CHECK_FALSE(parseUnsigned("12 "));
             CHECK_FALSE(parseUnsigned(""));
         }
+        THEN("hexadecimal integers without a prefix are accepted, and written without leading zeros")
+        {
+            CHECK(parseHexadecimal("5c1e07a2") == 0x5c1e07a2U);
+            CHECK(parseHexadecimal("ffffffffffffffff") == 0xffffffffffffffffU);
+            CHECK_FALSE(parseHexadecimal("10000000000000000"));
+            CHECK_FALSE(parseHexadecimal("0x1"));
+            CHECK_FALSE(parseHexadecimal(""));
+            CHECK(hexadecimal(0) == "0");
+            CHECK(hexadecimal(0xffffffffffffffffU) == "ffffffffffffffff");
+            CHECK(parseHexadecimal(hexadecimal(0xa0bU)) == 0xa0bU);
+        }
     }
     GIVEN("JSON that is malformed or nested too deep")
     {
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -23,6 +23,10 @@
 std::string randomId();
 /// Parses an unsigned decimal integer; nothing when @p text is anything else or does not fit 64 bits. Thread-safe.
 std::optional<std::uint64_t> parseUnsigned(std::string_view text);
+/// @p value in lower-case hexadecimal digits without leading zeros. Thread-safe.
+std::string hexadecimal(std::uint64_t value);
+/// Parses an unsigned hexadecimal integer without a prefix; nothing when @p text is anything else or does not fit 64 bits. Thread-safe.
+std::optional<std::uint64_t> parseHexadecimal(std::string_view text);
 /// Reads a file of at most @p maxBytes; nothing, with @p reason set, when it cannot be read or is larger.
 std::optional<std::string> readFile(const std::string &path, std::size_t maxBytes, std::string &reason);
 /// Decodes base64 with padding (RFC 4648); nothing when @p text is malformed. Thread-safe.
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -1,3 +1,4 @@
+#include "base/text.h"
 #include "gateway/internal/endtoendheaders.h"
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/requestsession.h"
@@ -26,6 +27,8 @@
 constexpr std::chrono::milliseconds UpstreamFullRetryDelay{150};
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 constexpr int MaxSkippedResponses = 2;
+/// Maximum number of a prompt's parts that are logged with a failure.
+constexpr std::size_t MaxLoggedParts = 8;
 
 /// @p duration in whole milliseconds, rounded down but at least one, for timeouts and the deadline header.
 std::chrono::milliseconds atLeastOneMillisecond(Duration duration)
@@ -38,6 +41,19 @@
     return status >= 200 && status < 300;
 }
 
+/// The ids of the first @p parts, in hexadecimal with commas between them, as callers write them.
+std::string promptPartIds(std::span<const ports::PromptPart> parts)
+{
+    std::string text;
+    for (const ports::PromptPart &part : parts.first(std::min(parts.size(), MaxLoggedParts))) {
+        if (!text.empty()) {
+            text += ',';
+        }
+        text += hexadecimal(part.id);
+    }
+    return text;
+}
+
 }
 
 http::ClientTimeouts RequestSession::dispatchTimeouts(const balancing::Choice &choice, TimePoint now) const
@@ -79,6 +95,7 @@
     request.body = m_request.body;
 
     m_instance = upstream.instance;
+    m_framing.reset();
     m_triedInstances.insert(m_instance);
     m_attemptState->noteDispatched();
     m_balancerAttempt = m_context.balancer.begin(requestProfile(), choice, now);
@@ -276,10 +293,14 @@
     m_context.balancer.end(m_balancerAttempt, how, hostNow());
     m_exchange.reset();
     if (how != balancing::AttemptEnd::Succeeded && how != balancing::AttemptEnd::Inconclusive) {
-        m_context.eventLog.write(
-            "offer_failed",
-            eventlog::Importance::Failure,
-            {{"request", m_callerRequest.attemptId}, {"instance", m_instance}, {"reason", m_reason}, {"run", name(m_attemptState->executionState())}});
+        m_context.eventLog.write("offer_failed",
+                                 eventlog::Importance::Failure,
+                                 {{"request", m_callerRequest.attemptId},
+                                  {"instance", m_instance},
+                                  {"reason", m_reason},
+                                  {"run", name(m_attemptState->executionState())},
+                                  {"answer_begun", m_framing.has_value()},
+                                  {"prompt_parts", promptPartIds(m_callerRequest.sharedPromptParts())}});
     }
 }
 
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -80,7 +80,7 @@
     std::uint64_t m_balancerAttempt = 0;         ///< Number of the current dispatch at the balancer.
     std::set<std::string> m_triedInstances;
     std::string m_instance;                     ///< Upstream instance of the last dispatch.
-    std::optional<http::BodyFraming> m_framing; ///< Of the last upstream's response; nothing before there was one.
+    std::optional<http::BodyFraming> m_framing; ///< Of the response to the last dispatch; nothing until its head is received.
     EventSplitter m_eventSplitter;
     std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
--- a/src/ports/messages.h
+++ b/src/ports/messages.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,12 @@
     std::optional<std::uint64_t> promptTokens;
     std::uint64_t maxOutputTokens = 0;
     std::vector<PromptPart> promptParts; ///< In the order of the prompt; the last one is unique to the request.
+
+    /// The parts that other requests may have in common with this one. The view is valid as long as promptParts is unchanged.
+    [[nodiscard]] std::span<const PromptPart> sharedPromptParts() const
+    {
+        return std::span(promptParts).first(promptParts.empty() ? 0 : promptParts.size() - 1);
+    }
 };
 
 /// Priority with which an upstream admits a request; 0 is the highest.
