Quarantine prompt parts that crash upstreams

Cause: failures were ascribed to the upstream alone. Health, ejection and retries are kept by upstream, so that a request that destroys its upstream went on to a healthy one, by a retry or as the next request like it. The class of fault is the poison message, or query of death.

Evidence: with prompt_parts in the log, two parts were in 101 answers that broke before their first event, at 97 upstreams; no other part was in more than 4.

Change: src/quarantine counts, for each part that requests may have in common, the crashes in which an answer to a request with it had begun and broke; a complete answer clears it. A part with three crashes or more, over at least 0.8 s, is quarantined unless the share of other answers that broke explains them. Hosts pool crashes, complete answers and verdicts by the news. Requests with such a part are refused as not run at once. One host sends a trial after 30 s, doubled with each further crash; parts that came together in all crashes are told apart by requests that have only some of them, without that wait.

--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/gatewaycontext.h"
 
+#include "base/text.h"
 #include "gateway/internal/hostclock.h"
 
 namespace rosemaryshift::gateway {
@@ -31,6 +32,11 @@
     , listAvailability(settings.renewalInterval)
     , quotas(settings.quotas)
     , retryBudget(settings.retries)
+    , quarantine([this](std::uint64_t part, quarantine::PartChange change, std::size_t crashes) {
+        eventLog.write("prompt_part",
+                       eventlog::Importance::StateChange,
+                       {{"part", hexadecimal(part)}, {"change", quarantine::name(change)}, {"crashes", static_cast<std::int64_t>(crashes)}});
+    })
     , usageLedger(settings.usageWindow)
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
     , randomEngine(randomSeed())
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -13,6 +13,7 @@
 #include "http/connectionpool.h"
 #include "limits/retrybudget.h"
 #include "limits/workspacequotas.h"
+#include "quarantine/promptquarantine.h"
 
 #include <memory>
 #include <random>
@@ -35,6 +36,7 @@
     balancing::UpstreamBalancer balancer;
     limits::WorkspaceQuotas quotas;
     limits::RetryBudget retryBudget;
+    quarantine::PromptQuarantine quarantine;
     duties::UsageLedger usageLedger;
     WallClockEstimator wallClock;
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -116,6 +116,8 @@
         const TimePoint now = hostNow();
         m_registry.expire(now);
         m_context.silentZones = m_registry.silentZones();
+        m_context.quarantine.setHosts(m_context.settings.name, m_registry.heardHosts());
+        m_context.quarantine.update(now);
         updateShares(now);
         gossip::PeerStatus status = localStatus(now);
         for (const std::string &address : m_registry.addresses()) {
@@ -179,6 +181,7 @@
     status.used = m_context.quotas.used();
     status.busy = localBusyUpstreams(m_context, now);
     status.outstanding = m_context.balancer.outstanding();
+    status.suspectParts = m_context.quarantine.reports(now);
     addUsageTo(status, now);
     for (const auto &[host, peer] : m_registry.peers()) {
         if (!peer.silent) {
@@ -239,6 +242,7 @@
     }
     m_context.quotas.updatePeerUsage(hostStart(status.host, status.start), status.used, now);
     m_context.balancer.setPeerOutstanding(host, status.outstanding, now);
+    m_context.quarantine.apply(status.suspectParts, now);
     m_context.wallClock.notePeer(host, Duration(static_cast<Duration::rep>(status.wallUs)), now);
     if (status.listReachableMs && m_context.listAvailability.notePeer(std::chrono::milliseconds(*status.listReachableMs), now)) {
         m_context.eventLog.write(
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -150,7 +150,8 @@
 net::awaitable<RequestSession::DispatchResult> RequestSession::handleResponse(http::Response upstreamResponse, const ports::ResponseMetadata &metadata)
 {
     if (metadata.notExecuted) {
-        const std::optional<std::string> discardedBody = co_await readBody();
+        http::ClientFailure failure;
+        const std::optional<std::string> discardedBody = co_await readBody(failure);
         m_attemptState->noteNotExecuted();
         m_reason = "not_executed: status " + std::to_string(upstreamResponse.status);
         m_retryAfter = UpstreamFullRetryDelay;
@@ -188,6 +189,7 @@
         }
         if (!chunk) {
             m_reason = "stream broke: " + failure.detail;
+            noteBrokenAnswer(failure);
             m_exchange->cancel();
             m_eventSplitter.discardPartialEvent();
             endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
@@ -212,6 +214,7 @@
         if (callerConnected && end) {
             co_await m_writer.end();
             m_attemptState->noteCompleted();
+            m_context.quarantine.noteCompleted(m_callerRequest.sharedPromptParts(), hostNow());
             endDispatch(balancing::AttemptEnd::Succeeded);
             logOutcome("answered", upstreamResponse.status, {});
             co_return DispatchResult::Done;
@@ -235,12 +238,17 @@
 
 net::awaitable<RequestSession::DispatchResult> RequestSession::forwardWhole(http::Response upstreamResponse, const ports::ResponseMetadata &metadata)
 {
-    std::optional<std::string> body = co_await readBody();
+    http::ClientFailure failure;
+    std::optional<std::string> body = co_await readBody(failure);
     if (!body) {
+        noteBrokenAnswer(failure);
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
     noteFirstByte();
+    if (isSuccess(upstreamResponse.status)) {
+        m_context.quarantine.noteCompleted(m_callerRequest.sharedPromptParts(), hostNow());
+    }
     const bool failed = upstreamResponse.status >= 500;
     endDispatch(failed ? balancing::AttemptEnd::Failed : balancing::AttemptEnd::Succeeded);
     if (failed && mayRetry(hostNow())) {
@@ -256,10 +264,9 @@
     co_return DispatchResult::Done;
 }
 
-net::awaitable<std::optional<std::string>> RequestSession::readBody()
+net::awaitable<std::optional<std::string>> RequestSession::readBody(http::ClientFailure &failure)
 {
     std::string body;
-    http::ClientFailure failure;
     while (true) {
         const std::optional<std::string> chunk = co_await m_exchange->readSome(failure);
         if (!chunk) {
@@ -274,6 +281,14 @@
     }
 }
 
+void RequestSession::noteBrokenAnswer(const http::ClientFailure &failure)
+{
+    // Silence and bytes that are no answer come from the network or a faulty upstream, not from a crash.
+    if (failure.error == http::ClientError::Closed && !m_writer.callerGone()) {
+        m_context.quarantine.noteBroken(m_callerRequest.sharedPromptParts(), m_instance, hostNow());
+    }
+}
+
 void RequestSession::noteFirstByte()
 {
     const TimePoint now = hostNow();
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -67,6 +67,11 @@
     });
     while (true) {
         const TimePoint now = hostNow();
+        if (const std::optional<Duration> blocked = m_context.quarantine.blockedFor(m_callerRequest.sharedPromptParts(), now)) {
+            m_reason = "prompt_quarantined";
+            m_retryAfter = *blocked;
+            break;
+        }
         const std::optional<balancing::Choice> choice = chooseUpstream(now);
         if (!choice) {
             break;
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -42,7 +42,7 @@
     /// Whether a stream whose body has just ended was broken off by its upstream. @p receivedEvent: a whole event came before the end.
     [[nodiscard]] bool isTruncatedStream(bool receivedEvent) const;
     boost::asio::awaitable<DispatchResult> forwardWhole(http::Response upstreamResponse, const ports::ResponseMetadata &metadata);
-    boost::asio::awaitable<std::optional<std::string>> readBody();
+    boost::asio::awaitable<std::optional<std::string>> readBody(http::ClientFailure &failure);
     /// Ends a request that no upstream completed: rejects it as not run, reports that it may have run, or cuts a stream that was started.
     boost::asio::awaitable<void> respondWithFailure();
     boost::asio::awaitable<void> reject(int status, std::string_view reason, std::optional<Duration> retryAfter);
@@ -57,6 +57,8 @@
     [[nodiscard]] balancing::RequestProfile requestProfile() const;
     [[nodiscard]] ports::UpstreamPriority upstreamPriority() const;
     void noteFirstByte();
+    /// Records that the upstream broke off an answer that it had begun, when @p failure says so.
+    void noteBrokenAnswer(const http::ClientFailure &failure);
     void endDispatch(balancing::AttemptEnd how);
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
 
--- a/src/gossip/internal/peerregistry.cpp
+++ b/src/gossip/internal/peerregistry.cpp
@@ -134,6 +134,17 @@
     return zones;
 }
 
+std::vector<std::string> PeerRegistry::heardHosts() const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[host, peer] : m_peers) {
+        if (!peer.silent) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
 bool PeerRegistry::anySilent() const
 {
     for (const auto &[host, peer] : m_peers) {
--- a/src/gossip/internal/peerstatus.cpp
+++ b/src/gossip/internal/peerstatus.cpp
@@ -1,6 +1,7 @@
 #include "gossip/peerstatus.h"
 
 #include "base/json.h"
+#include "base/text.h"
 
 #include <json/value.h>
 
@@ -54,6 +55,65 @@
     return true;
 }
 
+Json::Value toJson(const quarantine::PartReport &report)
+{
+    Json::Value value;
+    value["part"] = hexadecimal(report.part);
+    value["crashes"] = Json::Value(Json::arrayValue);
+    for (const quarantine::CrashReport &crash : report.crashes) {
+        Json::Value entry(Json::arrayValue);
+        entry.append(crash.instance);
+        entry.append(crash.ageMs);
+        value["crashes"].append(std::move(entry));
+    }
+    if (report.quarantined) {
+        value["quarantined"] = true;
+    }
+    if (report.completedAgeMs) {
+        value["completed_age_ms"] = *report.completedAgeMs;
+    }
+    return value;
+}
+
+std::optional<quarantine::PartReport> partReport(const Json::Value &value)
+{
+    const std::optional<std::string> id = stringMember(value, "part");
+    const std::optional<std::uint64_t> part = id ? parseHexadecimal(*id) : std::nullopt;
+    if (!part || !value["crashes"].isArray()) {
+        return std::nullopt;
+    }
+    quarantine::PartReport report;
+    report.part = *part;
+    report.quarantined = boolMember(value, "quarantined", false);
+    report.completedAgeMs = unsignedMember(value, "completed_age_ms");
+    for (const Json::Value &crash : value["crashes"]) {
+        if (!crash.isArray() || crash.size() != 2 || !crash[0].isString() || !crash[1].isUInt64()) {
+            return std::nullopt;
+        }
+        report.crashes.push_back({crash[0].asString(), crash[1].asUInt64()});
+    }
+    return report;
+}
+
+/// Reads the suspected prompt parts, which hosts of an earlier version do not send; returns false when they are malformed.
+bool readSuspectParts(const Json::Value &value, std::vector<quarantine::PartReport> &suspectParts)
+{
+    if (value.isNull()) {
+        return true;
+    }
+    if (!value.isArray()) {
+        return false;
+    }
+    for (const Json::Value &entry : value) {
+        std::optional<quarantine::PartReport> report = partReport(entry);
+        if (!report) {
+            return false;
+        }
+        suspectParts.push_back(std::move(*report));
+    }
+    return true;
+}
+
 bool readUsage(const Json::Value &value, std::map<std::uint64_t, std::map<std::string, duties::UsageCounts>> &usage)
 {
     if (!value.isArray()) {
@@ -124,6 +184,9 @@
         }
         value["usage"].append(std::move(entry));
     }
+    for (const quarantine::PartReport &report : status.suspectParts) {
+        value["suspect_parts"].append(toJson(report));
+    }
     value["peers"] = Json::Value(Json::arrayValue);
     for (const std::string &peer : status.peers) {
         value["peers"].append(peer);
@@ -162,7 +225,8 @@
     status.leaving = boolMember(*value, "leaving", false);
     status.holdsDuties = boolMember(*value, "holds_duties", false);
     if (!readRates((*value)["demand"], status.demand) || !readCounts((*value)["used"], status.used) || !readRates((*value)["busy"], status.busy)
-        || !readOutstanding((*value)["outstanding"], status.outstanding) || !readUsage((*value)["usage"], status.usage)) {
+        || !readOutstanding((*value)["outstanding"], status.outstanding) || !readUsage((*value)["usage"], status.usage)
+        || !readSuspectParts((*value)["suspect_parts"], status.suspectParts)) {
         return std::nullopt;
     }
     for (const Json::Value &peer : (*value)["peers"]) {
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -37,6 +37,7 @@
     status.outstanding = {{"i-1", {3, 12'000}}};
     status.leaving = true;
     status.usage = {{7, {{"entry-2/a", {{"yard", 4}}}, {"entry-3/a", {{"yard", 1}, {"office", 2}}}}}};
+    status.suspectParts = {{0xdeadU, {{"i-1", 40}, {"i-2", 0}}, true, std::nullopt}, {0xa0bU, {}, false, 120}};
     status.peers = {"10.0.0.1"};
     CHECK(decodedPeerStatus(encoded(status)) == status);
 
@@ -46,6 +47,11 @@
     std::string damaged = encoded(status);
     damaged.resize(damaged.size() / 2);
     CHECK(!decodedPeerStatus(damaged));
+    for (const std::string wrong : {R"("part":7)", R"("part":"xyz")"}) {
+        std::string malformed = encoded(status);
+        malformed.replace(malformed.find(R"("part":"dead")"), 13, wrong);
+        CHECK(!decodedPeerStatus(malformed));
+    }
     std::string mistyped = encoded(status);
     mistyped.replace(mistyped.find("[3,12000]"), 9, "[3,\"no\"]");
     CHECK(!decodedPeerStatus(mistyped));
--- a/src/timeline/internal/logexplanation.cpp
+++ b/src/timeline/internal/logexplanation.cpp
@@ -59,6 +59,7 @@
         {"no_route", "no route of the configuration fits its host and path"},
         {"unknown_key", "no workspace has its key"},
         {"stopping", "the host was stopping"},
+        {"prompt_quarantined", "a part of its prompt had crashed several upstreams"},
     };
     const std::string reason = textField(line, "reason");
     const auto found = Words.find(reason);
