--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -67,9 +67,9 @@
     });
     while (true) {
         const TimePoint now = hostNow();
-        if (const std::optional<Duration> blocked = m_context.quarantine.blockedFor(m_callerRequest.sharedPromptParts(), now)) {
+        if (const std::optional<Duration> wait = m_context.quarantine.admit(m_callerRequest.sharedPromptParts(), now)) {
             m_reason = "prompt_quarantined";
-            m_retryAfter = *blocked;
+            m_retryAfter = *wait;
             break;
         }
         const std::optional<balancing::Choice> choice = chooseUpstream(now);
--- a/src/quarantine/internal/promptquarantine.cpp
+++ b/src/quarantine/internal/promptquarantine.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 
 namespace rosemaryshift::quarantine {
 
@@ -117,7 +116,7 @@
     }
 }
 
-std::optional<Duration> PromptQuarantine::blockedFor(std::span<const ports::PromptPart> parts, TimePoint now)
+std::optional<Duration> PromptQuarantine::admit(std::span<const ports::PromptPart> parts, TimePoint now)
 {
     std::vector<std::pair<std::uint64_t, Suspect *>> quarantined;
     for (const ports::PromptPart &part : parts) {
@@ -198,12 +197,12 @@
 std::vector<CrashReport> PromptQuarantine::reportedCrashes(const Suspect &suspect, TimePoint now)
 {
     std::vector<CrashReport> reported;
-    for (const Crash &crash : suspect.crashes | std::views::reverse) {
+    for (auto crash = suspect.crashes.rbegin(); crash != suspect.crashes.rend() && reported.size() < MaxReportedCrashes; ++crash) {
         // A host that has just started needs some crashes of a part to accept that it is in quarantine.
         const bool needed = suspect.quarantined && reported.size() <= MinCrashes;
-        const bool own = crash.observedHere && now - crash.at <= ReportedCrashAge;
-        if ((needed || own) && reported.size() < MaxReportedCrashes) {
-            reported.push_back({crash.instance, millisecondsBetween(crash.at, now)});
+        const bool own = crash->observedHere && now - crash->at <= ReportedCrashAge;
+        if (needed || own) {
+            reported.push_back({crash->instance, millisecondsBetween(crash->at, now)});
         }
     }
     return reported;
--- a/src/quarantine/promptquarantine.h
+++ b/src/quarantine/promptquarantine.h
@@ -32,8 +32,8 @@
     void noteBroken(std::span<const ports::PromptPart> parts, std::string_view instance, TimePoint now);
     /// Records that a request whose prompt has @p parts was answered completely.
     void noteCompleted(std::span<const ports::PromptPart> parts, TimePoint now);
-    /// Time for which requests with @p parts must not be sent to any upstream; nothing when this one may be sent now. It may be a trial.
-    [[nodiscard]] std::optional<Duration> blockedFor(std::span<const ports::PromptPart> parts, TimePoint now);
+    /// Admits a request whose prompt has @p parts to the upstreams, also as a trial. Returns nothing when it may be sent, else the time to wait.
+    [[nodiscard]] std::optional<Duration> admit(std::span<const ports::PromptPart> parts, TimePoint now);
     /// Quarantines and releases parts whose time has come. Precondition: called at least once a second.
     void update(TimePoint now);
 
--- a/src/quarantine/tests/promptquarantinetests.cpp
+++ b/src/quarantine/tests/promptquarantinetests.cpp
@@ -49,7 +49,7 @@
 
     [[nodiscard]] bool blocks(std::initializer_list<std::uint64_t> parts, TimePoint now)
     {
-        return quarantine.blockedFor(prompt(parts), now).has_value();
+        return quarantine.admit(prompt(parts), now).has_value();
     }
 
     std::vector<std::string> changes;
@@ -85,9 +85,9 @@
 
     SECTION("the time until a trial grows with each further crash")
     {
-        CHECK(host.quarantine.blockedFor(prompt({Deadly}), now) == Duration(seconds(30)));
+        CHECK(host.quarantine.admit(prompt({Deadly}), now) == Duration(seconds(30)));
         host.breakAnswer({Deadly}, "i-3", now + seconds(2));
-        CHECK(host.quarantine.blockedFor(prompt({Deadly}), now + seconds(2)) == Duration(seconds(60)));
+        CHECK(host.quarantine.admit(prompt({Deadly}), now + seconds(2)) == Duration(seconds(60)));
     }
     SECTION("after that time a single request is sent as a trial")
     {
@@ -99,7 +99,7 @@
         SECTION("a further crash extends the quarantine")
         {
             host.breakAnswer({Common, Deadly}, "i-0", later + seconds(1));
-            CHECK(host.quarantine.blockedFor(prompt({Deadly}), later + seconds(1)) == Duration(seconds(60)));
+            CHECK(host.quarantine.admit(prompt({Deadly}), later + seconds(1)) == Duration(seconds(60)));
         }
         SECTION("a complete answer releases the part")
         {
@@ -266,6 +266,25 @@
             CHECK(restarted.blocks({Deadly}, Start + seconds(2)));
         }
     }
+    SECTION("after many crashes the part is told from those that only came with some of them")
+    {
+        constexpr std::uint64_t Other = 0xab;
+        for (int crash = 0; crash < 20; ++crash) {
+            const TimePoint now = Start + milliseconds(200 * crash);
+            const std::string instance = "i-" + std::to_string(crash);
+            first.breakAnswer({Deadly}, instance, now);
+            if (crash < 10) {
+                second.breakAnswer({Other}, instance, now + milliseconds(5));
+            }
+            first.completeAnswers(20, {Common}, now);
+            second.completeAnswers(20, {Common}, now);
+            exchange(now + milliseconds(100));
+        }
+        const TimePoint now = Start + seconds(5);
+        REQUIRE(second.quarantine.quarantinedParts() == 2);
+        CHECK(second.blocks({Deadly}, now));
+        CHECK(!second.blocks({Other}, now));
+    }
     SECTION("a crash that both hosts saw counts once")
     {
         for (int crash = 0; crash < 2; ++crash) {
