Bound what a gateway holds of an answer that does not end

Cause: the gateway held the bytes after the last complete event of a stream without a bound of its own, and searched all of them again with each piece. Twelve megabytes without the end of an event kept the only thread of the process busy for more than ten seconds, so that one faulty upstream stalled the whole host. A plain answer was held up to 64 MB and until the caller's deadline.

Change: an event above 1 MB and a whole answer above 8 MB are broken off at once and count as a failure of the upstream, not as a crash.

--- a/src/gateway/internal/eventsplitter.h
+++ b/src/gateway/internal/eventsplitter.h
@@ -12,6 +12,8 @@
 public:
     /// Adds the next bytes of the stream. Returns all bytes up to the end of the last complete event; empty when no event became complete.
     std::string push(std::string_view bytes);
+    /// Whether the bytes after the last complete event exceed what a single event may have. The stream must not be read on then.
+    [[nodiscard]] bool overflowed() const;
     /// Id of the last complete event that has one.
     [[nodiscard]] const std::optional<std::string> &lastId() const;
     /// Bytes after the last complete event.
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds UpstreamFullRetryDelay{150};
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 constexpr int MaxSkippedResponses = 2;
+/// Largest body of an answer that is held until it is complete; a faulty upstream may send bytes without end.
+constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
 /// Maximum number of a prompt's parts that are logged with a failure.
 constexpr std::size_t MaxLoggedParts = 8;
 
@@ -186,6 +188,9 @@
         if (chunk && chunk->empty() && isTruncatedStream(receivedEvent)) {
             failure = {http::ClientError::Closed, "it ended before the end of an event"};
             chunk.reset();
+        } else if (m_eventSplitter.overflowed()) {
+            failure = {http::ClientError::Malformed, "an event is too large"};
+            chunk.reset();
         }
         if (!chunk) {
             m_reason = "stream broke: " + failure.detail;
@@ -277,6 +282,12 @@
         if (chunk->empty()) {
             co_return body;
         }
+        if (body.size() + chunk->size() > MaxAnswerBytes) {
+            failure = {http::ClientError::Malformed, "the answer is too large"};
+            m_reason = "answer broke: " + failure.detail;
+            m_exchange->cancel();
+            co_return std::nullopt;
+        }
         body += *chunk;
     }
 }
--- a/src/gateway/tests/eventsplittertests.cpp
+++ b/src/gateway/tests/eventsplittertests.cpp
@@ -58,3 +58,28 @@
         }
     }
 }
+
+TEST_CASE("EventSplitter finds the end of an event wherever the stream is cut into pieces")
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+    for (std::size_t first = 0; first <= stream.size(); ++first) {
+        for (std::size_t second = first; second <= stream.size(); ++second) {
+            EventSplitter splitter;
+            std::string events = splitter.push(stream.substr(0, first));
+            events += splitter.push(stream.substr(first, second - first));
+            events += splitter.push(stream.substr(second));
+            CHECK(events == stream);
+            CHECK(splitter.lastId() == "2");
+        }
+    }
+}
+
+TEST_CASE("EventSplitter reports an event that is too large")
+{
+    constexpr std::size_t MebiByte = 1024 * 1024;
+    EventSplitter splitter;
+    splitter.push(std::string(MebiByte, 'x'));
+    CHECK(!splitter.overflowed());
+    splitter.push("x");
+    CHECK(splitter.overflowed());
+}
