Keep the news of busy hosts readable while prompt parts are suspected

Cause: the reports of suspected parts came on top of news that are large there already, and the receivers truncate datagrams above 16 KB, so that the whole news of these hosts was lost.

Change: a host sends what it saw itself for 3 s instead of 10, and at most 12 parts of 6 crashes instead of 16 of 12; the receive buffer holds the largest datagram that UDP over IPv4 can carry.

--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -19,8 +19,8 @@
 constexpr std::chrono::milliseconds SendInterval{400};
 /// Time for which a peer's claim to hold the duties is trusted: two send intervals and a margin.
 constexpr std::chrono::milliseconds HolderClaimLifetime{1'000};
-/// Size of the receive buffer in bytes; longer datagrams are truncated.
-constexpr std::size_t MaxDatagramBytes = 16 * 1024;
+/// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
+constexpr std::size_t MaxDatagramBytes = 65'507;
 /// Number of usage windows in each datagram, the current one included.
 constexpr std::uint64_t SentUsageWindows = 3;
 /// Share of a quota that a host uses before it has heard from any peer; small, since the number of peers is unknown.
--- a/src/quarantine/internal/promptquarantine.cpp
+++ b/src/quarantine/internal/promptquarantine.cpp
@@ -14,8 +14,8 @@
 /// Crashes kept for each part; further ones only move the time of the last one. While most answers break, many are needed for a decision.
 constexpr std::size_t MaxCrashes = 64;
 /// Crashes of each part that are sent to the other hosts at a time, and the age up to which a host sends those that it saw itself.
-constexpr std::size_t MaxReportedCrashes = 12;
-constexpr std::chrono::seconds ReportedCrashAge{10};
+constexpr std::size_t MaxReportedCrashes = 6;
+constexpr std::chrono::seconds ReportedCrashAge{3};
 /// Largest probability that the crashes of a part are a coincidence at which it is quarantined.
 constexpr double MaxCoincidence = 0.01;
 /// Time from the first crash of a part until it can be quarantined, for complete answers on other hosts to be heard of.
@@ -37,7 +37,7 @@
 constexpr std::chrono::seconds CompletionLifetime{5};
 /// Upper bounds on the parts that are kept, and on those sent to the other hosts at a time.
 constexpr std::size_t MaxSuspects = 512;
-constexpr std::size_t MaxReports = 16;
+constexpr std::size_t MaxReports = 12;
 
 std::uint64_t millisecondsBetween(TimePoint earlier, TimePoint later)
 {
