--- a/src/gateway/internal/eventsplitter.cpp
+++ b/src/gateway/internal/eventsplitter.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::string_view LfEnd = "\n\n";
 constexpr std::string_view CrLfEnd = "\r\n\r\n";
-/// Size from which a partial event is too large.
+/// Size above which a partial event is too large.
 constexpr std::size_t MaxEventBytes = 1024 * 1024;
 
 /// Position after the last complete event in @p bytes; 0 when there is none. An empty line ends an event.
