Log the request limits that upstreams state

The lines of the hosts did not tell whether a host knew of an upstream's limit. The adapter now reads the header (a decimal number; anything else is malformed and changes nothing), and upstream_limit tells when a limit is stated, changed or lifted. An answer without one lifts a limit only if its request was sent after the limit was last stated, since answers overtake each other. No decision changes.

limits_tests, platform_adapter_tests, gateway_promise_tests and operations_tests pass.

--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -32,6 +32,11 @@
     , listAvailability(settings.renewalInterval)
     , quotas(settings.quotas)
     , retryBudget(settings.retries)
+    , upstreamLimits([this](const std::string &instance, std::optional<double> perSecond) {
+        eventLog.write("upstream_limit",
+                       eventlog::Importance::StateChange,
+                       {{"instance", instance}, {"change", perSecond ? "stated" : "lifted"}, {"per_second", perSecond.value_or(0)}});
+    })
     , quarantine([this](std::uint64_t part, quarantine::PartChange change, std::size_t crashes) {
         eventLog.write("prompt_part",
                        eventlog::Importance::StateChange,
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -12,6 +12,7 @@
 #include "gateway/internal/wallclockestimator.h"
 #include "http/connectionpool.h"
 #include "limits/retrybudget.h"
+#include "limits/upstreamlimits.h"
 #include "limits/workspacequotas.h"
 #include "quarantine/promptquarantine.h"
 
@@ -36,6 +37,7 @@
     balancing::UpstreamBalancer balancer;
     limits::WorkspaceQuotas quotas;
     limits::RetryBudget retryBudget;
+    limits::UpstreamLimits upstreamLimits;
     quarantine::PromptQuarantine quarantine;
     duties::UsageLedger usageLedger;
     WallClockEstimator wallClock;
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -97,6 +97,7 @@
     request.body = m_request.body;
 
     m_instance = upstream.instance;
+    m_dispatchedAt = now;
     m_framing.reset();
     m_triedInstances.insert(m_instance);
     m_attemptState->noteDispatched();
@@ -151,6 +152,7 @@
 
 net::awaitable<RequestSession::DispatchResult> RequestSession::handleResponse(http::Response upstreamResponse, const ports::ResponseMetadata &metadata)
 {
+    noteStatedLimit(upstreamResponse, metadata);
     if (metadata.notExecuted) {
         http::ClientFailure failure;
         const std::optional<std::string> discardedBody = co_await readBody(failure);
@@ -292,6 +294,20 @@
     }
 }
 
+void RequestSession::noteStatedLimit(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata)
+{
+    // An answer to another request, or of another instance at the same address, says nothing about this instance.
+    if (metadata.attemptId != m_callerRequest.attemptId || upstreamResponse.status == 421) {
+        return;
+    }
+    if (metadata.requestLimitMalformed) {
+        m_context.eventLog.write(
+            "upstream_limit_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}});
+        return;
+    }
+    m_context.upstreamLimits.noteAnswer(m_instance, metadata.requestLimit, m_dispatchedAt, hostNow());
+}
+
 void RequestSession::noteBrokenAnswer(const http::ClientFailure &failure)
 {
     // Silence and bytes that are no answer come from the network or a faulty upstream, not from a crash.
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -57,6 +57,8 @@
     [[nodiscard]] balancing::RequestProfile requestProfile() const;
     [[nodiscard]] ports::UpstreamPriority upstreamPriority() const;
     void noteFirstByte();
+    /// Records the request limit that an upstream's answer states, or that it states none.
+    void noteStatedLimit(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata);
     /// Records that the upstream broke off an answer that it had begun, when @p failure says so.
     void noteBrokenAnswer(const http::ClientFailure &failure);
     void endDispatch(balancing::AttemptEnd how);
@@ -81,6 +83,7 @@
     std::shared_ptr<http::IExchange> m_exchange; ///< Exchange with the upstream of the current dispatch.
     std::uint64_t m_balancerAttempt = 0;         ///< Number of the current dispatch at the balancer.
     std::set<std::string> m_triedInstances;
+    TimePoint m_dispatchedAt;                   ///< Time of the last dispatch.
     std::string m_instance;                     ///< Upstream instance of the last dispatch.
     std::optional<http::BodyFraming> m_framing; ///< Of the response to the last dispatch; nothing until its head is received.
     EventSplitter m_eventSplitter;
