Keep the requests of all hosts within the limits that upstreams state

Callers saw nothing; upstreams that had stated 2.7 and 3.3 requests a second for all hosts together got 62 and 55 in 4 s. Cause: the limit was passed on with the answer and read by nothing, so that an upstream in need stayed the best choice.

UpstreamLimits splits a limit evenly among as many hosts as may all send at the same moment (rendezvous hashing, a token bucket each), told by the host with the latest answer. A silent host keeps its share, since it may still send. What no upstream may take is refused at once (upstreams_limited); retries and trials go the same way. Why this works: with K sharers at L a second the sum in 4 s is at most 4 L + (2 L + 3), whatever the hosts hear of each other, where 6 L + 5 are allowed; hosts that have only just started begin with an empty bucket.

--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -118,6 +118,7 @@
         m_context.silentZones = m_registry.silentZones();
         m_context.quarantine.setHosts(m_context.settings.name, m_registry.heardHosts());
         m_context.quarantine.update(now);
+        m_context.upstreamLimits.expire(now);
         updateShares(now);
         gossip::PeerStatus status = localStatus(now);
         for (const std::string &address : m_registry.addresses()) {
@@ -181,6 +182,7 @@
     status.used = m_context.quotas.used();
     status.busy = localBusyUpstreams(m_context, now);
     status.outstanding = m_context.balancer.outstanding();
+    status.upstreamLimits = m_context.upstreamLimits.reports(now);
     status.suspectParts = m_context.quarantine.reports(now);
     addUsageTo(status, now);
     for (const auto &[host, peer] : m_registry.peers()) {
@@ -242,6 +244,7 @@
     }
     m_context.quotas.updatePeerUsage(hostStart(status.host, status.start), status.used, now);
     m_context.balancer.setPeerOutstanding(host, status.outstanding, now);
+    m_context.upstreamLimits.apply(status.upstreamLimits, now);
     m_context.quarantine.apply(status.suspectParts, now);
     m_context.wallClock.notePeer(host, Duration(static_cast<Duration::rep>(status.wallUs)), now);
     if (status.listReachableMs && m_context.listAvailability.notePeer(std::chrono::milliseconds(*status.listReachableMs), now)) {
@@ -295,6 +298,7 @@
     const std::size_t hosts = m_registry.hostCount();
     m_context.hostCount = hosts;
     m_context.retryBudget.setHosts(hosts);
+    m_context.upstreamLimits.setHosts(m_context.settings.address, m_registry.otherHostAddresses(), now);
     m_context.quotas.setPooled(hosts > 1, now);
     const std::map<std::string, double> own = m_context.quotas.demand(now);
     for (const auto &[workspace, demand] : own) {
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds ConfigurationRetryDelay{500};
 /// Retry-After for a caller when no upstream is listed, or none took the request.
 constexpr std::chrono::milliseconds UpstreamRetryDelay{150};
+/// Longest Retry-After for a caller whose request no upstream may take because of the limits that the upstreams state.
+constexpr std::chrono::milliseconds LongestLimitRetryDelay{10'000};
 /// Retry-After is randomized by up to this part in both directions, to spread the retries.
 constexpr double RetryJitter = 0.5;
 
@@ -41,6 +43,14 @@
     return "unknown";
 }
 
+/// Time in which upstreams that together accept @p perSecond requests per second accept one more.
+Duration limitRetryDelay(double perSecond)
+{
+    const double seconds = 1 / std::max(perSecond, 1e-6);
+    const Duration delay = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return std::clamp<Duration>(delay, UpstreamRetryDelay, LongestLimitRetryDelay);
+}
+
 }
 
 RequestSession::RequestSession(GatewayContext &context, http::Request request, http::IResponseWriter &writer)
@@ -187,17 +197,30 @@
     std::vector<balancing::Candidate> candidates;
     const routing::Service *const service = m_routeTable->service(m_service);
     const std::uint32_t maxRequests = limits::connectionShare(service != nullptr ? service->maxConnections : 0, m_context.hostCount);
+    std::optional<double> limitedRate; ///< Sum of the limits of the upstreams that are left out because of them.
     for (const directory::Upstream *const upstream : m_context.directory.usable(m_service, now)) {
-        if (!m_triedInstances.contains(upstream->entry.instance)) {
-            const directory::UpstreamEntry &entry = upstream->entry;
+        const directory::UpstreamEntry &entry = upstream->entry;
+        if (m_triedInstances.contains(entry.instance)) {
+            continue;
+        }
+        if (m_context.upstreamLimits.maySend(entry.instance, now)) {
             const bool zoneUnreachable = entry.zone != m_context.settings.zone && m_context.silentZones.contains(entry.zone);
             candidates.push_back({entry.instance, entry.zone, entry.slots, maxRequests, zoneUnreachable});
+        } else {
+            limitedRate = limitedRate.value_or(0) + m_context.upstreamLimits.perSecond(entry.instance).value_or(0);
         }
     }
     std::optional<balancing::Choice> choice = m_context.balancer.choose(requestProfile(), candidates, now);
     if (!choice) {
-        m_reason = candidates.empty() ? "no_upstream" : "upstreams_full";
         m_retryAfter = UpstreamRetryDelay;
+        if (!candidates.empty()) {
+            m_reason = "upstreams_full";
+        } else if (limitedRate) {
+            m_reason = "upstreams_limited";
+            m_retryAfter = limitRetryDelay(*limitedRate);
+        } else {
+            m_reason = "no_upstream";
+        }
         return std::nullopt;
     }
     if (m_attemptState->mayRejectAsNotRun() && choice->expected > remainingTime(now)) {
--- a/src/gossip/internal/peerregistry.cpp
+++ b/src/gossip/internal/peerregistry.cpp
@@ -98,6 +98,18 @@
     return all;
 }
 
+std::vector<std::string> PeerRegistry::otherHostAddresses() const
+{
+    std::set<std::string> others = m_peers.empty() ? m_seeds : std::set<std::string>();
+    for (const auto &[address, time] : m_learnedAddresses) {
+        others.insert(address);
+    }
+    for (const auto &[host, peer] : m_peers) {
+        others.insert(peer.status.address);
+    }
+    return {others.begin(), others.end()};
+}
+
 const std::map<std::string, Peer> &PeerRegistry::peers() const
 {
     return m_peers;
--- a/src/gossip/internal/peerstatus.cpp
+++ b/src/gossip/internal/peerstatus.cpp
@@ -114,6 +114,37 @@
     return true;
 }
 
+Json::Value toJson(const limits::LimitReport &report)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(report.instance);
+    value.append(report.ageMs);
+    if (report.perSecond) {
+        value.append(*report.perSecond);
+    }
+    return value;
+}
+
+/// Reads the limits of upstreams, which hosts of an earlier version do not send; returns false when they are malformed.
+bool readUpstreamLimits(const Json::Value &value, std::vector<limits::LimitReport> &upstreamLimits)
+{
+    if (value.isNull()) {
+        return true;
+    }
+    if (!value.isArray()) {
+        return false;
+    }
+    for (const Json::Value &entry : value) {
+        const bool lifted = entry.isArray() && entry.size() == 2;
+        const bool stated = entry.isArray() && entry.size() == 3 && entry[2].isNumeric() && entry[2].asDouble() >= 0;
+        if ((!lifted && !stated) || !entry[0].isString() || !entry[1].isUInt64()) {
+            return false;
+        }
+        upstreamLimits.push_back({entry[0].asString(), stated ? std::optional(entry[2].asDouble()) : std::nullopt, entry[1].asUInt64()});
+    }
+    return true;
+}
+
 bool readUsage(const Json::Value &value, std::map<std::uint64_t, std::map<std::string, duties::UsageCounts>> &usage)
 {
     if (!value.isArray()) {
@@ -184,6 +215,9 @@
         }
         value["usage"].append(std::move(entry));
     }
+    for (const limits::LimitReport &report : status.upstreamLimits) {
+        value["upstream_limits"].append(toJson(report));
+    }
     for (const quarantine::PartReport &report : status.suspectParts) {
         value["suspect_parts"].append(toJson(report));
     }
@@ -226,7 +260,7 @@
     status.holdsDuties = boolMember(*value, "holds_duties", false);
     if (!readRates((*value)["demand"], status.demand) || !readCounts((*value)["used"], status.used) || !readRates((*value)["busy"], status.busy)
         || !readOutstanding((*value)["outstanding"], status.outstanding) || !readUsage((*value)["usage"], status.usage)
-        || !readSuspectParts((*value)["suspect_parts"], status.suspectParts)) {
+        || !readUpstreamLimits((*value)["upstream_limits"], status.upstreamLimits) || !readSuspectParts((*value)["suspect_parts"], status.suspectParts)) {
         return std::nullopt;
     }
     for (const Json::Value &peer : (*value)["peers"]) {
--- a/src/gossip/peerregistry.h
+++ b/src/gossip/peerregistry.h
@@ -34,6 +34,9 @@
 
     /// Addresses to send this host's status to.
     [[nodiscard]] std::set<std::string> addresses() const;
+    /// Addresses of the other hosts that may be sending requests to upstreams: the known peers, silent ones included, and the hosts that peers have
+    /// listed recently; the seeds while no peer is known.
+    [[nodiscard]] std::vector<std::string> otherHostAddresses() const;
     /// All known peers, by host name; includes the silent ones.
     [[nodiscard]] const std::map<std::string, Peer> &peers() const;
     /// The value of PeerStatus::sentUs last received from the peer at @p address, to be echoed to it; nothing when it is too old to be useful.
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -37,6 +37,7 @@
     status.outstanding = {{"i-1", {3, 12'000}}};
     status.leaving = true;
     status.usage = {{7, {{"entry-2/a", {{"yard", 4}}}, {"entry-3/a", {{"yard", 1}, {"office", 2}}}}}};
+    status.upstreamLimits = {{"i-1", 2.5, 40}, {"i-2", std::nullopt, 3'000}};
     status.suspectParts = {{0xdeadU, {{"i-1", 40}, {"i-2", 0}}, true, std::nullopt}, {0xa0bU, {}, false, 120}};
     status.peers = {"10.0.0.1"};
     CHECK(decodedPeerStatus(encoded(status)) == status);
@@ -100,6 +101,14 @@
         registry.expire(Start + std::chrono::seconds(3));
         CHECK(registry.silentZones() == std::set<std::string>{status.zone});
     }
+    SECTION("a silent peer and the hosts that peers list may still be sending requests; the seeds do so while no peer is known")
+    {
+        registry.expire(Start + std::chrono::seconds(3));
+        CHECK(registry.otherHostAddresses() == std::vector<std::string>{"10.0.0.2", "10.0.0.3"});
+        PeerRegistry fresh("10.0.0.9", [](const Peer &, std::string_view) {});
+        fresh.setSeeds({"10.0.0.9", "10.0.0.7"});
+        CHECK(fresh.otherHostAddresses() == std::vector<std::string>{"10.0.0.7"});
+    }
     SECTION("a peer that announces that it leaves is removed at once, and its late statuses are not applied")
     {
         PeerStatus last = makeStatus("entry-2", 7);
