Log a fingerprint of requests that fail at upstreams

No decision changes.

The golden lines of two explained failures have the new field; quarantine_tests and operations_tests pass.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -343,7 +343,8 @@
                                   {"reason", m_reason},
                                   {"run", name(m_attemptState->executionState())},
                                   {"answer_begun", m_framing.has_value()},
-                                  {"prompt_parts", promptPartIds(m_callerRequest.sharedPromptParts())}});
+                                  {"prompt_parts", promptPartIds(m_callerRequest.sharedPromptParts())},
+                                  {"fingerprint", hexadecimal(m_fingerprint)}});
     }
 }
 
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -3,6 +3,7 @@
 #include "gateway/internal/endtoendheaders.h"
 #include "gateway/internal/hostclock.h"
 #include "limits/connectionshare.h"
+#include "quarantine/requestfingerprint.h"
 
 #include <boost/asio.hpp>
 
@@ -164,6 +165,11 @@
         return false;
     }
     m_service = service->service;
+    m_fingerprint = quarantine::requestFingerprint({m_workspace != nullptr ? std::string_view(m_workspace->name) : std::string_view(),
+                                                    m_request.headers.find("Host").value_or(""),
+                                                    m_request.method,
+                                                    m_request.target,
+                                                    m_request.body});
     if (m_workspace != nullptr) {
         const bool countsTokens = m_workspace->unit == routing::QuotaUnit::Tokens;
         const double tokenCount = m_callerRequest.promptTokens ? static_cast<double>(*m_callerRequest.promptTokens + m_callerRequest.maxOutputTokens)
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -73,8 +73,9 @@
     const routing::Route *m_route = nullptr;
     const routing::Workspace *m_workspace = nullptr;
     std::string m_service;
-    double m_quotaCost = 0; ///< Cost taken from the workspace's quota, in its unit; 0 when none was taken.
-    TimePoint m_deadline;   ///< The earlier of the caller's deadline and the end of the route's timeout.
+    std::uint64_t m_fingerprint = 0; ///< The same for repetitions of this request by its caller.
+    double m_quotaCost = 0;          ///< Cost taken from the workspace's quota, in its unit; 0 when none was taken.
+    TimePoint m_deadline;            ///< The earlier of the caller's deadline and the end of the route's timeout.
     std::optional<AttemptState> m_attemptState;
     std::optional<Duration> m_retryAfter; ///< Retry-After of a rejection, before it is randomized.
     int m_rejectionStatus = 0;
