Rename the quarantine and its reports for more than prompt parts

Change: PromptQuarantine is CrashQuarantine, PartReport SuspectReport, PartChange SuspectChange; names on the wire and in logs stay.

--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -37,7 +37,7 @@
                        eventlog::Importance::StateChange,
                        {{"instance", instance}, {"change", perSecond ? "stated" : "lifted"}, {"per_second", perSecond.value_or(0)}});
     })
-    , quarantine([this](std::uint64_t part, quarantine::PartChange change, std::size_t crashes) {
+    , quarantine([this](std::uint64_t part, quarantine::SuspectChange change, std::size_t crashes) {
         eventLog.write("prompt_part",
                        eventlog::Importance::StateChange,
                        {{"part", hexadecimal(part)}, {"change", quarantine::name(change)}, {"crashes", static_cast<std::int64_t>(crashes)}});
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -14,7 +14,7 @@
 #include "limits/retrybudget.h"
 #include "limits/upstreamlimits.h"
 #include "limits/workspacequotas.h"
-#include "quarantine/promptquarantine.h"
+#include "quarantine/crashquarantine.h"
 
 #include <memory>
 #include <random>
@@ -38,7 +38,7 @@
     limits::WorkspaceQuotas quotas;
     limits::RetryBudget retryBudget;
     limits::UpstreamLimits upstreamLimits;
-    quarantine::PromptQuarantine quarantine;
+    quarantine::CrashQuarantine quarantine;
     duties::UsageLedger usageLedger;
     WallClockEstimator wallClock;
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -183,7 +183,7 @@
     status.busy = localBusyUpstreams(m_context, now);
     status.outstanding = m_context.balancer.outstanding();
     status.upstreamLimits = m_context.upstreamLimits.reports(now);
-    status.suspectParts = m_context.quarantine.reports(now);
+    status.suspects = m_context.quarantine.reports(now);
     addUsageTo(status, now);
     for (const auto &[host, peer] : m_registry.peers()) {
         if (!peer.silent) {
@@ -245,7 +245,7 @@
     m_context.quotas.updatePeerUsage(hostStart(status.host, status.start), status.used, now);
     m_context.balancer.setPeerOutstanding(host, status.outstanding, now);
     m_context.upstreamLimits.apply(status.upstreamLimits, now);
-    m_context.quarantine.apply(status.suspectParts, now);
+    m_context.quarantine.apply(status.suspects, now);
     m_context.wallClock.notePeer(host, Duration(static_cast<Duration::rep>(status.wallUs)), now);
     if (status.listReachableMs && m_context.listAvailability.notePeer(std::chrono::milliseconds(*status.listReachableMs), now)) {
         m_context.eventLog.write(
--- a/src/gossip/internal/peerstatus.cpp
+++ b/src/gossip/internal/peerstatus.cpp
@@ -55,7 +55,7 @@
     return true;
 }
 
-Json::Value toJson(const quarantine::PartReport &report)
+Json::Value toJson(const quarantine::SuspectReport &report)
 {
     Json::Value value;
     value["part"] = hexadecimal(report.part);
@@ -75,14 +75,14 @@
     return value;
 }
 
-std::optional<quarantine::PartReport> partReport(const Json::Value &value)
+std::optional<quarantine::SuspectReport> suspectReport(const Json::Value &value)
 {
     const std::optional<std::string> id = stringMember(value, "part");
     const std::optional<std::uint64_t> part = id ? parseHexadecimal(*id) : std::nullopt;
     if (!part || !value["crashes"].isArray()) {
         return std::nullopt;
     }
-    quarantine::PartReport report;
+    quarantine::SuspectReport report;
     report.part = *part;
     report.quarantined = boolMember(value, "quarantined", false);
     report.completedAgeMs = unsignedMember(value, "completed_age_ms");
@@ -96,7 +96,7 @@
 }
 
 /// Reads the suspected prompt parts, which hosts of an earlier version do not send; returns false when they are malformed.
-bool readSuspectParts(const Json::Value &value, std::vector<quarantine::PartReport> &suspectParts)
+bool readSuspects(const Json::Value &value, std::vector<quarantine::SuspectReport> &suspects)
 {
     if (value.isNull()) {
         return true;
@@ -105,11 +105,11 @@
         return false;
     }
     for (const Json::Value &entry : value) {
-        std::optional<quarantine::PartReport> report = partReport(entry);
+        std::optional<quarantine::SuspectReport> report = suspectReport(entry);
         if (!report) {
             return false;
         }
-        suspectParts.push_back(std::move(*report));
+        suspects.push_back(std::move(*report));
     }
     return true;
 }
@@ -218,7 +218,7 @@
     for (const limits::LimitReport &report : status.upstreamLimits) {
         value["upstream_limits"].append(toJson(report));
     }
-    for (const quarantine::PartReport &report : status.suspectParts) {
+    for (const quarantine::SuspectReport &report : status.suspects) {
         value["suspect_parts"].append(toJson(report));
     }
     value["peers"] = Json::Value(Json::arrayValue);
@@ -260,7 +260,7 @@
     status.holdsDuties = boolMember(*value, "holds_duties", false);
     if (!readRates((*value)["demand"], status.demand) || !readCounts((*value)["used"], status.used) || !readRates((*value)["busy"], status.busy)
         || !readOutstanding((*value)["outstanding"], status.outstanding) || !readUsage((*value)["usage"], status.usage)
-        || !readUpstreamLimits((*value)["upstream_limits"], status.upstreamLimits) || !readSuspectParts((*value)["suspect_parts"], status.suspectParts)) {
+        || !readUpstreamLimits((*value)["upstream_limits"], status.upstreamLimits) || !readSuspects((*value)["suspect_parts"], status.suspects)) {
         return std::nullopt;
     }
     for (const Json::Value &peer : (*value)["peers"]) {
--- a/src/quarantine/promptquarantine.h
+++ b/src/quarantine/crashquarantine.h
@@ -15,16 +15,16 @@
 ///
 /// A crash breaks all answers in progress, so a single one does not tell which request caused it. A part is quarantined when several crashes broke
 /// answers to requests with it, no such request was answered completely in between, and the share of other answers that broke in that time does not
-/// explain this. The hosts pool what they know by PartReport. After a time that grows with the number of crashes, one host sends a single request as
+/// explain this. The hosts pool what they know by SuspectReport. After a time that grows with the number of crashes, one host sends a single request as
 /// a trial; a complete answer to any request with the part releases it on all hosts. When several parts came together in all crashes, a request with
 /// only some of them is a trial at once, at any host. The current time is passed to each call. Not thread-safe.
-class PromptQuarantine
+class CrashQuarantine
 {
 public:
     /// Called with the id of a part, its change and the number of crashes known.
-    using Listener = std::function<void(std::uint64_t part, PartChange change, std::size_t crashes)>;
+    using Listener = std::function<void(std::uint64_t part, SuspectChange change, std::size_t crashes)>;
 
-    explicit PromptQuarantine(Listener listener);
+    explicit CrashQuarantine(Listener listener);
 
     /// Sets the name of this host and those of the other hosts that are heard; the trials of each part are made by one of them.
     void setHosts(std::string own, std::vector<std::string> others);
@@ -38,9 +38,9 @@
     void update(TimePoint now);
 
     /// What to send to the other hosts, the strongest evidence first; bounded in size.
-    [[nodiscard]] std::vector<PartReport> reports(TimePoint now) const;
+    [[nodiscard]] std::vector<SuspectReport> reports(TimePoint now) const;
     /// Merges what another host has sent.
-    void apply(std::span<const PartReport> reports, TimePoint now);
+    void apply(std::span<const SuspectReport> reports, TimePoint now);
     /// Number of parts in quarantine.
     [[nodiscard]] std::size_t quarantinedParts() const;
 
--- a/src/quarantine/internal/promptquarantine.cpp
+++ b/src/quarantine/internal/crashquarantine.cpp
@@ -1,4 +1,4 @@
-#include "quarantine/promptquarantine.h"
+#include "quarantine/crashquarantine.h"
 
 #include "base/rendezvous.h"
 
@@ -61,33 +61,33 @@
 
 }
 
-std::string_view name(PartChange change)
+std::string_view name(SuspectChange change)
 {
     switch (change) {
-    case PartChange::Quarantined:
+    case SuspectChange::Quarantined:
         return "quarantined";
-    case PartChange::Trial:
+    case SuspectChange::Trial:
         return "trial";
-    case PartChange::Released:
+    case SuspectChange::Released:
         return "released";
-    case PartChange::Expired:
+    case SuspectChange::Expired:
         return "expired";
     }
     return "unknown";
 }
 
-PromptQuarantine::PromptQuarantine(Listener listener)
+CrashQuarantine::CrashQuarantine(Listener listener)
     : m_listener(std::move(listener))
 {
 }
 
-void PromptQuarantine::setHosts(std::string own, std::vector<std::string> others)
+void CrashQuarantine::setHosts(std::string own, std::vector<std::string> others)
 {
     m_ownHost = std::move(own);
     m_otherHosts = std::move(others);
 }
 
-void PromptQuarantine::noteBroken(std::span<const ports::PromptPart> parts, std::string_view instance, TimePoint now)
+void CrashQuarantine::noteBroken(std::span<const ports::PromptPart> parts, std::string_view instance, TimePoint now)
 {
     if (parts.empty()) {
         return;
@@ -101,7 +101,7 @@
     limitSuspects();
 }
 
-void PromptQuarantine::noteCompleted(std::span<const ports::PromptPart> parts, TimePoint now)
+void CrashQuarantine::noteCompleted(std::span<const ports::PromptPart> parts, TimePoint now)
 {
     if (parts.empty()) {
         return;
@@ -116,7 +116,7 @@
     }
 }
 
-std::optional<Duration> PromptQuarantine::admit(std::span<const ports::PromptPart> parts, TimePoint now)
+std::optional<Duration> CrashQuarantine::admit(std::span<const ports::PromptPart> parts, TimePoint now)
 {
     std::vector<std::pair<std::uint64_t, Suspect *>> quarantined;
     for (const ports::PromptPart &part : parts) {
@@ -145,12 +145,12 @@
     }
     for (const auto &[part, suspect] : quarantined) {
         suspect->lastTrial = now;
-        m_listener(part, PartChange::Trial, suspect->crashes.size());
+        m_listener(part, SuspectChange::Trial, suspect->crashes.size());
     }
     return std::nullopt;
 }
 
-bool PromptQuarantine::isExplainedByOtherPart(const Suspect &suspect, std::span<const ports::PromptPart> parts) const
+bool CrashQuarantine::isExplainedByOtherPart(const Suspect &suspect, std::span<const ports::PromptPart> parts) const
 {
     return std::ranges::any_of(m_suspects, [&suspect, parts](const std::pair<const std::uint64_t, Suspect> &other) {
         const bool inRequest = std::ranges::find(parts, other.first, &ports::PromptPart::id) != parts.end();
@@ -160,7 +160,7 @@
     });
 }
 
-void PromptQuarantine::update(TimePoint now)
+void CrashQuarantine::update(TimePoint now)
 {
     for (auto entry = m_suspects.begin(); entry != m_suspects.end();) {
         Suspect &suspect = entry->second;
@@ -168,7 +168,7 @@
         const Duration lifetime = suspect.quarantined ? Duration(QuarantineLifetime) : Duration(SuspicionLifetime);
         if (!suspect.crashes.empty() && now - suspect.crashes.back().at > lifetime) {
             if (suspect.quarantined) {
-                m_listener(entry->first, PartChange::Expired, suspect.crashes.size());
+                m_listener(entry->first, SuspectChange::Expired, suspect.crashes.size());
             }
             suspect = Suspect{};
         }
@@ -177,11 +177,11 @@
     }
 }
 
-std::vector<PartReport> PromptQuarantine::reports(TimePoint now) const
+std::vector<SuspectReport> CrashQuarantine::reports(TimePoint now) const
 {
-    std::vector<PartReport> reports;
+    std::vector<SuspectReport> reports;
     for (const auto &[part, suspect] : m_suspects) {
-        PartReport report{part, reportedCrashes(suspect, now), suspect.quarantined, std::nullopt};
+        SuspectReport report{part, reportedCrashes(suspect, now), suspect.quarantined, std::nullopt};
         if (suspect.completedHere && suspect.completedAt && now - *suspect.completedAt <= CompletionLifetime) {
             report.completedAgeMs = millisecondsBetween(*suspect.completedAt, now);
         }
@@ -189,12 +189,12 @@
             reports.push_back(std::move(report));
         }
     }
-    std::ranges::stable_sort(reports, std::ranges::greater(), [](const PartReport &report) { return std::pair(report.quarantined, report.crashes.size()); });
+    std::ranges::stable_sort(reports, std::ranges::greater(), [](const SuspectReport &report) { return std::pair(report.quarantined, report.crashes.size()); });
     reports.resize(std::min(reports.size(), MaxReports));
     return reports;
 }
 
-std::vector<CrashReport> PromptQuarantine::reportedCrashes(const Suspect &suspect, TimePoint now)
+std::vector<CrashReport> CrashQuarantine::reportedCrashes(const Suspect &suspect, TimePoint now)
 {
     std::vector<CrashReport> reported;
     for (auto crash = suspect.crashes.rbegin(); crash != suspect.crashes.rend() && reported.size() < MaxReportedCrashes; ++crash) {
@@ -208,9 +208,9 @@
     return reported;
 }
 
-void PromptQuarantine::apply(std::span<const PartReport> reports, TimePoint now)
+void CrashQuarantine::apply(std::span<const SuspectReport> reports, TimePoint now)
 {
-    for (const PartReport &report : reports) {
+    for (const SuspectReport &report : reports) {
         Suspect &suspect = m_suspects[report.part];
         if (report.completedAgeMs) {
             complete(report.part, suspect, timeOf(*report.completedAgeMs, now));
@@ -220,24 +220,24 @@
         }
         if (report.quarantined && !suspect.quarantined && suspect.crashes.size() >= MinCrashes) {
             suspect.quarantined = true;
-            m_listener(report.part, PartChange::Quarantined, suspect.crashes.size());
+            m_listener(report.part, SuspectChange::Quarantined, suspect.crashes.size());
         }
         judge(report.part, suspect, now);
     }
     limitSuspects();
 }
 
-std::size_t PromptQuarantine::quarantinedParts() const
+std::size_t CrashQuarantine::quarantinedParts() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_suspects, [](const auto &entry) { return entry.second.quarantined; }));
 }
 
-bool PromptQuarantine::sameCrash(const Crash &a, const Crash &b)
+bool CrashQuarantine::sameCrash(const Crash &a, const Crash &b)
 {
     return a.instance == b.instance && std::chrono::abs(a.at - b.at) < CrashMergeTime;
 }
 
-void PromptQuarantine::addCrash(Suspect &suspect, Crash crash)
+void CrashQuarantine::addCrash(Suspect &suspect, Crash crash)
 {
     if (suspect.completedAt && crash.at <= *suspect.completedAt) {
         return;
@@ -255,18 +255,18 @@
     std::ranges::sort(suspect.crashes, {}, &Crash::at);
 }
 
-void PromptQuarantine::complete(std::uint64_t part, Suspect &suspect, TimePoint at)
+void CrashQuarantine::complete(std::uint64_t part, Suspect &suspect, TimePoint at)
 {
     suspect.completedAt = std::max(suspect.completedAt.value_or(at), at);
     std::erase_if(suspect.crashes, [&suspect](const Crash &crash) { return crash.at <= *suspect.completedAt; });
     if (suspect.quarantined && suspect.crashes.size() < MinCrashes) {
         suspect.quarantined = false;
         suspect.lastTrial.reset();
-        m_listener(part, PartChange::Released, suspect.crashes.size());
+        m_listener(part, SuspectChange::Released, suspect.crashes.size());
     }
 }
 
-void PromptQuarantine::judge(std::uint64_t part, Suspect &suspect, TimePoint now)
+void CrashQuarantine::judge(std::uint64_t part, Suspect &suspect, TimePoint now)
 {
     if (suspect.quarantined || suspect.crashes.size() < MinCrashes || now - suspect.crashes.front().at < MinObservation) {
         return;
@@ -274,11 +274,11 @@
     const double coincidence = std::pow(m_answers.brokenShare(suspect.crashes.front().at, now), static_cast<double>(suspect.crashes.size()));
     if (coincidence <= MaxCoincidence) {
         suspect.quarantined = true;
-        m_listener(part, PartChange::Quarantined, suspect.crashes.size());
+        m_listener(part, SuspectChange::Quarantined, suspect.crashes.size());
     }
 }
 
-void PromptQuarantine::limitSuspects()
+void CrashQuarantine::limitSuspects()
 {
     const auto importance = [](const std::pair<const std::uint64_t, Suspect> &entry) {
         const Suspect &suspect = entry.second;
@@ -289,7 +289,7 @@
     }
 }
 
-bool PromptQuarantine::makesTrials(std::uint64_t part) const
+bool CrashQuarantine::makesTrials(std::uint64_t part) const
 {
     const std::uint64_t own = rendezvousWeight(part, m_ownHost);
     return std::ranges::none_of(m_otherHosts, [part, own](const std::string &host) { return rendezvousWeight(part, host) > own; });
--- a/src/quarantine/quarantinetypes.h
+++ b/src/quarantine/quarantinetypes.h
@@ -17,17 +17,17 @@
 };
 
 /// What one host knows about a prompt part that may crash upstreams, as sent to the other hosts.
-struct PartReport {
+struct SuspectReport {
     std::uint64_t part = 0;           ///< Id of the prompt part.
     std::vector<CrashReport> crashes; ///< Since the last complete answer to a request with the part.
     bool quarantined = false;
     std::optional<std::uint64_t> completedAgeMs; ///< Time since the last complete answer to a request with the part, when it was recent.
 
-    bool operator==(const PartReport &) const = default;
+    bool operator==(const SuspectReport &) const = default;
 };
 
 /// Change in the quarantine of a prompt part.
-enum class PartChange : std::uint8_t {
+enum class SuspectChange : std::uint8_t {
     Quarantined,
     Trial,    ///< One request with the part is sent to an upstream, to find out whether the part still causes crashes.
     Released, ///< A request with the part was answered completely.
@@ -35,6 +35,6 @@
 };
 
 /// Name of @p change in log lines. Thread-safe.
-std::string_view name(PartChange change);
+std::string_view name(SuspectChange change);
 
 }
--- a/src/quarantine/tests/promptquarantinetests.cpp
+++ b/src/quarantine/tests/crashquarantinetests.cpp
@@ -1,4 +1,4 @@
-#include "quarantine/promptquarantine.h"
+#include "quarantine/crashquarantine.h"
 
 #include <catch2/catch.hpp>
 
@@ -53,7 +53,7 @@
     }
 
     std::vector<std::string> changes;
-    PromptQuarantine quarantine{[this](std::uint64_t part, PartChange change, std::size_t crashes) {
+    CrashQuarantine quarantine{[this](std::uint64_t part, SuspectChange change, std::size_t crashes) {
         std::ostringstream text;
         text << std::hex << part << ' ' << name(change) << ' ' << std::dec << crashes;
         changes.push_back(text.str());
@@ -207,7 +207,7 @@
             host.breakAnswer({Common}, instance, Start);
         }
         CHECK(!host.blocks({Common}, Start + milliseconds(100)));
-        host.quarantine.apply(std::vector<PartReport>{{Common, {}, false, 50}}, Start + milliseconds(400));
+        host.quarantine.apply(std::vector<SuspectReport>{{Common, {}, false, 50}}, Start + milliseconds(400));
         host.quarantine.update(Start + seconds(1));
         CHECK(host.quarantine.quarantinedParts() == 0);
     }
@@ -229,7 +229,7 @@
     Host first("entry-1", {"entry-2"});
     Host second("entry-2", {"entry-1"});
     const auto exchange = [&first, &second](TimePoint now) {
-        const std::vector<PartReport> ofFirst = first.quarantine.reports(now);
+        const std::vector<SuspectReport> ofFirst = first.quarantine.reports(now);
         second.quarantine.apply(ofFirst, now);
         first.quarantine.apply(second.quarantine.reports(now), now);
     };
@@ -302,10 +302,10 @@
         for (std::uint64_t part = 0; part < 2'000; ++part) {
             first.breakAnswer({0x1000 + part}, "i-9", Start + seconds(3));
         }
-        const std::vector<PartReport> reports = first.quarantine.reports(Start + seconds(3));
+        const std::vector<SuspectReport> reports = first.quarantine.reports(Start + seconds(3));
         CHECK(reports.size() == 12);
         CHECK(reports.front().part == Deadly);
-        for (const PartReport &report : reports) {
+        for (const SuspectReport &report : reports) {
             CHECK(report.crashes.size() <= 6);
         }
         CHECK(first.blocks({Deadly}, Start + seconds(3)));
