Quarantine equal requests that crash upstreams

Callers of the plain service were refused most of the time, since a repeated lookup crashed each of its three upstreams as soon as it was back: sent 9 and 6 times more than three seconds after the third crash, 19 and 12 crashes in all.

Equal requests are quarantined when they were in progress at most of the crashes of their service, and cleared by a complete answer at any host, an error included. Why this works: a request that crashes each upstream is at all of its service's crashes and never answered, which no other request is for long; one that was there by chance is answered, or tried at once. Reports of requests are a field of their own, since hosts of the version before reject reports without a part.

--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -37,10 +37,12 @@
                        eventlog::Importance::StateChange,
                        {{"instance", instance}, {"change", perSecond ? "stated" : "lifted"}, {"per_second", perSecond.value_or(0)}});
     })
-    , quarantine([this](std::uint64_t part, quarantine::SuspectChange change, std::size_t crashes) {
-        eventLog.write("prompt_part",
+    , quarantine([this](quarantine::SuspectId suspect, quarantine::SuspectChange change, std::size_t crashes) {
+        const bool isRequest = suspect.kind == quarantine::SuspectKind::Request;
+        const std::string number = hexadecimal(suspect.number);
+        eventLog.write(isRequest ? "equal_requests" : "prompt_part",
                        eventlog::Importance::StateChange,
-                       {{"part", hexadecimal(part)}, {"change", quarantine::name(change)}, {"crashes", static_cast<std::int64_t>(crashes)}});
+                       {{isRequest ? "fingerprint" : "part", number}, {"change", quarantine::name(change)}, {"crashes", static_cast<std::int64_t>(crashes)}});
     })
     , usageLedger(settings.usageWindow)
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -142,6 +142,7 @@
         if (failure.error == http::ClientError::ConnectFailed) {
             m_attemptState->noteNotSent();
         }
+        noteBroken(failure);
         m_reason = "no_answer: " + failure.detail;
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
@@ -197,7 +198,7 @@
         }
         if (!chunk) {
             m_reason = "stream broke: " + failure.detail;
-            noteBrokenAnswer(failure);
+            noteBroken(failure);
             m_exchange->cancel();
             m_eventSplitter.discardPartialEvent();
             endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
@@ -222,7 +223,7 @@
         if (callerConnected && end) {
             co_await m_writer.end();
             m_attemptState->noteCompleted();
-            m_context.quarantine.noteCompleted(m_callerRequest.sharedPromptParts(), hostNow());
+            m_context.quarantine.noteCompleted(requestTraits(), hostNow());
             endDispatch(balancing::AttemptEnd::Succeeded);
             logOutcome("answered", upstreamResponse.status, {});
             co_return DispatchResult::Done;
@@ -249,14 +250,12 @@
     http::ClientFailure failure;
     std::optional<std::string> body = co_await readBody(failure);
     if (!body) {
-        noteBrokenAnswer(failure);
+        noteBroken(failure);
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
     noteFirstByte();
-    if (isSuccess(upstreamResponse.status)) {
-        m_context.quarantine.noteCompleted(m_callerRequest.sharedPromptParts(), hostNow());
-    }
+    m_context.quarantine.noteCompleted(requestTraits(), hostNow());
     const bool failed = upstreamResponse.status >= 500;
     endDispatch(failed ? balancing::AttemptEnd::Failed : balancing::AttemptEnd::Succeeded);
     if (failed && mayRetry(hostNow())) {
@@ -309,11 +308,11 @@
     m_context.upstreamLimits.noteAnswer(m_instance, metadata.requestLimit, m_dispatchedAt, hostNow());
 }
 
-void RequestSession::noteBrokenAnswer(const http::ClientFailure &failure)
+void RequestSession::noteBroken(const http::ClientFailure &failure)
 {
     // Silence and bytes that are no answer come from the network or a faulty upstream, not from a crash.
     if (failure.error == http::ClientError::Closed && !m_writer.callerGone()) {
-        m_context.quarantine.noteBroken(m_callerRequest.sharedPromptParts(), m_instance, hostNow());
+        m_context.quarantine.noteBroken(requestTraits(), m_instance, hostNow());
     }
 }
 
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -78,9 +78,9 @@
     });
     while (true) {
         const TimePoint now = hostNow();
-        if (const std::optional<Duration> wait = m_context.quarantine.admit(m_callerRequest.sharedPromptParts(), now)) {
-            m_reason = "prompt_quarantined";
-            m_retryAfter = *wait;
+        if (const std::optional<quarantine::Rejection> rejection = m_context.quarantine.admit(requestTraits(), now)) {
+            m_reason = rejection->kind == quarantine::SuspectKind::Request ? "request_quarantined" : "prompt_quarantined";
+            m_retryAfter = rejection->wait;
             break;
         }
         const std::optional<balancing::Choice> choice = chooseUpstream(now);
@@ -198,6 +198,11 @@
     return profile;
 }
 
+quarantine::RequestTraits RequestSession::requestTraits() const
+{
+    return {m_service, m_fingerprint, m_callerRequest.sharedPromptParts()};
+}
+
 std::optional<balancing::Choice> RequestSession::chooseUpstream(TimePoint now)
 {
     std::vector<balancing::Candidate> candidates;
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -55,12 +55,13 @@
     /// Time left until the deadline; negative after it.
     [[nodiscard]] Duration remainingTime(TimePoint now) const;
     [[nodiscard]] balancing::RequestProfile requestProfile() const;
+    [[nodiscard]] quarantine::RequestTraits requestTraits() const;
     [[nodiscard]] ports::UpstreamPriority upstreamPriority() const;
     void noteFirstByte();
     /// Records the request limit that an upstream's answer states, or that it states none.
     void noteStatedLimit(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata);
-    /// Records that the upstream broke off an answer that it had begun, when @p failure says so.
-    void noteBrokenAnswer(const http::ClientFailure &failure);
+    /// Records that the upstream broke off the request before or during its answer, when @p failure says so.
+    void noteBroken(const http::ClientFailure &failure);
     void endDispatch(balancing::AttemptEnd how);
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
 
--- a/src/gossip/internal/peerstatus.cpp
+++ b/src/gossip/internal/peerstatus.cpp
@@ -55,10 +55,23 @@
     return true;
 }
 
+/// Name of the field that identifies a suspect of this @p kind.
+const char *suspectName(quarantine::SuspectKind kind)
+{
+    return kind == quarantine::SuspectKind::Request ? "request" : "part";
+}
+
+/// Name of the field with the suspects of this @p kind. One for each kind, since hosts of an earlier version reject parts without an id.
+const char *suspectsName(quarantine::SuspectKind kind)
+{
+    return kind == quarantine::SuspectKind::Request ? "suspect_requests" : "suspect_parts";
+}
+
 Json::Value toJson(const quarantine::SuspectReport &report)
 {
     Json::Value value;
-    value["part"] = hexadecimal(report.part);
+    value[suspectName(report.id.kind)] = hexadecimal(report.id.number);
+    value["service"] = report.service;
     value["crashes"] = Json::Value(Json::arrayValue);
     for (const quarantine::CrashReport &crash : report.crashes) {
         Json::Value entry(Json::arrayValue);
@@ -75,15 +88,16 @@
     return value;
 }
 
-std::optional<quarantine::SuspectReport> suspectReport(const Json::Value &value)
+std::optional<quarantine::SuspectReport> suspectReport(quarantine::SuspectKind kind, const Json::Value &value)
 {
-    const std::optional<std::string> id = stringMember(value, "part");
-    const std::optional<std::uint64_t> part = id ? parseHexadecimal(*id) : std::nullopt;
-    if (!part || !value["crashes"].isArray()) {
+    const std::optional<std::string> text = stringMember(value, suspectName(kind));
+    const std::optional<std::uint64_t> number = text ? parseHexadecimal(*text) : std::nullopt;
+    if (!number || !value["crashes"].isArray()) {
         return std::nullopt;
     }
     quarantine::SuspectReport report;
-    report.part = *part;
+    report.id = {kind, *number};
+    report.service = stringMember(value, "service").value_or("");
     report.quarantined = boolMember(value, "quarantined", false);
     report.completedAgeMs = unsignedMember(value, "completed_age_ms");
     for (const Json::Value &crash : value["crashes"]) {
@@ -95,9 +109,10 @@
     return report;
 }
 
-/// Reads the suspected prompt parts, which hosts of an earlier version do not send; returns false when they are malformed.
-bool readSuspects(const Json::Value &value, std::vector<quarantine::SuspectReport> &suspects)
+/// Reads the suspects of one kind, which hosts of an earlier version may not send; returns false when they are malformed.
+bool readSuspects(const Json::Value &status, quarantine::SuspectKind kind, std::vector<quarantine::SuspectReport> &suspects)
 {
+    const Json::Value &value = status[suspectsName(kind)];
     if (value.isNull()) {
         return true;
     }
@@ -105,7 +120,7 @@
         return false;
     }
     for (const Json::Value &entry : value) {
-        std::optional<quarantine::SuspectReport> report = suspectReport(entry);
+        std::optional<quarantine::SuspectReport> report = suspectReport(kind, entry);
         if (!report) {
             return false;
         }
@@ -219,7 +234,7 @@
         value["upstream_limits"].append(toJson(report));
     }
     for (const quarantine::SuspectReport &report : status.suspects) {
-        value["suspect_parts"].append(toJson(report));
+        value[suspectsName(report.id.kind)].append(toJson(report));
     }
     value["peers"] = Json::Value(Json::arrayValue);
     for (const std::string &peer : status.peers) {
@@ -260,7 +275,9 @@
     status.holdsDuties = boolMember(*value, "holds_duties", false);
     if (!readRates((*value)["demand"], status.demand) || !readCounts((*value)["used"], status.used) || !readRates((*value)["busy"], status.busy)
         || !readOutstanding((*value)["outstanding"], status.outstanding) || !readUsage((*value)["usage"], status.usage)
-        || !readUpstreamLimits((*value)["upstream_limits"], status.upstreamLimits) || !readSuspects((*value)["suspect_parts"], status.suspects)) {
+        || !readUpstreamLimits((*value)["upstream_limits"], status.upstreamLimits)
+        || !readSuspects(*value, quarantine::SuspectKind::PromptPart, status.suspects)
+        || !readSuspects(*value, quarantine::SuspectKind::Request, status.suspects)) {
         return std::nullopt;
     }
     for (const Json::Value &peer : (*value)["peers"]) {
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -38,7 +38,8 @@
     status.leaving = true;
     status.usage = {{7, {{"entry-2/a", {{"yard", 4}}}, {"entry-3/a", {{"yard", 1}, {"office", 2}}}}}};
     status.upstreamLimits = {{"i-1", 2.5, 40}, {"i-2", std::nullopt, 3'000}};
-    status.suspects = {{0xdeadU, {{"i-1", 40}, {"i-2", 0}}, true, std::nullopt}, {0xa0bU, {}, false, 120}};
+    status.suspects = {{{quarantine::SuspectKind::PromptPart, 0xdeadU}, "engines", {{"i-1", 40}, {"i-2", 0}}, true, std::nullopt},
+                       {{quarantine::SuspectKind::Request, 0xa0bU}, "dispatch", {}, false, 120}};
     status.peers = {"10.0.0.1"};
     CHECK(decodedPeerStatus(encoded(status)) == status);
 
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -232,7 +232,8 @@
         if (m_cancelled) {
             return {ClientError::Cancelled, "cancelled"};
         }
-        if (error == beast::error::timeout) {
+        // The system reports a timeout of its own when the peer does not acknowledge what was sent.
+        if (error == beast::error::timeout || error == net::error::timed_out) {
             if (m_pool) {
                 // A network fault that broke this connection may have broken all idle connections to the endpoint.
                 m_pool->drop(m_endpoint);
--- a/src/quarantine/crashquarantine.h
+++ b/src/quarantine/crashquarantine.h
@@ -5,44 +5,49 @@
 #include "quarantine/internal/answerhistory.h"
 #include "quarantine/quarantinetypes.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <span>
 
 namespace rosemaryshift::quarantine {
 
-/// Finds prompt parts that crash each upstream which answers a request with them, and keeps such requests away from the upstreams.
+/// Finds requests that crash each upstream which runs them, by parts of their prompts and by equal requests, and keeps them away from the upstreams.
 ///
-/// A crash breaks all answers in progress, so a single one does not tell which request caused it. A part is quarantined when several crashes broke
-/// answers to requests with it, no such request was answered completely in between, and the share of other answers that broke in that time does not
-/// explain this. The hosts pool what they know by SuspectReport. After a time that grows with the number of crashes, one host sends a single request as
-/// a trial; a complete answer to any request with the part releases it on all hosts. When several parts came together in all crashes, a request with
-/// only some of them is a trial at once, at any host. The current time is passed to each call. Not thread-safe.
+/// A crash breaks all requests in progress, so a single one does not tell which request caused it. A suspect, which is a prompt part or all requests
+/// that are equal, is quarantined when several crashes hit requests of it, none of them was answered completely in between, and this is no
+/// coincidence: the share of other requests of the service that broke in that time does not explain it. Equal requests must also have been in
+/// progress at most of the crashes of the service; when they were at nearly all of them, that suffices, since hardly any other request is answered
+/// while all upstreams of a service are down.
+///
+/// The hosts pool what they know by SuspectReport. After a time that grows with the number of failed trials, one host sends a single request as a
+/// trial; a complete answer to any request of the suspect releases it on all hosts. When several suspects came together in all crashes, a request
+/// with only some of them is a trial at once, at any host. The current time is passed to each call. Not thread-safe.
 class CrashQuarantine
 {
 public:
-    /// Called with the id of a part, its change and the number of crashes known.
-    using Listener = std::function<void(std::uint64_t part, SuspectChange change, std::size_t crashes)>;
+    /// Called with a suspect, its change and the number of crashes known.
+    using Listener = std::function<void(SuspectId suspect, SuspectChange change, std::size_t crashes)>;
 
     explicit CrashQuarantine(Listener listener);
 
-    /// Sets the name of this host and those of the other hosts that are heard; the trials of each part are made by one of them.
+    /// Sets the name of this host and those of the other hosts that are heard; the trials of each suspect are made by one of them.
     void setHosts(std::string own, std::vector<std::string> others);
-    /// Records that @p instance broke off an answer that it had begun. @p parts: the parts of the prompt that other requests may have, too.
-    void noteBroken(std::span<const ports::PromptPart> parts, std::string_view instance, TimePoint now);
-    /// Records that a request whose prompt has @p parts was answered completely.
-    void noteCompleted(std::span<const ports::PromptPart> parts, TimePoint now);
-    /// Admits a request whose prompt has @p parts to the upstreams, also as a trial. Returns nothing when it may be sent, else the time to wait.
-    [[nodiscard]] std::optional<Duration> admit(std::span<const ports::PromptPart> parts, TimePoint now);
-    /// Quarantines and releases parts whose time has come. Precondition: called at least once a second.
+    /// Records that the connection to @p instance broke after a request was sent to it and before its answer was complete.
+    void noteBroken(const RequestTraits &request, std::string_view instance, TimePoint now);
+    /// Records that a request was answered completely, with whatever status: its upstream did not crash.
+    void noteCompleted(const RequestTraits &request, TimePoint now);
+    /// Admits a request to the upstreams, also as a trial. Returns nothing when it may be sent.
+    [[nodiscard]] std::optional<Rejection> admit(const RequestTraits &request, TimePoint now);
+    /// Quarantines and releases suspects whose time has come. Precondition: called at least once a second.
     void update(TimePoint now);
 
     /// What to send to the other hosts, the strongest evidence first; bounded in size.
     [[nodiscard]] std::vector<SuspectReport> reports(TimePoint now) const;
     /// Merges what another host has sent.
     void apply(std::span<const SuspectReport> reports, TimePoint now);
-    /// Number of parts in quarantine.
-    [[nodiscard]] std::size_t quarantinedParts() const;
+    /// Number of suspects of this @p kind in quarantine.
+    [[nodiscard]] std::size_t quarantined(SuspectKind kind) const;
 
 private:
     struct Crash {
@@ -51,11 +56,13 @@
         bool observedHere = false; ///< This host saw it itself.
     };
     struct Suspect {
+        std::string service;        ///< Of the last request that was noted.
         std::vector<Crash> crashes; ///< Of different upstreams or at different times, since the last complete answer; oldest first.
         std::optional<TimePoint> completedAt;
         std::optional<TimePoint> lastTrial;
         bool completedHere = false; ///< This host passed on a complete answer.
         bool quarantined = false;
+        std::size_t crashesWhenQuarantined = 0;
     };
 
     /// Whether @p a and @p b are the same crash, as seen by one or two hosts.
@@ -64,22 +71,34 @@
     static void addCrash(Suspect &suspect, Crash crash);
     /// The crashes of a suspect to send to the other hosts, latest first.
     static std::vector<CrashReport> reportedCrashes(const Suspect &suspect, TimePoint now);
-    /// Whether a quarantined part that is not among @p parts came with the suspected one in each of its crashes.
-    [[nodiscard]] bool isExplainedByOtherPart(const Suspect &suspect, std::span<const ports::PromptPart> parts) const;
-    /// Clears the crashes up to a complete answer @p at that time; releases the part when too few remain.
-    void complete(std::uint64_t part, Suspect &suspect, TimePoint at);
-    /// Quarantines the part when its crashes are unlikely to be a coincidence.
-    void judge(std::uint64_t part, Suspect &suspect, TimePoint now);
+    /// The suspects that a request belongs to, whether they are known or not.
+    static std::vector<SuspectId> suspectsOf(const RequestTraits &request);
+    /// Whether a quarantined suspect that is not among @p own came with the suspected one in each of its crashes.
+    [[nodiscard]] bool isExplainedByOther(const Suspect &suspect, std::span<const SuspectId> own) const;
+    /// Clears the crashes up to a complete answer @p at that time; releases the suspect when too few remain.
+    void complete(SuspectId id, Suspect &suspect, TimePoint at);
+    /// Quarantines the suspect when its crashes are unlikely to be a coincidence.
+    void judge(SuspectId id, Suspect &suspect, TimePoint now);
+    void quarantine(SuspectId id, Suspect &suspect);
+    /// Whether the other requests of the service broke so rarely that the crashes of @p suspect are no coincidence.
+    [[nodiscard]] bool isUnlikelyCoincidence(const Suspect &suspect, TimePoint now) const;
+    /// Whether equal requests were in progress at so many of the crashes of their service since their first one that they cause them.
+    [[nodiscard]] bool isCauseOfCrashes(const Suspect &suspect, bool unlikelyCoincidence, Duration observed) const;
+    /// Adds a crash to those of the service, unless it is known already.
+    void noteServiceCrash(const std::string &service, const Crash &crash);
+    /// Time after the last crash until the first trial, or the next one.
+    static Duration holdTime(SuspectId id, const Suspect &suspect);
     /// Bounds the number of suspects; those in quarantine and those with the latest crashes are kept.
     void limitSuspects();
-    /// Whether this host is the one that makes the trials of @p part.
-    [[nodiscard]] bool makesTrials(std::uint64_t part) const;
+    /// Whether this host is the one that makes the trials of a suspect.
+    [[nodiscard]] bool makesTrials(SuspectId id) const;
 
     const Listener m_listener;
     std::string m_ownHost;
     std::vector<std::string> m_otherHosts;
-    AnswerHistory m_answers;
-    std::map<std::uint64_t, Suspect> m_suspects;
+    std::map<std::string, AnswerHistory, std::less<>> m_answers; ///< By service.
+    std::map<std::string, std::deque<Crash>> m_crashes;          ///< The latest crashes of each service's upstreams, whichever request they hit.
+    std::map<SuspectId, Suspect> m_suspects;
 };
 
 }
--- a/src/quarantine/internal/crashquarantine.cpp
+++ b/src/quarantine/internal/crashquarantine.cpp
@@ -9,34 +9,44 @@
 
 namespace {
 
-/// Crashes below which a part is never quarantined.
+/// Crashes below which a suspect is never quarantined.
 constexpr std::size_t MinCrashes = 3;
-/// Crashes kept for each part; further ones only move the time of the last one. While most answers break, many are needed for a decision.
+/// Crashes kept for each suspect; further ones only move the time of the last one. While most answers break, many are needed for a decision.
 constexpr std::size_t MaxCrashes = 64;
-/// Crashes of each part that are sent to the other hosts at a time, and the age up to which a host sends those that it saw itself.
+/// Crashes of each suspect that are sent to the other hosts at a time, and the age up to which a host sends those that it saw itself.
 constexpr std::size_t MaxReportedCrashes = 6;
 constexpr std::chrono::seconds ReportedCrashAge{3};
-/// Largest probability that the crashes of a part are a coincidence at which it is quarantined.
+/// Largest probability that the crashes of a suspect are a coincidence at which it is quarantined.
 constexpr double MaxCoincidence = 0.01;
-/// Time from the first crash of a part until it can be quarantined, for complete answers on other hosts to be heard of.
+/// Part of the crashes of a service that have to have hit equal requests for these to be quarantined. Long requests meet more crashes than short ones,
+/// so that the share of other requests that broke does not suffice.
+constexpr double MinPartOfCrashes = 0.5;
+/// The same when so many other requests broke that their share tells nothing, as while all upstreams of a service are down.
+constexpr double MinPartWithoutAnswers = 0.75;
+/// Time from the first crash of a suspect until it can be quarantined, for complete answers on other hosts to be heard of.
 constexpr std::chrono::milliseconds MinObservation{800};
+/// The same when only the crashes tell: a report has to reach a host that answers such a request, and the answer to be reported back.
+constexpr std::chrono::milliseconds MinCrashObservation{1'200};
 /// Two breaks at one upstream within this time are one crash, also when different hosts saw them.
 constexpr std::chrono::seconds CrashMergeTime{1};
-/// Time without requests after the last crash until the first trial, doubled with each crash beyond the first few, and its upper bound.
+/// Time without requests after the last crash until the first trial, and its upper bound. Doubled with each crash beyond the first few for a
+/// prompt part, which many callers send, and with each failed trial for equal requests.
 constexpr std::chrono::seconds FirstHold{30};
 constexpr std::chrono::seconds LongestHold{600};
 /// Time between two trials, within which the answer to the first is known.
 constexpr std::chrono::seconds TrialInterval{15};
-/// Least time for which a caller is told to wait while a part is in quarantine.
+/// Least time for which a caller is told to wait while a suspect is in quarantine.
 constexpr std::chrono::seconds MinWait{1};
-/// Time after its last crash at which a part that is not in quarantine is no longer suspected.
+/// Time after its last crash at which a suspect that is not in quarantine is no longer suspected.
 constexpr std::chrono::seconds SuspicionLifetime{60};
-/// Time after its last crash at which a part is released without a trial, for want of requests.
+/// Time after its last crash at which a suspect is released without a trial, for want of requests.
 constexpr std::chrono::seconds QuarantineLifetime{1'800};
 /// Time for which a complete answer is reported, and clears crashes that are reported later.
 constexpr std::chrono::seconds CompletionLifetime{5};
-/// Upper bounds on the parts that are kept, and on those sent to the other hosts at a time.
+/// Upper bounds on the suspects that are kept, and on those sent to the other hosts at a time.
 constexpr std::size_t MaxSuspects = 512;
+/// Upper bound on the crashes that are kept of each service.
+constexpr std::size_t MaxServiceCrashes = 128;
 constexpr std::size_t MaxReports = 12;
 
 std::uint64_t millisecondsBetween(TimePoint earlier, TimePoint later)
@@ -51,14 +61,6 @@
     return now - std::chrono::milliseconds(std::min(ageMs, MaxAgeMs));
 }
 
-/// Time for which a part with this many @p crashes is kept from the upstreams after the last of them.
-Duration holdTime(std::size_t crashes)
-{
-    constexpr std::size_t MaxDoublings = 5; // Enough to reach the longest hold.
-    const std::size_t doublings = std::min(crashes - std::min(crashes, MinCrashes), MaxDoublings);
-    return std::min<Duration>(FirstHold * (1U << doublings), LongestHold);
-}
-
 }
 
 std::string_view name(SuspectChange change)
@@ -87,79 +89,96 @@
     m_otherHosts = std::move(others);
 }
 
-void CrashQuarantine::noteBroken(std::span<const ports::PromptPart> parts, std::string_view instance, TimePoint now)
+std::vector<SuspectId> CrashQuarantine::suspectsOf(const RequestTraits &request)
 {
-    if (parts.empty()) {
-        return;
+    std::vector<SuspectId> ids{{SuspectKind::Request, request.fingerprint}};
+    for (const ports::PromptPart &part : request.parts) {
+        ids.push_back({SuspectKind::PromptPart, part.id});
     }
-    m_answers.note(true, now);
-    for (const ports::PromptPart &part : parts) {
-        Suspect &suspect = m_suspects[part.id];
-        addCrash(suspect, {std::string(instance), now, true});
-        judge(part.id, suspect, now);
+    return ids;
+}
+
+void CrashQuarantine::noteBroken(const RequestTraits &request, std::string_view instance, TimePoint now)
+{
+    const std::string service(request.service);
+    m_answers[service].note(true, now);
+    const Crash crash{std::string(instance), now, true};
+    noteServiceCrash(service, crash);
+    for (const SuspectId id : suspectsOf(request)) {
+        Suspect &suspect = m_suspects[id];
+        suspect.service = service;
+        addCrash(suspect, crash);
+        judge(id, suspect, now);
     }
     limitSuspects();
 }
 
-void CrashQuarantine::noteCompleted(std::span<const ports::PromptPart> parts, TimePoint now)
+void CrashQuarantine::noteCompleted(const RequestTraits &request, TimePoint now)
 {
-    if (parts.empty()) {
-        return;
-    }
-    m_answers.note(false, now);
-    for (const ports::PromptPart &part : parts) {
-        const auto found = m_suspects.find(part.id);
+    m_answers[std::string(request.service)].note(false, now);
+    for (const SuspectId id : suspectsOf(request)) {
+        const auto found = m_suspects.find(id);
         if (found != m_suspects.end()) {
-            complete(part.id, found->second, now);
+            complete(id, found->second, now);
             found->second.completedHere = true;
         }
     }
 }
 
-std::optional<Duration> CrashQuarantine::admit(std::span<const ports::PromptPart> parts, TimePoint now)
+std::optional<Rejection> CrashQuarantine::admit(const RequestTraits &request, TimePoint now)
 {
-    std::vector<std::pair<std::uint64_t, Suspect *>> quarantined;
-    for (const ports::PromptPart &part : parts) {
-        const auto found = m_suspects.find(part.id);
+    const std::vector<SuspectId> ids = suspectsOf(request);
+    std::vector<std::pair<SuspectId, Suspect *>> quarantined;
+    for (const SuspectId id : ids) {
+        const auto found = m_suspects.find(id);
         if (found != m_suspects.end() && found->second.quarantined) {
-            quarantined.emplace_back(part.id, &found->second);
+            quarantined.emplace_back(id, &found->second);
         }
     }
     if (quarantined.empty()) {
         return std::nullopt;
     }
-    // Parts that came together in all crashes are told apart by a request that has only some of them, without waiting for the end of the hold.
-    const bool ambiguous = std::ranges::all_of(quarantined, [this, parts](const auto &entry) { return isExplainedByOtherPart(*entry.second, parts); });
+    // Suspects that came together in all crashes are told apart by a request with only some of them, without waiting for the end of the hold.
+    const bool ambiguous = std::ranges::all_of(quarantined, [this, &ids](const auto &entry) { return isExplainedByOther(*entry.second, ids); });
     Duration wait{0};
-    for (const auto &[part, suspect] : quarantined) {
+    for (const auto &[id, suspect] : quarantined) {
         if (!ambiguous) {
-            wait = std::max(wait, suspect->crashes.back().at + holdTime(suspect->crashes.size()) - now);
+            wait = std::max(wait, suspect->crashes.back().at + holdTime(id, *suspect) - now);
         }
         if (suspect->lastTrial) {
             wait = std::max<Duration>(wait, *suspect->lastTrial + TrialInterval - now);
         }
     }
-    // Parts that always come together are tried together after the hold, so that the first one decides which host does it.
-    if (wait > Duration::zero() || (!ambiguous && !makesTrials(quarantined.front().first))) {
-        return ambiguous ? Duration(MinWait) : std::max<Duration>(wait, MinWait);
+    const SuspectId first = quarantined.front().first;
+    // Suspects that always come together are tried together after the hold, so that the first one decides which host does it.
+    if (wait > Duration::zero() || (!ambiguous && !makesTrials(first))) {
+        return Rejection{first.kind, ambiguous ? Duration(MinWait) : std::max<Duration>(wait, MinWait)};
     }
-    for (const auto &[part, suspect] : quarantined) {
+    for (const auto &[id, suspect] : quarantined) {
         suspect->lastTrial = now;
-        m_listener(part, SuspectChange::Trial, suspect->crashes.size());
+        m_listener(id, SuspectChange::Trial, suspect->crashes.size());
     }
     return std::nullopt;
 }
 
-bool CrashQuarantine::isExplainedByOtherPart(const Suspect &suspect, std::span<const ports::PromptPart> parts) const
+bool CrashQuarantine::isExplainedByOther(const Suspect &suspect, std::span<const SuspectId> own) const
 {
-    return std::ranges::any_of(m_suspects, [&suspect, parts](const std::pair<const std::uint64_t, Suspect> &other) {
-        const bool inRequest = std::ranges::find(parts, other.first, &ports::PromptPart::id) != parts.end();
+    return std::ranges::any_of(m_suspects, [&suspect, own](const std::pair<const SuspectId, Suspect> &other) {
+        const bool inRequest = std::ranges::find(own, other.first) != own.end();
         return other.second.quarantined && !inRequest && std::ranges::all_of(suspect.crashes, [&other](const Crash &crash) {
                    return std::ranges::any_of(other.second.crashes, [&crash](const Crash &known) { return sameCrash(crash, known); });
                });
     });
 }
 
+Duration CrashQuarantine::holdTime(SuspectId id, const Suspect &suspect)
+{
+    constexpr std::size_t MaxDoublings = 5; // Enough to reach the longest hold.
+    const std::size_t first = id.kind == SuspectKind::PromptPart ? MinCrashes : suspect.crashesWhenQuarantined;
+    const std::size_t doublings = std::min(suspect.crashes.size() - std::min(suspect.crashes.size(), first), MaxDoublings);
+    return std::min<Duration>(FirstHold * (1U << doublings), LongestHold);
+}
+
 void CrashQuarantine::update(TimePoint now)
 {
     for (auto entry = m_suspects.begin(); entry != m_suspects.end();) {
@@ -180,8 +199,8 @@
 std::vector<SuspectReport> CrashQuarantine::reports(TimePoint now) const
 {
     std::vector<SuspectReport> reports;
-    for (const auto &[part, suspect] : m_suspects) {
-        SuspectReport report{part, reportedCrashes(suspect, now), suspect.quarantined, std::nullopt};
+    for (const auto &[id, suspect] : m_suspects) {
+        SuspectReport report{id, suspect.service, reportedCrashes(suspect, now), suspect.quarantined, std::nullopt};
         if (suspect.completedHere && suspect.completedAt && now - *suspect.completedAt <= CompletionLifetime) {
             report.completedAgeMs = millisecondsBetween(*suspect.completedAt, now);
         }
@@ -198,7 +217,7 @@
 {
     std::vector<CrashReport> reported;
     for (auto crash = suspect.crashes.rbegin(); crash != suspect.crashes.rend() && reported.size() < MaxReportedCrashes; ++crash) {
-        // A host that has just started needs some crashes of a part to accept that it is in quarantine.
+        // A host that has just started needs some crashes of a suspect to accept that it is in quarantine.
         const bool needed = suspect.quarantined && reported.size() <= MinCrashes;
         const bool own = crash->observedHere && now - crash->at <= ReportedCrashAge;
         if (needed || own) {
@@ -211,25 +230,28 @@
 void CrashQuarantine::apply(std::span<const SuspectReport> reports, TimePoint now)
 {
     for (const SuspectReport &report : reports) {
-        Suspect &suspect = m_suspects[report.part];
+        Suspect &suspect = m_suspects[report.id];
+        suspect.service = report.service;
         if (report.completedAgeMs) {
-            complete(report.part, suspect, timeOf(*report.completedAgeMs, now));
+            complete(report.id, suspect, timeOf(*report.completedAgeMs, now));
         }
-        for (const CrashReport &crash : report.crashes) {
-            addCrash(suspect, {crash.instance, timeOf(crash.ageMs, now), false});
+        for (const CrashReport &reported : report.crashes) {
+            const Crash crash{reported.instance, timeOf(reported.ageMs, now), false};
+            noteServiceCrash(report.service, crash);
+            addCrash(suspect, crash);
         }
         if (report.quarantined && !suspect.quarantined && suspect.crashes.size() >= MinCrashes) {
-            suspect.quarantined = true;
-            m_listener(report.part, SuspectChange::Quarantined, suspect.crashes.size());
+            quarantine(report.id, suspect);
         }
-        judge(report.part, suspect, now);
+        judge(report.id, suspect, now);
     }
     limitSuspects();
 }
 
-std::size_t CrashQuarantine::quarantinedParts() const
+std::size_t CrashQuarantine::quarantined(SuspectKind kind) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(m_suspects, [](const auto &entry) { return entry.second.quarantined; }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_suspects, [kind](const auto &entry) { return entry.first.kind == kind && entry.second.quarantined; }));
 }
 
 bool CrashQuarantine::sameCrash(const Crash &a, const Crash &b)
@@ -255,32 +277,71 @@
     std::ranges::sort(suspect.crashes, {}, &Crash::at);
 }
 
-void CrashQuarantine::complete(std::uint64_t part, Suspect &suspect, TimePoint at)
+void CrashQuarantine::complete(SuspectId id, Suspect &suspect, TimePoint at)
 {
     suspect.completedAt = std::max(suspect.completedAt.value_or(at), at);
     std::erase_if(suspect.crashes, [&suspect](const Crash &crash) { return crash.at <= *suspect.completedAt; });
     if (suspect.quarantined && suspect.crashes.size() < MinCrashes) {
         suspect.quarantined = false;
         suspect.lastTrial.reset();
-        m_listener(part, SuspectChange::Released, suspect.crashes.size());
+        m_listener(id, SuspectChange::Released, suspect.crashes.size());
+    }
+}
+
+void CrashQuarantine::judge(SuspectId id, Suspect &suspect, TimePoint now)
+{
+    if (suspect.quarantined || suspect.crashes.size() < MinCrashes) {
+        return;
+    }
+    const Duration observed = now - suspect.crashes.front().at;
+    const bool unlikely = observed >= MinObservation && isUnlikelyCoincidence(suspect, now);
+    if (id.kind == SuspectKind::PromptPart ? unlikely : isCauseOfCrashes(suspect, unlikely, observed)) {
+        quarantine(id, suspect);
+    }
+}
+
+void CrashQuarantine::quarantine(SuspectId id, Suspect &suspect)
+{
+    suspect.quarantined = true;
+    suspect.crashesWhenQuarantined = suspect.crashes.size();
+    m_listener(id, SuspectChange::Quarantined, suspect.crashes.size());
+}
+
+bool CrashQuarantine::isUnlikelyCoincidence(const Suspect &suspect, TimePoint now) const
+{
+    static const AnswerHistory None;
+    const auto found = m_answers.find(suspect.service);
+    const AnswerHistory &answers = found == m_answers.end() ? None : found->second;
+    return std::pow(answers.brokenShare(suspect.crashes.front().at, now), static_cast<double>(suspect.crashes.size())) <= MaxCoincidence;
+}
+
+bool CrashQuarantine::isCauseOfCrashes(const Suspect &suspect, bool unlikelyCoincidence, Duration observed) const
+{
+    const TimePoint since = suspect.crashes.front().at - CrashMergeTime;
+    const auto found = m_crashes.find(suspect.service);
+    if (found == m_crashes.end()) {
+        return false;
     }
+    const std::ptrdiff_t all = std::ranges::count_if(found->second, [since](const Crash &crash) { return crash.at >= since; });
+    const double part = static_cast<double>(suspect.crashes.size()) / static_cast<double>(std::max<std::ptrdiff_t>(all, 1));
+    return (unlikelyCoincidence && part >= MinPartOfCrashes) || (observed >= MinCrashObservation && part >= MinPartWithoutAnswers);
 }
 
-void CrashQuarantine::judge(std::uint64_t part, Suspect &suspect, TimePoint now)
+void CrashQuarantine::noteServiceCrash(const std::string &service, const Crash &crash)
 {
-    if (suspect.quarantined || suspect.crashes.size() < MinCrashes || now - suspect.crashes.front().at < MinObservation) {
+    std::deque<Crash> &crashes = m_crashes[service];
+    if (std::ranges::any_of(crashes, [&crash](const Crash &known) { return sameCrash(known, crash); })) {
         return;
     }
-    const double coincidence = std::pow(m_answers.brokenShare(suspect.crashes.front().at, now), static_cast<double>(suspect.crashes.size()));
-    if (coincidence <= MaxCoincidence) {
-        suspect.quarantined = true;
-        m_listener(part, SuspectChange::Quarantined, suspect.crashes.size());
+    crashes.push_back(crash);
+    if (crashes.size() > MaxServiceCrashes) {
+        crashes.pop_front();
     }
 }
 
 void CrashQuarantine::limitSuspects()
 {
-    const auto importance = [](const std::pair<const std::uint64_t, Suspect> &entry) {
+    const auto importance = [](const std::pair<const SuspectId, Suspect> &entry) {
         const Suspect &suspect = entry.second;
         return std::pair(suspect.quarantined, suspect.crashes.empty() ? TimePoint() : suspect.crashes.back().at);
     };
@@ -289,10 +350,10 @@
     }
 }
 
-bool CrashQuarantine::makesTrials(std::uint64_t part) const
+bool CrashQuarantine::makesTrials(SuspectId id) const
 {
-    const std::uint64_t own = rendezvousWeight(part, m_ownHost);
-    return std::ranges::none_of(m_otherHosts, [part, own](const std::string &host) { return rendezvousWeight(part, host) > own; });
+    const std::uint64_t own = rendezvousWeight(id.number, m_ownHost);
+    return std::ranges::none_of(m_otherHosts, [id, own](const std::string &host) { return rendezvousWeight(id.number, host) > own; });
 }
 
 }
--- a/src/quarantine/tests/crashquarantinetests.cpp
+++ b/src/quarantine/tests/crashquarantinetests.cpp
@@ -36,26 +36,44 @@
     /// An upstream breaks off the answer to a request with @p parts.
     void breakAnswer(std::initializer_list<std::uint64_t> parts, std::string_view instance, TimePoint now)
     {
-        quarantine.noteBroken(prompt(parts), instance, now);
+        const std::vector<PromptPart> promptParts = prompt(parts);
+        quarantine.noteBroken({"models", ++lastRequest, promptParts}, instance, now);
     }
 
     /// @p count requests with @p parts are answered completely, evenly spread over a second before @p now.
     void completeAnswers(int count, std::initializer_list<std::uint64_t> parts, TimePoint now)
     {
         for (int number = 0; number < count; ++number) {
-            quarantine.noteCompleted(prompt(parts), now - milliseconds(1'000) * number / count);
+            const std::vector<PromptPart> promptParts = prompt(parts);
+            quarantine.noteCompleted({"models", ++lastRequest, promptParts}, now - milliseconds(1'000) * number / count);
         }
     }
 
+    /// A request with @p parts is answered completely.
+    void complete(std::initializer_list<std::uint64_t> parts, TimePoint now)
+    {
+        const std::vector<PromptPart> promptParts = prompt(parts);
+        quarantine.noteCompleted({"models", ++lastRequest, promptParts}, now);
+    }
+
+    /// How long a request with @p parts has to wait; nothing when it is admitted.
+    [[nodiscard]] std::optional<Duration> wait(std::initializer_list<std::uint64_t> parts, TimePoint now)
+    {
+        const std::vector<PromptPart> promptParts = prompt(parts);
+        const std::optional<Rejection> rejection = quarantine.admit({"models", ++lastRequest, promptParts}, now);
+        return rejection ? std::optional(rejection->wait) : std::nullopt;
+    }
+
     [[nodiscard]] bool blocks(std::initializer_list<std::uint64_t> parts, TimePoint now)
     {
-        return quarantine.admit(prompt(parts), now).has_value();
+        return wait(parts, now).has_value();
     }
 
+    std::uint64_t lastRequest = 0; ///< No two requests with a prompt are equal.
     std::vector<std::string> changes;
-    CrashQuarantine quarantine{[this](std::uint64_t part, SuspectChange change, std::size_t crashes) {
+    CrashQuarantine quarantine{[this](SuspectId suspect, SuspectChange change, std::size_t crashes) {
         std::ostringstream text;
-        text << std::hex << part << ' ' << name(change) << ' ' << std::dec << crashes;
+        text << std::hex << suspect.number << ' ' << name(change) << ' ' << std::dec << crashes;
         changes.push_back(text.str());
     }};
 };
@@ -85,9 +103,9 @@
 
     SECTION("the time until a trial grows with each further crash")
     {
-        CHECK(host.quarantine.admit(prompt({Deadly}), now) == Duration(seconds(30)));
+        CHECK(host.wait({Deadly}, now) == Duration(seconds(30)));
         host.breakAnswer({Deadly}, "i-3", now + seconds(2));
-        CHECK(host.quarantine.admit(prompt({Deadly}), now + seconds(2)) == Duration(seconds(60)));
+        CHECK(host.wait({Deadly}, now + seconds(2)) == Duration(seconds(60)));
     }
     SECTION("after that time a single request is sent as a trial")
     {
@@ -99,11 +117,11 @@
         SECTION("a further crash extends the quarantine")
         {
             host.breakAnswer({Common, Deadly}, "i-0", later + seconds(1));
-            CHECK(host.quarantine.admit(prompt({Deadly}), later + seconds(1)) == Duration(seconds(60)));
+            CHECK(host.wait({Deadly}, later + seconds(1)) == Duration(seconds(60)));
         }
         SECTION("a complete answer releases the part")
         {
-            host.quarantine.noteCompleted(prompt({Common, Deadly}), later + seconds(1));
+            host.complete({Common, Deadly}, later + seconds(1));
             CHECK(host.changes.back() == "dead released 0");
             CHECK(!host.blocks({Common, Deadly}, later + seconds(1)));
         }
@@ -116,9 +134,9 @@
     SECTION("without any request it is released in the end")
     {
         host.quarantine.update(now + seconds(1'799));
-        CHECK(host.quarantine.quarantinedParts() == 1);
+        CHECK(host.quarantine.quarantined(SuspectKind::PromptPart) == 1);
         host.quarantine.update(now + seconds(1'801));
-        CHECK(host.quarantine.quarantinedParts() == 0);
+        CHECK(host.quarantine.quarantined(SuspectKind::PromptPart) == 0);
         CHECK(host.changes.back() == "dead expired 3");
     }
 }
@@ -133,7 +151,7 @@
         host.breakAnswer({Common, Companion, Deadly}, "i-" + std::to_string(crash), now);
     }
     const TimePoint now = Start + seconds(3);
-    REQUIRE(host.quarantine.quarantinedParts() == 2);
+    REQUIRE(host.quarantine.quarantined(SuspectKind::PromptPart) == 2);
     CHECK(host.blocks({Common, Companion, Deadly}, now));
 
     SECTION("a request with only one of them is sent as a trial, one at a time")
@@ -144,7 +162,7 @@
 
         SECTION("when it is answered completely, that part is released and the other one is not")
         {
-            host.quarantine.noteCompleted(prompt({Common, Companion}), now + milliseconds(500));
+            host.complete({Common, Companion}, now + milliseconds(500));
             CHECK(!host.blocks({Common, Companion}, now + seconds(1)));
             CHECK(host.blocks({Common, Companion, Deadly}, now + seconds(1)));
             CHECK(host.blocks({Deadly}, now + seconds(1)));
@@ -174,7 +192,7 @@
             host.breakAnswer({Deadly}, "i-0", Start + milliseconds(10 * request));
         }
         host.quarantine.update(Start + seconds(2));
-        CHECK(host.quarantine.quarantinedParts() == 0);
+        CHECK(host.quarantine.quarantined(SuspectKind::PromptPart) == 0);
     }
     SECTION("crashes with a complete answer in between")
     {
@@ -183,10 +201,10 @@
             host.completeAnswers(20, {Common}, now);
             host.breakAnswer({Deadly}, "i-" + std::to_string(crash), now);
             if (crash % 2 == 1) {
-                host.quarantine.noteCompleted(prompt({Deadly}), now + milliseconds(1));
+                host.complete({Deadly}, now + milliseconds(1));
             }
         }
-        CHECK(host.quarantine.quarantinedParts() == 0);
+        CHECK(host.quarantine.quarantined(SuspectKind::PromptPart) == 0);
     }
     SECTION("crashes in which most other answers broke as well, as when a service fails as a whole")
     {
@@ -198,7 +216,7 @@
         }
         host.completeAnswers(10, {Common}, Start + seconds(2));
         host.quarantine.update(Start + seconds(2));
-        CHECK(host.quarantine.quarantinedParts() == 0);
+        CHECK(host.quarantine.quarantined(SuspectKind::PromptPart) == 0);
     }
     SECTION("several crashes at once, before complete answers of other hosts can be heard of")
     {
@@ -207,9 +225,9 @@
             host.breakAnswer({Common}, instance, Start);
         }
         CHECK(!host.blocks({Common}, Start + milliseconds(100)));
-        host.quarantine.apply(std::vector<SuspectReport>{{Common, {}, false, 50}}, Start + milliseconds(400));
+        host.quarantine.apply(std::vector<SuspectReport>{{{SuspectKind::PromptPart, Common}, "models", {}, false, 50}}, Start + milliseconds(400));
         host.quarantine.update(Start + seconds(1));
-        CHECK(host.quarantine.quarantinedParts() == 0);
+        CHECK(host.quarantine.quarantined(SuspectKind::PromptPart) == 0);
     }
     SECTION("crashes long ago")
     {
@@ -220,7 +238,7 @@
         host.completeAnswers(20, {Common}, Start + seconds(63));
         host.breakAnswer({Deadly}, "i-2", Start + seconds(63));
         host.quarantine.update(Start + seconds(65));
-        CHECK(host.quarantine.quarantinedParts() == 0);
+        CHECK(host.quarantine.quarantined(SuspectKind::PromptPart) == 0);
     }
 }
 
@@ -248,7 +266,7 @@
 
         SECTION("a complete answer at one host releases the part at both")
         {
-            second.quarantine.noteCompleted(prompt({Deadly}), Start + seconds(2));
+            second.complete({Deadly}, Start + seconds(2));
             exchange(Start + seconds(2));
             exchange(Start + milliseconds(2'400));
             CHECK(!first.blocks({Deadly}, Start + seconds(3)));
@@ -281,7 +299,7 @@
             exchange(now + milliseconds(100));
         }
         const TimePoint now = Start + seconds(5);
-        REQUIRE(second.quarantine.quarantinedParts() == 2);
+        REQUIRE(second.quarantine.quarantined(SuspectKind::PromptPart) == 2);
         CHECK(second.blocks({Deadly}, now));
         CHECK(!second.blocks({Other}, now));
     }
@@ -304,7 +322,7 @@
         }
         const std::vector<SuspectReport> reports = first.quarantine.reports(Start + seconds(3));
         CHECK(reports.size() == 12);
-        CHECK(reports.front().part == Deadly);
+        CHECK(reports.front().id.number == Deadly);
         for (const SuspectReport &report : reports) {
             CHECK(report.crashes.size() <= 6);
         }
