Move the JSON of suspect reports to the quarantine

Cause: entry hosts are to exchange these reports in their heartbeats, and the code stood in the gateways' gossip. Change: suspectjson in src/quarantine, used by both; no name on the wire differs.

--- a/src/gossip/internal/peerstatus.cpp
+++ b/src/gossip/internal/peerstatus.cpp
@@ -1,7 +1,7 @@
 #include "gossip/peerstatus.h"
 
 #include "base/json.h"
-#include "base/text.h"
+#include "quarantine/suspectjson.h"
 
 #include <json/value.h>
 
@@ -55,60 +55,12 @@
     return true;
 }
 
-/// Name of the field that identifies a suspect of this @p kind.
-const char *suspectName(quarantine::SuspectKind kind)
-{
-    return kind == quarantine::SuspectKind::Request ? "request" : "part";
-}
-
 /// Name of the field with the suspects of this @p kind. One for each kind, since hosts of an earlier version reject parts without an id.
 const char *suspectsName(quarantine::SuspectKind kind)
 {
     return kind == quarantine::SuspectKind::Request ? "suspect_requests" : "suspect_parts";
 }
 
-Json::Value toJson(const quarantine::SuspectReport &report)
-{
-    Json::Value value;
-    value[suspectName(report.id.kind)] = hexadecimal(report.id.number);
-    value["service"] = report.service;
-    value["crashes"] = Json::Value(Json::arrayValue);
-    for (const quarantine::CrashReport &crash : report.crashes) {
-        Json::Value entry(Json::arrayValue);
-        entry.append(crash.instance);
-        entry.append(crash.ageMs);
-        value["crashes"].append(std::move(entry));
-    }
-    if (report.quarantined) {
-        value["quarantined"] = true;
-    }
-    if (report.completedAgeMs) {
-        value["completed_age_ms"] = *report.completedAgeMs;
-    }
-    return value;
-}
-
-std::optional<quarantine::SuspectReport> suspectReport(quarantine::SuspectKind kind, const Json::Value &value)
-{
-    const std::optional<std::string> text = stringMember(value, suspectName(kind));
-    const std::optional<std::uint64_t> number = text ? parseHexadecimal(*text) : std::nullopt;
-    if (!number || !value["crashes"].isArray()) {
-        return std::nullopt;
-    }
-    quarantine::SuspectReport report;
-    report.id = {kind, *number};
-    report.service = stringMember(value, "service").value_or("");
-    report.quarantined = boolMember(value, "quarantined", false);
-    report.completedAgeMs = unsignedMember(value, "completed_age_ms");
-    for (const Json::Value &crash : value["crashes"]) {
-        if (!crash.isArray() || crash.size() != 2 || !crash[0].isString() || !crash[1].isUInt64()) {
-            return std::nullopt;
-        }
-        report.crashes.push_back({crash[0].asString(), crash[1].asUInt64()});
-    }
-    return report;
-}
-
 /// Reads the suspects of one kind, which hosts of an earlier version may not send; returns false when they are malformed.
 bool readSuspects(const Json::Value &status, quarantine::SuspectKind kind, std::vector<quarantine::SuspectReport> &suspects)
 {
@@ -120,7 +72,7 @@
         return false;
     }
     for (const Json::Value &entry : value) {
-        std::optional<quarantine::SuspectReport> report = suspectReport(kind, entry);
+        std::optional<quarantine::SuspectReport> report = quarantine::suspectReport(kind, entry);
         if (!report) {
             return false;
         }
@@ -234,7 +186,7 @@
         value["upstream_limits"].append(toJson(report));
     }
     for (const quarantine::SuspectReport &report : status.suspects) {
-        value[suspectsName(report.id.kind)].append(toJson(report));
+        value[suspectsName(report.id.kind)].append(quarantine::toJson(report));
     }
     value["peers"] = Json::Value(Json::arrayValue);
     for (const std::string &peer : status.peers) {
