Refuse repeated requests that crash upstreams at entry hosts, too

The decision core kept failures by upstream and by the attempts of one request, so that a request that crashes each engine or service that runs it began anew with each repetition: three more crashes each time, at every host. Change: the core asks the quarantine before a request's first attempt (refused as not run, request_quarantined, with the time to come back) and before each retry; a connection that the upstream closed before the end of its answer is told from other broken answers; hosts tell each other by a section of their heartbeats, and name the live hosts so that one of them makes the trials.

The new scenario of decisions_tests failed without the check (three more attempts each time, at a second host as well) and passes with it; one of equal requests that are answered between crashes passes before and after.

--- a/src/decisions/decisiontypes.h
+++ b/src/decisions/decisiontypes.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/types.h"
+#include "quarantine/quarantinetypes.h"
 
 #include <array>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -32,11 +34,13 @@
     RouteWithdrawn, ///< The workspace's template no longer contains the target.
     Rejected,       ///< An upstream answered that the request itself is invalid.
     HostStopping,   ///< This host is shutting down.
+    Quarantined,    ///< Upstreams crashed while they ran requests that are equal to it.
 };
 
 /// An upstream was added or its properties changed.
 struct UpstreamListed {
     UpstreamId upstream;
+    std::string name; ///< Name that all hosts know the upstream by.
     ZoneId zone;
     bool sameZone = true;
     std::vector<TargetId> targets;
@@ -94,6 +98,8 @@
     std::uint32_t expectedTokens = 0; ///< Expected length of the answer; zero when not known.
     std::uint32_t tokensDone = 0;     ///< Tokens that were generated before this host took the request over.
     std::uint64_t prefixHash = 0;     ///< Equal for requests whose prompts begin alike; zero when not known.
+    std::string targetName;           ///< Name that all hosts know the target by.
+    std::uint64_t fingerprint = 0;    ///< Equal for equal requests; see quarantine::requestFingerprint().
     bool idempotent = true;           ///< Whether the request may run more than once.
 };
 
@@ -107,6 +113,7 @@
 struct AttemptEnded {
     AttemptId attempt;
     AttemptOutcome outcome = AttemptOutcome::Completed;
+    bool connectionLost = false; ///< The upstream's connection closed before the end of the answer, as it does when the upstream crashes.
 };
 
 /// The caller disconnected. An idempotent request is cancelled; any other one continues.
@@ -114,6 +121,17 @@
     RequestId request;
 };
 
+/// Names of this host and of the other live entry hosts, which divide the trials of suspected requests among them.
+struct EntryHostsNamed {
+    std::string own;
+    std::vector<std::string> others;
+};
+
+/// What another host knows about requests that may crash upstreams.
+struct SuspectsReported {
+    std::vector<quarantine::SuspectReport> reports;
+};
+
 /// The host shuts down: accepted requests finish, new ones are refused.
 struct HostStopping {
 };
@@ -129,6 +147,8 @@
                            AttemptProgressed,
                            AttemptEnded,
                            CallerDisconnected,
+                           EntryHostsNamed,
+                           SuspectsReported,
                            HostStopping>;
 
 /// Why an upstream was chosen.
--- a/src/decisions/idecisioncore.h
+++ b/src/decisions/idecisioncore.h
@@ -50,6 +50,8 @@
     virtual std::span<const Action> tick(TimePoint now) = 0;
     /// Returns when the next tick is due if no event is posted before; nothing when only an event can lead to an action.
     [[nodiscard]] virtual std::optional<TimePoint> nextWake() const = 0;
+    /// Returns what this host knows about requests that may crash upstreams, for the other hosts.
+    [[nodiscard]] virtual std::vector<quarantine::SuspectReport> suspectReports(TimePoint now) const = 0;
     /// Returns the number of requests without a final answer.
     [[nodiscard]] virtual std::size_t openRequests() const = 0;
 };
--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -9,6 +9,7 @@
 #include "decisions/internal/observations.h"
 #include "decisions/internal/reconnectsystem.h"
 #include "decisions/internal/retrysystem.h"
+#include "decisions/internal/suspects.h"
 #include "decisions/internal/systems.h"
 
 #include <algorithm>
@@ -35,6 +36,7 @@
         std::visit([this](const auto &typed) { apply(typed); }, event);
     }
     m_inbox.clear();
+    m_tables.quarantine.update(now);
     TickContext context{now, m_actions};
     for (const std::unique_ptr<ISystem> &system : m_systems) {
         system->run(m_tables, context);
@@ -52,6 +54,11 @@
     return earliest;
 }
 
+std::vector<quarantine::SuspectReport> DecisionCore::suspectReports(TimePoint now) const
+{
+    return m_tables.quarantine.reports(now);
+}
+
 std::size_t DecisionCore::openRequests() const
 {
     return m_tables.requests.size();
@@ -62,6 +69,7 @@
     UpstreamRow &row = m_tables.upstream(event.upstream);
     row.state = UpstreamState::Unlisted;
     m_tables.reindex(event.upstream);
+    row.name = event.name;
     row.zone = event.zone;
     row.sameZone = event.sameZone;
     row.targets = event.targets;
@@ -162,6 +170,9 @@
     noteEnd(m_tables, attempt, event.outcome, m_now);
     m_tables.attempts.erase(event.attempt);
     RequestRow *const row = m_tables.request(attempt.request);
+    if (row != nullptr) {
+        noteSuspect(m_tables, *row, attempt, event, m_now);
+    }
     if (row != nullptr && event.outcome != AttemptOutcome::Completed && !mayReconnect(attempt, event.outcome)) {
         row->avoided.insert(attempt.upstream);
     }
@@ -178,6 +189,16 @@
     m_tables.erase(event.request);
 }
 
+void DecisionCore::apply(const EntryHostsNamed &event)
+{
+    m_tables.quarantine.setHosts(event.own, event.others);
+}
+
+void DecisionCore::apply(const SuspectsReported &event)
+{
+    m_tables.quarantine.apply(event.reports, m_now);
+}
+
 void DecisionCore::apply(const HostStopping &)
 {
     m_tables.stopping = true;
--- a/src/decisions/internal/decisioncore.h
+++ b/src/decisions/internal/decisioncore.h
@@ -14,6 +14,7 @@
     void post(Event event) override;
     std::span<const Action> tick(TimePoint now) override;
     [[nodiscard]] std::optional<TimePoint> nextWake() const override;
+    [[nodiscard]] std::vector<quarantine::SuspectReport> suspectReports(TimePoint now) const override;
     [[nodiscard]] std::size_t openRequests() const override;
 
 private:
@@ -28,6 +29,8 @@
     void apply(const AttemptProgressed &event);
     void apply(const AttemptEnded &event);
     void apply(const CallerDisconnected &event);
+    void apply(const EntryHostsNamed &event);
+    void apply(const SuspectsReported &event);
     void apply(const HostStopping &event);
 
     const PolicySettings m_settings;
--- a/src/decisions/internal/retrysystem.cpp
+++ b/src/decisions/internal/retrysystem.cpp
@@ -1,6 +1,7 @@
 #include "decisions/internal/retrysystem.h"
 
 #include "decisions/internal/reconnectsystem.h"
+#include "decisions/internal/suspects.h"
 #include "decisions/internal/systems.h"
 
 #include <algorithm>
@@ -107,6 +108,10 @@
         refuse(tables, context, ended.request, RefusalCode::AttemptsFailed, m_settings.retryAfter);
         return;
     }
+    if (const std::optional<Duration> wait = quarantineWait(tables, *row, context.now)) {
+        refuse(tables, context, ended.request, RefusalCode::AttemptsFailed, *wait);
+        return;
+    }
     row->state = RequestState::Retrying;
     tables.setTimer(*row, row->spec.deadline);
     if (exemptFromLimits) {
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -2,6 +2,7 @@
 
 #include "decisions/internal/estimates.h"
 #include "decisions/internal/observations.h"
+#include "decisions/internal/suspects.h"
 
 #include <algorithm>
 
@@ -110,6 +111,10 @@
             refuse(tables, context, request, *code, m_settings.retryAfter);
             continue;
         }
+        if (const std::optional<Duration> wait = quarantineWait(tables, *row, context.now)) {
+            refuse(tables, context, request, RefusalCode::Quarantined, *wait);
+            continue;
+        }
         admit(tables, context, *row);
     }
 }
--- a/src/decisions/internal/tables.cpp
+++ b/src/decisions/internal/tables.cpp
@@ -60,6 +60,8 @@
         return "rejected_by_upstream";
     case RefusalCode::HostStopping:
         return "host_stopping";
+    case RefusalCode::Quarantined:
+        return "request_quarantined";
     }
     return "no_upstream";
 }
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/decisiontypes.h"
+#include "quarantine/crashquarantine.h"
 
 #include <deque>
 #include <map>
@@ -25,6 +26,7 @@
 
 /// What this host knows of one upstream.
 struct UpstreamRow {
+    std::string name;
     UpstreamState state = UpstreamState::Unlisted;
     bool leaving = false; ///< Set until the upstream is gone, even if it is listed again in the meantime.
     ZoneId zone{};
@@ -153,6 +155,7 @@
     std::uint64_t nextAttempt = 1;                    ///< Id of the next attempt.
     std::uint32_t entryHosts = 1;                     ///< Live entry hosts that share the upstreams, including this one.
     bool stopping = false;                            ///< Whether the host is shutting down.
+    quarantine::CrashQuarantine quarantine{[](quarantine::SuspectId, quarantine::SuspectChange, std::size_t) {}};
 
     /// Returns the row of @p upstream, created if there is none.
     UpstreamRow &upstream(UpstreamId upstream);
--- a/src/entry/internal/decisionloop.cpp
+++ b/src/entry/internal/decisionloop.cpp
@@ -41,6 +41,11 @@
     m_wakeTimer.arm(m_core->nextWake());
 }
 
+std::vector<quarantine::SuspectReport> DecisionLoop::suspectReports(TimePoint now) const
+{
+    return m_core->suspectReports(now);
+}
+
 void DecisionLoop::expectRequest()
 {
     ++m_openRequests;
--- a/src/entry/internal/decisionloop.h
+++ b/src/entry/internal/decisionloop.h
@@ -24,6 +24,8 @@
     void post(decisions::Event event);
     /// Schedules a tick on the control thread, unless one is scheduled already.
     void scheduleTick();
+    /// What the core knows about requests that may crash upstreams, for the other hosts.
+    [[nodiscard]] std::vector<quarantine::SuspectReport> suspectReports(TimePoint now) const;
     /// Counts a request that is about to be posted to the core, so that a stop waits for it. Thread-safe.
     void expectRequest();
     /// Number of requests without a final answer. Thread-safe.
--- a/src/entry/internal/hostcontroller.cpp
+++ b/src/entry/internal/hostcontroller.cpp
@@ -5,6 +5,7 @@
 #include "entry/internal/leavingupstreamssection.h"
 #include "entry/internal/refusals.h"
 #include "entry/internal/requestarrival.h"
+#include "entry/internal/suspectssection.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -111,6 +112,7 @@
         }
     });
     membership.addSection(std::make_shared<LeavingUpstreamsSection>(m_upstreamDirectory, coreNow));
+    membership.addSection(std::make_shared<SuspectsSection>(m_decisionLoop, membership, coreNow));
 }
 
 void HostController::start()
@@ -215,7 +217,7 @@
             }
             m_attemptUpstreams.erase(running);
         }
-        m_decisionLoop.post(decisions::AttemptEnded{attempt, result.outcome});
+        m_decisionLoop.post(decisions::AttemptEnded{attempt, result.outcome, result.connectionLost});
     });
 }
 
--- a/src/entry/internal/refusals.cpp
+++ b/src/entry/internal/refusals.cpp
@@ -31,6 +31,8 @@
         return {400, "the upstream rejected the request"};
     case RefusalCode::HostStopping:
         return {503, "this host is stopping; come back to reach another"};
+    case RefusalCode::Quarantined:
+        return {503, "upstreams crashed while they ran requests equal to this one"};
     }
     return {503, ""};
 }
--- a/src/entry/internal/requestarrival.cpp
+++ b/src/entry/internal/requestarrival.cpp
@@ -1,6 +1,7 @@
 #include "entry/internal/requestarrival.h"
 
 #include "base/coretime.h"
+#include "quarantine/requestfingerprint.h"
 
 namespace rosemaryshift::entry {
 
@@ -21,6 +22,8 @@
     event.expectedTokens = spec.maxTokens;
     event.tokensDone = static_cast<std::uint32_t>(record.transcript.prefix().tokens);
     event.idempotent = spec.idempotent;
+    event.targetName = spec.target;
+    event.fingerprint = quarantine::requestFingerprint({spec.workspace, spec.target, spec.method, spec.path, spec.body});
     return event;
 }
 
--- a/src/entry/internal/upstreamdirectory.cpp
+++ b/src/entry/internal/upstreamdirectory.cpp
@@ -66,6 +66,7 @@
 {
     UpstreamListed event{};
     event.upstream = id;
+    event.name = host.name;
     event.zone = m_zoneNames.intern(host.zone);
     event.sameZone = host.zone == m_ownZone;
     for (const std::string &name : host.targets) {
--- a/src/upstreams/internal/callfailures.cpp
+++ b/src/upstreams/internal/callfailures.cpp
@@ -38,7 +38,9 @@
 
 AttemptResult resultOf(const http::ClientFailure &failure)
 {
-    return {outcomeOf(failure.error), failure.detail};
+    AttemptResult result{outcomeOf(failure.error), failure.detail};
+    result.connectionLost = failure.error == http::ClientError::Closed;
+    return result;
 }
 
 std::optional<AttemptResult> declinedResult(const http::Response &response)
--- a/src/upstreams/internal/enginecall.cpp
+++ b/src/upstreams/internal/enginecall.cpp
@@ -187,7 +187,7 @@
                 co_return resultOf(failure);
             }
             if (bytes->empty()) {
-                co_return AttemptResult{AttemptOutcome::Broken, "the stream ended without its end marker"};
+                co_return AttemptResult{AttemptOutcome::Broken, "the stream ended without its end marker", std::nullopt, true};
             }
             for (const std::string &data : parser.feed(*bytes)) {
                 const std::optional<AttemptResult> end = processEvent(data);
--- a/src/upstreams/upstreamtypes.h
+++ b/src/upstreams/upstreamtypes.h
@@ -37,6 +37,7 @@
     decisions::AttemptOutcome outcome = decisions::AttemptOutcome::Completed;
     std::string reason;
     std::optional<std::chrono::milliseconds> leavesIn = {}; ///< Time until the upstream shuts down; set when it announced that.
+    bool connectionLost = false;                            ///< The upstream closed the connection before the end of its answer.
 };
 
 }
