--- a/src/quarantine/internal/crashquarantine.cpp
+++ b/src/quarantine/internal/crashquarantine.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/crashquarantine.h"
 
 #include "base/rendezvous.h"
+#include "quarantine/internal/evidencelimits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,13 +10,8 @@
 
 namespace {
 
-/// Crashes below which a suspect is never quarantined.
-constexpr std::size_t MinCrashes = 3;
 /// Crashes kept for each suspect; further ones only move the time of the last one. While most answers break, many are needed for a decision.
 constexpr std::size_t MaxCrashes = 64;
-/// Crashes of each suspect that are sent to the other hosts at a time, and the age up to which a host sends those that it saw itself.
-constexpr std::size_t MaxReportedCrashes = 6;
-constexpr std::chrono::seconds ReportedCrashAge{3};
 /// Largest probability that the crashes of a suspect are a coincidence at which it is quarantined.
 constexpr double MaxCoincidence = 0.01;
 /// Part of the crashes of a service that have to have hit equal requests for these to be quarantined. Long requests meet more crashes than short ones,
@@ -39,27 +35,9 @@
 constexpr std::chrono::seconds MinWait{1};
 /// Time after its last crash at which a suspect that is not in quarantine is no longer suspected.
 constexpr std::chrono::seconds SuspicionLifetime{60};
-/// Time after its last crash at which a suspect is released without a trial, for want of requests.
-constexpr std::chrono::seconds QuarantineLifetime{1'800};
-/// Time for which a complete answer is reported, and clears crashes that are reported later.
-constexpr std::chrono::seconds CompletionLifetime{5};
-/// Upper bounds on the suspects that are kept, and on those sent to the other hosts at a time.
+/// Upper bounds on the suspects that are kept, and on the crashes that are kept of each service.
 constexpr std::size_t MaxSuspects = 512;
-/// Upper bound on the crashes that are kept of each service.
 constexpr std::size_t MaxServiceCrashes = 128;
-constexpr std::size_t MaxReports = 12;
-
-std::uint64_t millisecondsBetween(TimePoint earlier, TimePoint later)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(later - earlier).count()));
-}
-
-/// The time @p ageMs before @p now; ages beyond any lifetime are taken as that lifetime.
-TimePoint timeOf(std::uint64_t ageMs, TimePoint now)
-{
-    constexpr std::uint64_t MaxAgeMs = std::chrono::milliseconds(QuarantineLifetime).count();
-    return now - std::chrono::milliseconds(std::min(ageMs, MaxAgeMs));
-}
 
 }
 
@@ -196,58 +174,6 @@
     }
 }
 
-std::vector<SuspectReport> CrashQuarantine::reports(TimePoint now) const
-{
-    std::vector<SuspectReport> reports;
-    for (const auto &[id, suspect] : m_suspects) {
-        SuspectReport report{id, suspect.service, reportedCrashes(suspect, now), suspect.quarantined, std::nullopt};
-        if (suspect.completedHere && suspect.completedAt && now - *suspect.completedAt <= CompletionLifetime) {
-            report.completedAgeMs = millisecondsBetween(*suspect.completedAt, now);
-        }
-        if (!report.crashes.empty() || report.completedAgeMs) {
-            reports.push_back(std::move(report));
-        }
-    }
-    std::ranges::stable_sort(reports, std::ranges::greater(), [](const SuspectReport &report) { return std::pair(report.quarantined, report.crashes.size()); });
-    reports.resize(std::min(reports.size(), MaxReports));
-    return reports;
-}
-
-std::vector<CrashReport> CrashQuarantine::reportedCrashes(const Suspect &suspect, TimePoint now)
-{
-    std::vector<CrashReport> reported;
-    for (auto crash = suspect.crashes.rbegin(); crash != suspect.crashes.rend() && reported.size() < MaxReportedCrashes; ++crash) {
-        // A host that has just started needs some crashes of a suspect to accept that it is in quarantine.
-        const bool needed = suspect.quarantined && reported.size() <= MinCrashes;
-        const bool own = crash->observedHere && now - crash->at <= ReportedCrashAge;
-        if (needed || own) {
-            reported.push_back({crash->instance, millisecondsBetween(crash->at, now)});
-        }
-    }
-    return reported;
-}
-
-void CrashQuarantine::apply(std::span<const SuspectReport> reports, TimePoint now)
-{
-    for (const SuspectReport &report : reports) {
-        Suspect &suspect = m_suspects[report.id];
-        suspect.service = report.service;
-        if (report.completedAgeMs) {
-            complete(report.id, suspect, timeOf(*report.completedAgeMs, now));
-        }
-        for (const CrashReport &reported : report.crashes) {
-            const Crash crash{reported.instance, timeOf(reported.ageMs, now), false};
-            noteServiceCrash(report.service, crash);
-            addCrash(suspect, crash);
-        }
-        if (report.quarantined && !suspect.quarantined && suspect.crashes.size() >= MinCrashes) {
-            quarantine(report.id, suspect);
-        }
-        judge(report.id, suspect, now);
-    }
-    limitSuspects();
-}
-
 std::size_t CrashQuarantine::quarantined(SuspectKind kind) const
 {
     return static_cast<std::size_t>(
--- /dev/null
+++ b/src/quarantine/internal/suspectreports.cpp
@@ -0,0 +1,82 @@
+#include "quarantine/crashquarantine.h"
+#include "quarantine/internal/evidencelimits.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::quarantine {
+
+namespace {
+
+/// Crashes of each suspect that are sent to the other hosts at a time, and the age up to which a host sends those that it saw itself.
+constexpr std::size_t MaxReportedCrashes = 6;
+constexpr std::chrono::seconds ReportedCrashAge{3};
+/// Upper bound on the suspects that are sent to the other hosts at a time.
+constexpr std::size_t MaxReports = 12;
+
+std::uint64_t millisecondsBetween(TimePoint earlier, TimePoint later)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(later - earlier).count()));
+}
+
+/// The time @p ageMs before @p now; ages beyond any lifetime are taken as that lifetime.
+TimePoint timeOf(std::uint64_t ageMs, TimePoint now)
+{
+    constexpr std::uint64_t MaxAgeMs = std::chrono::milliseconds(QuarantineLifetime).count();
+    return now - std::chrono::milliseconds(std::min(ageMs, MaxAgeMs));
+}
+
+}
+
+std::vector<SuspectReport> CrashQuarantine::reports(TimePoint now) const
+{
+    std::vector<SuspectReport> reports;
+    for (const auto &[id, suspect] : m_suspects) {
+        SuspectReport report{id, suspect.service, reportedCrashes(suspect, now), suspect.quarantined, std::nullopt};
+        if (suspect.completedHere && suspect.completedAt && now - *suspect.completedAt <= CompletionLifetime) {
+            report.completedAgeMs = millisecondsBetween(*suspect.completedAt, now);
+        }
+        if (!report.crashes.empty() || report.completedAgeMs) {
+            reports.push_back(std::move(report));
+        }
+    }
+    std::ranges::stable_sort(reports, std::ranges::greater(), [](const SuspectReport &report) { return std::pair(report.quarantined, report.crashes.size()); });
+    reports.resize(std::min(reports.size(), MaxReports));
+    return reports;
+}
+
+std::vector<CrashReport> CrashQuarantine::reportedCrashes(const Suspect &suspect, TimePoint now)
+{
+    std::vector<CrashReport> reported;
+    for (auto crash = suspect.crashes.rbegin(); crash != suspect.crashes.rend() && reported.size() < MaxReportedCrashes; ++crash) {
+        // A host that has just started needs some crashes of a suspect to accept that it is in quarantine.
+        const bool needed = suspect.quarantined && reported.size() <= MinCrashes;
+        const bool own = crash->observedHere && now - crash->at <= ReportedCrashAge;
+        if (needed || own) {
+            reported.push_back({crash->instance, millisecondsBetween(crash->at, now)});
+        }
+    }
+    return reported;
+}
+
+void CrashQuarantine::apply(std::span<const SuspectReport> reports, TimePoint now)
+{
+    for (const SuspectReport &report : reports) {
+        Suspect &suspect = m_suspects[report.id];
+        suspect.service = report.service;
+        if (report.completedAgeMs) {
+            complete(report.id, suspect, timeOf(*report.completedAgeMs, now));
+        }
+        for (const CrashReport &reported : report.crashes) {
+            const Crash crash{reported.instance, timeOf(reported.ageMs, now), false};
+            noteServiceCrash(report.service, crash);
+            addCrash(suspect, crash);
+        }
+        if (report.quarantined && !suspect.quarantined && suspect.crashes.size() >= MinCrashes) {
+            quarantine(report.id, suspect);
+        }
+        judge(report.id, suspect, now);
+    }
+    limitSuspects();
+}
+
+}
