Leave upstreams that ask for a pause without requests until its end

Callers were sent on to upstreams that had asked for time, since the gateway read only that the request had not run; each refusal also counted against the upstream's health.

While all pause, callers are refused at once, with a time to come back that is not before the earliest end and is spread over half as long again.

--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -39,6 +39,7 @@
     std::chrono::milliseconds usageWindow{5'000};           ///< Length of the windows by which usage is reported.
     std::chrono::milliseconds usageReportDelay{10'000};     ///< The usage of a window must be reported within this time after its end.
     eventlog::Budget logBudget;
+    std::chrono::milliseconds longestPause{30'000}; ///< Longest time that an upstream which asks for a pause is left without requests.
     limits::RetryAllowance retries;
     limits::QuotaTolerance quotas;
 };
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -37,6 +37,14 @@
                        eventlog::Importance::StateChange,
                        {{"instance", instance}, {"change", perSecond ? "stated" : "lifted"}, {"per_second", perSecond.value_or(0)}});
     })
+    , upstreamPauses(settings.longestPause,
+                     [this](const std::string &instance, limits::PauseChange change, Duration length) {
+                         eventLog.write("upstream_pause",
+                                        eventlog::Importance::StateChange,
+                                        {{"instance", instance},
+                                         {"change", change == limits::PauseChange::Begun ? "begun" : "ended"},
+                                         {"length_ms", wholeMilliseconds(length)}});
+                     })
     , quarantine([this](quarantine::SuspectId suspect, quarantine::SuspectChange change, std::size_t crashes) {
         const bool isRequest = suspect.kind == quarantine::SuspectKind::Request;
         const std::string number = hexadecimal(suspect.number);
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -13,6 +13,7 @@
 #include "http/connectionpool.h"
 #include "limits/retrybudget.h"
 #include "limits/upstreamlimits.h"
+#include "limits/upstreampauses.h"
 #include "limits/workspacequotas.h"
 #include "quarantine/crashquarantine.h"
 
@@ -38,6 +39,7 @@
     limits::WorkspaceQuotas quotas;
     limits::RetryBudget retryBudget;
     limits::UpstreamLimits upstreamLimits;
+    limits::UpstreamPauses upstreamPauses;
     quarantine::CrashQuarantine quarantine;
     duties::UsageLedger usageLedger;
     WallClockEstimator wallClock;
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -98,6 +98,10 @@
         settings.logBudget.bytesPerSecond = static_cast<std::uint32_t>(log->number("bytes_per_s", {0, MaxLogRate}, settings.logBudget.bytesPerSecond));
         log->rejectUnknownKeys();
     }
+    if (std::optional<SettingsTable> upstreams = root.table("upstreams")) {
+        settings.longestPause = milliseconds(*upstreams, "longest_pause_ms", settings.longestPause);
+        upstreams->rejectUnknownKeys();
+    }
     if (std::optional<SettingsTable> peers = root.table("peers")) {
         settings.seeds = peers->texts("seeds");
         peers->rejectUnknownKeys();
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -119,6 +119,7 @@
         m_context.quarantine.setHosts(m_context.settings.name, m_registry.heardHosts());
         m_context.quarantine.update(now);
         m_context.upstreamLimits.expire(now);
+        m_context.upstreamPauses.expire(now);
         updateShares(now);
         gossip::PeerStatus status = localStatus(now);
         for (const std::string &address : m_registry.addresses()) {
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -155,6 +155,7 @@
 net::awaitable<RequestSession::DispatchResult> RequestSession::handleResponse(http::Response upstreamResponse, const ports::ResponseMetadata &metadata)
 {
     noteStatedLimit(upstreamResponse, metadata);
+    const bool pauses = notePause(metadata);
     if (metadata.notExecuted) {
         http::ClientFailure failure;
         const std::optional<std::string> discardedBody = co_await readBody(failure);
@@ -164,7 +165,7 @@
         if (upstreamResponse.status == 421) {
             m_context.directory.noteMisdirected(m_instance, hostNow());
         }
-        endDispatch(upstreamResponse.status == 421 ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Rejected);
+        endDispatch(pauses || upstreamResponse.status == 421 ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Rejected);
         co_return DispatchResult::TryAnother;
     }
     const bool trusted = metadata.attemptId == m_callerRequest.attemptId && (metadata.sealed || !isSuccess(upstreamResponse.status));
@@ -257,7 +258,11 @@
     noteFirstByte();
     m_context.quarantine.noteCompleted(requestTraits(), hostNow());
     const bool failed = upstreamResponse.status >= 500;
-    endDispatch(failed ? balancing::AttemptEnd::Failed : balancing::AttemptEnd::Succeeded);
+    if (metadata.pause) {
+        endDispatch(balancing::AttemptEnd::Inconclusive);
+    } else {
+        endDispatch(failed ? balancing::AttemptEnd::Failed : balancing::AttemptEnd::Succeeded);
+    }
     if (failed && mayRetry(hostNow())) {
         m_reason = "status " + std::to_string(upstreamResponse.status);
         co_return DispatchResult::TryAnother;
@@ -308,6 +313,20 @@
     m_context.upstreamLimits.noteAnswer(m_instance, metadata.requestLimit, m_dispatchedAt, hostNow());
 }
 
+bool RequestSession::notePause(const ports::ResponseMetadata &metadata)
+{
+    // A refusal may lack the id of the request, but never has that of another one.
+    if (metadata.pauseMalformed) {
+        m_context.eventLog.write(
+            "upstream_pause_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}});
+    }
+    if (!metadata.pause) {
+        return false;
+    }
+    m_context.upstreamPauses.note(m_instance, *metadata.pause, hostNow());
+    return true;
+}
+
 void RequestSession::noteBroken(const http::ClientFailure &failure)
 {
     // Silence and bytes that are no answer come from the network or a faulty upstream, not from a crash.
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -27,7 +27,7 @@
 constexpr std::chrono::milliseconds UpstreamRetryDelay{150};
 /// Longest Retry-After for a caller whose request no upstream may take because of the limits that the upstreams state.
 constexpr std::chrono::milliseconds LongestLimitRetryDelay{10'000};
-/// Retry-After is randomized by up to this part in both directions, to spread the retries.
+/// Retry-After is randomized by up to this part, to spread the retries: in both directions, or upwards when an earlier retry would be in vain.
 constexpr double RetryJitter = 0.5;
 
 /// Name of a request kind in log lines and metrics.
@@ -208,13 +208,16 @@
     std::vector<balancing::Candidate> candidates;
     const routing::Service *const service = m_routeTable->service(m_service);
     const std::uint32_t maxRequests = limits::connectionShare(service != nullptr ? service->maxConnections : 0, m_context.hostCount);
-    std::optional<double> limitedRate; ///< Sum of the limits of the upstreams that are left out because of them.
+    std::optional<double> limitedRate;     ///< Sum of the limits of the upstreams that are left out because of them.
+    std::optional<Duration> earliestPause; ///< Time until the first of the upstreams that pause may be sent requests again.
     for (const directory::Upstream *const upstream : m_context.directory.usable(m_service, now)) {
         const directory::UpstreamEntry &entry = upstream->entry;
         if (m_triedInstances.contains(entry.instance)) {
             continue;
         }
-        if (m_context.upstreamLimits.maySend(entry.instance, now)) {
+        if (const std::optional<Duration> pause = m_context.upstreamPauses.remaining(entry.instance, now)) {
+            earliestPause = std::min(earliestPause.value_or(*pause), *pause);
+        } else if (m_context.upstreamLimits.maySend(entry.instance, now)) {
             const bool zoneUnreachable = entry.zone != m_context.settings.zone && m_context.silentZones.contains(entry.zone);
             candidates.push_back({entry.instance, entry.zone, entry.slots, maxRequests, zoneUnreachable});
         } else {
@@ -229,6 +232,10 @@
         } else if (limitedRate) {
             m_reason = "upstreams_limited";
             m_retryAfter = limitRetryDelay(*limitedRate);
+        } else if (earliestPause) {
+            m_reason = "upstreams_paused";
+            m_retryAfter = *earliestPause;
+            m_retryNotEarlier = true;
         } else {
             m_reason = "no_upstream";
         }
@@ -300,7 +307,8 @@
     response.status = status;
     response.headers.add("Content-Type", "application/json");
     if (retryAfter) {
-        const double seconds = std::chrono::duration<double>(*retryAfter).count() * (1 + RetryJitter * (2 * m_context.randomFraction() - 1));
+        const double jitter = m_retryNotEarlier ? m_context.randomFraction() : 2 * m_context.randomFraction() - 1;
+        const double seconds = std::chrono::duration<double>(*retryAfter).count() * (1 + RetryJitter * jitter);
         response.headers.add("Retry-After", std::to_string(seconds));
     }
     // The text after the colon may name hosts, which callers must not learn.
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -60,6 +60,8 @@
     void noteFirstByte();
     /// Records the request limit that an upstream's answer states, or that it states none.
     void noteStatedLimit(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata);
+    /// Records that the upstream asked for a pause, if it did. Returns whether its refusal is no sign of a failure because of that.
+    bool notePause(const ports::ResponseMetadata &metadata);
     /// Records that the upstream broke off the request before or during its answer, when @p failure says so.
     void noteBroken(const http::ClientFailure &failure);
     void endDispatch(balancing::AttemptEnd how);
@@ -79,6 +81,7 @@
     TimePoint m_deadline;            ///< The earlier of the caller's deadline and the end of the route's timeout.
     std::optional<AttemptState> m_attemptState;
     std::optional<Duration> m_retryAfter; ///< Retry-After of a rejection, before it is randomized.
+    bool m_retryNotEarlier = false;       ///< A retry before m_retryAfter has passed would be rejected again.
     int m_rejectionStatus = 0;
     std::string m_reason; ///< Why the request was rejected, or the last dispatch failed.
 
--- a/src/ports/messages.h
+++ b/src/ports/messages.h
@@ -54,6 +54,9 @@
     /// Requests per second that the upstream accepts from all hosts together while its answers say so; nothing when it states no limit.
     std::optional<double> requestLimit;
     bool requestLimitMalformed = false; ///< The answer states a limit that cannot be read.
+    /// Time for which the upstream wants no requests from this host; set only with a refusal by status 503.
+    std::optional<std::chrono::milliseconds> pause;
+    bool pauseMalformed = false; ///< The refusal states a time that cannot be read.
 };
 
 }
