Split routing and observations off the request session

Change: the choice of an upstream is in requestrouting.cpp, what an answer or its end tells of the upstream in requestobservations.cpp.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -1,4 +1,3 @@
-#include "base/text.h"
 #include "gateway/internal/endtoendheaders.h"
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/requestsession.h"
@@ -29,9 +28,6 @@
 constexpr int MaxSkippedResponses = 2;
 /// Largest body of an answer that is held until it is complete; a faulty upstream may send bytes without end.
 constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
-/// Maximum number of a prompt's parts that are logged with a failure.
-constexpr std::size_t MaxLoggedParts = 8;
-
 /// @p duration in whole milliseconds, rounded down but at least one, for timeouts and the deadline header.
 std::chrono::milliseconds atLeastOneMillisecond(Duration duration)
 {
@@ -43,19 +39,6 @@
     return status >= 200 && status < 300;
 }
 
-/// The ids of the first @p parts, in hexadecimal with commas between them, as callers write them.
-std::string promptPartIds(std::span<const ports::PromptPart> parts)
-{
-    std::string text;
-    for (const ports::PromptPart &part : parts.first(std::min(parts.size(), MaxLoggedParts))) {
-        if (!text.empty()) {
-            text += ',';
-        }
-        text += hexadecimal(part.id);
-    }
-    return text;
-}
-
 }
 
 http::ClientTimeouts RequestSession::dispatchTimeouts(const balancing::Choice &choice, TimePoint now) const
@@ -299,71 +282,4 @@
     }
 }
 
-void RequestSession::noteStatedLimit(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata)
-{
-    // An answer to another request, or of another instance at the same address, says nothing about this instance.
-    if (metadata.attemptId != m_callerRequest.attemptId || upstreamResponse.status == 421) {
-        return;
-    }
-    if (metadata.requestLimitMalformed) {
-        m_context.eventLog.write(
-            "upstream_limit_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}});
-        return;
-    }
-    m_context.upstreamLimits.noteAnswer(m_instance, metadata.requestLimit, m_dispatchedAt, hostNow());
-}
-
-bool RequestSession::notePause(const ports::ResponseMetadata &metadata)
-{
-    // A refusal may lack the id of the request, but never has that of another one.
-    if (metadata.pauseMalformed) {
-        m_context.eventLog.write(
-            "upstream_pause_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}});
-    }
-    if (!metadata.pause) {
-        return false;
-    }
-    m_context.upstreamPauses.note(m_instance, *metadata.pause, hostNow());
-    return true;
-}
-
-void RequestSession::noteBroken(const http::ClientFailure &failure)
-{
-    // Silence and bytes that are no answer come from the network or a faulty upstream, not from a crash.
-    if (failure.error == http::ClientError::Closed && !m_writer.callerGone()) {
-        m_context.quarantine.noteBroken(requestTraits(), m_instance, hostNow());
-    }
-}
-
-void RequestSession::noteFirstByte()
-{
-    const TimePoint now = hostNow();
-    m_attemptState->noteResponseStarted();
-    m_context.balancer.recordFirstEvent(m_balancerAttempt, now);
-    if (!m_firstByteLatency) {
-        m_firstByteLatency = now - m_arrivedAt;
-    }
-    if (!m_usageCounted && m_workspace != nullptr) {
-        m_usageCounted = true;
-        m_context.usageLedger.count(m_workspace->name, m_context.wallClock.sinceEpoch(now));
-    }
-}
-
-void RequestSession::endDispatch(balancing::AttemptEnd how)
-{
-    m_context.balancer.end(m_balancerAttempt, how, hostNow());
-    m_exchange.reset();
-    if (how != balancing::AttemptEnd::Succeeded && how != balancing::AttemptEnd::Inconclusive) {
-        m_context.eventLog.write("offer_failed",
-                                 eventlog::Importance::Failure,
-                                 {{"request", m_callerRequest.attemptId},
-                                  {"instance", m_instance},
-                                  {"reason", m_reason},
-                                  {"run", name(m_attemptState->executionState())},
-                                  {"answer_begun", m_framing.has_value()},
-                                  {"prompt_parts", promptPartIds(m_callerRequest.sharedPromptParts())},
-                                  {"fingerprint", hexadecimal(m_fingerprint)}});
-    }
-}
-
 }
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -2,7 +2,6 @@
 
 #include "gateway/internal/endtoendheaders.h"
 #include "gateway/internal/hostclock.h"
-#include "limits/connectionshare.h"
 #include "quarantine/requestfingerprint.h"
 
 #include <boost/asio.hpp>
@@ -23,10 +22,6 @@
 constexpr double CurrentConfigurationFactor = 1.5;
 /// Retry-After for a caller of a host whose configuration is missing, too old or lacks a service for the route.
 constexpr std::chrono::milliseconds ConfigurationRetryDelay{500};
-/// Retry-After for a caller when no upstream is listed, or none took the request.
-constexpr std::chrono::milliseconds UpstreamRetryDelay{150};
-/// Longest Retry-After for a caller whose request no upstream may take because of the limits that the upstreams state.
-constexpr std::chrono::milliseconds LongestLimitRetryDelay{10'000};
 /// Retry-After is randomized by up to this part, to spread the retries: in both directions, or upwards when an earlier retry would be in vain.
 constexpr double RetryJitter = 0.5;
 
@@ -44,14 +39,6 @@
     return "unknown";
 }
 
-/// Time in which upstreams that together accept @p perSecond requests per second accept one more.
-Duration limitRetryDelay(double perSecond)
-{
-    const double seconds = 1 / std::max(perSecond, 1e-6);
-    const Duration delay = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-    return std::clamp<Duration>(delay, UpstreamRetryDelay, LongestLimitRetryDelay);
-}
-
 }
 
 RequestSession::RequestSession(GatewayContext &context, http::Request request, http::IResponseWriter &writer)
@@ -188,67 +175,6 @@
     return true;
 }
 
-balancing::RequestProfile RequestSession::requestProfile() const
-{
-    balancing::RequestProfile profile;
-    profile.service = m_service;
-    profile.zone = m_context.settings.zone;
-    profile.promptParts = m_callerRequest.promptParts;
-    profile.promptTokens = m_callerRequest.promptTokens.value_or(0);
-    return profile;
-}
-
-quarantine::RequestTraits RequestSession::requestTraits() const
-{
-    return {m_service, m_fingerprint, m_callerRequest.sharedPromptParts()};
-}
-
-std::optional<balancing::Choice> RequestSession::chooseUpstream(TimePoint now)
-{
-    std::vector<balancing::Candidate> candidates;
-    const routing::Service *const service = m_routeTable->service(m_service);
-    const std::uint32_t maxRequests = limits::connectionShare(service != nullptr ? service->maxConnections : 0, m_context.hostCount);
-    std::optional<double> limitedRate;     ///< Sum of the limits of the upstreams that are left out because of them.
-    std::optional<Duration> earliestPause; ///< Time until the first of the upstreams that pause may be sent requests again.
-    for (const directory::Upstream *const upstream : m_context.directory.usable(m_service, now)) {
-        const directory::UpstreamEntry &entry = upstream->entry;
-        if (m_triedInstances.contains(entry.instance)) {
-            continue;
-        }
-        if (const std::optional<Duration> pause = m_context.upstreamPauses.remaining(entry.instance, now)) {
-            earliestPause = std::min(earliestPause.value_or(*pause), *pause);
-        } else if (m_context.upstreamLimits.maySend(entry.instance, now)) {
-            const bool zoneUnreachable = entry.zone != m_context.settings.zone && m_context.silentZones.contains(entry.zone);
-            candidates.push_back({entry.instance, entry.zone, entry.slots, maxRequests, zoneUnreachable});
-        } else {
-            limitedRate = limitedRate.value_or(0) + m_context.upstreamLimits.perSecond(entry.instance).value_or(0);
-        }
-    }
-    std::optional<balancing::Choice> choice = m_context.balancer.choose(requestProfile(), candidates, now);
-    if (!choice) {
-        m_retryAfter = UpstreamRetryDelay;
-        if (!candidates.empty()) {
-            m_reason = "upstreams_full";
-        } else if (limitedRate) {
-            m_reason = "upstreams_limited";
-            m_retryAfter = limitRetryDelay(*limitedRate);
-        } else if (earliestPause) {
-            m_reason = "upstreams_paused";
-            m_retryAfter = *earliestPause;
-            m_retryNotEarlier = true;
-        } else {
-            m_reason = "no_upstream";
-        }
-        return std::nullopt;
-    }
-    if (m_attemptState->mayRejectAsNotRun() && choice->expected > remainingTime(now)) {
-        m_reason = "overloaded";
-        m_retryAfter = choice->expected - remainingTime(now);
-        return std::nullopt;
-    }
-    return choice;
-}
-
 bool RequestSession::mayRetry(TimePoint now)
 {
     if (!m_attemptState->mayDispatch() || remainingTime(now) <= ResponseMargin) {
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -24,6 +24,9 @@
     /// Time before the deadline that is reserved for sending the response back to the caller.
     static constexpr std::chrono::milliseconds ResponseMargin{20};
 
+    /// Retry-After for a caller when no upstream is listed, or none took the request.
+    static constexpr std::chrono::milliseconds UpstreamRetryDelay{150};
+
     /// How one dispatch to an upstream ended.
     enum class DispatchResult : std::uint8_t {
         Done,       ///< The caller got its final response, or closed the connection.
