Send no new requests to upstreams that state in an answer that they leave

The gateway read that an upstream leaves from the platform's list only, which lags and may be away. It now takes it from each answer to the request that was sent, by the same sticky mark: it holds for that start of the upstream whatever the list says, also when its entry is removed and read again.

--- a/src/directory/internal/upstreamdirectory.cpp
+++ b/src/directory/internal/upstreamdirectory.cpp
@@ -100,6 +100,15 @@
     }
 }
 
+void UpstreamDirectory::noteLeaving(std::string_view instance)
+{
+    const auto found = m_upstreams.find(instance);
+    if (found != m_upstreams.end() && !found->second.leaving) {
+        found->second.leaving = true;
+        report(found->second, "leaving");
+    }
+}
+
 void UpstreamDirectory::noteMisdirected(std::string_view instance, TimePoint now)
 {
     const auto found = m_upstreams.find(instance);
--- a/src/directory/tests/upstreamdirectorytests.cpp
+++ b/src/directory/tests/upstreamdirectorytests.cpp
@@ -35,6 +35,28 @@
     REQUIRE(directory.usable("engines", Start).size() == 1);
     CHECK(directory.usable("dispatch", Start).empty());
 
+    SECTION("an upstream that says in an answer that it leaves gets no new requests")
+    {
+        directory.noteLeaving("a");
+        REQUIRE(directory.usable("engines", Start).empty());
+
+        SECTION("while the list still says that it is ready")
+        {
+            directory.apply(makeEntry("a"), Start + std::chrono::seconds(1));
+            CHECK(directory.usable("engines", Start).empty());
+        }
+        SECTION("after its entry was removed and the list is read again from an older state")
+        {
+            directory.applyAll({}, Start + std::chrono::seconds(1), false);
+            directory.applyAll(std::vector<UpstreamEntry>{makeEntry("a")}, Start + std::chrono::seconds(2), false);
+            CHECK(directory.usable("engines", Start).empty());
+        }
+        SECTION("until it starts again")
+        {
+            directory.apply(makeEntry("a", 2'000), Start + std::chrono::seconds(1));
+            CHECK(directory.usable("engines", Start).size() == 1);
+        }
+    }
     SECTION("an upstream that announces that it leaves gets no new requests")
     {
         directory.apply(leaving(makeEntry("a")), Start);
--- a/src/directory/upstreamdirectory.h
+++ b/src/directory/upstreamdirectory.h
@@ -43,6 +43,8 @@
     void applyAll(std::span<const UpstreamEntry> entries, TimePoint now, bool listUnsettled);
     /// Drops the upstreams whose entries lapsed at or before @p until and have not come back.
     void settle(TimePoint until);
+    /// Notes that @p instance said of itself that it leaves; this run of it then gets no new requests, whatever the list says.
+    void noteLeaving(std::string_view instance);
     /// Notes that @p instance is not at its listed address; it is then avoided for some time.
     void noteMisdirected(std::string_view instance, TimePoint now);
 
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -137,7 +137,7 @@
 
 net::awaitable<RequestSession::DispatchResult> RequestSession::handleResponse(http::Response upstreamResponse, const ports::ResponseMetadata &metadata)
 {
-    noteStatedLimit(upstreamResponse, metadata);
+    noteStatements(upstreamResponse, metadata);
     const bool pauses = notePause(metadata);
     if (metadata.notExecuted) {
         http::ClientFailure failure;
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -24,12 +24,15 @@
 
 }
 
-void RequestSession::noteStatedLimit(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata)
+void RequestSession::noteStatements(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata)
 {
     // An answer to another request, or of another instance at the same address, says nothing about this instance.
     if (metadata.attemptId != m_callerRequest.attemptId || upstreamResponse.status == 421) {
         return;
     }
+    if (metadata.leaving) {
+        m_context.directory.noteLeaving(m_instance);
+    }
     if (metadata.requestLimitMalformed) {
         m_context.eventLog.write(
             "upstream_limit_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}});
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -61,8 +61,8 @@
     [[nodiscard]] quarantine::RequestTraits requestTraits() const;
     [[nodiscard]] ports::UpstreamPriority upstreamPriority() const;
     void noteFirstByte();
-    /// Records the request limit that an upstream's answer states, or that it states none.
-    void noteStatedLimit(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata);
+    /// Records what an upstream's answer states about the upstream: that it leaves, and its limit on requests, if it has one.
+    void noteStatements(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata);
     /// Records that the upstream asked for a pause, if it did. Returns whether its refusal is no sign of a failure because of that.
     bool notePause(const ports::ResponseMetadata &metadata);
     /// Records that the upstream broke off the request before or during its answer, when @p failure says so.
--- a/src/ports/messages.h
+++ b/src/ports/messages.h
@@ -51,6 +51,7 @@
     std::string attemptId;    ///< Attempt that the response belongs to; empty when not stated.
     bool sealed = false;      ///< The response has the header with the upstream's signature.
     bool notExecuted = false; ///< The upstream states that it did not run the request.
+    bool leaving = false;     ///< The upstream states that it leaves and wants no new requests.
     /// Requests per second that the upstream accepts from all hosts together while its answers say so; nothing when it states no limit.
     std::optional<double> requestLimit;
     bool requestLimitMalformed = false; ///< The answer states a limit that cannot be read.
