--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -155,6 +155,7 @@
     std::uint64_t nextAttempt = 1;                    ///< Id of the next attempt.
     std::uint32_t entryHosts = 1;                     ///< Live entry hosts that share the upstreams, including this one.
     bool stopping = false;                            ///< Whether the host is shutting down.
+    /// Requests that may crash upstreams. Its changes need no listener, since each refusal is recorded.
     quarantine::CrashQuarantine quarantine{[](quarantine::SuspectId, quarantine::SuspectChange, std::size_t) {}};
 
     /// Returns the row of @p upstream, created if there is none.
--- a/src/gossip/peerstatus.h
+++ b/src/gossip/peerstatus.h
@@ -37,7 +37,7 @@
     /// which the sender no longer receives statuses.
     std::map<std::uint64_t, std::map<std::string, duties::UsageCounts>> usage;
     std::vector<limits::LimitReport> upstreamLimits; ///< Limits on requests that upstreams state.
-    std::vector<quarantine::SuspectReport> suspects; ///< Prompt parts that may crash upstreams.
+    std::vector<quarantine::SuspectReport> suspects; ///< Prompt parts and equal requests that may crash upstreams.
     std::vector<std::string> peers;                  ///< Addresses of the peers from which the sender has recently received a status.
 
     bool operator==(const PeerStatus &) const = default;
