--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -99,7 +99,8 @@
         log->rejectUnknownKeys();
     }
     if (std::optional<SettingsTable> upstreams = root.table("upstreams")) {
-        settings.longestPause = milliseconds(*upstreams, "longest_pause_ms", settings.longestPause);
+        const std::uint64_t fallback = static_cast<std::uint64_t>(settings.longestPause.count());
+        settings.longestPause = std::chrono::milliseconds(upstreams->number("longest_pause_ms", {0, MaxMilliseconds}, fallback));
         upstreams->rejectUnknownKeys();
     }
     if (std::optional<SettingsTable> peers = root.table("peers")) {
