Log the software version of upstreams and what callers resume

The logs could not tell the three hypotheses on joined software versions apart. The adapter now reads an upstream's version and a caller's Resumes and Last-Event-Id; offered and upstream name them. No request is handled differently otherwise.

--- a/src/directory/directorytypes.h
+++ b/src/directory/directorytypes.h
@@ -20,6 +20,7 @@
     std::string instance;          ///< Id of the upstream; a later run may reuse it.
     std::uint64_t startTimeMs = 0; ///< Unix time in milliseconds at which this run started, as reported by the upstream; 0 when not reported.
     std::string service;
+    std::string softwareVersion; ///< Version of the upstream's software, not of the model's weights.
     http::Endpoint endpoint;
     std::string zone;
     std::uint32_t slots = 0; ///< Requests that it runs at the same time.
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -24,7 +24,7 @@
     , directory([this](const directory::Upstream &upstream, std::string_view change) {
         eventLog.write("upstream",
                        eventlog::Importance::StateChange,
-                       {{"instance", upstream.entry.instance}, {"service", upstream.entry.service}, {"change", change}, {"zone", upstream.entry.zone}});
+                       {{"instance", upstream.entry.instance}, {"service", upstream.entry.service}, {"change", change}, {"zone", upstream.entry.zone}, {"version", upstream.entry.softwareVersion}});
         if (change == "removed") {
             balancer.forgetUpstream(upstream.entry.instance);
         }
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -92,12 +92,15 @@
                               {"route", m_route->name},
                               {"service", m_service},
                               {"instance", m_instance},
+                              {"version", upstream.softwareVersion},
                               {"expected_ms", wholeMilliseconds(choice.expected)},
                               {"uncached_tokens", static_cast<std::int64_t>(choice.uncachedTokens)},
                               {"runner_up", choice.runnerUp},
                               {"runner_up_ms", wholeMilliseconds(choice.runnerUpExpected)},
                               {"left_ms", wholeMilliseconds(remainingTime(now))},
-                              {"resume_after", dispatch.resumeAfter ? std::string_view(*dispatch.resumeAfter) : std::string_view()}});
+                              {"resume_after", dispatch.resumeAfter ? std::string_view(*dispatch.resumeAfter) : std::string_view()},
+                              {"caller_resumes", m_callerRequest.resumedAttempt},
+                              {"caller_resume_after", m_callerRequest.lastEventId.value_or("")}});
 
     const net::any_io_executor executor = co_await net::this_coro::executor;
     m_exchange = http::makeExchange(executor, m_context.upstreamConnections);
--- a/src/ports/messages.h
+++ b/src/ports/messages.h
@@ -22,6 +22,8 @@
     std::string attemptId;                             ///< Unique for each attempt; a retry by the caller has another one.
     std::optional<std::chrono::milliseconds> timeLeft; ///< How long the caller will still wait.
     std::string apiKey;                                ///< API key of a workspace; empty when the caller sent none.
+    std::string resumedAttempt;                        ///< The attempt that brought the first event of the stream to resume; empty when not named.
+    std::optional<std::string> lastEventId;            ///< Id of the last event that the caller has, when it resumes a stream that broke off.
     std::string model;                                 ///< Empty for services that run no language model.
     std::optional<std::uint64_t> promptTokens;
     std::uint64_t maxOutputTokens = 0;
