Let streams go on only at the software version that began them

Cause: the version in the list of upstreams and a caller's Resumes were not read, so that a resumption went to the best upstream of any version, and what a host knew of a stream ended with its process.

Each host now remembers which version sent the first event of a stream, and records it in the platform's log while the service has several versions; the versions themselves stand there by key, also for hosts that start after the last upstream of one has left. A take-up goes to that version, or is refused as not run: without a time to come back once no upstream of the version is left. Peers tell each other what they could not record yet. An upstream whose connections were all lost is not trusted to be the listed run until the list would show a new one.

--- a/src/directory/internal/upstreamdirectory.cpp
+++ b/src/directory/internal/upstreamdirectory.cpp
@@ -13,7 +13,8 @@
 /// Whether two entries describe the same run of an upstream.
 bool sameRun(const UpstreamEntry &known, const UpstreamEntry &entry)
 {
-    return known.startTimeMs == entry.startTimeMs && known.endpoint == entry.endpoint && known.service == entry.service;
+    return known.startTimeMs == entry.startTimeMs && known.endpoint == entry.endpoint && known.service == entry.service
+        && known.softwareVersion == entry.softwareVersion;
 }
 
 }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/gossipendpoint.h"
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/requestsession.h"
+#include "gateway/internal/streamregistry.h"
 #include "gateway/internal/upstreamfollower.h"
 
 #include <boost/asio.hpp>
@@ -62,6 +63,7 @@
         , m_context(settings, std::move(ports), randomId().substr(0, 8))
         , m_configurationFollower(m_context, [this] { applyConfiguration(); })
         , m_upstreamFollower(m_context)
+        , m_streamRegistry(m_context, m_upstreamFollower)
         , m_gossip(m_context, m_configurationFollower, m_usageCollector)
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
@@ -115,6 +117,7 @@
         m_context.eventLog.flush();
         startTask(m_io.get_executor(), m_configurationFollower.run());
         startTask(m_io.get_executor(), m_upstreamFollower.run());
+        startTask(m_io.get_executor(), m_streamRegistry.run());
         startTask(m_io.get_executor(), m_gossip.send());
         startTask(m_io.get_executor(), m_gossip.receive());
         startTask(m_io.get_executor(), runMaintenance());
@@ -131,7 +134,7 @@
     net::awaitable<void> serve(http::Request request, http::IResponseWriter &writer)
     {
         ++m_openRequests;
-        const std::shared_ptr<RequestSession> session = std::make_shared<RequestSession>(m_context, std::move(request), writer);
+        const std::shared_ptr<RequestSession> session = std::make_shared<RequestSession>(m_context, m_streamRegistry, std::move(request), writer);
         co_await session->run();
         --m_openRequests;
     }
@@ -243,6 +246,7 @@
     duties::UsageCollector m_usageCollector;
     ConfigurationFollower m_configurationFollower;
     UpstreamFollower m_upstreamFollower;
+    StreamRegistry m_streamRegistry;
     GossipEndpoint m_gossip;
     DutyRunner m_dutyRunner;
     net::signal_set m_signals;
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Number of renewals of its entry after which an upstream that has started is in the list for certain.
+constexpr int ListingRenewals = 2;
+
 /// A seed from the system's entropy source.
 std::uint64_t randomSeed()
 {
@@ -14,6 +17,18 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+std::string commaSeparated(const std::set<std::string> &words)
+{
+    std::string text;
+    for (const std::string &word : words) {
+        if (!text.empty()) {
+            text += ',';
+        }
+        text += word;
+    }
+    return text;
+}
+
 }
 
 GatewayContext::GatewayContext(const GatewaySettings &hostSettings, PlatformPorts platformPorts, std::string processStartId)
@@ -21,15 +36,9 @@
     , ports(std::move(platformPorts))
     , startId(std::move(processStartId))
     , eventLog(settings.name, startId, settings.logBudget, eventlog::makeOutputWriter())
-    , directory([this](const directory::Upstream &upstream, std::string_view change) {
-        eventLog.write("upstream",
-                       eventlog::Importance::StateChange,
-                       {{"instance", upstream.entry.instance}, {"service", upstream.entry.service}, {"change", change}, {"zone", upstream.entry.zone}, {"version", upstream.entry.softwareVersion}});
-        if (change == "removed") {
-            balancer.forgetUpstream(upstream.entry.instance);
-        }
-    })
+    , directory([this](const directory::Upstream &upstream, std::string_view change) { handleUpstreamChange(upstream, change); })
     , listAvailability(settings.renewalInterval)
+    , runContinuity(settings.renewalInterval * ListingRenewals)
     , quotas(settings.quotas)
     , retryBudget(settings.retries)
     , upstreamLimits([this](const std::string &instance, std::optional<double> perSecond) {
@@ -52,12 +61,29 @@
                        eventlog::Importance::StateChange,
                        {{isRequest ? "fingerprint" : "part", number}, {"change", quarantine::name(change)}, {"crashes", static_cast<std::int64_t>(crashes)}});
     })
+    , softwareVersions([this](const std::string &service, const std::set<std::string> &versions) {
+        eventLog.write("software_versions", eventlog::Importance::StateChange, {{"service", service}, {"versions", commaSeparated(versions)}});
+    })
     , usageLedger(settings.usageWindow)
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
     , randomEngine(randomSeed())
 {
 }
 
+void GatewayContext::handleUpstreamChange(const directory::Upstream &upstream, std::string_view change)
+{
+    const directory::UpstreamEntry &entry = upstream.entry;
+    eventLog.write("upstream",
+                   eventlog::Importance::StateChange,
+                   {{"instance", entry.instance}, {"service", entry.service}, {"change", change}, {"zone", entry.zone}, {"version", entry.softwareVersion}});
+    if (change == "removed") {
+        balancer.forgetUpstream(entry.instance);
+        runContinuity.forget(entry.instance);
+    } else if (change == "listed") {
+        streamOrigins.noteRun(entry.instance, entry.softwareVersion, upstream.firstSeen - settings.renewalInterval * ListingRenewals);
+    }
+}
+
 double GatewayContext::randomFraction()
 {
     return std::uniform_real_distribution<double>(0, 1)(randomEngine);
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -2,6 +2,7 @@
 
 #include "balancing/upstreambalancer.h"
 #include "directory/listavailability.h"
+#include "directory/runcontinuity.h"
 #include "directory/upstreamdirectory.h"
 #include "duties/usageledger.h"
 #include "eventlog/eventlog.h"
@@ -16,6 +17,8 @@
 #include "limits/upstreampauses.h"
 #include "limits/workspacequotas.h"
 #include "quarantine/crashquarantine.h"
+#include "streams/streamorigins.h"
+#include "streams/versionhistory.h"
 
 #include <memory>
 #include <random>
@@ -35,12 +38,15 @@
     ActiveConfiguration configuration;
     directory::UpstreamDirectory directory;
     directory::ListAvailability listAvailability;
+    directory::RunContinuity runContinuity;
     balancing::UpstreamBalancer balancer;
     limits::WorkspaceQuotas quotas;
     limits::RetryBudget retryBudget;
     limits::UpstreamLimits upstreamLimits;
     limits::UpstreamPauses upstreamPauses;
     quarantine::CrashQuarantine quarantine;
+    streams::VersionHistory softwareVersions;
+    streams::StreamOrigins streamOrigins;
     duties::UsageLedger usageLedger;
     WallClockEstimator wallClock;
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
@@ -52,6 +58,10 @@
 
     /// A random number, uniformly distributed in [0, 1).
     double randomFraction();
+
+private:
+    /// Passes a change of the list of upstreams to the components that depend on it.
+    void handleUpstreamChange(const directory::Upstream &upstream, std::string_view change);
 };
 
 }
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t MaxDatagramBytes = 65'507;
 /// Number of usage windows in each datagram, the current one included.
 constexpr std::uint64_t SentUsageWindows = 3;
+/// Maximum number of streams in each datagram whose origin is not yet recorded.
+constexpr std::size_t MaxSentStreams = 200;
 /// Share of a quota that a host uses before it has heard from any peer; small, since the number of peers is unknown.
 constexpr double LoneHostShare = 0.05;
 /// Time that a newer configuration known to a peer has to arrive from the log, before it is fetched from that peer.
@@ -185,6 +187,8 @@
     status.outstanding = m_context.balancer.outstanding();
     status.upstreamLimits = m_context.upstreamLimits.reports(now);
     status.suspects = m_context.quarantine.reports(now);
+    status.versions = m_context.softwareVersions.reports(now);
+    status.streams = m_context.streamOrigins.unrecorded(m_context.softwareVersions.mixedServices(), MaxSentStreams);
     addUsageTo(status, now);
     for (const auto &[host, peer] : m_registry.peers()) {
         if (!peer.silent) {
@@ -247,6 +251,10 @@
     m_context.balancer.setPeerOutstanding(host, status.outstanding, now);
     m_context.upstreamLimits.apply(status.upstreamLimits, now);
     m_context.quarantine.apply(status.suspects, now);
+    for (const streams::VersionReport &report : status.versions) {
+        m_context.softwareVersions.apply(report, now);
+    }
+    m_context.streamOrigins.apply(status.streams, now);
     m_context.wallClock.notePeer(host, Duration(static_cast<Duration::rep>(status.wallUs)), now);
     if (status.listReachableMs && m_context.listAvailability.notePeer(std::chrono::milliseconds(*status.listReachableMs), now)) {
         m_context.eventLog.write(
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -80,6 +80,7 @@
     request.body = m_request.body;
 
     m_instance = upstream.instance;
+    m_upstream = upstream;
     m_dispatchedAt = now;
     m_framing.reset();
     m_triedInstances.insert(m_instance);
@@ -201,6 +202,7 @@
         bool callerConnected = true;
         if (!m_streamStarted) {
             m_streamStarted = true;
+            noteStreamBegan();
             http::Headers headers = endToEndHeaders(upstreamResponse.headers);
             callerConnected = co_await m_writer.begin(upstreamResponse.status, std::move(headers));
         }
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -30,6 +30,7 @@
     if (metadata.attemptId != m_callerRequest.attemptId || upstreamResponse.status == 421) {
         return;
     }
+    m_context.runContinuity.noteAnswer(m_instance, hostNow());
     if (metadata.leaving) {
         m_context.directory.noteLeaving(m_instance);
     }
@@ -57,6 +58,10 @@
 
 void RequestSession::noteBroken(const http::ClientFailure &failure)
 {
+    const bool broken = failure.error == http::ClientError::Closed || failure.error == http::ClientError::SendFailed;
+    if (failure.error == http::ClientError::ConnectFailed || (broken && !m_context.upstreamConnections->hasOpen(m_upstream.endpoint))) {
+        m_context.runContinuity.noteConnectionsLost(m_instance, hostNow());
+    }
     // Silence and bytes that are no answer come from the network or a faulty upstream, not from a crash.
     if (failure.error == http::ClientError::Closed && !m_writer.callerGone()) {
         m_context.quarantine.noteBroken(requestTraits(), m_instance, hostNow());
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -35,6 +35,9 @@
 
 std::optional<balancing::Choice> RequestSession::chooseUpstream(TimePoint now)
 {
+    if (m_streamStarted && (!m_continuedVersion || !m_eventSplitter.lastId())) {
+        return std::nullopt; // No upstream can be told where, or by which version, the stream was broken off.
+    }
     std::vector<balancing::Candidate> candidates;
     const routing::Service *const service = m_routeTable->service(m_service);
     const std::uint32_t maxRequests = limits::connectionShare(service != nullptr ? service->maxConnections : 0, m_context.hostCount);
@@ -42,7 +45,7 @@
     std::optional<Duration> earliestPause; ///< Time until the first of the upstreams that pause may be sent requests again.
     for (const directory::Upstream *const upstream : m_context.directory.usable(m_service, now)) {
         const directory::UpstreamEntry &entry = upstream->entry;
-        if (m_triedInstances.contains(entry.instance)) {
+        if (m_triedInstances.contains(entry.instance) || (m_continuedVersion && !mayBeContinuedBy(*upstream, *m_continuedVersion))) {
             continue;
         }
         if (const std::optional<Duration> pause = m_context.upstreamPauses.remaining(entry.instance, now)) {
@@ -66,6 +69,9 @@
             m_reason = "upstreams_paused";
             m_retryAfter = *earliestPause;
             m_retryNotEarlier = true;
+        } else if (m_continuedVersion && streamVersionGone(now)) {
+            m_reason = "stream_version_gone";
+            m_retryInVain = true;
         } else {
             m_reason = "no_upstream";
         }
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -41,8 +41,9 @@
 
 }
 
-RequestSession::RequestSession(GatewayContext &context, http::Request request, http::IResponseWriter &writer)
+RequestSession::RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer)
     : m_context(context)
+    , m_streamRegistry(streamRegistry)
     , m_request(std::move(request))
     , m_writer(writer)
     , m_arrivedAt(hostNow())
@@ -63,6 +64,13 @@
             self->m_exchange->cancel();
         }
     });
+    if (callerResumes()) {
+        const bool mayBeContinued = co_await findStreamOrigin();
+        if (!mayBeContinued) {
+            co_await respondWithFailure();
+            co_return;
+        }
+    }
     while (true) {
         const TimePoint now = hostNow();
         if (const std::optional<quarantine::Rejection> rejection = m_context.quarantine.admit(requestTraits(), now)) {
@@ -213,7 +221,7 @@
         if (m_quotaCost > 0) {
             m_context.quotas.refund(m_workspace->name, m_quotaCost);
         }
-        co_await reject(503, m_reason, m_retryAfter.value_or(UpstreamRetryDelay));
+        co_await reject(503, m_reason, m_retryInVain ? std::nullopt : std::optional<Duration>(m_retryAfter.value_or(UpstreamRetryDelay)));
         co_return;
     }
     const bool timedOut = remainingTime(hostNow()) <= 2 * ResponseMargin;
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -3,6 +3,7 @@
 #include "gateway/internal/attemptstate.h"
 #include "gateway/internal/eventsplitter.h"
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/streamregistry.h"
 #include "http/ihttpclient.h"
 #include "http/ihttpserver.h"
 
@@ -15,7 +16,7 @@
 class RequestSession : public std::enable_shared_from_this<RequestSession>
 {
 public:
-    RequestSession(GatewayContext &context, http::Request request, http::IResponseWriter &writer);
+    RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer);
 
     /// Sends the caller a response, or closes the connection when a response that was started cannot be completed.
     boost::asio::awaitable<void> run();
@@ -51,6 +52,18 @@
     boost::asio::awaitable<void> reject(int status, std::string_view reason, std::optional<Duration> retryAfter);
     boost::asio::awaitable<void> respond(http::Response response);
 
+    /// Whether the caller resumes a stream that broke off in an earlier attempt.
+    [[nodiscard]] bool callerResumes() const;
+    /// Finds out which software version began the stream that the caller resumes. Returns false, with the reason set, when no upstream may continue it.
+    boost::asio::awaitable<bool> findStreamOrigin();
+    /// Records which software version began the stream, before its first event is passed on.
+    void noteStreamBegan();
+    /// Whether @p upstream may continue a stream that @p softwareVersion began.
+    [[nodiscard]] bool mayBeContinuedBy(const directory::Upstream &upstream, const std::string &softwareVersion) const;
+    /// Whether no upstream of the version that began the stream is left.
+    [[nodiscard]] bool streamVersionGone(TimePoint now) const;
+    [[nodiscard]] streams::StreamKey streamKey(std::string_view attemptId) const;
+
     [[nodiscard]] std::optional<balancing::Choice> chooseUpstream(TimePoint now);
     /// Whether the request may be sent to an upstream again now; takes one retry from the budget if so and it was sent before.
     [[nodiscard]] bool mayRetry(TimePoint now);
@@ -71,6 +84,7 @@
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
 
     GatewayContext &m_context;
+    StreamRegistry &m_streamRegistry;
     const http::Request m_request;
     http::IResponseWriter &m_writer;
     const TimePoint m_arrivedAt;
@@ -84,6 +98,7 @@
     TimePoint m_deadline;            ///< The earlier of the caller's deadline and the end of the route's timeout.
     std::optional<AttemptState> m_attemptState;
     std::optional<Duration> m_retryAfter; ///< Retry-After of a rejection, before it is randomized.
+    bool m_retryInVain = false;           ///< No later retry can be served either, so that the rejection names no time for one.
     bool m_retryNotEarlier = false;       ///< A retry before m_retryAfter has passed would be rejected again.
     int m_rejectionStatus = 0;
     std::string m_reason; ///< Why the request was rejected, or the last dispatch failed.
@@ -91,9 +106,11 @@
     std::shared_ptr<http::IExchange> m_exchange; ///< Exchange with the upstream of the current dispatch.
     std::uint64_t m_balancerAttempt = 0;         ///< Number of the current dispatch at the balancer.
     std::set<std::string> m_triedInstances;
-    TimePoint m_dispatchedAt;                   ///< Time of the last dispatch.
-    std::string m_instance;                     ///< Upstream instance of the last dispatch.
-    std::optional<http::BodyFraming> m_framing; ///< Of the response to the last dispatch; nothing until its head is received.
+    TimePoint m_dispatchedAt;                      ///< Time of the last dispatch.
+    std::string m_instance;                        ///< Upstream instance of the last dispatch.
+    directory::UpstreamEntry m_upstream;           ///< Entry of that instance at the time of the dispatch.
+    std::optional<std::string> m_continuedVersion; ///< The software version that began the stream, once it is known; only upstreams of it may continue it.
+    std::optional<http::BodyFraming> m_framing;    ///< Of the response to the last dispatch; nothing until its head is received.
     EventSplitter m_eventSplitter;
     std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
--- a/src/gateway/internal/upstreamfollower.cpp
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -21,27 +21,55 @@
 
 UpstreamFollower::UpstreamFollower(GatewayContext &context)
     : m_context(context)
+    , m_read([this] { return read(); })
 {
 }
 
 net::awaitable<void> UpstreamFollower::run()
 {
     while (true) {
-        ports::LogFailure failure;
-        bool succeeded = false;
-        if (m_offset) {
-            succeeded = co_await readNext(failure);
-        } else {
-            succeeded = co_await readNewest(failure);
-        }
-        updateReachable(succeeded, failure.detail);
-        dropMissingEntries();
+        const bool succeeded = co_await m_read.run();
         if (m_offset || !succeeded) {
             co_await pause(delayAfter(succeeded));
         }
     }
 }
 
+net::awaitable<bool> UpstreamFollower::refresh()
+{
+    bool succeeded = co_await m_read.run();
+    if (succeeded && !m_offset) { // The log had lost its history.
+        succeeded = co_await m_read.run();
+    }
+    co_return succeeded;
+}
+
+net::awaitable<bool> UpstreamFollower::read()
+{
+    const TimePoint startedAt = hostNow();
+    ports::LogFailure failure;
+    bool succeeded = false;
+    if (m_offset) {
+        succeeded = co_await readNext(failure);
+    } else {
+        succeeded = co_await readNewest(failure);
+    }
+    updateReachable(succeeded, failure.detail);
+    dropMissingEntries();
+    noteVersions(hostNow());
+    if (succeeded && m_offset) {
+        m_context.runContinuity.noteListRead(startedAt);
+    }
+    co_return succeeded;
+}
+
+void UpstreamFollower::noteVersions(TimePoint now)
+{
+    for (const auto &[instance, upstream] : m_context.directory.all()) {
+        m_context.softwareVersions.noteListed({upstream.entry.service, upstream.entry.softwareVersion}, now);
+    }
+}
+
 std::chrono::milliseconds UpstreamFollower::delayAfter(bool succeeded) const
 {
     if (!succeeded) {
@@ -108,6 +136,7 @@
         if (!record.value) {
             m_context.directory.remove(record.key, now, m_context.listAvailability.unsettled(now));
         } else if (const std::optional<directory::UpstreamEntry> entry = parseEntry(record)) {
+            m_context.softwareVersions.noteListed({entry->service, entry->softwareVersion}, now); // It may be gone again by the end of the batch.
             m_context.directory.apply(*entry, now);
         }
     }
--- a/src/gateway/internal/upstreamfollower.h
+++ b/src/gateway/internal/upstreamfollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/sharedread.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -14,10 +15,13 @@
 
     /// Reads the topic until the process ends; never returns.
     boost::asio::awaitable<void> run();
+    /// Reads the changes of the list that were made before this call. Returns whether that succeeded.
+    boost::asio::awaitable<bool> refresh();
     /// Whether the list of upstreams was read at least once.
     [[nodiscard]] bool listRead() const;
 
 private:
+    boost::asio::awaitable<bool> read();
     boost::asio::awaitable<bool> readNewest(ports::LogFailure &failure);
     boost::asio::awaitable<bool> readNext(ports::LogFailure &failure);
     [[nodiscard]] std::optional<directory::UpstreamEntry> parseEntry(const ports::Record &record) const;
@@ -26,7 +30,11 @@
     void dropMissingEntries();
     void updateReachable(bool reachable, std::string_view reason);
 
+    /// Notes the software versions of the listed upstreams.
+    void noteVersions(TimePoint now);
+
     GatewayContext &m_context;
+    SharedRead m_read;
     std::optional<std::uint64_t> m_offset; ///< Offset of the next read; nothing when the newest records must be read first.
     bool m_listRead = false;
 };
--- a/src/gossip/internal/peerstatus.cpp
+++ b/src/gossip/internal/peerstatus.cpp
@@ -112,6 +112,46 @@
     return true;
 }
 
+Json::Value toJson(const streams::VersionReport &report)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(report.version.service);
+    value.append(report.version.softwareVersion);
+    value.append(report.ageMs);
+    return value;
+}
+
+/// Reads software versions, which hosts of an earlier version do not send; returns false when they are malformed.
+bool readVersions(const Json::Value &value, std::vector<streams::VersionReport> &versions)
+{
+    if (value.isNull()) {
+        return true;
+    }
+    if (!value.isArray()) {
+        return false;
+    }
+    for (const Json::Value &entry : value) {
+        if (!entry.isArray() || entry.size() != 3 || !entry[0].isString() || !entry[1].isString() || !entry[2].isUInt64()) {
+            return false;
+        }
+        versions.push_back({{entry[0].asString(), entry[1].asString()}, entry[2].asUInt64()});
+    }
+    return true;
+}
+
+/// Reads the origins of streams, which hosts of an earlier version do not send; returns false when they are malformed.
+bool readStreams(const Json::Value &value, streams::OriginReport &streams)
+{
+    if (value.isNull()) {
+        return true;
+    }
+    std::optional<streams::OriginReport> report = streams::originReport(value);
+    if (report) {
+        streams = std::move(*report);
+    }
+    return report.has_value();
+}
+
 bool readUsage(const Json::Value &value, std::map<std::uint64_t, std::map<std::string, duties::UsageCounts>> &usage)
 {
     if (!value.isArray()) {
@@ -185,6 +225,12 @@
     for (const limits::LimitReport &report : status.upstreamLimits) {
         value["upstream_limits"].append(toJson(report));
     }
+    for (const streams::VersionReport &report : status.versions) {
+        value["versions"].append(toJson(report));
+    }
+    if (status.streams.size() > 0) {
+        value["streams"] = streams::toJson(status.streams);
+    }
     for (const quarantine::SuspectReport &report : status.suspects) {
         value[suspectsName(report.id.kind)].append(quarantine::toJson(report));
     }
@@ -227,8 +273,8 @@
     status.holdsDuties = boolMember(*value, "holds_duties", false);
     if (!readRates((*value)["demand"], status.demand) || !readCounts((*value)["used"], status.used) || !readRates((*value)["busy"], status.busy)
         || !readOutstanding((*value)["outstanding"], status.outstanding) || !readUsage((*value)["usage"], status.usage)
-        || !readUpstreamLimits((*value)["upstream_limits"], status.upstreamLimits)
-        || !readSuspects(*value, quarantine::SuspectKind::PromptPart, status.suspects)
+        || !readUpstreamLimits((*value)["upstream_limits"], status.upstreamLimits) || !readVersions((*value)["versions"], status.versions)
+        || !readStreams((*value)["streams"], status.streams) || !readSuspects(*value, quarantine::SuspectKind::PromptPart, status.suspects)
         || !readSuspects(*value, quarantine::SuspectKind::Request, status.suspects)) {
         return std::nullopt;
     }
--- a/src/gossip/peerstatus.h
+++ b/src/gossip/peerstatus.h
@@ -5,6 +5,8 @@
 #include "duties/usageledger.h"
 #include "limits/upstreamlimits.h"
 #include "quarantine/quarantinetypes.h"
+#include "streams/originreport.h"
+#include "streams/versionhistory.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +40,8 @@
     std::map<std::uint64_t, std::map<std::string, duties::UsageCounts>> usage;
     std::vector<limits::LimitReport> upstreamLimits; ///< Limits on requests that upstreams state.
     std::vector<quarantine::SuspectReport> suspects; ///< Prompt parts and equal requests that may crash upstreams.
+    std::vector<streams::VersionReport> versions;    ///< Software versions of the services that have several.
+    streams::OriginReport streams;                   ///< Streams whose origin the sender has not yet recorded in the platform's log.
     std::vector<std::string> peers;                  ///< Addresses of the peers from which the sender has recently received a status.
 
     bool operator==(const PeerStatus &) const = default;
--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -29,6 +29,8 @@
     void keep(const Endpoint &endpoint, std::unique_ptr<ClientConnection> connection, std::optional<std::chrono::milliseconds> idleTimeout);
     /// Closes all idle connections to @p endpoint.
     void drop(const Endpoint &endpoint);
+    /// Whether an idle connection to @p endpoint is still open, so that the process that it was opened to still runs.
+    [[nodiscard]] bool hasOpen(const Endpoint &endpoint) const;
     /// Closes connections that have been idle for too long.
     void closeExpired();
     /// Number of idle connections.
--- a/src/http/internal/connectionpool.cpp
+++ b/src/http/internal/connectionpool.cpp
@@ -67,6 +67,12 @@
     m_idle.erase(endpoint.text());
 }
 
+bool ConnectionPool::hasOpen(const Endpoint &endpoint) const
+{
+    const auto found = m_idle.find(endpoint.text());
+    return found != m_idle.end() && std::ranges::any_of(found->second, [](const IdleConnection &idle) { return isReusable(*idle.connection); });
+}
+
 void ConnectionPool::closeExpired()
 {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
--- a/src/ports/iplatformlog.h
+++ b/src/ports/iplatformlog.h
@@ -14,9 +14,11 @@
 
 /// Topics of the platform log that gateways read or write.
 enum class Topic : std::uint8_t {
-    Configuration, ///< Configuration, written by operators.
-    Upstreams,     ///< Directory entries, written by the upstreams themselves.
-    Duties,        ///< Lease on the singleton duties, written by gateways.
+    Configuration,    ///< Configuration, written by operators.
+    Upstreams,        ///< Directory entries, written by the upstreams themselves.
+    Duties,           ///< Lease on the singleton duties, written by gateways.
+    SoftwareVersions, ///< Software versions of services whose streams may still be resumed, written by gateways.
+    StreamOrigins,    ///< Software versions that began streams, written by gateways. Its records are not kept by key and expire.
 };
 
 /// One record of a topic. A record without a value is a tombstone: it deletes the key.
@@ -35,9 +37,11 @@
 /// Consecutive records of a topic, as returned by one read.
 struct RecordBatch {
     std::vector<Record> records;
-    std::uint64_t nextOffset = 0; ///< Offset to continue reading from.
-    std::uint64_t skipped = 0;    ///< Number of records that could not be parsed.
-    bool historyLost = false;     ///< The log no longer has the requested offset; read the newest records instead.
+    std::uint64_t nextOffset = 0;  ///< Offset to continue reading from.
+    std::uint64_t endOffset = 0;   ///< Offset after the last record of the topic.
+    std::uint64_t skipped = 0;     ///< Number of records that could not be parsed.
+    bool historyLost = false;      ///< The log no longer has the requested offset; read the newest records, or continue from firstOffset.
+    std::uint64_t firstOffset = 0; ///< The first offset that the log still has; set with historyLost.
 };
 
 /// Result of an append.
--- /dev/null
+++ b/src/streams/tests/versionhistorytests.cpp
@@ -0,0 +1,93 @@
+#include "streams/versionhistory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift;
+using namespace rosemaryshift::streams;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1000s};
+const ServiceVersion First{"models", "v1"};
+const ServiceVersion Second{"models", "v2"};
+
+}
+
+TEST_CASE("A version may have begun a stream while its upstreams are listed and for a while after")
+{
+    VersionHistory history;
+    history.noteListed(First, Start);
+    CHECK(history.versions("models") == std::set<std::string>{"v1"});
+    CHECK(history.mixedServices().empty());
+    history.noteListed(Second, Start + 5s);
+    CHECK(history.mixedServices() == std::set<std::string>{"models"});
+
+    SECTION("until its streams can no longer be resumed")
+    {
+        history.noteListed(Second, Start + 60s);
+        CHECK(history.expire(Start + 60s).empty());
+        CHECK(history.versions("models").size() == 2);
+        history.expire(Start + 61s);
+        CHECK(history.versions("models") == std::set<std::string>{"v2"});
+    }
+    SECTION("its record is to be removed then")
+    {
+        history.noteRecorded(First, Start + 5s);
+        history.noteListed(Second, Start + 61s);
+        CHECK(history.expire(Start + 61s) == std::vector<ServiceVersion>{First});
+        CHECK(history.expire(Start + 62s).empty());
+    }
+}
+
+TEST_CASE("A host that has just started takes the recorded versions for possible")
+{
+    VersionHistory history;
+    history.noteListed(Second, Start);
+    history.noteRecorded(First, Start);
+    CHECK(history.versions("models") == std::set<std::string>{"v1", "v2"});
+    CHECK(history.unrecorded() == std::vector<ServiceVersion>{Second});
+    history.noteRecorded(Second, Start);
+    CHECK(history.unrecorded().empty());
+
+    SECTION("for the time that its own observation takes to show that they are gone")
+    {
+        history.noteListed(Second, Start + 61s);
+        history.expire(Start + 61s);
+        CHECK(history.versions("models") == std::set<std::string>{"v2"});
+    }
+}
+
+TEST_CASE("Hosts tell each other the versions of services that have several")
+{
+    VersionHistory first;
+    VersionHistory second;
+    first.noteListed(First, Start);
+    CHECK(first.reports(Start).empty());
+    first.noteListed(Second, Start + 2s);
+    const std::vector<VersionReport> reports = first.reports(Start + 3s);
+    REQUIRE(reports.size() == 2);
+    second.noteListed(First, Start);
+    for (const VersionReport &report : reports) {
+        second.apply(report, Start + 3s);
+    }
+    CHECK(second.mixedServices() == std::set<std::string>{"models"});
+
+    SECTION("reports that go back and forth do not extend the time of a version that is gone")
+    {
+        for (std::chrono::seconds time = 3s; time < 70s; time += 1s) {
+            first.noteListed(First, Start + time);
+            second.noteListed(First, Start + time);
+            for (const VersionReport &report : first.reports(Start + time)) {
+                second.apply(report, Start + time);
+            }
+            for (const VersionReport &report : second.reports(Start + time)) {
+                first.apply(report, Start + time);
+            }
+            first.expire(Start + time);
+            second.expire(Start + time);
+        }
+        CHECK(first.versions("models") == std::set<std::string>{"v1"});
+        CHECK(second.versions("models") == std::set<std::string>{"v1"});
+    }
+}
