Forward requests to a peer while a host reaches no upstream

Cause: a host knew one way to an upstream, its own, and took its failure for that of the upstreams.

A host that finds three upstreams of a service unreached in a row, without an answer in between, forwards requests that are known not to have run to a peer that reaches the service. The peer handles them like its own, charges quota, budgets and limits, and does not forward again; a token that only peers learn closes the way to outsiders. Services that nobody reaches are told to all, so that their requests do not go round.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -5,6 +5,8 @@
 #include "gateway/internal/dutyrunner.h"
 #include "gateway/internal/gossipendpoint.h"
 #include "gateway/internal/hostclock.h"
+#include "gateway/internal/peerheaders.h"
+#include "gateway/internal/reachprober.h"
 #include "gateway/internal/requestsession.h"
 #include "gateway/internal/streamregistry.h"
 #include "gateway/internal/upstreamfollower.h"
@@ -31,6 +33,9 @@
 /// Interval at which a stopping process checks whether all requests and connections have ended.
 constexpr std::chrono::milliseconds DrainPollInterval{50};
 
+/// Allowance for the headers that a peer adds to a request that it forwards.
+constexpr std::uint32_t PeerHeaderBytes = 512;
+
 http::Response textResponse(int status, std::string body)
 {
     http::Response response;
@@ -66,8 +71,10 @@
         , m_streamRegistry(m_context, m_upstreamFollower)
         , m_gossip(m_context, m_configurationFollower, m_usageCollector)
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
+        , m_reachProber(m_context)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
+        m_context.peers = &m_gossip.registry();
         m_gossip.setSeeds(seedAddresses(settings.seeds));
     }
 
@@ -78,7 +85,7 @@
             m_io,
             settings.callerListener,
             {},
-            [this](http::Request request, http::IResponseWriter &writer) { return serve(std::move(request), writer); },
+            [this](http::Request request, http::IResponseWriter &writer) { return serve(std::move(request), writer, false); },
             reason);
         m_readinessServer = http::makeHttpServer(
             m_io,
@@ -90,9 +97,7 @@
             m_io,
             settings.peerListener,
             {},
-            [this](http::Request, http::IResponseWriter &writer) {
-                return sendResponse(writer, textResponse(m_context.configuration.version() > 0 ? 200 : 503, m_context.configuration.text()));
-            },
+            [this](http::Request request, http::IResponseWriter &writer) { return servePeer(std::move(request), writer); },
             reason);
         if (!m_callerServer || !m_readinessServer || !m_peerServer || !m_gossip.open(m_io, reason)) {
             return false;
@@ -118,6 +123,7 @@
         startTask(m_io.get_executor(), m_configurationFollower.run());
         startTask(m_io.get_executor(), m_upstreamFollower.run());
         startTask(m_io.get_executor(), m_streamRegistry.run());
+        startTask(m_io.get_executor(), m_reachProber.run());
         startTask(m_io.get_executor(), m_gossip.send());
         startTask(m_io.get_executor(), m_gossip.receive());
         startTask(m_io.get_executor(), runMaintenance());
@@ -131,10 +137,28 @@
     }
 
 private:
-    net::awaitable<void> serve(http::Request request, http::IResponseWriter &writer)
+    /// Answers a peer: with the configuration, or by handling a request that the peer forwards.
+    net::awaitable<void> servePeer(http::Request request, http::IResponseWriter &writer)
+    {
+        const std::optional<std::string_view> token = request.headers.find(PeerTokenHeader);
+        if (!token) {
+            http::Response response = textResponse(m_context.configuration.version() > 0 ? 200 : 503, m_context.configuration.text());
+            co_await writer.respond(std::move(response));
+            co_return;
+        }
+        if (!equalSecrets(*token, m_context.forwardingToken)) {
+            http::Response response = textResponse(403, {});
+            co_await writer.respond(std::move(response));
+            co_return;
+        }
+        request.headers = withoutHeader(request.headers, PeerTokenHeader);
+        co_await serve(std::move(request), writer, true);
+    }
+
+    net::awaitable<void> serve(http::Request request, http::IResponseWriter &writer, bool fromPeer)
     {
         ++m_openRequests;
-        const std::shared_ptr<RequestSession> session = std::make_shared<RequestSession>(m_context, m_streamRegistry, std::move(request), writer);
+        const std::shared_ptr<RequestSession> session = std::make_shared<RequestSession>(m_context, m_streamRegistry, std::move(request), writer, fromPeer);
         co_await session->run();
         --m_openRequests;
     }
@@ -155,6 +179,8 @@
         limits.headerTimeout = configuration.limits.headerTimeout;
         limits.idleTimeout = configuration.limits.idleTimeout;
         m_callerServer->setLimits(limits);
+        limits.headerBytes += PeerHeaderBytes;
+        m_peerServer->setLimits(limits);
     }
 
     net::awaitable<void> runMaintenance()
@@ -163,6 +189,7 @@
         while (true) {
             m_context.eventLog.flush();
             m_context.upstreamConnections->closeExpired();
+            m_context.peerConnections->closeExpired();
             if (hostNow() - reloadedAt > SettingsReloadInterval) {
                 reloadedAt = hostNow();
                 reload("interval");
@@ -249,6 +276,7 @@
     StreamRegistry m_streamRegistry;
     GossipEndpoint m_gossip;
     DutyRunner m_dutyRunner;
+    ReachProber m_reachProber;
     net::signal_set m_signals;
     std::unique_ptr<http::IHttpServer> m_callerServer;
     std::unique_ptr<http::IHttpServer> m_readinessServer;
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -39,6 +39,9 @@
     , directory([this](const directory::Upstream &upstream, std::string_view change) { handleUpstreamChange(upstream, change); })
     , listAvailability(settings.renewalInterval)
     , runContinuity(settings.renewalInterval * ListingRenewals)
+    , upstreamReach([this](const std::string &service, bool reached) {
+        eventLog.write("service_reach", eventlog::Importance::StateChange, {{"service", service}, {"change", reached ? "reached" : "unreached"}});
+    })
     , quotas(settings.quotas)
     , retryBudget(settings.retries)
     , upstreamLimits([this](const std::string &instance, std::optional<double> perSecond) {
@@ -66,6 +69,8 @@
     })
     , usageLedger(settings.usageWindow)
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
+    , peerConnections(std::make_shared<http::ConnectionPool>())
+    , forwardingToken(randomId())
     , randomEngine(randomSeed())
 {
 }
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -4,6 +4,7 @@
 #include "directory/listavailability.h"
 #include "directory/runcontinuity.h"
 #include "directory/upstreamdirectory.h"
+#include "directory/upstreamreach.h"
 #include "duties/usageledger.h"
 #include "eventlog/eventlog.h"
 #include "gateway/gatewaysettings.h"
@@ -11,6 +12,7 @@
 #include "gateway/internal/activeconfiguration.h"
 #include "gateway/internal/gatewaymetrics.h"
 #include "gateway/internal/wallclockestimator.h"
+#include "gossip/peerregistry.h"
 #include "http/connectionpool.h"
 #include "limits/retrybudget.h"
 #include "limits/upstreamlimits.h"
@@ -39,6 +41,7 @@
     directory::UpstreamDirectory directory;
     directory::ListAvailability listAvailability;
     directory::RunContinuity runContinuity;
+    directory::UpstreamReach upstreamReach;
     balancing::UpstreamBalancer balancer;
     limits::WorkspaceQuotas quotas;
     limits::RetryBudget retryBudget;
@@ -50,6 +53,9 @@
     duties::UsageLedger usageLedger;
     WallClockEstimator wallClock;
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
+    std::shared_ptr<http::ConnectionPool> peerConnections;
+    const std::string forwardingToken;           ///< Random; peers present it with the requests that they forward to this process.
+    const gossip::PeerRegistry *peers = nullptr; ///< The known peers; set before requests are served.
     std::mt19937_64 randomEngine;
     std::set<std::string> silentZones; ///< Availability zones whose known gateways are all silent.
     std::size_t hostCount = 1;         ///< Number of gateways: this one and its known peers.
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -25,8 +25,6 @@
 constexpr std::uint64_t SentUsageWindows = 3;
 /// Maximum number of streams in each datagram whose origin is not yet recorded.
 constexpr std::size_t MaxSentStreams = 200;
-/// Share of a quota that a host uses before it has heard from any peer; small, since the number of peers is unknown.
-constexpr double LoneHostShare = 0.05;
 /// Time that a newer configuration known to a peer has to arrive from the log, before it is fetched from that peer.
 constexpr std::chrono::milliseconds PeerFetchDelay{250};
 /// Timeout of fetching a configuration from a peer.
@@ -38,13 +36,6 @@
     return host + "/" + start;
 }
 
-/// Requested rate of @p workspace per second, in the unit of its quota, as @p peer last reported it; 0 when it reported none.
-double demandOf(const gossip::Peer &peer, const std::string &workspace)
-{
-    const auto found = peer.status.demand.find(workspace);
-    return found == peer.status.demand.end() ? 0 : found->second;
-}
-
 std::uint64_t microsecondsOf(TimePoint time)
 {
     return static_cast<std::uint64_t>(time.time_since_epoch().count());
@@ -187,6 +178,8 @@
     status.outstanding = m_context.balancer.outstanding();
     status.upstreamLimits = m_context.upstreamLimits.reports(now);
     status.suspects = m_context.quarantine.reports(now);
+    status.forwardingToken = m_context.forwardingToken;
+    status.unreachedServices = m_context.upstreamReach.unreachedServices();
     status.versions = m_context.softwareVersions.reports(now);
     status.streams = m_context.streamOrigins.unrecorded(m_context.softwareVersions.mixedServices(), MaxSentStreams);
     addUsageTo(status, now);
@@ -302,39 +295,6 @@
     m_fetchingConfiguration = false;
 }
 
-void GossipEndpoint::updateShares(TimePoint now)
-{
-    const std::size_t hosts = m_registry.hostCount();
-    m_context.hostCount = hosts;
-    m_context.retryBudget.setHosts(hosts);
-    m_context.upstreamLimits.setHosts(m_context.settings.address, m_registry.otherHostAddresses(), now);
-    m_context.quotas.setPooled(hosts > 1, now);
-    const std::map<std::string, double> own = m_context.quotas.demand(now);
-    for (const auto &[workspace, demand] : own) {
-        double total = demand;
-        double silentShare = 0;
-        std::size_t reachableHosts = 1;
-        for (const auto &[host, peer] : m_registry.peers()) {
-            if (peer.silent) {
-                silentShare += m_peerShares[host][workspace];
-            } else {
-                total += demandOf(peer, workspace);
-                ++reachableHosts;
-            }
-        }
-        // Silent peers may still use the shares that they computed before contact was lost.
-        const double available = std::max(1 - silentShare, 0.0);
-        if (!m_registry.anySilent()) {
-            for (const auto &[host, peer] : m_registry.peers()) {
-                m_peerShares[host][workspace] = limits::quotaShare(demandOf(peer, workspace), total, hosts);
-            }
-        }
-        const double share = hosts > 1 ? available * limits::quotaShare(demand, total, reachableHosts) : LoneHostShare;
-        m_context.quotas.setShare(workspace, share, now);
-        m_context.quotas.setPooledFraction(workspace, available, now);
-    }
-}
-
 void GossipEndpoint::announceLeaving()
 {
     const TimePoint now = hostNow();
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/endtoendheaders.h"
 #include "gateway/internal/hostclock.h"
+#include "gateway/internal/peerheaders.h"
 #include "gateway/internal/requestsession.h"
 
 #include <boost/asio.hpp>
@@ -79,6 +80,7 @@
     request.headers = endToEndHeaders(m_context.ports.messageCodec->dispatchHeaders(m_request, dispatch));
     request.body = m_request.body;
 
+    m_viaPeer = false;
     m_instance = upstream.instance;
     m_upstream = upstream;
     m_dispatchedAt = now;
@@ -130,6 +132,7 @@
             m_attemptState->noteNotSent();
         }
         noteBroken(failure);
+        noteUnreached(failure);
         m_reason = "no_answer: " + failure.detail;
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
@@ -204,6 +207,9 @@
             m_streamStarted = true;
             noteStreamBegan();
             http::Headers headers = endToEndHeaders(upstreamResponse.headers);
+            if (m_fromPeer) {
+                headers.add(PeerAnswerHeader, "1");
+            }
             callerConnected = co_await m_writer.begin(upstreamResponse.status, std::move(headers));
         }
         if (callerConnected) {
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -31,6 +31,7 @@
         return;
     }
     m_context.runContinuity.noteAnswer(m_instance, hostNow());
+    m_context.upstreamReach.noteReached(m_service);
     if (metadata.leaving) {
         m_context.directory.noteLeaving(m_instance);
     }
@@ -58,6 +59,9 @@
 
 void RequestSession::noteBroken(const http::ClientFailure &failure)
 {
+    if (m_viaPeer) {
+        return;
+    }
     const bool broken = failure.error == http::ClientError::Closed || failure.error == http::ClientError::SendFailed;
     if (failure.error == http::ClientError::ConnectFailed || (broken && !m_context.upstreamConnections->hasOpen(m_upstream.endpoint))) {
         m_context.runContinuity.noteConnectionsLost(m_instance, hostNow());
@@ -76,7 +80,7 @@
     if (!m_firstByteLatency) {
         m_firstByteLatency = now - m_arrivedAt;
     }
-    if (!m_usageCounted && m_workspace != nullptr) {
+    if (!m_usageCounted && m_workspace != nullptr && !m_viaPeer) {
         m_usageCounted = true;
         m_context.usageLedger.count(m_workspace->name, m_context.wallClock.sinceEpoch(now));
     }
--- a/src/gateway/internal/requestresumption.cpp
+++ b/src/gateway/internal/requestresumption.cpp
@@ -54,7 +54,7 @@
 
 void RequestSession::noteStreamBegan()
 {
-    if (!m_route->resumable) {
+    if (!m_route->resumable || m_viaPeer) {
         return;
     }
     const TimePoint now = hostNow();
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/internal/endtoendheaders.h"
 #include "gateway/internal/hostclock.h"
+#include "gateway/internal/peerheaders.h"
 #include "quarantine/requestfingerprint.h"
 
 #include <boost/asio.hpp>
@@ -41,11 +42,12 @@
 
 }
 
-RequestSession::RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer)
+RequestSession::RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer, bool fromPeer)
     : m_context(context)
     , m_streamRegistry(streamRegistry)
     , m_request(std::move(request))
     , m_writer(writer)
+    , m_fromPeer(fromPeer)
     , m_arrivedAt(hostNow())
     , m_deadline(m_arrivedAt + DefaultTimeout)
 {
@@ -64,13 +66,6 @@
             self->m_exchange->cancel();
         }
     });
-    if (callerResumes()) {
-        const bool mayBeContinued = co_await findStreamOrigin();
-        if (!mayBeContinued) {
-            co_await respondWithFailure();
-            co_return;
-        }
-    }
     while (true) {
         const TimePoint now = hostNow();
         if (const std::optional<quarantine::Rejection> rejection = m_context.quarantine.admit(requestTraits(), now)) {
@@ -78,12 +73,22 @@
             m_retryAfter = rejection->wait;
             break;
         }
-        const std::optional<balancing::Choice> choice = chooseUpstream(now);
-        if (!choice) {
-            break;
+        DispatchResult result = DispatchResult::TryAnother;
+        if (const gossip::Peer *const peer = peerToForwardTo(now)) {
+            gossip::PeerStatus receiver = peer->status;
+            result = co_await forwardToPeer(std::move(receiver));
+        } else {
+            const bool prepared = co_await prepareDispatch();
+            if (!prepared) {
+                co_return;
+            }
+            const std::optional<balancing::Choice> choice = chooseUpstream(now);
+            if (!choice) {
+                break;
+            }
+            const directory::UpstreamEntry upstream = m_context.directory.find(choice->instance)->entry;
+            result = co_await dispatchTo(*choice, upstream);
         }
-        const directory::UpstreamEntry upstream = m_context.directory.find(choice->instance)->entry;
-        const DispatchResult result = co_await dispatchTo(*choice, upstream);
         if (result == DispatchResult::Done) {
             co_return;
         }
@@ -165,6 +170,15 @@
                                                     m_request.method,
                                                     m_request.target,
                                                     m_request.body});
+    m_attemptState.emplace(m_route->repeatable(), m_route->maxAttempts);
+    return true;
+}
+
+bool RequestSession::chargeQuota()
+{
+    if (m_charged) {
+        return true;
+    }
     if (m_workspace != nullptr) {
         const bool countsTokens = m_workspace->unit == routing::QuotaUnit::Tokens;
         const double tokenCount = m_callerRequest.promptTokens ? static_cast<double>(*m_callerRequest.promptTokens + m_callerRequest.maxOutputTokens)
@@ -178,11 +192,36 @@
         }
         m_quotaCost = cost;
     }
+    m_charged = true;
     m_context.retryBudget.noteRequest(m_service, m_arrivedAt);
-    m_attemptState.emplace(m_route->repeatable(), m_route->maxAttempts);
     return true;
 }
 
+void RequestSession::refundQuota()
+{
+    if (m_quotaCost > 0) {
+        m_context.quotas.refund(m_workspace->name, m_quotaCost);
+    }
+    m_quotaCost = 0;
+    m_charged = false;
+}
+
+net::awaitable<bool> RequestSession::prepareDispatch()
+{
+    if (!chargeQuota()) {
+        co_await reject(m_rejectionStatus, m_reason, m_retryAfter);
+        co_return false;
+    }
+    if (callerResumes() && !m_continuedVersion) {
+        const bool mayBeContinued = co_await findStreamOrigin();
+        if (!mayBeContinued) {
+            co_await respondWithFailure();
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
 bool RequestSession::mayRetry(TimePoint now)
 {
     if (!m_attemptState->mayDispatch() || remainingTime(now) <= ResponseMargin) {
@@ -218,9 +257,7 @@
         co_return;
     }
     if (m_attemptState->mayRejectAsNotRun()) {
-        if (m_quotaCost > 0) {
-            m_context.quotas.refund(m_workspace->name, m_quotaCost);
-        }
+        refundQuota();
         co_await reject(503, m_reason, m_retryInVain ? std::nullopt : std::optional<Duration>(m_retryAfter.value_or(UpstreamRetryDelay)));
         co_return;
     }
@@ -256,6 +293,9 @@
     if (m_attemptState) {
         m_attemptState->noteCompleted();
     }
+    if (m_fromPeer) {
+        response.headers.add(PeerAnswerHeader, "1");
+    }
     co_await m_writer.respond(std::move(response));
 }
 
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -16,7 +16,8 @@
 class RequestSession : public std::enable_shared_from_this<RequestSession>
 {
 public:
-    RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer);
+    /// @p fromPeer: a peer that reaches no upstream has forwarded the request.
+    RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer, bool fromPeer);
 
     /// Sends the caller a response, or closes the connection when a response that was started cannot be completed.
     boost::asio::awaitable<void> run();
@@ -36,8 +37,22 @@
 
     /// Reads the caller's headers and finds the route and the workspace. Returns false, with the rejection set, when the request cannot be served.
     bool routeAndAuthenticate();
-    /// Chooses the service and takes the cost from the workspace's quota. Returns false, with the rejection set, when the request is not admitted.
+    /// Chooses the service. Returns false, with the rejection set, when the request is not admitted.
     bool admit();
+    /// Takes the cost from the workspace's quota, once. Returns false, with the rejection set, when the quota is used up.
+    bool chargeQuota();
+    void refundQuota();
+    /// Does what has to precede the first dispatch to an upstream. Returns false when it has rejected the request.
+    boost::asio::awaitable<bool> prepareDispatch();
+    /// The peer to forward the request to because this host reaches no upstream; null when there is none, or no need.
+    const gossip::Peer *peerToForwardTo(TimePoint now);
+    /// Has a peer handle the request, and passes its answer on.
+    boost::asio::awaitable<DispatchResult> forwardToPeer(gossip::PeerStatus peer);
+    boost::asio::awaitable<void> relayAnswer(http::Response answer);
+    /// Ends a request of which the peer's answer is missing.
+    boost::asio::awaitable<void> endForwarding();
+    /// Notes that the upstream of the last dispatch was not reached, if that is what @p failure says.
+    void noteUnreached(const http::ClientFailure &failure);
     /// Sends the request to @p upstream and forwards its response.
     boost::asio::awaitable<DispatchResult> dispatchTo(const balancing::Choice &choice, const directory::UpstreamEntry &upstream);
     boost::asio::awaitable<std::optional<http::Response>> readHead(const directory::UpstreamEntry &upstream, ports::ResponseMetadata &metadata);
@@ -87,6 +102,7 @@
     StreamRegistry &m_streamRegistry;
     const http::Request m_request;
     http::IResponseWriter &m_writer;
+    const bool m_fromPeer;
     const TimePoint m_arrivedAt;
     ports::CallerRequest m_callerRequest;
     std::shared_ptr<const routing::RouteTable> m_routeTable;
@@ -94,6 +110,7 @@
     const routing::Workspace *m_workspace = nullptr;
     std::string m_service;
     std::uint64_t m_fingerprint = 0; ///< The same for repetitions of this request by its caller.
+    bool m_charged = false;          ///< chargeQuota() has succeeded.
     double m_quotaCost = 0;          ///< Cost taken from the workspace's quota, in its unit; 0 when none was taken.
     TimePoint m_deadline;            ///< The earlier of the caller's deadline and the end of the route's timeout.
     std::optional<AttemptState> m_attemptState;
@@ -106,6 +123,9 @@
     std::shared_ptr<http::IExchange> m_exchange; ///< Exchange with the upstream of the current dispatch.
     std::uint64_t m_balancerAttempt = 0;         ///< Number of the current dispatch at the balancer.
     std::set<std::string> m_triedInstances;
+    std::set<std::string> m_triedPeers;
+    int m_connectFailures = 0;                     ///< Upstreams to which no connection could be opened.
+    bool m_viaPeer = false;                        ///< The last dispatch went to a peer; it accounts for the request.
     TimePoint m_dispatchedAt;                      ///< Time of the last dispatch.
     std::string m_instance;                        ///< Upstream instance of the last dispatch.
     directory::UpstreamEntry m_upstream;           ///< Entry of that instance at the time of the dispatch.
--- a/src/gossip/internal/peerregistry.cpp
+++ b/src/gossip/internal/peerregistry.cpp
@@ -1,5 +1,7 @@
 #include "gossip/peerregistry.h"
 
+#include <algorithm>
+
 namespace rosemaryshift::gossip {
 
 namespace {
@@ -146,6 +148,18 @@
     return zones;
 }
 
+std::vector<const Peer *> PeerRegistry::peersReaching(const std::string &service) const
+{
+    std::vector<const Peer *> peers;
+    for (const auto &[host, peer] : m_peers) {
+        const bool unreached = std::ranges::find(peer.status.unreachedServices, service) != peer.status.unreachedServices.end();
+        if (!peer.silent && !unreached && !peer.status.forwardingToken.empty()) {
+            peers.push_back(&peer);
+        }
+    }
+    return peers;
+}
+
 std::vector<std::string> PeerRegistry::heardHosts() const
 {
     std::vector<std::string> hosts;
--- a/src/gossip/internal/peerstatus.cpp
+++ b/src/gossip/internal/peerstatus.cpp
@@ -139,6 +139,24 @@
     return true;
 }
 
+/// Reads a list of strings, which may be missing; returns false when it is malformed.
+bool readNames(const Json::Value &value, std::vector<std::string> &names)
+{
+    if (value.isNull()) {
+        return true;
+    }
+    if (!value.isArray()) {
+        return false;
+    }
+    for (const Json::Value &entry : value) {
+        if (!entry.isString()) {
+            return false;
+        }
+        names.push_back(entry.asString());
+    }
+    return true;
+}
+
 /// Reads the origins of streams, which hosts of an earlier version do not send; returns false when they are malformed.
 bool readStreams(const Json::Value &value, streams::OriginReport &streams)
 {
@@ -234,6 +252,12 @@
     for (const quarantine::SuspectReport &report : status.suspects) {
         value[suspectsName(report.id.kind)].append(quarantine::toJson(report));
     }
+    if (!status.forwardingToken.empty()) {
+        value["forwarding_token"] = status.forwardingToken;
+    }
+    for (const std::string &service : status.unreachedServices) {
+        value["unreached_services"].append(service);
+    }
     value["peers"] = Json::Value(Json::arrayValue);
     for (const std::string &peer : status.peers) {
         value["peers"].append(peer);
@@ -274,15 +298,14 @@
     if (!readRates((*value)["demand"], status.demand) || !readCounts((*value)["used"], status.used) || !readRates((*value)["busy"], status.busy)
         || !readOutstanding((*value)["outstanding"], status.outstanding) || !readUsage((*value)["usage"], status.usage)
         || !readUpstreamLimits((*value)["upstream_limits"], status.upstreamLimits) || !readVersions((*value)["versions"], status.versions)
-        || !readStreams((*value)["streams"], status.streams) || !readSuspects(*value, quarantine::SuspectKind::PromptPart, status.suspects)
+        || !readStreams((*value)["streams"], status.streams) || !readNames((*value)["unreached_services"], status.unreachedServices)
+        || !readSuspects(*value, quarantine::SuspectKind::PromptPart, status.suspects)
         || !readSuspects(*value, quarantine::SuspectKind::Request, status.suspects)) {
         return std::nullopt;
     }
-    for (const Json::Value &peer : (*value)["peers"]) {
-        if (!peer.isString()) {
-            return std::nullopt;
-        }
-        status.peers.push_back(peer.asString());
+    status.forwardingToken = stringMember(*value, "forwarding_token").value_or("");
+    if (!readNames((*value)["peers"], status.peers)) {
+        return std::nullopt;
     }
     return status;
 }
--- a/src/gossip/peerregistry.h
+++ b/src/gossip/peerregistry.h
@@ -45,6 +45,8 @@
     [[nodiscard]] std::size_t hostCount() const;
     /// Availability zones in which all known peers are silent. This host may be partitioned from them.
     [[nodiscard]] std::set<std::string> silentZones() const;
+    /// Peers that are not silent, take forwarded requests and reach @p service.
+    [[nodiscard]] std::vector<const Peer *> peersReaching(const std::string &service) const;
     /// Names of the peers that are not silent.
     [[nodiscard]] std::vector<std::string> heardHosts() const;
     /// Whether any peer is silent.
--- a/src/gossip/peerstatus.h
+++ b/src/gossip/peerstatus.h
@@ -42,6 +42,8 @@
     std::vector<quarantine::SuspectReport> suspects; ///< Prompt parts and equal requests that may crash upstreams.
     std::vector<streams::VersionReport> versions;    ///< Software versions of the services that have several.
     streams::OriginReport streams;                   ///< Streams whose origin the sender has not yet recorded in the platform's log.
+    std::string forwardingToken;                     ///< Presented by peers that forward requests to the sender's process; empty when it takes none.
+    std::vector<std::string> unreachedServices;      ///< Services of which the sender reaches no upstream.
     std::vector<std::string> peers;                  ///< Addresses of the peers from which the sender has recently received a status.
 
     bool operator==(const PeerStatus &) const = default;
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -38,6 +38,10 @@
     status.leaving = true;
     status.usage = {{7, {{"entry-2/a", {{"yard", 4}}}, {"entry-3/a", {{"yard", 1}, {"office", 2}}}}}};
     status.upstreamLimits = {{"i-1", 2.5, 40}, {"i-2", std::nullopt, 3'000}};
+    status.versions = {{{"engines", "v1"}, 0}, {{"engines", "v2"}, 1'200}};
+    status.streams.add(0xabcU, {"engines", "v2"});
+    status.forwardingToken = "token";
+    status.unreachedServices = {"dispatch"};
     status.suspects = {{{quarantine::SuspectKind::PromptPart, 0xdeadU}, "engines", {{"i-1", 40}, {"i-2", 0}}, true, std::nullopt},
                        {{quarantine::SuspectKind::Request, 0xa0bU}, "dispatch", {}, false, 120}};
     status.peers = {"10.0.0.1"};
--- a/src/ports/imessagecodec.h
+++ b/src/ports/imessagecodec.h
@@ -19,6 +19,8 @@
     /// The headers to send to an upstream: those of the caller's @p request, without its API key and the headers that only the gateway may set, and
     /// those for @p dispatch.
     [[nodiscard]] virtual http::Headers dispatchHeaders(const http::Request &request, const Dispatch &dispatch) const = 0;
+    /// The headers of a caller's @p request as a peer receives them that handles it in place of this host: unchanged but for the time left.
+    [[nodiscard]] virtual http::Headers forwardedHeaders(const http::Request &request, std::chrono::milliseconds timeLeft) const = 0;
     /// Parses the headers of an upstream's response.
     [[nodiscard]] virtual ResponseMetadata responseMetadata(const http::Response &response) const = 0;
 };
