Choose an upstream without looking at each peer's report

The sum over all peers is now kept by upstream, and changed when a report comes or expires. The lifetime of a report is the caller's to say.

--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -17,8 +17,6 @@
 constexpr double InitialPrefillCost = 15;
 /// Initial estimate of the base latency, in milliseconds: time to the first event without prompt processing, or to a non-engine service's answer.
 constexpr double InitialBase = 50;
-/// Age at which another host's load report is ignored: the host is gone, or its report is too old to be useful.
-constexpr std::chrono::milliseconds PeerReportLifetime{2'000};
 /// Relative increase of the time to a first event for each request that runs at the upstream.
 constexpr double BatchCostPerRequest = 0.02;
 /// Number of running requests up to which a prompt is processed nearly as fast as at an idle upstream.
@@ -91,7 +89,7 @@
 
 struct UpstreamBalancer::Peer {
     std::map<std::string, Outstanding> outstanding;
-    TimePoint reportedAt;
+    TimePoint expires;
 };
 
 struct UpstreamBalancer::Scored {
@@ -103,8 +101,12 @@
 UpstreamBalancer::UpstreamBalancer() = default;
 UpstreamBalancer::~UpstreamBalancer() = default;
 
-std::optional<Choice> UpstreamBalancer::choose(const RequestProfile &profile, std::span<const Candidate> candidates, TimePoint now) const
+std::optional<Choice> UpstreamBalancer::choose(const RequestProfile &profile, std::span<const Candidate> candidates, TimePoint now)
 {
+    static const Service Unseen;
+    dropExpiredReports(now);
+    const auto foundService = m_services.find(profile.service);
+    const Service &service = foundService == m_services.end() ? Unseen : foundService->second;
     const std::optional<std::uint64_t> shared = sharedPart(profile.promptParts);
     const std::string_view home = shared ? rendezvousHome(*shared, candidates) : std::string_view();
     std::optional<Choice> best;
@@ -116,7 +118,7 @@
         if (candidate.maxConcurrentRequests > 0 && upstream != nullptr && upstream->own.running >= candidate.maxConcurrentRequests) {
             continue;
         }
-        const Scored scored = score(profile, candidate, upstream, home, now);
+        const Scored scored = score(profile, service, candidate, upstream, home, now);
         if (!best || scored.ranking < bestRanking) {
             const std::string before = best ? best->instance : std::string();
             const Duration beforeExpected = best ? best->expected : Duration(0);
@@ -132,14 +134,10 @@
     return best;
 }
 
-UpstreamBalancer::Scored
-UpstreamBalancer::score(const RequestProfile &profile, const Candidate &candidate, const Upstream *upstream, std::string_view home, TimePoint now) const
+UpstreamBalancer::Scored UpstreamBalancer::score(
+    const RequestProfile &profile, const Service &service, const Candidate &candidate, const Upstream *upstream, std::string_view home, TimePoint now) const
 {
-    static const Service Unseen;
-    const std::string instance(candidate.instance);
-    const auto foundService = m_services.find(profile.service);
-    const Service &service = foundService == m_services.end() ? Unseen : foundService->second;
-    const Outstanding load = total(instance, now);
+    const Outstanding load = total(std::string(candidate.instance), upstream);
     const double base = upstream != nullptr ? upstream->base.value_or(service.base) : service.base;
     const std::uint32_t slots = std::max(1U, candidate.slots);
     const double waiting = load.running >= slots ? (load.running - slots + 1.0) / slots : 0;
@@ -182,19 +180,13 @@
     return upstream->ejectedUntil && now < *upstream->ejectedUntil ? penalty + EjectionPenalty : penalty;
 }
 
-Outstanding UpstreamBalancer::total(const std::string &instance, TimePoint now) const
+Outstanding UpstreamBalancer::total(const std::string &instance, const Upstream *upstream) const
 {
-    Outstanding sum;
-    const auto found = m_upstreams.find(instance);
-    if (found != m_upstreams.end()) {
-        sum = found->second.own;
-    }
-    for (const auto &[host, peer] : m_peers) {
-        const auto there = peer.outstanding.find(instance);
-        if (there != peer.outstanding.end() && now - peer.reportedAt < PeerReportLifetime) {
-            sum.running += there->second.running;
-            sum.prefillTokens += there->second.prefillTokens;
-        }
+    Outstanding sum = upstream != nullptr ? upstream->own : Outstanding();
+    const auto peers = m_peerLoad.find(instance);
+    if (peers != m_peerLoad.end()) {
+        sum.running += peers->second.running;
+        sum.prefillTokens += peers->second.prefillTokens;
     }
     return sum;
 }
@@ -206,11 +198,12 @@
     attempt.instance = choice.instance;
     attempt.began = now;
     attempt.engine = profile.promptTokens > 0;
-    const Outstanding ahead = total(choice.instance, now);
-    attempt.aheadTokens = ahead.prefillTokens;
-    attempt.nearlyIdle = ahead.prefillTokens == 0 && ahead.running <= NearlyIdleRunning;
+    dropExpiredReports(now);
     Service &service = m_services[attempt.service];
     Upstream &upstream = m_upstreams[choice.instance];
+    const Outstanding ahead = total(choice.instance, &upstream);
+    attempt.aheadTokens = ahead.prefillTokens;
+    attempt.nearlyIdle = ahead.prefillTokens == 0 && ahead.running <= NearlyIdleRunning;
     ++upstream.own.running;
     if (attempt.engine) {
         attempt.prefillTokens = choice.uncachedTokens;
@@ -308,14 +301,66 @@
     return all;
 }
 
-void UpstreamBalancer::setPeerOutstanding(const std::string &host, std::map<std::string, Outstanding> outstanding, TimePoint now)
+void UpstreamBalancer::setPeerOutstanding(const std::string &host, std::map<std::string, Outstanding> outstanding, TimePoint now, Duration lifetime)
 {
-    m_peers[host] = Peer{std::move(outstanding), now};
+    Peer &peer = m_peers[host];
+    removeReport(peer.outstanding);
+    peer = Peer{std::move(outstanding), now + lifetime};
+    addReport(peer.outstanding);
+    m_nextExpiry = std::min(m_nextExpiry, peer.expires);
 }
 
 void UpstreamBalancer::forgetPeer(const std::string &host)
 {
-    m_peers.erase(host);
+    const auto found = m_peers.find(host);
+    if (found != m_peers.end()) {
+        removeReport(found->second.outstanding);
+        m_peers.erase(found);
+    }
+}
+
+void UpstreamBalancer::dropExpiredReports(TimePoint now)
+{
+    if (now < m_nextExpiry) {
+        return;
+    }
+    m_nextExpiry = TimePoint::max();
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        if (peer->second.expires <= now) {
+            removeReport(peer->second.outstanding);
+            peer = m_peers.erase(peer);
+        } else {
+            m_nextExpiry = std::min(m_nextExpiry, peer->second.expires);
+            ++peer;
+        }
+    }
+}
+
+void UpstreamBalancer::addReport(const std::map<std::string, Outstanding> &outstanding)
+{
+    for (const auto &[instance, load] : outstanding) {
+        if (load == Outstanding()) {
+            continue;
+        }
+        Outstanding &sum = m_peerLoad[instance];
+        sum.running += load.running;
+        sum.prefillTokens += load.prefillTokens;
+    }
+}
+
+void UpstreamBalancer::removeReport(const std::map<std::string, Outstanding> &outstanding)
+{
+    for (const auto &[instance, load] : outstanding) {
+        const auto sum = m_peerLoad.find(instance);
+        if (sum == m_peerLoad.end()) {
+            continue; // Reports of no load are not in the sum.
+        }
+        sum->second.running -= load.running;
+        sum->second.prefillTokens -= load.prefillTokens;
+        if (sum->second == Outstanding()) {
+            m_peerLoad.erase(sum);
+        }
+    }
 }
 
 void UpstreamBalancer::forgetUpstream(const std::string &instance)
--- a/src/balancing/tests/upstreambalancertests.cpp
+++ b/src/balancing/tests/upstreambalancertests.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr TimePoint Start{std::chrono::seconds(100)};
+/// How long another host's report of its load is used.
+constexpr std::chrono::seconds ReportLifetime{2};
 constexpr std::chrono::milliseconds Tick{1};
 
 std::vector<Candidate> makeCandidates(std::span<const std::string> names)
@@ -77,13 +79,26 @@
     {
         const std::vector<ports::PromptPart> parts{{7, 400}};
         const std::string first = balancer.choose(makePlan(parts), candidates, Start)->instance;
-        balancer.setPeerOutstanding("entry-2", {{first, Outstanding{4, 50'000}}}, Start);
+        balancer.setPeerOutstanding("entry-2", {{first, Outstanding{4, 50'000}}}, Start, ReportLifetime);
         CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance != first);
 
         SECTION("another host's load report is ignored after three seconds")
         {
             CHECK(balancer.choose(makePlan(parts), candidates, Start + std::chrono::seconds(3))->instance == first);
         }
+        SECTION("another host's load report replaces its previous one")
+        {
+            balancer.setPeerOutstanding("entry-2", {}, Start, ReportLifetime);
+            CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance == first);
+        }
+        SECTION("the load of a host that is gone is not counted, that of the others is")
+        {
+            balancer.setPeerOutstanding("entry-3", {{first, Outstanding{4, 50'000}}}, Start, ReportLifetime);
+            balancer.forgetPeer("entry-2");
+            CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance != first);
+            balancer.forgetPeer("entry-3");
+            CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance == first);
+        }
     }
     SECTION("a prompt goes to the upstream that has its beginning in the cache")
     {
@@ -100,7 +115,7 @@
 
         SECTION("a prompt goes elsewhere if the upstream that has its beginning in the cache is overloaded")
         {
-            balancer.setPeerOutstanding("entry-2", {{choice->instance, Outstanding{20, 200'000}}}, Start + std::chrono::seconds(1));
+            balancer.setPeerOutstanding("entry-2", {{choice->instance, Outstanding{20, 200'000}}}, Start + std::chrono::seconds(1), ReportLifetime);
             CHECK(balancer.choose(makePlan(second), candidates, Start + std::chrono::seconds(1))->instance != choice->instance);
         }
     }
@@ -179,7 +194,7 @@
             const std::vector<ports::PromptPart> parts{{1, 500}, {100 + plan, 500}, {1000 + plan, 500}};
             CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance == "miskolc-1");
         }
-        balancer.setPeerOutstanding("entry-2", {{"miskolc-1", Outstanding{40, 100'000}}}, Start);
+        balancer.setPeerOutstanding("entry-2", {{"miskolc-1", Outstanding{40, 100'000}}}, Start, ReportLifetime);
         const std::vector<ports::PromptPart> parts{{1, 500}, {2, 500}};
         CHECK(balancer.choose(makePlan(parts), candidates, Start)->instance != "miskolc-1");
     }
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -21,7 +21,7 @@
     UpstreamBalancer &operator=(const UpstreamBalancer &) = delete;
 
     /// Returns the best of @p candidates that may be sent one more request; nothing when there is none.
-    [[nodiscard]] std::optional<Choice> choose(const RequestProfile &profile, std::span<const Candidate> candidates, TimePoint now) const;
+    [[nodiscard]] std::optional<Choice> choose(const RequestProfile &profile, std::span<const Candidate> candidates, TimePoint now);
 
     /// Records that a request with @p profile was sent to the chosen upstream. Returns a number that identifies the attempt in recordFirstEvent()
     /// and end().
@@ -33,8 +33,8 @@
 
     /// Returns this host's load on each upstream, to be sent to the other hosts.
     [[nodiscard]] std::map<std::string, Outstanding> outstanding() const;
-    /// Sets another host's load on each upstream, as that host reported it at @p now.
-    void setPeerOutstanding(const std::string &host, std::map<std::string, Outstanding> outstanding, TimePoint now);
+    /// Sets another host's load on each upstream, as that host reported it at @p now. The report is used for @p lifetime.
+    void setPeerOutstanding(const std::string &host, std::map<std::string, Outstanding> outstanding, TimePoint now, Duration lifetime);
     /// Drops the load of a host that is gone.
     void forgetPeer(const std::string &host);
     /// Drops what was measured of an upstream that is gone, unless requests of this host still run there.
@@ -53,8 +53,19 @@
     struct Peer;
     struct Scored;
 
-    [[nodiscard]] Scored score(const RequestProfile &profile, const Candidate &candidate, const Upstream *upstream, std::string_view home, TimePoint now) const;
-    [[nodiscard]] Outstanding total(const std::string &instance, TimePoint now) const;
+    [[nodiscard]] Scored score(const RequestProfile &profile,
+                               const Service &service,
+                               const Candidate &candidate,
+                               const Upstream *upstream,
+                               std::string_view home,
+                               TimePoint now) const;
+    /// The load of all hosts on @p instance. @p upstream: what this host knows of it; null when it knows nothing.
+    [[nodiscard]] Outstanding total(const std::string &instance, const Upstream *upstream) const;
+    /// Drops the reports of hosts that have not renewed them in time.
+    void dropExpiredReports(TimePoint now);
+    /// Adds a host's load on the upstreams to the sums of all hosts, or removes it from them.
+    void addReport(const std::map<std::string, Outstanding> &outstanding);
+    void removeReport(const std::map<std::string, Outstanding> &outstanding);
     [[nodiscard]] double failurePenalty(const Upstream *upstream, const Service &service, TimePoint now) const;
     void updateEstimates(Attempt &attempt, TimePoint now);
 
@@ -62,6 +73,8 @@
     std::map<std::string, Service, std::less<>> m_services;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
     std::map<std::string, Peer> m_peers;
+    std::unordered_map<std::string, Outstanding> m_peerLoad; ///< Sum of what the other hosts have reported, by upstream.
+    TimePoint m_nextExpiry = TimePoint::max();               ///< When the first of the peers' reports expires, or earlier.
     std::uint64_t m_nextAttempt = 1;
 };
 
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds SendInterval{400};
 /// Time for which a peer's claim to hold the duties is trusted: two send intervals and a margin.
 constexpr std::chrono::milliseconds HolderClaimLifetime{1'000};
+/// What a peer reports of its load on the upstreams is used for this time.
+constexpr std::chrono::seconds LoadReportLifetime{2};
 /// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
 constexpr std::size_t MaxDatagramBytes = 65'507;
 /// Time that a newer configuration known to a peer has to arrive from the log, before it is fetched from that peer.
@@ -165,7 +167,7 @@
         updateShares(now);
     }
     m_context.quotas.updatePeerUsage(hostStart(status.host, status.start), status.used, now);
-    m_context.balancer.setPeerOutstanding(host, status.outstanding, now);
+    m_context.balancer.setPeerOutstanding(host, status.outstanding, now, LoadReportLifetime);
     m_context.upstreamLimits.apply(status.upstreamLimits, now);
     m_context.quarantine.apply(status.suspects, now);
     for (const streams::VersionReport &report : status.versions) {
