Refuse requests by a configuration that is known to be replaced

Callers of edge-gudenaa-10 and -12 were served by version 4, 5.3 s after version 7 had been acknowledged (bound 3 s). These hosts were behind a full link and had not read the log for 30 s. But a route without an API key was served by a configuration of any age, and one with a key up to 0.95 of the bound on withdrawn keys, which may be longer than the bound on configurations.

A host now refuses as not run, and is not ready, when a peer has told of a newer version and its own was last confirmed longer ago than the bound. A request that arrives within that age cannot have been sent beyond the bound after the newer one was published. While nobody knows a newer version, as during an outage of the log, requests are served as before.

--- a/src/gateway/internal/activeconfiguration.cpp
+++ b/src/gateway/internal/activeconfiguration.cpp
@@ -22,6 +22,11 @@
     }
 }
 
+void ActiveConfiguration::noteVersion(std::uint64_t version)
+{
+    m_knownVersion = std::max(m_knownVersion, version);
+}
+
 const std::shared_ptr<const routing::RouteTable> &ActiveConfiguration::table() const
 {
     return m_table;
@@ -45,4 +50,10 @@
     return std::max(now - *m_confirmedAt, Duration::zero());
 }
 
+bool ActiveConfiguration::outdated(TimePoint now, Duration maxDelay) const
+{
+    const std::optional<Duration> currentAge = age(now);
+    return m_knownVersion > version() && currentAge && *currentAge > maxDelay;
+}
+
 }
--- a/src/gateway/internal/activeconfiguration.h
+++ b/src/gateway/internal/activeconfiguration.h
@@ -9,7 +9,8 @@
 
 namespace rosemaryshift::gateway {
 
-/// The configuration in force on this host, and how long ago it was last confirmed as the newest one. Its version only grows. Not thread-safe.
+/// The configuration in force on this host, how long ago it was last confirmed as the newest one, and the newest version that is known to exist. Versions only
+/// grow. Not thread-safe.
 class ActiveConfiguration
 {
 public:
@@ -19,6 +20,9 @@
     /// Records that no configuration newer than @p version existed at the time @p at.
     void confirm(std::uint64_t version, TimePoint at);
 
+    /// Records that a configuration of this @p version exists, as told by a peer.
+    void noteVersion(std::uint64_t version);
+
     /// The routes and the configuration in force; null before the first one.
     [[nodiscard]] const std::shared_ptr<const routing::RouteTable> &table() const;
     /// Version of the configuration in force; 0 before the first one.
@@ -27,11 +31,14 @@
     [[nodiscard]] const std::string &text() const;
     /// Time since the configuration in force was last confirmed as the newest one; nothing when it never was.
     [[nodiscard]] std::optional<Duration> age(TimePoint now) const;
+    /// Whether a newer configuration is known to exist, and the one in force was last confirmed longer ago than @p maxDelay.
+    [[nodiscard]] bool outdated(TimePoint now, Duration maxDelay) const;
 
 private:
     std::shared_ptr<const routing::RouteTable> m_table;
     std::string m_text;
     std::optional<TimePoint> m_confirmedAt;
+    std::uint64_t m_knownVersion = 0; ///< Newest version that was told by a peer.
 };
 
 }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -165,8 +165,10 @@
 
     [[nodiscard]] bool ready() const
     {
-        const std::optional<Duration> age = m_context.configuration.age(hostNow());
-        return !m_context.stopping && m_upstreamFollower.listRead() && age && *age < m_context.settings.maxRevocationDelay;
+        const TimePoint now = hostNow();
+        const std::optional<Duration> age = m_context.configuration.age(now);
+        return !m_context.stopping && m_upstreamFollower.listRead() && age && *age < m_context.settings.maxRevocationDelay
+            && !m_context.configuration.outdated(now, m_context.settings.maxConfigurationDelay);
     }
 
     void applyConfiguration()
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -191,6 +191,7 @@
         const TimePoint sent{Duration(static_cast<Duration::rep>(*status.echoUs))};
         m_context.configuration.confirm(status.configuration, sent - std::chrono::milliseconds(*status.confirmedAgeMs));
     }
+    m_context.configuration.noteVersion(status.configuration);
     if (status.configuration > m_context.configuration.version() && !m_fetchingConfiguration) {
         m_fetchingConfiguration = true;
         startTask(m_socket->get_executor(), fetchConfiguration(status.address));
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -119,6 +119,12 @@
         m_rejectionStatus = 400;
         return false;
     }
+    if (m_context.configuration.outdated(m_arrivedAt, m_context.settings.maxConfigurationDelay)) {
+        m_rejectionStatus = 503;
+        m_reason = "stale_configuration";
+        m_retryAfter = ConfigurationRetryDelay;
+        return false;
+    }
     m_deadline = m_arrivedAt + m_callerRequest.timeLeft.value_or(DefaultTimeout);
     const bool configurationIsCurrent = *age < std::chrono::duration_cast<Duration>(m_context.settings.maxConfigurationDelay * CurrentConfigurationFactor);
     m_route = m_routeTable->route(m_request.headers.find("Host").value_or(""), http::path(m_request.target));
