Bound what a host spends on statuses by its number of peers

A status went to every peer every 400 ms, as JSON that was encoded anew for each address because of a single number, and was decoded in full by as many.

- The interval follows the number of peers (8 ms each, 400 ms at least), so that a host sends and receives at most 125 a second.
Statuses state it; silence, echoes, load reports, claims of duties and usage windows count in it.
- A compact form (FlatBuffers) is encoded once for all receivers; the echo stands in a header before it.
The list of peers is left out while it is unchanged.
- Hosts of earlier versions go on to get JSON, and theirs is read: a host gets the compact form once it has said that it reads it.
- Hosts that have just started are told of this host together after 20 ms.
Before, each of 85 cost a status and a new division of all quotas when a fleet started.

--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -15,8 +15,8 @@
 constexpr std::chrono::milliseconds LogCallTimeout{700};
 /// Timeout of a call that only the duty holder may make; shorter than the time for which a holder may act after a renewal.
 constexpr std::chrono::milliseconds DutyCallTimeout{1'500};
-/// Time after the end of a usage window by which gossip has brought the final counts of all reachable hosts.
-constexpr std::chrono::milliseconds UsageGossipDelay{1'200};
+/// The final counts of a usage window have come from all reachable hosts after this number of intervals between statuses.
+constexpr int UsageGossipIntervals = 3;
 /// Part of the usage report delay after which a window is reported even though the counts of a silent host may be missing.
 constexpr double SilentPeerWaitPart = 0.6;
 /// Maximum number of windows whose final counts the lease record keeps.
@@ -170,7 +170,7 @@
 bool DutyRunner::isComplete(std::uint64_t window, TimePoint now) const
 {
     const Duration sinceEnd = m_context.wallClock.sinceEpoch(now) - m_context.usageLedger.endOf(window);
-    if (sinceEnd < UsageGossipDelay) {
+    if (sinceEnd < gossip::statusInterval(m_gossip.registry().peers().size()) * UsageGossipIntervals) {
         return false;
     }
     return !m_gossip.registry().anySilent() || sinceEnd > std::chrono::duration_cast<Duration>(m_context.settings.usageReportDelay * SilentPeerWaitPart);
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -12,12 +12,14 @@
 
 namespace {
 
-/// Interval at which this host's status is sent to the peers.
-constexpr std::chrono::milliseconds SendInterval{400};
-/// Time for which a peer's claim to hold the duties is trusted: two send intervals and a margin.
-constexpr std::chrono::milliseconds HolderClaimLifetime{1'000};
-/// What a peer reports of its load on the upstreams is used for this time.
-constexpr std::chrono::seconds LoadReportLifetime{2};
+/// A peer's claim to hold the duties is trusted for this number of its intervals: two and a margin.
+constexpr double HolderClaimIntervals = 2.5;
+/// What a peer reports of its load on the upstreams is used for this number of its intervals.
+constexpr double LoadReportIntervals = 5;
+/// The list of peers is left out of most statuses while it is unchanged; two in this number of statuses have it.
+constexpr std::uint32_t StatusesPerPeerList = 10;
+/// Delay after which hosts that have just started are told of this host. They come by the dozen when a fleet starts, and are answered together.
+constexpr std::chrono::milliseconds NewHostDelay{20};
 /// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
 constexpr std::size_t MaxDatagramBytes = 65'507;
 /// Time that a newer configuration known to a peer has to arrive from the log, before it is fetched from that peer.
@@ -75,7 +77,7 @@
 bool GossipEndpoint::peerHoldsDuties(TimePoint now) const
 {
     for (const auto &[host, peer] : m_registry.peers()) {
-        if (peer.status.holdsDuties && now - peer.heard < HolderClaimLifetime) {
+        if (peer.status.holdsDuties && now - peer.heard < peer.lifetime(HolderClaimIntervals)) {
             return true;
         }
     }
@@ -98,23 +100,39 @@
         m_context.upstreamLimits.expire(now);
         m_context.upstreamPauses.expire(now);
         updateShares(now);
-        gossip::PeerStatus status = localStatus(now);
-        for (const std::string &address : m_registry.addresses()) {
-            sendTo(status, address, now);
-        }
-        co_await pause(SendInterval);
+        const gossip::PeerStatus status = localStatus(now);
+        sendStatus(status, m_registry.destinations(now), peersAreDue(status.peers));
+        co_await pause(status.interval);
     }
 }
 
-void GossipEndpoint::sendTo(gossip::PeerStatus &status, const std::string &address, TimePoint now)
+bool GossipEndpoint::peersAreDue(const std::vector<std::string> &peers)
 {
-    status.echoUs = m_registry.echoFor(address, now);
-    const std::string datagram = encoded(status);
-    boost::system::error_code error;
-    const net::ip::address to = net::ip::make_address(address, error);
-    if (!error) {
+    m_statusesWithoutPeers = peers == m_sentPeers ? m_statusesWithoutPeers + 1 : 0;
+    m_sentPeers = peers;
+    // A change is sent twice, and what is unchanged now and then, since datagrams are lost.
+    return m_statusesWithoutPeers % StatusesPerPeerList <= 1;
+}
+
+void GossipEndpoint::sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers)
+{
+    const gossip::CompactStatus compact(status, withPeers);
+    for (const gossip::Destination &destination : destinations) {
+        boost::system::error_code error;
+        const net::ip::address to = net::ip::make_address(destination.address, error);
+        if (error) {
+            continue;
+        }
+        const udp::endpoint endpoint(to, m_context.settings.gossipPort);
         // A failed send is ignored like a lost datagram, since the status is sent periodically.
-        m_socket->send_to(net::buffer(datagram), udp::endpoint(to, m_context.settings.gossipPort), 0, error);
+        if (destination.readsCompact) {
+            const std::array<char, gossip::CompactStatus::HeaderBytes> header = compact.header(destination.echoUs);
+            m_socket->send_to(std::array<net::const_buffer, 2>{net::buffer(header), net::buffer(compact.body())}, endpoint, 0, error);
+        } else {
+            gossip::PeerStatus addressed = status;
+            addressed.echoUs = destination.echoUs;
+            m_socket->send_to(net::buffer(encoded(addressed)), endpoint, 0, error);
+        }
     }
 }
 
@@ -161,13 +179,15 @@
     }
     const gossip::PeerStatus &status = m_registry.peers().at(host).status;
     if (isNewStart) {
-        // A peer that has just started knows little, so it gets this host's status at once instead of at the next interval.
-        gossip::PeerStatus own = localStatus(now);
-        sendTo(own, status.address, now);
-        updateShares(now);
+        // A peer that has just started knows little, so it gets this host's status soon instead of at the next interval.
+        m_newAddresses.insert(status.address);
+        if (m_newAddresses.size() == 1) {
+            startTask(m_socket->get_executor(), greetNewHosts());
+        }
     }
     m_context.quotas.updatePeerUsage(hostStart(status.host, status.start), status.used, now);
-    m_context.balancer.setPeerOutstanding(host, status.outstanding, now, LoadReportLifetime);
+    const Duration loadLifetime = std::chrono::duration_cast<Duration>(status.interval * LoadReportIntervals);
+    m_context.balancer.setPeerOutstanding(host, status.outstanding, now, loadLifetime);
     m_context.upstreamLimits.apply(status.upstreamLimits, now);
     m_context.quarantine.apply(status.suspects, now);
     for (const streams::VersionReport &report : status.versions) {
@@ -197,6 +217,19 @@
     }
 }
 
+net::awaitable<void> GossipEndpoint::greetNewHosts()
+{
+    co_await pause(NewHostDelay);
+    const TimePoint now = hostNow();
+    std::vector<gossip::Destination> destinations;
+    for (const std::string &address : m_newAddresses) {
+        destinations.push_back(m_registry.destination(address, now));
+    }
+    m_newAddresses.clear();
+    updateShares(now);
+    sendStatus(localStatus(now), destinations, true);
+}
+
 net::awaitable<void> GossipEndpoint::fetchConfiguration(std::string address)
 {
     const std::uint64_t versionBefore = m_context.configuration.version();
@@ -228,9 +261,7 @@
     for (const bool leaving : {false, true}) {
         // The final counts go out before the leaving mark, since receivers take no counts from a datagram with that mark.
         last.leaving = leaving;
-        for (const std::string &address : m_registry.addresses()) {
-            sendTo(last, address, now);
-        }
+        sendStatus(last, m_registry.destinations(now), false);
         ++last.sentUs;
     }
 }
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <set>
+#include <span>
 
 namespace rosemaryshift::gateway {
 
@@ -44,10 +45,18 @@
     /// The host processes that have reported counts of these windows and are not heard now.
     [[nodiscard]] std::set<std::string> unheardProcesses(std::uint64_t firstWindow, std::uint64_t lastWindow) const;
     void handleStatus(gossip::PeerStatus received);
-    /// Sends @p status to the peer at @p address, after setting its echo for that peer.
-    void sendTo(gossip::PeerStatus &status, const std::string &address, TimePoint now);
+    /// Sends @p status to all @p destinations, to each in the form that it reads.
+    void sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers);
+    /// Whether the next status has to list the @p peers, as they have changed or were left out several times.
+    bool peersAreDue(const std::vector<std::string> &peers);
+    /// Sends this host's status to the hosts that have just started, a short time after the first of them was heard.
+    boost::asio::awaitable<void> greetNewHosts();
     /// Recomputes this host's share of each workspace's quota from the demand on all hosts.
     void updateShares(TimePoint now);
+    /// The demand of all hosts that are not silent, for each workspace of @p own, this host's demand.
+    [[nodiscard]] std::map<std::string, double> totalDemand(const std::map<std::string, double> &own) const;
+    /// Notes each peer's share of each workspace's quota, to be kept for it while it is silent.
+    void notePeerShares(const std::map<std::string, double> &total, std::size_t hosts);
     boost::asio::awaitable<void> fetchConfiguration(std::string address);
 
     GatewayContext &m_context;
@@ -57,7 +66,10 @@
     std::optional<boost::asio::ip::udp::socket> m_socket;
     /// Quota shares of the peers, by peer and workspace, as last computed while no peer was silent.
     std::map<std::string, std::map<std::string, double>> m_peerShares;
+    std::set<std::string> m_newAddresses; ///< Hosts that have just started and were not sent a status yet.
     gossip::UsageRelay m_usageRelay;
+    std::vector<std::string> m_sentPeers;
+    std::uint32_t m_statusesWithoutPeers = 0; ///< Statuses since the list of peers has changed.
     bool m_fetchingConfiguration = false;
     bool m_holdsDuties = false;
 };
--- a/src/gateway/internal/gossipshares.cpp
+++ b/src/gateway/internal/gossipshares.cpp
@@ -9,13 +9,6 @@
 /// Share of a quota that a host uses before it has heard from any peer; small, since the number of peers is unknown.
 constexpr double LoneHostShare = 0.05;
 
-/// Requested rate of @p workspace per second, in the unit of its quota, as @p peer last reported it; 0 when it reported none.
-double demandOf(const gossip::Peer &peer, const std::string &workspace)
-{
-    const auto found = peer.status.demand.find(workspace);
-    return found == peer.status.demand.end() ? 0 : found->second;
-}
-
 }
 
 void GossipEndpoint::updateShares(TimePoint now)
@@ -26,29 +19,56 @@
     m_context.upstreamLimits.setHosts(m_context.settings.address, m_registry.otherHostAddresses(), now);
     m_context.quotas.setPooled(hosts > 1, now);
     const std::map<std::string, double> own = m_context.quotas.demand(now);
-    for (const auto &[workspace, demand] : own) {
-        double total = demand;
-        double silentShare = 0;
-        std::size_t reachableHosts = 1;
-        for (const auto &[host, peer] : m_registry.peers()) {
-            if (peer.silent) {
-                silentShare += m_peerShares[host][workspace];
-            } else {
-                total += demandOf(peer, workspace);
-                ++reachableHosts;
+    const std::map<std::string, double> total = totalDemand(own);
+    if (!m_registry.anySilent()) {
+        notePeerShares(total, hosts);
+    }
+    std::map<std::string, double> silentShares;
+    std::size_t reachableHosts = 1;
+    for (const auto &[host, peer] : m_registry.peers()) {
+        reachableHosts += peer.silent ? 0 : 1;
+        if (peer.silent) {
+            for (const auto &[workspace, share] : m_peerShares[host]) {
+                silentShares[workspace] += share;
             }
         }
+    }
+    for (const auto &[workspace, demand] : own) {
+        const auto silent = silentShares.find(workspace);
         // Silent peers may still use the shares that they computed before contact was lost.
-        const double available = std::max(1 - silentShare, 0.0);
-        if (!m_registry.anySilent()) {
-            for (const auto &[host, peer] : m_registry.peers()) {
-                m_peerShares[host][workspace] = limits::quotaShare(demandOf(peer, workspace), total, hosts);
-            }
-        }
-        const double share = hosts > 1 ? available * limits::quotaShare(demand, total, reachableHosts) : LoneHostShare;
+        const double available = std::max(1 - (silent == silentShares.end() ? 0 : silent->second), 0.0);
+        const double share = hosts > 1 ? available * limits::quotaShare(demand, total.at(workspace), reachableHosts) : LoneHostShare;
         m_context.quotas.setShare(workspace, share, now);
         m_context.quotas.setPooledFraction(workspace, available, now);
     }
 }
 
+std::map<std::string, double> GossipEndpoint::totalDemand(const std::map<std::string, double> &own) const
+{
+    std::map<std::string, double> total = own;
+    for (const auto &[host, peer] : m_registry.peers()) {
+        if (peer.silent) {
+            continue;
+        }
+        for (const auto &[workspace, demand] : peer.status.demand) {
+            const auto entry = total.find(workspace);
+            if (entry != total.end()) {
+                entry->second += demand;
+            }
+        }
+    }
+    return total;
+}
+
+void GossipEndpoint::notePeerShares(const std::map<std::string, double> &total, std::size_t hosts)
+{
+    for (const auto &[host, peer] : m_registry.peers()) {
+        std::map<std::string, double> &shares = m_peerShares[host];
+        for (const auto &[workspace, demandOfAll] : total) {
+            const auto demand = peer.status.demand.find(workspace);
+            shares[workspace] = limits::quotaShare(demand == peer.status.demand.end() ? 0 : demand->second, demandOfAll, hosts);
+        }
+    }
+}
+
 }
--- a/src/gateway/internal/gossipstatus.cpp
+++ b/src/gateway/internal/gossipstatus.cpp
@@ -33,6 +33,8 @@
     status.zone = m_context.settings.zone;
     status.address = m_context.settings.address;
     status.sentUs = microsecondsOf(now);
+    status.interval = gossip::statusInterval(m_registry.peers().size());
+    status.readsCompact = true;
     status.configuration = m_context.configuration.version();
     if (const std::optional<Duration> age = m_context.configuration.age(now)) {
         status.confirmedAgeMs = static_cast<std::uint64_t>(wholeMilliseconds(*age)) + 1;
--- a/src/gossip/internal/peerregistry.cpp
+++ b/src/gossip/internal/peerregistry.cpp
@@ -6,14 +6,16 @@
 
 namespace {
 
-/// A peer counts as silent after this time without a status.
-constexpr std::chrono::milliseconds SilentTimeout{1'200};
+/// A peer counts as silent after this number of its intervals without a status.
+constexpr double SilentIntervals = 3;
 /// A peer is removed after this time without a status, which frees its share of the quotas. Longer than partitions between regions usually last.
 constexpr std::chrono::seconds ForgetTimeout{120};
 /// Statuses are sent to an address for this long after a peer last listed it.
 constexpr std::chrono::seconds LearnedAddressLifetime{30};
-/// A peer's sending time is echoed only while its last status is younger than this, since an older echo is of no use to it.
-constexpr std::chrono::seconds EchoLifetime{2};
+/// The addresses that a peer lists are noted again after this time, even if they are unchanged.
+constexpr std::chrono::seconds AddressRenewal{5};
+/// A peer's sending time is echoed only while its last status is younger than this number of its intervals, since an older echo is of no use to it.
+constexpr double EchoIntervals = 5;
 
 }
 
@@ -34,16 +36,15 @@
     if (status.address == m_ownAddress) {
         return false;
     }
-    for (const std::string &address : status.peers) {
-        if (address != m_ownAddress) {
-            m_learnedAddresses[address] = now;
-        }
+    const auto known = m_peers.find(status.host);
+    if (status.peersUnchanged && known != m_peers.end()) {
+        status.peers = known->second.status.peers;
     }
+    noteAddresses(status, known == m_peers.end() ? nullptr : &known->second, now);
     const auto left = m_leftStarts.find(status.host);
     if (left != m_leftStarts.end() && left->second == status.start) {
         return false;
     }
-    const auto known = m_peers.find(status.host);
     if (status.leaving) {
         m_leftStarts[status.host] = status.start;
         if (known != m_peers.end()) {
@@ -54,7 +55,7 @@
     }
     if (known == m_peers.end()) {
         Peer &peer = m_peers[status.host];
-        peer = Peer{std::move(status), now, false};
+        peer = Peer{std::move(status), now, false, now};
         m_listener(peer, "found");
         return true;
     }
@@ -64,18 +65,33 @@
     }
     const bool restarted = peer.status.start != status.start;
     const bool wasSilent = peer.silent;
-    peer = Peer{std::move(status), now, false};
+    peer = Peer{std::move(status), now, false, peer.addressesNoted};
     if (restarted || wasSilent) {
         m_listener(peer, restarted ? "restarted" : "heard again");
     }
     return true;
 }
 
+void PeerRegistry::noteAddresses(const PeerStatus &status, Peer *known, TimePoint now)
+{
+    if (known != nullptr && now - known->addressesNoted < AddressRenewal && known->status.peers == status.peers) {
+        return;
+    }
+    for (const std::string &address : status.peers) {
+        if (address != m_ownAddress) {
+            m_learnedAddresses[address] = now;
+        }
+    }
+    if (known != nullptr) {
+        known->addressesNoted = now;
+    }
+}
+
 void PeerRegistry::expire(TimePoint now)
 {
     for (auto entry = m_peers.begin(); entry != m_peers.end();) {
         Peer &peer = entry->second;
-        if (!peer.silent && now - peer.heard > SilentTimeout) {
+        if (!peer.silent && now - peer.heard > peer.lifetime(SilentIntervals)) {
             peer.silent = true;
             m_listener(peer, "silent");
         }
@@ -117,14 +133,43 @@
     return m_peers;
 }
 
-std::optional<std::uint64_t> PeerRegistry::echoFor(const std::string &address, TimePoint now) const
+Destination PeerRegistry::destinationOf(const Peer &peer, TimePoint now)
+{
+    Destination destination{peer.status.address, std::nullopt, peer.status.readsCompact};
+    if (now - peer.heard < peer.lifetime(EchoIntervals)) {
+        destination.echoUs = peer.status.sentUs;
+    }
+    return destination;
+}
+
+std::vector<Destination> PeerRegistry::destinations(TimePoint now) const
+{
+    std::map<std::string, Destination> all;
+    for (const std::string &address : m_seeds) {
+        all.emplace(address, Destination{address, std::nullopt, false});
+    }
+    for (const auto &[address, time] : m_learnedAddresses) {
+        all.emplace(address, Destination{address, std::nullopt, false});
+    }
+    for (const auto &[host, peer] : m_peers) {
+        all.insert_or_assign(peer.status.address, destinationOf(peer, now));
+    }
+    std::vector<Destination> destinations;
+    destinations.reserve(all.size());
+    for (auto &[address, destination] : all) {
+        destinations.push_back(std::move(destination));
+    }
+    return destinations;
+}
+
+Destination PeerRegistry::destination(const std::string &address, TimePoint now) const
 {
     for (const auto &[host, peer] : m_peers) {
-        if (peer.status.address == address && now - peer.heard < EchoLifetime) {
-            return peer.status.sentUs;
+        if (peer.status.address == address) {
+            return destinationOf(peer, now);
         }
     }
-    return std::nullopt;
+    return {address, std::nullopt, false};
 }
 
 std::size_t PeerRegistry::hostCount() const
--- a/src/gossip/internal/peerstatus.cpp
+++ b/src/gossip/internal/peerstatus.cpp
@@ -1,6 +1,7 @@
 #include "gossip/peerstatus.h"
 
 #include "base/json.h"
+#include "gossip/internal/statusforms.h"
 #include "quarantine/suspectjson.h"
 
 #include <json/value.h>
@@ -202,6 +203,8 @@
     if (status.echoUs) {
         value["echo_us"] = *status.echoUs;
     }
+    value["interval_ms"] = static_cast<std::uint64_t>(status.interval.count());
+    value["compact"] = status.readsCompact;
     value["configuration"] = status.configuration;
     if (status.confirmedAgeMs) {
         value["confirmed_age_ms"] = *status.confirmedAgeMs;
@@ -265,7 +268,7 @@
     return toText(value);
 }
 
-std::optional<PeerStatus> decodedPeerStatus(std::string_view datagram)
+std::optional<PeerStatus> decodedJsonStatus(std::string_view datagram)
 {
     std::string reason;
     const std::optional<Json::Value> value = parseJson(datagram, reason);
@@ -289,6 +292,8 @@
     status.address = *address;
     status.sentUs = *sent;
     status.echoUs = unsignedMember(*value, "echo_us");
+    status.interval = boundedInterval(unsignedMember(*value, "interval_ms").value_or(ShortestStatusInterval.count()));
+    status.readsCompact = boolMember(*value, "compact", false);
     status.configuration = *configuration;
     status.confirmedAgeMs = unsignedMember(*value, "confirmed_age_ms");
     status.listReachableMs = unsignedMember(*value, "list_in_reach_ms");
--- /dev/null
+++ b/src/gossip/internal/statusforms.cpp
@@ -0,0 +1,33 @@
+#include "gossip/internal/statusforms.h"
+
+#include <algorithm>
+
+namespace rosemaryshift::gossip {
+
+namespace {
+
+/// Share of the interval for each peer: a host sends and receives at most 125 statuses a second.
+constexpr std::chrono::milliseconds IntervalPerPeer{8};
+/// Longest interval that is believed of a peer.
+constexpr std::chrono::milliseconds LongestInterval{10'000};
+
+}
+
+std::chrono::milliseconds statusInterval(std::size_t peers)
+{
+    return std::clamp(
+        IntervalPerPeer * static_cast<std::int64_t>(std::min<std::size_t>(peers, LongestInterval.count())), ShortestStatusInterval, LongestInterval);
+}
+
+std::chrono::milliseconds boundedInterval(std::uint64_t milliseconds)
+{
+    const std::uint64_t longest = static_cast<std::uint64_t>(LongestInterval.count());
+    return std::max(std::chrono::milliseconds(std::min(milliseconds, longest)), ShortestStatusInterval);
+}
+
+std::optional<PeerStatus> decodedPeerStatus(std::string_view datagram)
+{
+    return isCompactStatus(datagram) ? decodedCompactStatus(datagram) : decodedJsonStatus(datagram);
+}
+
+}
--- a/src/gossip/peerregistry.h
+++ b/src/gossip/peerregistry.h
@@ -10,8 +10,22 @@
 /// Another gateway, as this host knows it.
 struct Peer {
     PeerStatus status;
-    TimePoint heard;     ///< When the last status was received.
-    bool silent = false; ///< No status was received for longer than the silence timeout.
+    TimePoint heard;          ///< When the last status was received.
+    bool silent = false;      ///< No status was received for several of the peer's intervals.
+    TimePoint addressesNoted; ///< When the addresses that the peer lists were last noted.
+
+    /// How long the peer's last status counts as recent: @p intervals of its own.
+    [[nodiscard]] Duration lifetime(double intervals) const
+    {
+        return std::chrono::duration_cast<Duration>(status.interval * intervals);
+    }
+};
+
+/// Where a status is sent, and how.
+struct Destination {
+    std::string address;
+    std::optional<std::uint64_t> echoUs; ///< The value of PeerStatus::sentUs last received from there; nothing when it is too old to be useful.
+    bool readsCompact = false;           ///< The host there has shown that it reads the compact form.
 };
 
 /// Tracks the other gateways by the statuses that they send. A peer from which nothing is received is first marked silent, so that callers can
@@ -39,8 +53,10 @@
     [[nodiscard]] std::vector<std::string> otherHostAddresses() const;
     /// All known peers, by host name; includes the silent ones.
     [[nodiscard]] const std::map<std::string, Peer> &peers() const;
-    /// The value of PeerStatus::sentUs last received from the peer at @p address, to be echoed to it; nothing when it is too old to be useful.
-    [[nodiscard]] std::optional<std::uint64_t> echoFor(const std::string &address, TimePoint now) const;
+    /// The addresses(), each with what a status sent there depends on.
+    [[nodiscard]] std::vector<Destination> destinations(TimePoint now) const;
+    /// The destination of a status to the host at @p address.
+    [[nodiscard]] Destination destination(const std::string &address, TimePoint now) const;
     /// Number of hosts that share quotas and budgets: this one and all known peers, including the silent ones.
     [[nodiscard]] std::size_t hostCount() const;
     /// Availability zones in which all known peers are silent. This host may be partitioned from them.
@@ -53,6 +69,11 @@
     [[nodiscard]] bool anySilent() const;
 
 private:
+    /// What a status to @p peer depends on.
+    [[nodiscard]] static Destination destinationOf(const Peer &peer, TimePoint now);
+    /// Notes the addresses that a peer lists. @p known: the peer's last status, if there is one.
+    void noteAddresses(const PeerStatus &status, Peer *known, TimePoint now);
+
     const std::string m_ownAddress;
     const Listener m_listener;
     std::set<std::string> m_seeds;
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+#include <random>
+
 using namespace rosemaryshift;
 using namespace rosemaryshift::gossip;
 
@@ -21,9 +24,7 @@
     return status;
 }
 
-}
-
-TEST_CASE("A peer status is unchanged after encoding and decoding, and malformed datagrams are rejected")
+PeerStatus fullStatus()
 {
     PeerStatus status = makeStatus("entry-2", 5);
     status.echoUs = 7;
@@ -46,6 +47,23 @@
     status.suspects = {{{quarantine::SuspectKind::PromptPart, 0xdeadU}, "engines", {{"i-1", 40}, {"i-2", 0}}, true, std::nullopt},
                        {{quarantine::SuspectKind::Request, 0xa0bU}, "dispatch", {}, false, 120}};
     status.peers = {"10.0.0.1"};
+    status.interval = std::chrono::milliseconds(640);
+    status.readsCompact = true;
+    return status;
+}
+
+std::string compact(const PeerStatus &status)
+{
+    const CompactStatus encodedStatus(status);
+    const std::array<char, CompactStatus::HeaderBytes> header = encodedStatus.header(status.echoUs);
+    return std::string(header.data(), header.size()) + std::string(encodedStatus.body());
+}
+
+}
+
+TEST_CASE("A peer status is unchanged after encoding and decoding, and malformed datagrams are rejected")
+{
+    PeerStatus status = fullStatus();
     CHECK(decodedPeerStatus(encoded(status)) == status);
 
     CHECK(!decodedPeerStatus(""));
@@ -64,6 +82,126 @@
     CHECK(!decodedPeerStatus(mistyped));
 }
 
+TEST_CASE("A peer status in its compact form is unchanged after encoding and decoding, and malformed datagrams are rejected")
+{
+    PeerStatus status = fullStatus();
+    CHECK(decodedPeerStatus(compact(status)) == status);
+    status.echoUs.reset();
+    CHECK(decodedPeerStatus(compact(status)) == status);
+    CHECK(decodedPeerStatus(compact(makeStatus("entry-1", 0))).has_value());
+
+    SECTION("a datagram that ends early is rejected")
+    {
+        const std::string datagram = compact(status);
+        for (std::size_t length = 0; length < datagram.size(); ++length) {
+            CAPTURE(length);
+            CHECK(!decodedPeerStatus(std::string_view(datagram).substr(0, length)));
+        }
+    }
+    SECTION("no damaged datagram stops the host, and none becomes a status with a number that is no load")
+    {
+        std::mt19937 random(7);
+        const std::string datagram = compact(status);
+        for (int round = 0; round < 20'000; ++round) {
+            std::string damaged = datagram;
+            for (int change = 0; change < 4; ++change) {
+                damaged[random() % damaged.size()] = static_cast<char>(random());
+            }
+            const std::optional<PeerStatus> decoded = decodedPeerStatus(damaged);
+            if (!decoded) {
+                continue;
+            }
+            CHECK(decoded->interval >= ShortestStatusInterval);
+            for (const auto &[workspace, demand] : decoded->demand) {
+                CHECK((std::isfinite(demand) && demand >= 0));
+            }
+        }
+    }
+}
+
+// Guards against a cost of statuses that grows with the number of hosts until the smallest ones have no processor time left for requests (issue 29).
+TEST_CASE("What a host sends and receives in a second does not grow with the number of hosts")
+{
+    constexpr double MaxStatusesPerSecond = 130;
+    for (const std::size_t peers : {1U, 8U, 40U, 76U, 85U, 419U, 1'000U}) {
+        CAPTURE(peers);
+        const double seconds = std::chrono::duration<double>(statusInterval(peers)).count();
+        CHECK(static_cast<double>(peers) / seconds <= MaxStatusesPerSecond);
+        CHECK(seconds >= 0.4);
+    }
+    CHECK(statusInterval(8) == ShortestStatusInterval);
+
+    SECTION("and its statuses take less than a quarter of the slowest links, 10 Mbit a second, on which JSON takes more")
+    {
+        constexpr double MaxBytesPerSecond = 0.25 * 10e6 / 8;
+        PeerStatus status = makeStatus("entry-1", 1'700'000'000'000);
+        for (int number = 0; number < 76; ++number) {
+            status.peers.push_back("10.1.0." + std::to_string(number));
+        }
+        for (int number = 0; number < 16; ++number) {
+            const std::string workspace = "workspace-" + std::to_string(number);
+            status.demand[workspace] = 12'000;
+            status.used[workspace] = 900'000;
+            for (std::uint64_t window = 0; window < 3; ++window) {
+                status.usage[353'445'120 + window]["entry-1/0123456789abcdef"][workspace] = 40;
+            }
+        }
+        for (int number = 0; number < 20; ++number) {
+            status.outstanding["i-0123456789" + std::to_string(number)] = {3, 12'000};
+        }
+        for (const std::size_t peers : {76U, 85U, 419U}) {
+            CAPTURE(peers);
+            const double statusesPerSecond = static_cast<double>(peers) / std::chrono::duration<double>(statusInterval(peers)).count();
+            const std::size_t bytes = CompactStatus::HeaderBytes + CompactStatus(status, false).body().size();
+            CHECK(statusesPerSecond * static_cast<double>(bytes) < MaxBytesPerSecond);
+            CHECK(statusesPerSecond * static_cast<double>(encoded(status).size()) > MaxBytesPerSecond);
+        }
+    }
+}
+
+TEST_CASE("Peers are sent the compact form once they have shown that they read it, and silence counts in their own intervals")
+{
+    PeerRegistry registry("10.0.0.1", [](const Peer &, std::string_view) {});
+    registry.setSeeds({"10.0.0.9"});
+    PeerStatus earlier = makeStatus("entry-2", 5);
+    PeerStatus current = makeStatus("entry-3", 5);
+    current.readsCompact = true;
+    current.interval = std::chrono::milliseconds(4'000);
+    REQUIRE(registry.apply(earlier, Start));
+    REQUIRE(registry.apply(current, Start));
+    CHECK(!registry.destination("10.0.0.9", Start).readsCompact);
+    CHECK(!registry.destination("10.0.0.2", Start).readsCompact);
+    CHECK(registry.destination("10.0.0.3", Start).readsCompact);
+
+    registry.expire(Start + std::chrono::milliseconds(1'300));
+    CHECK(registry.heardHosts() == std::vector<std::string>{"entry-3"});
+    registry.expire(Start + std::chrono::milliseconds(12'100));
+    CHECK(registry.heardHosts().empty());
+
+    SECTION("a status without the list of peers leaves the list as it was")
+    {
+        PeerStatus listing = current;
+        listing.sentUs = 6;
+        listing.peers = {"10.0.0.1", "10.0.0.7"};
+        REQUIRE(registry.apply(*decodedPeerStatus(compact(listing)), Start));
+        listing.sentUs = 7;
+        const CompactStatus encodedStatus(listing, false);
+        const std::array<char, CompactStatus::HeaderBytes> header = encodedStatus.header(std::nullopt);
+        const std::optional<PeerStatus> unlisted = decodedPeerStatus(std::string(header.data(), header.size()) + std::string(encodedStatus.body()));
+        REQUIRE(unlisted);
+        CHECK(unlisted->peersUnchanged);
+        REQUIRE(registry.apply(*unlisted, Start));
+        CHECK(registry.peers().at("entry-3").status.peers == listing.peers);
+    }
+    SECTION("a host that was replaced by an earlier software version is sent JSON again")
+    {
+        PeerStatus replaced = makeStatus("entry-3", 1);
+        replaced.start = "b";
+        REQUIRE(registry.apply(replaced, Start + std::chrono::seconds(13)));
+        CHECK(!registry.destination("10.0.0.3", Start + std::chrono::seconds(13)).readsCompact);
+    }
+}
+
 TEST_CASE("A host learns of peers from the seeds and from the addresses that its peers list")
 {
     std::vector<std::string> changes;
@@ -77,8 +215,9 @@
     REQUIRE(registry.apply(status, Start));
     CHECK(registry.addresses() == std::set<std::string>{"10.0.0.2", "10.0.0.3", "10.0.0.9"});
     CHECK(registry.hostCount() == 2);
-    CHECK(registry.echoFor("10.0.0.2", Start) == 5);
-    CHECK(!registry.echoFor("10.0.0.3", Start));
+    CHECK(registry.destination("10.0.0.2", Start).echoUs == 5);
+    CHECK(!registry.destination("10.0.0.3", Start).echoUs);
+    CHECK(registry.destinations(Start).size() == 3);
 
     SECTION("a status that is not newer than the known one is not applied")
     {
@@ -91,7 +230,7 @@
         registry.expire(Start + std::chrono::seconds(2));
         CHECK(registry.anySilent());
         CHECK(registry.hostCount() == 2);
-        CHECK(!registry.echoFor("10.0.0.2", Start + std::chrono::seconds(3)));
+        CHECK(!registry.destination("10.0.0.2", Start + std::chrono::seconds(3)).echoUs);
         registry.expire(Start + std::chrono::seconds(121));
         CHECK(!registry.anySilent());
         CHECK(registry.hostCount() == 1);
