Look up the use of a workspace's quota at its own peers only

Each request looked at all peers to find what they had used of its workspace's quota since their last reports. The use is kept by workspace now, and extrapolated over intervals of the peer instead of a fixed second.

--- a/src/limits/internal/workspacequotas.cpp
+++ b/src/limits/internal/workspacequotas.cpp
@@ -13,8 +13,8 @@
 constexpr double EvenFraction = 0.3;
 /// Time constant of the moving average of demand.
 constexpr double DemandSeconds = 2;
-/// Longest time after a host's last report over which its usage is extrapolated.
-constexpr double ExtrapolationSeconds = 1;
+/// A host's usage is extrapolated over this number of its intervals after its last report.
+constexpr double ExtrapolationIntervals = 2.5;
 /// Initial level of the pooled bucket as a fraction of its capacity. Not full, because usage before this host's start is unknown.
 constexpr double InitialFraction = 0.3;
 /// Level of the pooled bucket, as a fraction of its capacity, below which a host is also limited to its share: reports of what other hosts use
@@ -111,29 +111,30 @@
     m_pooled = pooled;
 }
 
-void WorkspaceQuotas::updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, TimePoint now)
+void WorkspaceQuotas::updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, Duration interval, TimePoint now)
 {
-    const bool known = m_peers.contains(hostStart);
-    PeerUse &peer = m_peers[hostStart];
-    const double elapsed = std::max(seconds(now - peer.reportedAt), 0.05);
+    const auto [peer, isNew] = m_peers.try_emplace(hostStart, now);
+    const double elapsed = std::max(seconds(now - peer->second), 0.05);
+    peer->second = now;
     for (const auto &[workspace, total] : used) {
-        const std::uint64_t before = peer.used[workspace];
-        const double more = total > before ? static_cast<double>(total - before) : 0;
-        peer.rate[workspace] = known ? more / elapsed : 0;
+        PeerUse &use = m_peerUse[workspace][hostStart];
+        const double more = total > use.used ? static_cast<double>(total - use.used) : 0;
+        use = {total, isNew ? 0 : more / elapsed, ExtrapolationIntervals * seconds(interval), now};
         const auto quota = m_quotas.find(workspace);
         // The first report of a host is not charged: it covers all usage since the host started, which was refilled since or is of unknown age.
-        if (known && quota != m_quotas.end()) {
+        if (!isNew && quota != m_quotas.end()) {
             quota->second.pooled.refill(now);
             quota->second.pooled.level -= more;
         }
     }
-    peer.used = used;
-    peer.reportedAt = now;
 }
 
 void WorkspaceQuotas::forgetPeer(const std::string &hostStart)
 {
     m_peers.erase(hostStart);
+    for (auto &[workspace, hosts] : m_peerUse) {
+        hosts.erase(hostStart);
+    }
 }
 
 std::optional<Duration> WorkspaceQuotas::take(const std::string &workspace, double cost, TimePoint now)
@@ -196,12 +197,13 @@
 
 double WorkspaceQuotas::estimatedUnreportedUse(const std::string &workspace, TimePoint now) const
 {
+    const auto hosts = m_peerUse.find(workspace);
+    if (hosts == m_peerUse.end()) {
+        return 0;
+    }
     double used = 0;
-    for (const auto &[hostStart, peer] : m_peers) {
-        const auto rate = peer.rate.find(workspace);
-        if (rate != peer.rate.end()) {
-            used += rate->second * std::clamp(seconds(now - peer.reportedAt), 0.0, ExtrapolationSeconds);
-        }
+    for (const auto &[hostStart, use] : hosts->second) {
+        used += use.rate * std::clamp(seconds(now - use.reportedAt), 0.0, use.longestExtrapolation);
     }
     return used;
 }
--- a/src/limits/workspacequotas.h
+++ b/src/limits/workspacequotas.h
@@ -39,8 +39,8 @@
     /// Sets the fraction of a workspace's quota, 0 to 1, that the hosts which receive each other's reports may use together.
     void setPooledFraction(const std::string &workspace, double fraction, TimePoint now);
     /// Applies a usage report: the total that another host has used of each workspace's quota since it started. @p hostStart identifies the host
-    /// and the start, as totals begin anew when a host restarts.
-    void updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, TimePoint now);
+    /// and the start, as totals begin anew when a host restarts; @p interval is the time until its next report.
+    void updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, Duration interval, TimePoint now);
     /// Drops the usage of a host that is gone.
     void forgetPeer(const std::string &hostStart);
 
@@ -73,10 +73,11 @@
         double demand = 0; ///< Moving average per second at @c demandUpdatedAt.
         TimePoint demandUpdatedAt;
     };
-    /// Usage reported by another host since its start.
+    /// Usage of one workspace reported by another host since its start.
     struct PeerUse {
-        std::map<std::string, std::uint64_t> used;
-        std::map<std::string, double> rate; ///< Usage per second between the last two reports.
+        std::uint64_t used = 0;
+        double rate = 0;                 ///< Usage per second between the last two reports.
+        double longestExtrapolation = 0; ///< Seconds after the last report over which the rate is assumed to go on.
         TimePoint reportedAt;
     };
 
@@ -87,7 +88,8 @@
     const QuotaTolerance m_tolerance;
     std::map<std::string, Quota> m_quotas;
     std::map<std::string, std::uint64_t> m_used;
-    std::map<std::string, PeerUse> m_peers;
+    std::map<std::string, TimePoint> m_peers;                        ///< The last report of each other host.
+    std::map<std::string, std::map<std::string, PeerUse>> m_peerUse; ///< By workspace and host.
     bool m_pooled = false;
 };
 
