--- a/src/gateway/internal/activeconfiguration.cpp
+++ b/src/gateway/internal/activeconfiguration.cpp
@@ -37,6 +37,11 @@
     return m_table ? m_table->configuration().version : 0;
 }
 
+std::uint64_t ActiveConfiguration::knownVersion() const
+{
+    return std::max(m_knownVersion, version());
+}
+
 const std::string &ActiveConfiguration::text() const
 {
     return m_text;
@@ -53,7 +58,7 @@
 bool ActiveConfiguration::outdated(TimePoint now, Duration maxDelay) const
 {
     const std::optional<Duration> currentAge = age(now);
-    return m_knownVersion > version() && currentAge && *currentAge > maxDelay;
+    return knownVersion() > version() && currentAge && *currentAge > maxDelay;
 }
 
 }
--- a/src/gateway/internal/activeconfiguration.h
+++ b/src/gateway/internal/activeconfiguration.h
@@ -27,6 +27,8 @@
     [[nodiscard]] const std::shared_ptr<const routing::RouteTable> &table() const;
     /// Version of the configuration in force; 0 before the first one.
     [[nodiscard]] std::uint64_t version() const;
+    /// Newest version that is known to exist, in force here or told by a peer.
+    [[nodiscard]] std::uint64_t knownVersion() const;
     /// Text of the configuration in force, for peers that fetch it; empty before the first one.
     [[nodiscard]] const std::string &text() const;
     /// Time since the configuration in force was last confirmed as the newest one; nothing when it never was.
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -3,7 +3,6 @@
 #include "gateway/internal/backgroundtask.h"
 #include "gateway/internal/busyupstreams.h"
 #include "gateway/internal/hostclock.h"
-#include "http/ihttpclient.h"
 
 namespace rosemaryshift::gateway {
 
@@ -22,27 +21,24 @@
 constexpr std::chrono::milliseconds NewHostDelay{20};
 /// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
 constexpr std::size_t MaxDatagramBytes = 65'507;
-/// Time that a newer configuration known to a peer has to arrive from the log, before it is fetched from that peer.
-constexpr std::chrono::milliseconds PeerFetchDelay{250};
-/// Timeout of fetching a configuration from a peer.
-constexpr std::chrono::milliseconds FetchTimeout{800};
 
 }
 
 GossipEndpoint::GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurationFollower, duties::UsageCollector &usageCollector)
     : m_context(context)
-    , m_configurationFollower(configurationFollower)
     , m_usageCollector(usageCollector)
-    , m_registry(context.settings.address, [&context](const gossip::Peer &peer, std::string_view change) {
-        context.eventLog.write("peer",
-                               eventlog::Importance::StateChange,
-                               {{"peer", peer.status.host}, {"change", change}, {"silent_ms", wholeMilliseconds(hostNow() - peer.heard)}});
-        if (change == "forgotten" || change == "left") {
-            context.balancer.forgetPeer(peer.status.host);
-            context.quotas.forgetPeer(hostStart(peer.status.host, peer.status.start));
-            context.wallClock.forgetPeer(peer.status.host);
-        }
-    })
+    , m_registry(context.settings.address,
+                 [&context](const gossip::Peer &peer, std::string_view change) {
+                     context.eventLog.write("peer",
+                                            eventlog::Importance::StateChange,
+                                            {{"peer", peer.status.host}, {"change", change}, {"silent_ms", wholeMilliseconds(hostNow() - peer.heard)}});
+                     if (change == "forgotten" || change == "left") {
+                         context.balancer.forgetPeer(peer.status.host);
+                         context.quotas.forgetPeer(hostStart(peer.status.host, peer.status.start));
+                         context.wallClock.forgetPeer(peer.status.host);
+                     }
+                 })
+    , m_configurationFetcher(context, configurationFollower, m_registry)
 {
 }
 
@@ -212,10 +208,7 @@
         m_context.configuration.confirm(status.configuration, sent - std::chrono::milliseconds(*status.confirmedAgeMs));
     }
     m_context.configuration.noteVersion(status.configuration);
-    if (status.configuration > m_context.configuration.version() && !m_fetchingConfiguration) {
-        m_fetchingConfiguration = true;
-        startTask(m_socket->get_executor(), fetchConfiguration(status.address));
-    }
+    m_configurationFetcher.update(m_socket->get_executor());
 }
 
 net::awaitable<void> GossipEndpoint::greetNewHosts()
@@ -231,30 +224,6 @@
     sendStatus(localStatus(now), destinations, true);
 }
 
-net::awaitable<void> GossipEndpoint::fetchConfiguration(std::string address)
-{
-    const std::uint64_t versionBefore = m_context.configuration.version();
-    if (versionBefore > 0) {
-        co_await pause(PeerFetchDelay);
-    }
-    if (m_context.configuration.version() == versionBefore) {
-        http::Request request;
-        request.target = "/configuration";
-        http::ClientTimeouts timeouts;
-        timeouts.connect = FetchTimeout;
-        timeouts.end = std::chrono::steady_clock::now() + FetchTimeout;
-        http::ClientFailure failure;
-        const http::Endpoint endpoint{address, m_context.settings.peerListener.port};
-        const std::optional<http::Response> response = co_await http::fetch(endpoint, std::move(request), timeouts, failure);
-        if (response && response->status == 200) {
-            m_configurationFollower.applyText(response->body, "peer");
-        } else {
-            m_context.eventLog.write("configuration_not_fetched", eventlog::Importance::StateChange, {{"from", address}, {"reason", failure.detail}});
-        }
-    }
-    m_fetchingConfiguration = false;
-}
-
 void GossipEndpoint::announceLeaving()
 {
     const TimePoint now = hostNow();
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/internal/configurationfollower.h"
+#include "gateway/internal/configurationfetcher.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gossip/peerregistry.h"
 #include "gossip/usagerelay.h"
@@ -57,12 +57,11 @@
     [[nodiscard]] std::map<std::string, double> totalDemand(const std::map<std::string, double> &own) const;
     /// Notes each peer's share of each workspace's quota, to be kept for it while it is silent.
     void notePeerShares(const std::map<std::string, double> &total, std::size_t hosts);
-    boost::asio::awaitable<void> fetchConfiguration(std::string address);
 
     GatewayContext &m_context;
-    ConfigurationFollower &m_configurationFollower;
     duties::UsageCollector &m_usageCollector;
     gossip::PeerRegistry m_registry;
+    ConfigurationFetcher m_configurationFetcher;
     std::optional<boost::asio::ip::udp::socket> m_socket;
     /// Quota shares of the peers, by peer and workspace, as last computed while no peer was silent.
     std::map<std::string, std::map<std::string, double>> m_peerShares;
@@ -70,7 +69,6 @@
     gossip::UsageRelay m_usageRelay;
     std::vector<std::string> m_sentPeers;
     std::uint32_t m_statusesWithoutPeers = 0; ///< Statuses since the list of peers has changed.
-    bool m_fetchingConfiguration = false;
     bool m_holdsDuties = false;
 };
 
