Ask for a request once its connection is open

An exchange got its request before it connected, so that what was true when an upstream was chosen could not be looked at again before the bytes went out. It can now be opened with a source, which is asked when the connection is open, in the handler that also writes. If it provides nothing, nothing is sent and the connection goes to the pool, with the idle time that it had there.

--- a/src/http/connectionpool.h
+++ b/src/http/connectionpool.h
@@ -27,6 +27,8 @@
     std::unique_ptr<ClientConnection> take(const Endpoint &endpoint);
     /// Adds @p connection to the pool until shortly before @p idleTimeout, the server's own limit; a default of 4 s applies without one.
     void keep(const Endpoint &endpoint, std::unique_ptr<ClientConnection> connection, std::optional<std::chrono::milliseconds> idleTimeout);
+    /// Adds @p connection, on which nothing was sent since it was opened or taken from the pool.
+    void keepUnused(const Endpoint &endpoint, std::unique_ptr<ClientConnection> connection);
     /// Closes all idle connections to @p endpoint.
     void drop(const Endpoint &endpoint);
     /// Whether an idle connection to @p endpoint is still open, so that the process that it was opened to still runs.
@@ -37,8 +39,7 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
-    struct IdleConnection;
-    std::map<std::string, std::vector<IdleConnection>> m_idle; ///< By the text of the endpoint, least recently used first.
+    std::map<std::string, std::vector<std::unique_ptr<ClientConnection>>> m_idle; ///< By the text of the endpoint, least recently used first.
 };
 
 }
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -86,6 +86,7 @@
     Closed,        ///< The connection was closed before the answer was complete.
     Malformed,     ///< The answer is not valid HTTP.
     Cancelled,     ///< IExchange::cancel() was called.
+    Withdrawn,     ///< There was no request to send when the connection was open, so no byte was sent.
 };
 
 /// Failure of an exchange, with a description.
--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +14,9 @@
 
 class ConnectionPool;
 
+/// Provides the request of an exchange; nothing when it is not to be sent any more.
+using RequestSource = std::function<std::optional<Request>()>;
+
 /// One HTTP request and its response, on a new or a pooled connection. Used from one coroutine; cancel() may be called from
 /// any thread.
 class IExchange
@@ -22,8 +26,11 @@
 
     /// Connects, sends @p request and reads the answer's status and headers. Nothing, with @p failure set, when that fails; ConnectFailed means that no byte
     /// was sent.
-    virtual boost::asio::awaitable<std::optional<Response>> open(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure)
-        = 0;
+    boost::asio::awaitable<std::optional<Response>> open(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure);
+    /// The same, but gets the request from @p source once the connection is open, right before the first byte is sent. Fails with ClientError::Withdrawn
+    /// when @p source provides nothing; the connection is then kept for a later exchange.
+    virtual boost::asio::awaitable<std::optional<Response>>
+    open(const Endpoint &endpoint, RequestSource source, ClientTimeouts timeouts, ClientFailure &failure) = 0;
     /// Reads the next bytes of the body; empty at its end. Nothing, with @p failure set, when that fails. Precondition: open()
     /// succeeded.
     virtual boost::asio::awaitable<std::optional<std::string>> readSome(ClientFailure &failure) = 0;
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -3,7 +3,9 @@
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace rosemaryshift::http {
 
@@ -16,7 +18,9 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer; ///< Bytes read but not yet parsed.
-    std::uint64_t exchanges = 0;      ///< Number of exchanges that have used the connection.
+    std::uint64_t exchanges = 0;      ///< Number of exchanges that have sent a request on the connection.
+    /// Until when the server keeps the connection open without a request, with a margin; nothing before it was in a pool.
+    std::optional<std::chrono::steady_clock::time_point> idleUntil;
 };
 
 }
--- a/src/http/internal/connectionpool.cpp
+++ b/src/http/internal/connectionpool.cpp
@@ -26,11 +26,6 @@
 
 }
 
-struct ConnectionPool::IdleConnection {
-    std::unique_ptr<ClientConnection> connection;
-    std::chrono::steady_clock::time_point expires;
-};
-
 ConnectionPool::ConnectionPool() = default;
 ConnectionPool::~ConnectionPool() = default;
 
@@ -41,12 +36,12 @@
         return nullptr;
     }
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
-    std::vector<IdleConnection> &idle = found->second;
+    std::vector<std::unique_ptr<ClientConnection>> &idle = found->second;
     while (!idle.empty()) {
-        IdleConnection candidate = std::move(idle.back());
+        std::unique_ptr<ClientConnection> candidate = std::move(idle.back());
         idle.pop_back();
-        if (candidate.expires > now && isReusable(*candidate.connection)) {
-            return std::move(candidate.connection);
+        if (candidate->idleUntil > now && isReusable(*candidate)) {
+            return candidate;
         }
     }
     return nullptr;
@@ -59,7 +54,18 @@
         return;
     }
     connection->stream.expires_never();
-    m_idle[endpoint.text()].push_back({std::move(connection), std::chrono::steady_clock::now() + keepTime});
+    connection->idleUntil = std::chrono::steady_clock::now() + keepTime;
+    m_idle[endpoint.text()].push_back(std::move(connection));
+}
+
+void ConnectionPool::keepUnused(const Endpoint &endpoint, std::unique_ptr<ClientConnection> connection)
+{
+    if (!connection->idleUntil) {
+        keep(endpoint, std::move(connection), std::nullopt);
+        return;
+    }
+    connection->stream.expires_never();
+    m_idle[endpoint.text()].push_back(std::move(connection));
 }
 
 void ConnectionPool::drop(const Endpoint &endpoint)
@@ -70,14 +76,14 @@
 bool ConnectionPool::hasOpen(const Endpoint &endpoint) const
 {
     const auto found = m_idle.find(endpoint.text());
-    return found != m_idle.end() && std::ranges::any_of(found->second, [](const IdleConnection &idle) { return isReusable(*idle.connection); });
+    return found != m_idle.end() && std::ranges::any_of(found->second, [](const std::unique_ptr<ClientConnection> &idle) { return isReusable(*idle); });
 }
 
 void ConnectionPool::closeExpired()
 {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     for (auto entry = m_idle.begin(); entry != m_idle.end();) {
-        std::erase_if(entry->second, [now](const IdleConnection &idle) { return idle.expires <= now; });
+        std::erase_if(entry->second, [now](const std::unique_ptr<ClientConnection> &idle) { return idle->idleUntil <= now; });
         entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
     }
 }
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -43,15 +43,23 @@
         returnConnection();
     }
 
-    net::awaitable<std::optional<Response>> open(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure) override
+    net::awaitable<std::optional<Response>> open(const Endpoint &endpoint, RequestSource source, ClientTimeouts timeouts, ClientFailure &failure) override
     {
         m_timeouts = timeouts;
         m_endpoint = endpoint;
-        m_isHead = request.method == "HEAD";
         if (!co_await connect(endpoint, failure)) {
             co_return std::nullopt;
         }
-        if (!co_await send(endpoint, std::move(request), failure)) {
+        // Nothing may wait between here and the sending, so that what the source has checked still holds.
+        std::optional<Request> request = source();
+        if (!request) {
+            keepUnusedConnection();
+            failure = {ClientError::Withdrawn, "the request was withdrawn before it was sent"};
+            co_return std::nullopt;
+        }
+        ++m_connection->exchanges;
+        m_isHead = request->method == "HEAD";
+        if (!co_await send(endpoint, std::move(*request), failure)) {
             co_return std::nullopt;
         }
         std::optional<Response> result = co_await readHead(failure);
@@ -127,11 +135,9 @@
             m_connection = m_pool->take(endpoint);
         }
         if (m_connection) {
-            ++m_connection->exchanges;
             co_return true;
         }
         m_connection = std::make_unique<ClientConnection>(m_executor);
-        ++m_connection->exchanges;
         expireAfter(m_timeouts.connect);
         const auto [error] = co_await m_connection->stream.async_connect(net::ip::tcp::endpoint(address, endpoint.port), Token);
         if (error || m_cancelled) {
@@ -193,6 +199,15 @@
         m_connection->stream.expires_at(m_timeouts.end ? std::min(expiry, *m_timeouts.end) : expiry);
     }
 
+    /// Gives the connection to the pool before a request was sent on it.
+    void keepUnusedConnection()
+    {
+        if (m_pool && !m_cancelled) {
+            m_pool->keepUnused(m_endpoint, std::move(m_connection));
+        }
+        m_connection.reset();
+    }
+
     /// Returns the connection to the pool if the answer was read to its end and the server keeps it open.
     void returnConnection()
     {
@@ -260,6 +275,12 @@
 
 }
 
+net::awaitable<std::optional<Response>> IExchange::open(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure)
+{
+    RequestSource source = [request = std::move(request)]() mutable { return std::optional<Request>(std::move(request)); };
+    return open(endpoint, std::move(source), timeouts, failure);
+}
+
 std::shared_ptr<IExchange> makeExchange(const net::any_io_executor &executor, std::shared_ptr<ConnectionPool> pool)
 {
     return std::make_shared<Exchange>(executor, std::move(pool));
--- a/src/http/tests/exchangetests.cpp
+++ b/src/http/tests/exchangetests.cpp
@@ -152,6 +152,59 @@
     }
 }
 
+// Guards against requests that are sent on a decision made before the connection was opened.
+TEST_CASE("A request that is withdrawn once the connection is open is not sent, and the connection serves the next one")
+{
+    const bool pooled = GENERATE(false, true);
+    CAPTURE(pooled);
+    net::io_context context;
+    RawServer server(context);
+    const std::shared_ptr<ConnectionPool> pool = std::make_shared<ConnectionPool>();
+    int connections = 0;
+    std::vector<std::string> heads;
+    net::co_spawn(
+        context,
+        [&]() -> net::awaitable<void> {
+            tcp::socket socket = co_await server.accept();
+            ++connections;
+            for (std::string head = co_await readHead(socket); !head.empty(); head = co_await readHead(socket)) {
+                heads.push_back(head.substr(0, head.find(' ', head.find(' ') + 1)));
+                std::string body = "served";
+                co_await answer(socket, std::move(body), {});
+            }
+        },
+        net::detached);
+
+    runScript(context, [&]() -> net::awaitable<void> {
+        const net::any_io_executor executor = co_await net::this_coro::executor;
+        if (pooled) {
+            const std::string first = co_await fetchBody(server.endpoint(), pool);
+            CHECK(first == "served");
+            heads.clear();
+        }
+        std::shared_ptr<IExchange> exchange = makeExchange(executor, pool);
+        ClientFailure failure;
+        int asked = 0;
+        RequestSource source = [&asked] {
+            ++asked;
+            return std::optional<Request>();
+        };
+        const ClientTimeouts timeouts;
+        const std::optional<Response> response = co_await exchange->open(server.endpoint(), std::move(source), timeouts, failure);
+        CHECK(!response);
+        CHECK(failure.error == ClientError::Withdrawn);
+        CHECK(asked == 1);
+        CHECK(pool->size() == 1);
+        exchange.reset();
+
+        const std::string next = co_await fetchBody(server.endpoint(), pool);
+        CHECK(next == "served");
+        CHECK(heads == std::vector<std::string>{"GET /"});
+        CHECK(connections == 1);
+        pool->drop(server.endpoint());
+    }());
+}
+
 TEST_CASE("A response tells what marks the end of its body")
 {
     net::io_context context;
--- a/src/upstreams/internal/callfailures.cpp
+++ b/src/upstreams/internal/callfailures.cpp
@@ -21,6 +21,7 @@
 {
     switch (error) {
     case http::ClientError::ConnectFailed:
+    case http::ClientError::Withdrawn:
         return AttemptOutcome::NotOffered;
     case http::ClientError::TimedOut:
         return AttemptOutcome::Silent;
