Don't send requests of callers that have left

Upstreams got requests up to 1.1 s after their callers had closed.

The caller's socket is now looked at when a request is read, before any other work, and again when the connection to the upstream or the peer is open. The counter rosemaryshift_caller_gone_total tells how far such requests had come, the log line `withdrawn` which were not sent at the second look.

The test of a caller that leaves during the opening of a connection fails without the second look (208 bytes arrive) and passes with it in each of three runs.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -29,7 +29,7 @@
 constexpr int MaxSkippedResponses = 2;
 /// Largest body of an answer that is held until it is complete; a faulty upstream may send bytes without end.
 constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
-/// @p duration in whole milliseconds, rounded down but at least one, for timeouts and the deadline header.
+/// @p duration in whole milliseconds, rounded down but at least one.
 std::chrono::milliseconds atLeastOneMillisecond(Duration duration)
 {
     return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(duration), std::chrono::milliseconds(1));
@@ -65,21 +65,7 @@
 net::awaitable<RequestSession::DispatchResult> RequestSession::dispatchTo(const balancing::Choice &choice, const directory::UpstreamEntry &upstream)
 {
     const TimePoint now = hostNow();
-    ports::Dispatch dispatch;
-    dispatch.timeLeft = atLeastOneMillisecond(remainingTime(now));
-    dispatch.instance = upstream.instance;
-    dispatch.workspace = m_workspace != nullptr ? m_workspace->name : "";
-    if (m_callerRequest.promptTokens) {
-        dispatch.priority = upstreamPriority();
-    }
-    dispatch.resumeAfter = m_eventSplitter.lastId();
-
-    http::Request request;
-    request.method = m_request.method;
-    request.target = m_request.target;
-    request.headers = endToEndHeaders(m_context.ports.messageCodec->dispatchHeaders(m_request, dispatch));
-    request.body = m_request.body;
-
+    const std::optional<std::string> resumeAfter = m_eventSplitter.lastId();
     m_viaPeer = false;
     m_instance = upstream.instance;
     m_upstream = upstream;
@@ -101,7 +87,7 @@
                               {"runner_up", choice.runnerUp},
                               {"runner_up_ms", wholeMilliseconds(choice.runnerUpExpected)},
                               {"left_ms", wholeMilliseconds(remainingTime(now))},
-                              {"resume_after", dispatch.resumeAfter ? std::string_view(*dispatch.resumeAfter) : std::string_view()},
+                              {"resume_after", resumeAfter ? std::string_view(*resumeAfter) : std::string_view()},
                               {"caller_resumes", m_callerRequest.resumedAttempt},
                               {"caller_resume_after", m_callerRequest.lastEventId.value_or("")}});
 
@@ -109,7 +95,8 @@
     m_exchange = http::makeExchange(executor, m_context.upstreamConnections);
     http::ClientFailure failure;
     const http::ClientTimeouts limits = dispatchTimeouts(choice, now);
-    std::optional<http::Response> upstreamResponse = co_await m_exchange->open(upstream.endpoint, std::move(request), limits, failure);
+    http::RequestSource source = [this] { return requestForUpstream(); };
+    std::optional<http::Response> upstreamResponse = co_await m_exchange->open(upstream.endpoint, std::move(source), limits, failure);
     ports::ResponseMetadata metadata;
     for (int skipped = 0; upstreamResponse; ++skipped) {
         metadata = m_context.ports.messageCodec->responseMetadata(*upstreamResponse);
@@ -128,6 +115,10 @@
         upstreamResponse = co_await m_exchange->openNext(failure);
     }
     if (!upstreamResponse) {
+        if (failure.error == http::ClientError::Withdrawn) {
+            endWithdrawn();
+            co_return DispatchResult::TryAnother;
+        }
         if (failure.error == http::ClientError::ConnectFailed) {
             m_attemptState->noteNotSent();
         }
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -51,13 +51,6 @@
     refundQuota(); // The peer that sends the request to an upstream charges it.
     const TimePoint now = hostNow();
     const std::chrono::milliseconds remaining = std::chrono::duration_cast<std::chrono::milliseconds>(remainingTime(now) - ResponseMargin);
-    http::Request request;
-    request.method = m_request.method;
-    request.target = m_request.target;
-    request.headers = withoutHeader(endToEndHeaders(m_context.ports.messageCodec->forwardedHeaders(m_request, remaining)), PeerTokenHeader);
-    request.headers.add(PeerTokenHeader, peer.forwardingToken);
-    request.body = m_request.body;
-
     m_triedPeers.insert(peer.host);
     m_viaPeer = true;
     m_instance = peer.host;
@@ -78,7 +71,12 @@
     timeouts.end = std::chrono::steady_clock::now() + remaining;
     http::ClientFailure failure;
     const http::Endpoint endpoint{peer.address, m_context.settings.peerListener.port};
-    std::optional<http::Response> answer = co_await m_exchange->open(endpoint, std::move(request), timeouts, failure);
+    http::RequestSource source = [this, &peer] { return requestForPeer(peer.forwardingToken); };
+    std::optional<http::Response> answer = co_await m_exchange->open(endpoint, std::move(source), timeouts, failure);
+    if (failure.error == http::ClientError::Withdrawn) {
+        endWithdrawn();
+        co_return DispatchResult::TryAnother;
+    }
     const bool accepted = answer && answer->headers.find(PeerAnswerHeader).has_value();
     if (!accepted && (answer || failure.error == http::ClientError::ConnectFailed)) {
         m_attemptState->noteNotSent();
--- /dev/null
+++ b/src/gateway/internal/requestsending.cpp
@@ -0,0 +1,83 @@
+#include "gateway/internal/endtoendheaders.h"
+#include "gateway/internal/hostclock.h"
+#include "gateway/internal/peerheaders.h"
+#include "gateway/internal/requestsession.h"
+
+namespace rosemaryshift::gateway {
+
+namespace {
+
+/// @p duration in whole milliseconds, rounded down but at least one, for the deadline header.
+std::chrono::milliseconds deadlineMilliseconds(Duration duration)
+{
+    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(duration), std::chrono::milliseconds(1));
+}
+
+}
+
+void RequestSession::dropUnrouted()
+{
+    if (std::optional<ports::CallerRequest> caller = m_context.ports.messageCodec->callerRequest(m_request, m_reason)) {
+        m_callerRequest = std::move(*caller);
+    }
+    logOutcome("caller_gone", 0, "left_before_routing");
+}
+
+void RequestSession::countCallerGone()
+{
+    std::string_view stage = "received";
+    if (m_attemptState) {
+        stage = m_attemptState->mayRejectAsNotRun() ? "routed" : "sent";
+    }
+    m_context.metrics.count("rosemaryshift_caller_gone_total", R"(stage=")" + std::string(stage) + R"(")");
+}
+
+std::optional<http::Request> RequestSession::requestForUpstream()
+{
+    if (m_writer.detectCallerGone()) {
+        m_reason = "caller_gone";
+        return std::nullopt;
+    }
+    ports::Dispatch dispatch;
+    dispatch.timeLeft = deadlineMilliseconds(remainingTime(hostNow()));
+    dispatch.instance = m_instance;
+    dispatch.workspace = m_workspace != nullptr ? m_workspace->name : "";
+    if (m_callerRequest.promptTokens) {
+        dispatch.priority = upstreamPriority();
+    }
+    dispatch.resumeAfter = m_eventSplitter.lastId();
+
+    http::Request request;
+    request.method = m_request.method;
+    request.target = m_request.target;
+    request.headers = endToEndHeaders(m_context.ports.messageCodec->dispatchHeaders(m_request, dispatch));
+    request.body = m_request.body;
+    return request;
+}
+
+std::optional<http::Request> RequestSession::requestForPeer(std::string_view token)
+{
+    if (m_writer.detectCallerGone()) {
+        m_reason = "caller_gone";
+        return std::nullopt;
+    }
+    const std::chrono::milliseconds timeLeft = deadlineMilliseconds(remainingTime(hostNow()) - ResponseMargin);
+    http::Request request;
+    request.method = m_request.method;
+    request.target = m_request.target;
+    request.headers = withoutHeader(endToEndHeaders(m_context.ports.messageCodec->forwardedHeaders(m_request, timeLeft)), PeerTokenHeader);
+    request.headers.add(PeerTokenHeader, token);
+    request.body = m_request.body;
+    return request;
+}
+
+void RequestSession::endWithdrawn()
+{
+    m_attemptState->noteNotSent();
+    m_viaPeer = false;
+    m_context.eventLog.write(
+        "withdrawn", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}, {"reason", m_reason}});
+    endDispatch(balancing::AttemptEnd::Inconclusive);
+}
+
+}
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -55,6 +55,10 @@
 
 net::awaitable<void> RequestSession::run()
 {
+    if (m_writer.detectCallerGone()) {
+        dropUnrouted();
+        co_return;
+    }
     if (!routeAndAuthenticate() || !admit()) {
         co_await reject(m_rejectionStatus, m_reason, m_retryAfter);
         co_return;
@@ -82,7 +86,7 @@
             if (!prepared) {
                 co_return;
             }
-            const std::optional<balancing::Choice> choice = chooseUpstream(now);
+            const std::optional<balancing::Choice> choice = chooseUpstream(hostNow());
             if (!choice) {
                 break;
             }
@@ -307,6 +311,9 @@
     if (m_firstByteLatency) {
         m_context.metrics.observe("rosemaryshift_first_byte_seconds", R"(kind=")" + std::string(kind) + R"(")", *m_firstByteLatency);
     }
+    if (outcome == "caller_gone") {
+        countCallerGone();
+    }
     const bool good = outcome == "answered";
     m_context.eventLog.write("request_ended",
                              good ? eventlog::Importance::Ordinary : eventlog::Importance::Failure,
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -35,6 +35,10 @@
         TryAnother, ///< The caller got no final response; another upstream may be tried.
     };
 
+    /// Ends a request whose caller has left before it was routed.
+    void dropUnrouted();
+    /// Counts a request whose caller has left by how far it had come.
+    void countCallerGone();
     /// Reads the caller's headers and finds the route and the workspace. Returns false, with the rejection set, when the request cannot be served.
     bool routeAndAuthenticate();
     /// Chooses the service. Returns false, with the rejection set, when the request is not admitted.
@@ -51,6 +55,13 @@
     boost::asio::awaitable<void> relayAnswer(http::Response answer);
     /// Ends a request of which the peer's answer is missing.
     boost::asio::awaitable<void> endForwarding();
+    /// The request as it is sent to the upstream of the current dispatch, whose connection is open; nothing, with the reason set, when it is not to be sent
+    /// any more.
+    std::optional<http::Request> requestForUpstream();
+    /// The same for a peer that accepts forwarded requests with this @p token.
+    std::optional<http::Request> requestForPeer(std::string_view token);
+    /// Ends a dispatch that was withdrawn before its request was sent.
+    void endWithdrawn();
     /// Notes that the upstream of the last dispatch was not reached, if that is what @p failure says.
     void noteUnreached(const http::ClientFailure &failure);
     /// Sends the request to @p upstream and forwards its response.
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -32,6 +32,9 @@
     /// True once the connection was found closed or broken before the answer was complete. A disconnect of the caller is
     /// detected without writing only after onCallerGone().
     [[nodiscard]] virtual bool callerGone() const = 0;
+    /// Looks at the connection now and returns callerGone(). Detects a disconnect before the callback of onCallerGone() gets its turn, and without one; not
+    /// while bytes of a further request wait to be read.
+    virtual bool detectCallerGone() = 0;
     /// True once sending the answer has started.
     [[nodiscard]] virtual bool started() const = 0;
 };
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -329,6 +329,12 @@
     return !m_open;
 }
 
+bool Connection::detectCallerGone()
+{
+    m_open = m_open && peek() != PeekResult::Closed;
+    return !m_open;
+}
+
 bool Connection::started() const
 {
     return m_started;
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -35,6 +35,7 @@
     void abort() override;
     void onCallerGone(std::function<void()> callback) override;
     [[nodiscard]] bool callerGone() const override;
+    bool detectCallerGone() override;
     [[nodiscard]] bool started() const override;
 
 private:
