Don't send requests whose time has passed

A connection that opens late, in a busy host also long after its timeout, was used for requests that no answer could help any more: the write is tried at once, whatever the exchange's end. Their callers got 504, may have run.

The time left is now looked at when the connection is open. A request whose time has passed is answered as not run (503). The deadline that an upstream or a peer gets is the time left at that moment.

--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -32,14 +32,27 @@
     m_context.metrics.count("rosemaryshift_caller_gone_total", R"(stage=")" + std::string(stage) + R"(")");
 }
 
-std::optional<http::Request> RequestSession::requestForUpstream()
+bool RequestSession::callerWaits(TimePoint now)
 {
     if (m_writer.detectCallerGone()) {
         m_reason = "caller_gone";
+        return false;
+    }
+    if (remainingTime(now) <= ResponseMargin) {
+        m_reason = "deadline_passed";
+        return false;
+    }
+    return true;
+}
+
+std::optional<http::Request> RequestSession::requestForUpstream()
+{
+    const TimePoint now = hostNow();
+    if (!callerWaits(now)) {
         return std::nullopt;
     }
     ports::Dispatch dispatch;
-    dispatch.timeLeft = deadlineMilliseconds(remainingTime(hostNow()));
+    dispatch.timeLeft = deadlineMilliseconds(remainingTime(now));
     dispatch.instance = m_instance;
     dispatch.workspace = m_workspace != nullptr ? m_workspace->name : "";
     if (m_callerRequest.promptTokens) {
@@ -57,11 +70,11 @@
 
 std::optional<http::Request> RequestSession::requestForPeer(std::string_view token)
 {
-    if (m_writer.detectCallerGone()) {
-        m_reason = "caller_gone";
+    const TimePoint now = hostNow();
+    if (!callerWaits(now)) {
         return std::nullopt;
     }
-    const std::chrono::milliseconds timeLeft = deadlineMilliseconds(remainingTime(hostNow()) - ResponseMargin);
+    const std::chrono::milliseconds timeLeft = deadlineMilliseconds(remainingTime(now) - ResponseMargin);
     http::Request request;
     request.method = m_request.method;
     request.target = m_request.target;
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -55,6 +55,8 @@
     boost::asio::awaitable<void> relayAnswer(http::Response answer);
     /// Ends a request of which the peer's answer is missing.
     boost::asio::awaitable<void> endForwarding();
+    /// Whether the caller still waits for an answer; sets the reason if not.
+    bool callerWaits(TimePoint now);
     /// The request as it is sent to the upstream of the current dispatch, whose connection is open; nothing, with the reason set, when it is not to be sent
     /// any more.
     std::optional<http::Request> requestForUpstream();
