Believe a refusal without the request's id only on a connection of its own

Callers of bookings were told 503, "not run", for requests that an upstream was running: a faulty upstream writes an earlier refusal once more on a kept connection, and the request after it took that for its own answer. Where a route allows a second upstream, it could run there too, by the code. An upstream's pause was noted from it once more as well.

A refusal with the id of another request was skipped already; one without an id was believed on any connection.

Before, the test over a real gateway got 503 for a booking that ran (and, by the repeated pause, for the next one), on a kept connection and behind an answer to another request; now 502, and 200 for the next one.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -111,7 +111,8 @@
     const http::ClientTimeouts limits = dispatchTimeouts(choice, now);
     std::optional<http::Response> upstreamResponse = co_await m_exchange->open(upstream.endpoint, std::move(request), limits, failure);
     ports::ResponseMetadata metadata;
-    for (int skipped = 0; upstreamResponse; ++skipped) {
+    int skipped = 0;
+    for (; upstreamResponse; ++skipped) {
         metadata = m_context.ports.messageCodec->responseMetadata(*upstreamResponse);
         if (metadata.attemptId.empty() || metadata.attemptId == m_callerRequest.attemptId) {
             break;
@@ -137,6 +138,11 @@
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
+    if (metadata.attemptId.empty() && (skipped > 0 || m_exchange->reused())) {
+        // A repetition of an earlier answer on this connection says nothing about this request.
+        metadata.notExecuted = false;
+        metadata.pause.reset();
+    }
     m_framing = upstreamResponse->framing;
     const DispatchResult result = co_await handleResponse(std::move(*upstreamResponse), metadata);
     co_return result;
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -45,7 +45,7 @@
 
 bool RequestSession::notePause(const ports::ResponseMetadata &metadata)
 {
-    // A refusal may lack the id of the request, but never has that of another one.
+    // A refusal may lack the id of the request, but then it is the first answer on its connection.
     if (metadata.pauseMalformed) {
         m_context.eventLog.write(
             "upstream_pause_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}});
