Don't send requests to upstreams that leave while they are connected to

The choice is checked once more when the connection is open, and another upstream is chosen if it no longer holds. A request counts against a stated limit when it is sent instead of when its upstream is chosen.

--- a/src/directory/internal/upstreamdirectory.cpp
+++ b/src/directory/internal/upstreamdirectory.cpp
@@ -17,6 +17,12 @@
         && known.softwareVersion == entry.softwareVersion;
 }
 
+bool mayGetRequests(const Upstream &upstream, TimePoint now)
+{
+    const bool avoided = upstream.avoidedSince && now - *upstream.avoidedSince < MisdirectedAvoidanceTime;
+    return !upstream.leaving && !avoided;
+}
+
 }
 
 UpstreamDirectory::UpstreamDirectory(Listener listener)
@@ -123,14 +129,19 @@
 {
     std::vector<const Upstream *> upstreams;
     for (const auto &[instance, upstream] : m_upstreams) {
-        const bool avoided = upstream.avoidedSince && now - *upstream.avoidedSince < MisdirectedAvoidanceTime;
-        if (upstream.entry.service == service && !upstream.leaving && !avoided) {
+        if (upstream.entry.service == service && mayGetRequests(upstream, now)) {
             upstreams.push_back(&upstream);
         }
     }
     return upstreams;
 }
 
+const Upstream *UpstreamDirectory::usableRun(const UpstreamEntry &entry, TimePoint now) const
+{
+    const Upstream *const upstream = find(entry.instance);
+    return upstream != nullptr && sameRun(upstream->entry, entry) && mayGetRequests(*upstream, now) ? upstream : nullptr;
+}
+
 const Upstream *UpstreamDirectory::find(std::string_view instance) const
 {
     const auto found = m_upstreams.find(instance);
--- a/src/directory/tests/upstreamdirectorytests.cpp
+++ b/src/directory/tests/upstreamdirectorytests.cpp
@@ -35,6 +35,37 @@
     REQUIRE(directory.usable("engines", Start).size() == 1);
     CHECK(directory.usable("dispatch", Start).empty());
 
+    SECTION("the run that was chosen is told from what the list has by then")
+    {
+        const UpstreamEntry chosen = directory.find("a")->entry;
+        REQUIRE(directory.usableRun(chosen, Start) == directory.find("a"));
+
+        SECTION("the same run may get requests until it leaves")
+        {
+            UpstreamEntry later = chosen;
+            later.warmUp = std::chrono::seconds(1);
+            directory.apply(later, Start);
+            CHECK(directory.usableRun(chosen, Start) != nullptr);
+            directory.apply(leaving(chosen), Start);
+            CHECK(directory.usableRun(chosen, Start) == nullptr);
+        }
+        SECTION("another run under its id is not the chosen one")
+        {
+            directory.apply(makeEntry("a", 2'000), Start);
+            CHECK(directory.usableRun(chosen, Start) == nullptr);
+        }
+        SECTION("a removed upstream is gone")
+        {
+            directory.applyAll({}, Start, false);
+            CHECK(directory.usableRun(chosen, Start) == nullptr);
+        }
+        SECTION("one that another instance answered for is avoided for a while")
+        {
+            directory.noteMisdirected("a", Start);
+            CHECK(directory.usableRun(chosen, Start + std::chrono::seconds(1)) == nullptr);
+            CHECK(directory.usableRun(chosen, Start + std::chrono::seconds(6)) != nullptr);
+        }
+    }
     SECTION("an upstream that says in an answer that it leaves gets no new requests")
     {
         directory.noteLeaving("a");
--- a/src/directory/upstreamdirectory.h
+++ b/src/directory/upstreamdirectory.h
@@ -50,6 +50,8 @@
 
     /// The upstreams of @p service that may get new requests.
     [[nodiscard]] std::vector<const Upstream *> usable(std::string_view service, TimePoint now) const;
+    /// The upstream whose run @p entry describes; null when it may not get new requests, or when that run is not known any more.
+    [[nodiscard]] const Upstream *usableRun(const UpstreamEntry &entry, TimePoint now) const;
     /// The upstream with the given id; null when it is not known.
     [[nodiscard]] const Upstream *find(std::string_view instance) const;
     /// All known upstreams, by id; includes those whose entries have lapsed.
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -69,11 +69,9 @@
     m_viaPeer = false;
     m_instance = upstream.instance;
     m_upstream = upstream;
-    m_dispatchedAt = now;
     m_framing.reset();
     m_triedInstances.insert(m_instance);
     m_attemptState->noteDispatched();
-    m_context.upstreamLimits.noteSent(m_instance, now);
     m_balancerAttempt = m_context.balancer.begin(requestProfile(), choice, now);
     m_context.eventLog.write("offered",
                              eventlog::Importance::Ordinary,
--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -45,12 +45,32 @@
     return true;
 }
 
+bool RequestSession::upstreamAccepts(TimePoint now)
+{
+    const directory::Upstream *const upstream = m_context.directory.usableRun(m_upstream, now);
+    if (upstream == nullptr || (m_continuedVersion && !mayBeContinuedBy(*upstream, *m_continuedVersion))) {
+        m_reason = "upstream_gone";
+        return false;
+    }
+    if (m_context.upstreamPauses.remaining(m_instance, now)) {
+        m_reason = "upstream_paused";
+        return false;
+    }
+    if (!m_context.upstreamLimits.maySend(m_instance, now)) {
+        m_reason = "upstream_limited";
+        return false;
+    }
+    return true;
+}
+
 std::optional<http::Request> RequestSession::requestForUpstream()
 {
     const TimePoint now = hostNow();
-    if (!callerWaits(now)) {
+    if (!callerWaits(now) || !upstreamAccepts(now)) {
         return std::nullopt;
     }
+    m_dispatchedAt = now;
+    m_context.upstreamLimits.noteSent(m_instance, now);
     ports::Dispatch dispatch;
     dispatch.timeLeft = deadlineMilliseconds(remainingTime(now));
     dispatch.instance = m_instance;
@@ -87,6 +107,7 @@
 void RequestSession::endWithdrawn()
 {
     m_attemptState->noteNotSent();
+    m_triedInstances.erase(m_instance);
     m_viaPeer = false;
     m_context.eventLog.write(
         "withdrawn", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}, {"reason", m_reason}});
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -57,6 +57,8 @@
     boost::asio::awaitable<void> endForwarding();
     /// Whether the caller still waits for an answer; sets the reason if not.
     bool callerWaits(TimePoint now);
+    /// Whether the upstream of the current dispatch may be sent the request; sets the reason if not.
+    bool upstreamAccepts(TimePoint now);
     /// The request as it is sent to the upstream of the current dispatch, whose connection is open; nothing, with the reason set, when it is not to be sent
     /// any more.
     std::optional<http::Request> requestForUpstream();
@@ -139,7 +141,7 @@
     std::set<std::string> m_triedPeers;
     int m_connectFailures = 0;                     ///< Upstreams to which no connection could be opened.
     bool m_viaPeer = false;                        ///< The last dispatch went to a peer; it accounts for the request.
-    TimePoint m_dispatchedAt;                      ///< Time of the last dispatch.
+    TimePoint m_dispatchedAt;                      ///< Time at which the last dispatch was sent.
     std::string m_instance;                        ///< Upstream instance of the last dispatch.
     directory::UpstreamEntry m_upstream;           ///< Entry of that instance at the time of the dispatch.
     std::optional<std::string> m_continuedVersion; ///< The software version that began the stream, once it is known; only upstreams of it may continue it.
