--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -199,6 +199,10 @@
 
 net::awaitable<bool> Connection::respond(Response response)
 {
+    if (m_started) {
+        abort(); // The caller would take a second head for a part of the first answer's body.
+        co_return false;
+    }
     bhttp::response<bhttp::string_body> message(static_cast<bhttp::status>(response.status), m_version);
     for (const Header &field : response.headers.all()) {
         message.insert(field.name, field.value);
