Compute the usage rates of peers from when they sent their reports

Such a host handles several reports of a peer at once. A peer's usage was divided by the time between two handlings, at least 50 ms, which makes a rate of up to eight times the true one, and that rate was extrapolated.

The rate now follows from the peer's own sending times. The age of a report counts from its sending, estimated by the report that was handled soonest after it was sent. While a host handles no reports at all, it extrapolates longer, the pooled bucket keeps room for use that is not yet reported instead of discarding the refill, and the level below which the host is also limited to its own share rises with each interval.

--- a/src/limits/internal/workspacequotas.cpp
+++ b/src/limits/internal/workspacequotas.cpp
@@ -15,10 +15,17 @@
 constexpr double DemandSeconds = 2;
 /// A host's usage is extrapolated over this number of its intervals after its last report.
 constexpr double ExtrapolationIntervals = 2.5;
+/// Number of intervals of a host over which its usage is extrapolated in addition while this host handles no reports at all. Those of all hosts
+/// wait then, because this host is late.
+constexpr double OwnDelayIntervals = 5;
+/// Shortest time between two reports for which a rate is computed.
+constexpr Duration MinReportInterval = std::chrono::milliseconds(50);
+/// Largest relative difference between the speeds of two hosts' clocks.
+constexpr double ClockDrift = 0.001;
 /// Initial level of the pooled bucket as a fraction of its capacity. Not full, because usage before this host's start is unknown.
 constexpr double InitialFraction = 0.3;
 /// Level of the pooled bucket, as a fraction of its capacity, below which a host is also limited to its share: reports of what other hosts use
-/// at the same moment would arrive too late.
+/// at the same moment would arrive too late. The fraction grows by as much with each interval in which this host handles no reports.
 constexpr double ScarceFraction = 0.3;
 /// Fractions of the tolerated excess and slack that are granted to callers. The rest covers requests that several hosts admit at the same moment.
 constexpr double GrantedExcessFraction = 0.5;
@@ -31,12 +38,17 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+Duration toDuration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 }
 
-void WorkspaceQuotas::Bucket::refill(TimePoint now)
+void WorkspaceQuotas::Bucket::refill(TimePoint now, double unreported)
 {
     const double gained = std::max(0.0, seconds(now - refilledAt)) * rate;
-    level = std::min(level + gained, capacity);
+    level = std::min(level + gained, capacity + unreported);
     refilledAt = now;
 }
 
@@ -45,17 +57,24 @@
 {
 }
 
-void WorkspaceQuotas::resize(Quota &quota, TimePoint now) const
+double WorkspaceQuotas::refillPooled(const std::string &workspace, Quota &quota, TimePoint now) const
+{
+    const double unreported = estimatedUnreportedUse(workspace, now);
+    quota.pooled.refill(now, unreported);
+    return unreported;
+}
+
+void WorkspaceQuotas::resize(const std::string &workspace, Quota &quota, TimePoint now) const
 {
     const double perSecond = quota.perSecond * (1 + GrantedExcessFraction * m_tolerance.excess);
     quota.own.refill(now);
     quota.own.rate = perSecond * quota.share;
     quota.own.capacity = quota.burst * SharedBurstFraction * quota.share;
     quota.own.level = std::min(quota.own.level, quota.own.capacity);
-    quota.pooled.refill(now);
+    refillPooled(workspace, quota, now);
     quota.pooled.rate = perSecond * quota.pooledFraction;
     quota.pooled.capacity = quota.burst * quota.pooledFraction;
-    quota.pooled.level = std::min(quota.pooled.level, quota.pooled.capacity);
+    refillPooled(workspace, quota, now);
 }
 
 void WorkspaceQuotas::configure(std::span<const routing::Workspace> workspaces, TimePoint now)
@@ -74,7 +93,7 @@
         }
         quota.perSecond = workspace.perSecond;
         quota.burst = workspace.burst;
-        resize(quota, now);
+        resize(workspace.name, quota, now);
         quotas.emplace(workspace.name, quota);
     }
     m_quotas = std::move(quotas);
@@ -85,7 +104,7 @@
     const auto found = m_quotas.find(workspace);
     if (found != m_quotas.end()) {
         found->second.share = share;
-        resize(found->second, now);
+        resize(workspace, found->second, now);
     }
 }
 
@@ -94,7 +113,7 @@
     const auto found = m_quotas.find(workspace);
     if (found != m_quotas.end()) {
         found->second.pooledFraction = fraction;
-        resize(found->second, now);
+        resize(workspace, found->second, now);
     }
 }
 
@@ -104,26 +123,30 @@
         // Without reports this host knows its own usage only, so its own bucket starts with its share of what is left in the pooled one.
         for (auto &[workspace, quota] : m_quotas) {
             quota.own.refill(now);
-            quota.pooled.refill(now);
-            quota.own.level = std::min(quota.own.level, quota.pooled.level * quota.share);
+            const double unreported = refillPooled(workspace, quota, now);
+            quota.own.level = std::min(quota.own.level, (quota.pooled.level - unreported) * quota.share);
         }
     }
     m_pooled = pooled;
 }
 
-void WorkspaceQuotas::updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, Duration interval, TimePoint now)
+void WorkspaceQuotas::updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, ReportTiming timing, TimePoint now)
 {
-    const auto [peer, isNew] = m_peers.try_emplace(hostStart, now);
-    const double elapsed = std::max(seconds(now - peer->second), 0.05);
-    peer->second = now;
+    const auto [peer, isNew] = m_peers.try_emplace(hostStart, PeerClock{timing.sentAt, now - timing.sentAt});
+    PeerClock &clock = peer->second;
+    // A host also reports between two intervals, as to a host that is new; what it used meanwhile says little about its rate.
+    const Duration elapsed = std::max({timing.sentAt - clock.sentAt, timing.interval, MinReportInterval});
+    clock.offset = std::min(clock.offset + toDuration(ClockDrift * seconds(elapsed)), now - timing.sentAt);
+    clock.sentAt = timing.sentAt;
+    m_lastReportAt = now;
+    m_lastReportInterval = timing.interval;
     for (const auto &[workspace, total] : used) {
         PeerUse &use = m_peerUse[workspace][hostStart];
         const double more = total > use.used ? static_cast<double>(total - use.used) : 0;
-        use = {total, isNew ? 0 : more / elapsed, ExtrapolationIntervals * seconds(interval), now};
+        use = {total, isNew ? 0 : more / seconds(elapsed), seconds(timing.interval), timing.sentAt + clock.offset};
         const auto quota = m_quotas.find(workspace);
         // The first report of a host is not charged: it covers all usage since the host started, which was refilled since or is of unknown age.
         if (!isNew && quota != m_quotas.end()) {
-            quota->second.pooled.refill(now);
             quota->second.pooled.level -= more;
         }
     }
@@ -150,12 +173,12 @@
         return std::nullopt;
     }
     quota.own.refill(now);
-    quota.pooled.refill(now);
+    const double unreported = refillPooled(workspace, quota, now);
     const double grantedSlack = GrantedSlackFraction * m_tolerance.slack;
     double level = quota.own.level + grantedSlack * quota.share;
     if (m_pooled) {
-        const double pooled = quota.pooled.level - estimatedUnreportedUse(workspace, now) + grantedSlack * quota.pooledFraction;
-        level = pooled < ScarceFraction * quota.pooled.capacity ? std::min(pooled, level) : pooled;
+        const double pooled = quota.pooled.level - unreported + grantedSlack * quota.pooledFraction;
+        level = pooled < ScarceFraction * (1 + missedIntervals(now)) * quota.pooled.capacity ? std::min(pooled, level) : pooled;
     }
     if (level > 0) {
         quota.pooled.level -= cost;
@@ -176,7 +199,7 @@
     }
     Quota &quota = found->second;
     quota.own.level = std::min(quota.own.level + cost, quota.own.capacity);
-    quota.pooled.level = std::min(quota.pooled.level + cost, quota.pooled.capacity);
+    quota.pooled.level = std::max(quota.pooled.level, std::min(quota.pooled.level + cost, quota.pooled.capacity));
     std::uint64_t &used = m_used[workspace];
     used -= std::min(used, static_cast<std::uint64_t>(cost));
 }
@@ -202,12 +225,20 @@
         return 0;
     }
     double used = 0;
+    const double ownDelay = seconds(now - m_lastReportAt);
     for (const auto &[hostStart, use] : hosts->second) {
-        used += use.rate * std::clamp(seconds(now - use.reportedAt), 0.0, use.longestExtrapolation);
+        const double age = std::clamp(seconds(m_lastReportAt - use.sentAt), 0.0, ExtrapolationIntervals * use.interval);
+        used += use.rate * (age + std::clamp(ownDelay, 0.0, OwnDelayIntervals * use.interval));
     }
     return used;
 }
 
+double WorkspaceQuotas::missedIntervals(TimePoint now) const
+{
+    const double interval = seconds(std::max(m_lastReportInterval, MinReportInterval));
+    return std::max(0.0, seconds(now - m_lastReportAt) / interval - 1);
+}
+
 double quotaShare(double ownDemand, double totalDemand, std::size_t hosts)
 {
     const double even = 1 / static_cast<double>(std::max<std::size_t>(hosts, 1));
--- a/src/limits/tests/latereportstests.cpp
+++ b/src/limits/tests/latereportstests.cpp
@@ -22,6 +22,7 @@
 
 /// What a host reports of its usage, on its way to another host or waiting there to be handled.
 struct Report {
+    TimePoint sentAt; ///< On the clock of the host that sends it, which differs from the others'.
     TimePoint arrivesAt;
     std::size_t from = 0;
     std::map<std::string, std::uint64_t> used;
@@ -56,6 +57,7 @@
         for (Host &host : m_hosts) {
             host.quotas.configure(workspaces, Start - std::chrono::seconds(10));
             host.quotas.setPooled(true, Start);
+            host.quotas.setShare("yard", quotaShare(0, 0, count), Start - std::chrono::seconds(10));
             host.demands.resize(count);
             host.sendsAt = Start + std::chrono::milliseconds(m_random() % static_cast<std::uint64_t>(SendInterval.count()));
             host.handlesAt = Start + std::chrono::milliseconds(m_random() % static_cast<std::uint64_t>(m_handlingInterval.count()));
@@ -94,7 +96,7 @@
     {
         while (!host.waiting.empty() && host.waiting.front().arrivesAt <= now) {
             const Report &report = host.waiting.front();
-            host.quotas.updatePeerUsage("entry-" + std::to_string(report.from), report.used, now);
+            host.quotas.updatePeerUsage("entry-" + std::to_string(report.from), report.used, {report.sentAt, SendInterval}, now);
             host.demands[report.from] = report.demand;
             host.waiting.pop_front();
         }
@@ -111,7 +113,7 @@
         host.quotas.setShare("yard", quotaShare(host.demands[index], total, m_hosts.size()), now);
         for (std::size_t other = 0; other < m_hosts.size(); ++other) {
             if (other != index) {
-                m_hosts[other].waiting.push_back({now + NetworkDelay, index, host.quotas.used(), host.demands[index]});
+                m_hosts[other].waiting.push_back({now - std::chrono::seconds(index), now + NetworkDelay, index, host.quotas.used(), host.demands[index]});
             }
         }
     }
--- a/src/limits/tests/limitstests.cpp
+++ b/src/limits/tests/limitstests.cpp
@@ -201,7 +201,7 @@
         if (step % 50 == 0) {
             for (std::size_t host = 0; host < Hosts; ++host) {
                 if (host != reporter) {
-                    hosts[host].updatePeerUsage("entry-" + std::to_string(reporter), hosts[reporter].used(), ReportInterval, now);
+                    hosts[host].updatePeerUsage("entry-" + std::to_string(reporter), hosts[reporter].used(), {now, ReportInterval}, now);
                 }
             }
         }
@@ -267,7 +267,7 @@
             const std::size_t reporter = static_cast<std::size_t>(step) % 400 / 50;
             for (std::size_t host = 0; host < Hosts; ++host) {
                 if (host != reporter) {
-                    hosts[host].updatePeerUsage("entry-" + std::to_string(reporter), hosts[reporter].used(), ReportInterval, now);
+                    hosts[host].updatePeerUsage("entry-" + std::to_string(reporter), hosts[reporter].used(), {now, ReportInterval}, now);
                 }
             }
         }
--- a/src/limits/workspacequotas.h
+++ b/src/limits/workspacequotas.h
@@ -17,6 +17,12 @@
     double slack = 0;  ///< Constant tolerated in addition, in the unit of the quota.
 };
 
+/// When another host sends its usage reports. This host may handle a report late, and several at once.
+struct ReportTiming {
+    TimePoint sentAt;  ///< Sending time on the other host's clock; only differences between reports of the same start are meaningful.
+    Duration interval; ///< Time until its next report.
+};
+
 /// Enforces the quotas of all workspaces at one host with token buckets. Hosts that receive each other's usage reports keep copies of one pooled
 /// bucket: each subtracts its own callers' usage at once, the usage of other hosts when they report it, and an estimate of what those hosts have
 /// used since their last report. The share of hosts that do not report is left out of the pooled bucket, so that the total stays within the quota
@@ -39,8 +45,8 @@
     /// Sets the fraction of a workspace's quota, 0 to 1, that the hosts which receive each other's reports may use together.
     void setPooledFraction(const std::string &workspace, double fraction, TimePoint now);
     /// Applies a usage report: the total that another host has used of each workspace's quota since it started. @p hostStart identifies the host
-    /// and the start, as totals begin anew when a host restarts; @p interval is the time until its next report.
-    void updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, Duration interval, TimePoint now);
+    /// and the start, as totals begin anew when a host restarts.
+    void updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, ReportTiming timing, TimePoint now);
     /// Drops the usage of a host that is gone.
     void forgetPeer(const std::string &hostStart);
 
@@ -61,7 +67,8 @@
         double level = 0; ///< Negative when the bucket is in debt.
         TimePoint refilledAt;
 
-        void refill(TimePoint now);
+        /// Adds what the bucket has gained since the last refill. @p unreported is use that its level still includes.
+        void refill(TimePoint now, double unreported = 0);
     };
     struct Quota {
         double perSecond = 0; ///< 0 means no limit.
@@ -76,20 +83,31 @@
     /// Usage of one workspace reported by another host since its start.
     struct PeerUse {
         std::uint64_t used = 0;
-        double rate = 0;                 ///< Usage per second between the last two reports.
-        double longestExtrapolation = 0; ///< Seconds after the last report over which the rate is assumed to go on.
-        TimePoint reportedAt;
+        double rate = 0;     ///< Usage per second between the last two reports.
+        double interval = 0; ///< Seconds until the next report.
+        TimePoint sentAt;    ///< When the last report was sent, estimated on this host's clock.
+    };
+    /// Sending times of another host's reports.
+    struct PeerClock {
+        TimePoint sentAt; ///< Of the last report, on the other host's clock.
+        Duration offset;  ///< What this host's clock is ahead of the other one, as shown by the report that was handled soonest after its sending.
     };
 
-    void resize(Quota &quota, TimePoint now) const;
+    void resize(const std::string &workspace, Quota &quota, TimePoint now) const;
+    /// Refills the pooled bucket and returns the estimated use that other hosts have not reported yet, which its level still includes.
+    double refillPooled(const std::string &workspace, Quota &quota, TimePoint now) const;
     /// Estimates what the other hosts have used since their last reports.
     [[nodiscard]] double estimatedUnreportedUse(const std::string &workspace, TimePoint now) const;
+    /// Number of intervals, beyond the usual one, in which this host has handled no reports at all.
+    [[nodiscard]] double missedIntervals(TimePoint now) const;
 
     const QuotaTolerance m_tolerance;
     std::map<std::string, Quota> m_quotas;
     std::map<std::string, std::uint64_t> m_used;
-    std::map<std::string, TimePoint> m_peers;                        ///< The last report of each other host.
+    std::map<std::string, PeerClock> m_peers;                        ///< By host.
     std::map<std::string, std::map<std::string, PeerUse>> m_peerUse; ///< By workspace and host.
+    TimePoint m_lastReportAt;                                        ///< When this host last handled a report.
+    Duration m_lastReportInterval{0};
     bool m_pooled = false;
 };
 
