Accept all waiting connections in one turn of the event loop

Callers of a late host waited in the queue of the listening socket, since each turn of the event loop accepted one connection; the host could neither see nor refuse them. It now takes up to 64 at once.

--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/connection.h"
 
+#include <limits>
 #include <mutex>
 #include <vector>
 
@@ -10,6 +11,8 @@
 
 namespace {
 
+/// Maximum number of waiting connections that are accepted in one turn of the event loop.
+constexpr int MaxAcceptedAtOnce = 64;
 /// Delay before accepting again after a failed accept.
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
@@ -43,6 +46,9 @@
         if (!error) {
             m_acceptor.listen(net::socket_base::max_listen_connections, error);
         }
+        if (!error) {
+            m_acceptor.non_blocking(true, error);
+        }
         if (error) {
             reason = "cannot listen on " + endpoint.text() + ": " + error.message();
             return false;
@@ -63,7 +69,8 @@
         m_state.closing = true;
         m_state.stopping = true;
         net::post(m_acceptor.get_executor(), [self = shared_from_this()] {
-            self->acceptPending();
+            // Closing the socket would reset the connections that are pending.
+            self->acceptPending(std::numeric_limits<int>::max());
             self->m_acceptor.close();
         });
         for (const std::shared_ptr<Connection> &connection : liveConnections()) {
@@ -100,15 +107,16 @@
                 continue;
             }
             start(std::move(socket));
+            // Otherwise callers would wait unseen in the queue of the listening socket, for a turn of the event loop each.
+            acceptPending(MaxAcceptedAtOnce - 1);
         }
     }
 
-    /// Accepts the connections that are pending on the listening socket; closing the socket would reset them.
-    void acceptPending()
+    /// Accepts up to @p most of the connections that are pending on the listening socket.
+    void acceptPending(int most)
     {
         boost::system::error_code error;
-        m_acceptor.non_blocking(true, error);
-        while (!error) {
+        for (int accepted = 0; !error && accepted < most; ++accepted) {
             tcp::socket socket(net::make_strand(m_context));
             m_acceptor.accept(socket, error);
             if (!error) {
