Limit the admitted requests while the event loop is late

No part of a gateway knew how late its event loop was. A host that got more requests than it could serve handled all of them, late; callers gave up and came again, and the host stayed overloaded by requests whose callers had gone.

A timer and a probe that passes the queue of the loop measure its delay. While the queue has not been empty for 200 ms and the mean lateness is above 25 ms, the host limits how many admitted requests wait for the beginning of their answer, and refuses the others as not run before routing, quota and choice. The limit decreases multiplicatively and increases additively, until none is refused. A host at the end of each quota period is late, but empties its queue, and is not overloaded by that.

A request now counts from when it is estimated to have reached the host, and one whose time has passed by then is refused. Age of the configuration, quota and retry budget still go by the time of handling.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/internal/dutyrunner.h"
 #include "gateway/internal/gossipendpoint.h"
 #include "gateway/internal/hostclock.h"
+#include "gateway/internal/loopsampler.h"
 #include "gateway/internal/peerheaders.h"
 #include "gateway/internal/reachprober.h"
 #include "gateway/internal/requestsession.h"
@@ -72,6 +73,7 @@
         , m_gossip(m_context, m_configurationFollower, m_usageCollector)
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
         , m_reachProber(m_context)
+        , m_loopSampler(m_context)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
         m_context.peers = &m_gossip.registry();
@@ -124,6 +126,7 @@
         startTask(m_io.get_executor(), m_upstreamFollower.run());
         startTask(m_io.get_executor(), m_streamRegistry.run());
         startTask(m_io.get_executor(), m_reachProber.run());
+        startTask(m_io.get_executor(), m_loopSampler.run());
         startTask(m_io.get_executor(), m_gossip.send());
         startTask(m_io.get_executor(), m_gossip.receive());
         startTask(m_io.get_executor(), runMaintenance());
@@ -257,6 +260,7 @@
         metrics.set("rosemaryshift_quarantined_requests", "", static_cast<double>(m_context.quarantine.quarantined(quarantine::SuspectKind::Request)));
         metrics.set("rosemaryshift_paused_upstreams", "", static_cast<double>(m_context.upstreamPauses.paused()));
         metrics.set("rosemaryshift_limited_upstreams", "", static_cast<double>(m_context.upstreamLimits.limitedUpstreams()));
+        metrics.set("rosemaryshift_admitted_share", "", m_context.admission.admittedShare());
         metrics.set("rosemaryshift_idle_upstream_connections", "", static_cast<double>(m_context.upstreamConnections->size()));
         metrics.set("rosemaryshift_configuration_version", "", static_cast<double>(m_context.configuration.version()));
         metrics.set(
@@ -277,6 +281,7 @@
     GossipEndpoint m_gossip;
     DutyRunner m_dutyRunner;
     ReachProber m_reachProber;
+    LoopSampler m_loopSampler;
     net::signal_set m_signals;
     std::unique_ptr<http::IHttpServer> m_callerServer;
     std::unique_ptr<http::IHttpServer> m_readinessServer;
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -18,6 +18,8 @@
 #include "limits/upstreamlimits.h"
 #include "limits/upstreampauses.h"
 #include "limits/workspacequotas.h"
+#include "overload/admissioncontrol.h"
+#include "overload/loopdelay.h"
 #include "quarantine/crashquarantine.h"
 #include "streams/streamorigins.h"
 #include "streams/versionhistory.h"
@@ -37,6 +39,8 @@
     const std::string startId; ///< Random id of this start of the process, which tells it from earlier ones of the same host.
     eventlog::EventLog eventLog;
     GatewayMetrics metrics;
+    overload::LoopDelay loopDelay;
+    overload::AdmissionControl admission;
     ActiveConfiguration configuration;
     directory::UpstreamDirectory directory;
     directory::ListAvailability listAvailability;
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -75,6 +75,7 @@
 void RequestSession::noteFirstByte()
 {
     const TimePoint now = hostNow();
+    noteAnswering();
     m_attemptState->noteResponseStarted();
     m_context.balancer.recordFirstEvent(m_balancerAttempt, now);
     if (!m_firstByteLatency) {
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -48,11 +48,17 @@
     , m_request(std::move(request))
     , m_writer(writer)
     , m_fromPeer(fromPeer)
-    , m_arrivedAt(hostNow())
+    , m_handledAt(hostNow())
+    , m_arrivedAt(m_handledAt - m_context.loopDelay.estimate(m_handledAt))
     , m_deadline(m_arrivedAt + DefaultTimeout)
 {
 }
 
+RequestSession::~RequestSession()
+{
+    noteAnswering();
+}
+
 net::awaitable<void> RequestSession::run()
 {
     if (!routeAndAuthenticate() || !admit()) {
@@ -106,7 +112,7 @@
 bool RequestSession::routeAndAuthenticate()
 {
     m_routeTable = m_context.configuration.table();
-    const std::optional<Duration> age = m_context.configuration.age(m_arrivedAt);
+    const std::optional<Duration> age = m_context.configuration.age(m_handledAt);
     if (!m_routeTable || !age) {
         m_rejectionStatus = 503;
         m_reason = "no_configuration";
@@ -120,6 +126,9 @@
         return false;
     }
     m_deadline = m_arrivedAt + m_callerRequest.timeLeft.value_or(DefaultTimeout);
+    if (!admitByLoad()) {
+        return false;
+    }
     const bool configurationIsCurrent = *age < std::chrono::duration_cast<Duration>(m_context.settings.maxConfigurationDelay * CurrentConfigurationFactor);
     m_route = m_routeTable->route(m_request.headers.find("Host").value_or(""), http::path(m_request.target));
     if (m_route == nullptr) {
@@ -184,7 +193,7 @@
         const double tokenCount = m_callerRequest.promptTokens ? static_cast<double>(*m_callerRequest.promptTokens + m_callerRequest.maxOutputTokens)
                                                                : static_cast<double>(m_workspace->tokensOfPlainRequest);
         const double cost = countsTokens ? tokenCount : 1;
-        if (const std::optional<Duration> wait = m_context.quotas.take(m_workspace->name, cost, m_arrivedAt)) {
+        if (const std::optional<Duration> wait = m_context.quotas.take(m_workspace->name, cost, m_handledAt)) {
             m_rejectionStatus = 429;
             m_reason = "over_quota";
             m_retryAfter = *wait;
@@ -193,7 +202,7 @@
         m_quotaCost = cost;
     }
     m_charged = true;
-    m_context.retryBudget.noteRequest(m_service, m_arrivedAt);
+    m_context.retryBudget.noteRequest(m_service, m_handledAt);
     return true;
 }
 
@@ -326,6 +335,7 @@
                               {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
                               {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
                               {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
+                              {"waited_ms", wholeMilliseconds(m_handledAt - m_arrivedAt)},
                               {"took_ms", wholeMilliseconds(now - m_arrivedAt)}});
 }
 
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -19,6 +19,10 @@
     /// @p fromPeer: a peer that reaches no upstream has forwarded the request.
     RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer, bool fromPeer);
 
+    ~RequestSession();
+    RequestSession(const RequestSession &) = delete;
+    RequestSession &operator=(const RequestSession &) = delete;
+
     /// Sends the caller a response, or closes the connection when a response that was started cannot be completed.
     boost::asio::awaitable<void> run();
 
@@ -37,6 +41,10 @@
 
     /// Reads the caller's headers and finds the route and the workspace. Returns false, with the rejection set, when the request cannot be served.
     bool routeAndAuthenticate();
+    /// Whether this host, by its load, can answer the request in time. Returns false, with the rejection set, when it is not to be handled.
+    bool admitByLoad();
+    /// Records that the request, if it was admitted, no longer waits for the beginning of its answer.
+    void noteAnswering();
     /// Chooses the service. Returns false, with the rejection set, when the request is not admitted.
     bool admit();
     /// Takes the cost from the workspace's quota, once. Returns false, with the rejection set, when the quota is used up.
@@ -103,7 +111,8 @@
     const http::Request m_request;
     http::IResponseWriter &m_writer;
     const bool m_fromPeer;
-    const TimePoint m_arrivedAt;
+    const TimePoint m_handledAt; ///< When the handling began.
+    const TimePoint m_arrivedAt; ///< When the request is estimated to have reached this host, from which the caller's time counts.
     ports::CallerRequest m_callerRequest;
     std::shared_ptr<const routing::RouteTable> m_routeTable;
     const routing::Route *m_route = nullptr;
@@ -134,6 +143,7 @@
     EventSplitter m_eventSplitter;
     std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
+    bool m_waitsForAnswer = false;              ///< The request was admitted, and its answer has not begun.
     bool m_usageCounted = false;
     bool m_streamStarted = false; ///< The headers of a streamed response were sent to the caller.
 };
