Don't count the time that an event waits in the host as the upstream's

The expected time of an upstream rose with the host's own lateness, and streams were refused as overloaded by it, also after the host had become punctual: no request was sent that could have lowered the estimate.

--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -77,7 +77,8 @@
     const TimePoint now = hostNow();
     noteAnswering();
     m_attemptState->noteResponseStarted();
-    m_context.balancer.recordFirstEvent(m_balancerAttempt, now);
+    // The time for which the event has waited for this host is not the upstream's.
+    m_context.balancer.recordFirstEvent(m_balancerAttempt, std::max(now - m_context.loopDelay.estimate(now), m_dispatchedAt));
     if (!m_firstByteLatency) {
         m_firstByteLatency = now - m_arrivedAt;
     }
