--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -5,9 +5,6 @@
 #include "gateway/internal/hostclock.h"
 #include "http/ihttpclient.h"
 
-#include <algorithm>
-#include <set>
-
 namespace rosemaryshift::gateway {
 
 namespace net = boost::asio;
@@ -15,32 +12,21 @@
 
 namespace {
 
-/// Interval at which this host's status is sent to the peers.
-constexpr std::chrono::milliseconds SendInterval{400};
-/// Time for which a peer's claim to hold the duties is trusted: two send intervals and a margin.
-constexpr std::chrono::milliseconds HolderClaimLifetime{1'000};
+/// A peer's claim to hold the duties is trusted for this number of its intervals: two and a margin.
+constexpr double HolderClaimIntervals = 2.5;
+/// What a peer reports of its load on the upstreams is used for this number of its intervals.
+constexpr double LoadReportIntervals = 5;
+/// The list of peers is left out of most statuses while it is unchanged; two in this number of statuses have it.
+constexpr std::uint32_t StatusesPerPeerList = 10;
+/// Delay after which hosts that have just started are told of this host. They come by the dozen when a fleet starts, and are answered together.
+constexpr std::chrono::milliseconds NewHostDelay{20};
 /// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
 constexpr std::size_t MaxDatagramBytes = 65'507;
-/// Number of usage windows in each datagram, the current one included.
-constexpr std::uint64_t SentUsageWindows = 3;
-/// Maximum number of streams in each datagram whose origin is not yet recorded.
-constexpr std::size_t MaxSentStreams = 200;
 /// Time that a newer configuration known to a peer has to arrive from the log, before it is fetched from that peer.
 constexpr std::chrono::milliseconds PeerFetchDelay{250};
 /// Timeout of fetching a configuration from a peer.
 constexpr std::chrono::milliseconds FetchTimeout{800};
 
-/// Identifies one start of a host's process in usage counts and quotas.
-std::string hostStart(const std::string &host, const std::string &start)
-{
-    return host + "/" + start;
-}
-
-std::uint64_t microsecondsOf(TimePoint time)
-{
-    return static_cast<std::uint64_t>(time.time_since_epoch().count());
-}
-
 }
 
 GossipEndpoint::GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurationFollower, duties::UsageCollector &usageCollector)
@@ -91,7 +77,7 @@
 bool GossipEndpoint::peerHoldsDuties(TimePoint now) const
 {
     for (const auto &[host, peer] : m_registry.peers()) {
-        if (peer.status.holdsDuties && now - peer.heard < HolderClaimLifetime) {
+        if (peer.status.holdsDuties && now - peer.heard < peer.lifetime(HolderClaimIntervals)) {
             return true;
         }
     }
@@ -114,23 +100,39 @@
         m_context.upstreamLimits.expire(now);
         m_context.upstreamPauses.expire(now);
         updateShares(now);
-        gossip::PeerStatus status = localStatus(now);
-        for (const std::string &address : m_registry.addresses()) {
-            sendTo(status, address, now);
-        }
-        co_await pause(SendInterval);
+        const gossip::PeerStatus status = localStatus(now);
+        sendStatus(status, m_registry.destinations(now), peersAreDue(status.peers));
+        co_await pause(status.interval);
     }
 }
 
-void GossipEndpoint::sendTo(gossip::PeerStatus &status, const std::string &address, TimePoint now)
+bool GossipEndpoint::peersAreDue(const std::vector<std::string> &peers)
 {
-    status.echoUs = m_registry.echoFor(address, now);
-    const std::string datagram = encoded(status);
-    boost::system::error_code error;
-    const net::ip::address to = net::ip::make_address(address, error);
-    if (!error) {
+    m_statusesWithoutPeers = peers == m_sentPeers ? m_statusesWithoutPeers + 1 : 0;
+    m_sentPeers = peers;
+    // A change is sent twice, and what is unchanged now and then, since datagrams are lost.
+    return m_statusesWithoutPeers % StatusesPerPeerList <= 1;
+}
+
+void GossipEndpoint::sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers)
+{
+    const gossip::CompactStatus compact(status, withPeers);
+    for (const gossip::Destination &destination : destinations) {
+        boost::system::error_code error;
+        const net::ip::address to = net::ip::make_address(destination.address, error);
+        if (error) {
+            continue;
+        }
+        const udp::endpoint endpoint(to, m_context.settings.gossipPort);
         // A failed send is ignored like a lost datagram, since the status is sent periodically.
-        m_socket->send_to(net::buffer(datagram), udp::endpoint(to, m_context.settings.gossipPort), 0, error);
+        if (destination.readsCompact) {
+            const std::array<char, gossip::CompactStatus::HeaderBytes> header = compact.header(destination.echoUs);
+            m_socket->send_to(std::array<net::const_buffer, 2>{net::buffer(header), net::buffer(compact.body())}, endpoint, 0, error);
+        } else {
+            gossip::PeerStatus addressed = status;
+            addressed.echoUs = destination.echoUs;
+            m_socket->send_to(net::buffer(encoded(addressed)), endpoint, 0, error);
+        }
     }
 }
 
@@ -155,64 +157,6 @@
     }
 }
 
-gossip::PeerStatus GossipEndpoint::localStatus(TimePoint now) const
-{
-    gossip::PeerStatus status;
-    status.host = m_context.settings.name;
-    status.start = m_context.startId;
-    status.zone = m_context.settings.zone;
-    status.address = m_context.settings.address;
-    status.sentUs = microsecondsOf(now);
-    status.configuration = m_context.configuration.version();
-    if (const std::optional<Duration> age = m_context.configuration.age(now)) {
-        status.confirmedAgeMs = static_cast<std::uint64_t>(wholeMilliseconds(*age)) + 1;
-    }
-    if (const std::optional<Duration> inReach = m_context.listAvailability.reachableFor(now)) {
-        status.listReachableMs = static_cast<std::uint64_t>(wholeMilliseconds(*inReach));
-    }
-    status.wallUs = static_cast<std::uint64_t>(m_context.wallClock.ownSinceEpoch(now).count());
-    status.holdsDuties = m_holdsDuties;
-    status.demand = m_context.quotas.demand(now);
-    status.used = m_context.quotas.used();
-    status.busy = localBusyUpstreams(m_context, now);
-    status.outstanding = m_context.balancer.outstanding();
-    status.upstreamLimits = m_context.upstreamLimits.reports(now);
-    status.suspects = m_context.quarantine.reports(now);
-    status.forwardingToken = m_context.forwardingToken;
-    status.unreachedServices = m_context.upstreamReach.unreachedServices();
-    status.versions = m_context.softwareVersions.reports(now);
-    status.streams = m_context.streamOrigins.unrecorded(m_context.softwareVersions.mixedServices(), MaxSentStreams);
-    addUsageTo(status, now);
-    for (const auto &[host, peer] : m_registry.peers()) {
-        if (!peer.silent) {
-            status.peers.push_back(peer.status.address);
-        }
-    }
-    return status;
-}
-
-void GossipEndpoint::addUsageTo(gossip::PeerStatus &status, TimePoint now) const
-{
-    const std::uint64_t current = m_context.usageLedger.windowAt(m_context.wallClock.sinceEpoch(now));
-    std::set<std::string> heardStarts;
-    for (const auto &[host, peer] : m_registry.peers()) {
-        if (!peer.silent) {
-            heardStarts.insert(hostStart(host, peer.status.start));
-        }
-    }
-    for (std::uint64_t window = current - std::min(current, SentUsageWindows - 1); window <= current; ++window) {
-        for (const auto &[start, counts] : m_usageCollector.countsByProcess(window)) {
-            if (!heardStarts.contains(start)) { // Peers that are heard send their own counts.
-                status.usage[window][start] = counts;
-            }
-        }
-        const auto own = m_context.usageLedger.windows().find(window);
-        if (own != m_context.usageLedger.windows().end()) {
-            status.usage[window][hostStart(m_context.settings.name, m_context.startId)] = own->second;
-        }
-    }
-}
-
 std::map<std::string, double> GossipEndpoint::totalBusyUpstreams(TimePoint now) const
 {
     std::map<std::string, double> sum = localBusyUpstreams(m_context, now);
@@ -235,13 +179,16 @@
     }
     const gossip::PeerStatus &status = m_registry.peers().at(host).status;
     if (isNewStart) {
-        // A peer that has just started knows little, so it gets this host's status at once instead of at the next interval.
-        gossip::PeerStatus own = localStatus(now);
-        sendTo(own, status.address, now);
-        updateShares(now);
+        // A peer that has just started knows little, so it gets this host's status soon instead of at the next interval.
+        m_newAddresses.insert(status.address);
+        if (m_newAddresses.size() == 1) {
+            startTask(m_socket->get_executor(), greetNewHosts());
+        }
     }
-    m_context.quotas.updatePeerUsage(hostStart(status.host, status.start), status.used, now);
-    m_context.balancer.setPeerOutstanding(host, status.outstanding, now);
+    const TimePoint sentAt{Duration(static_cast<Duration::rep>(status.sentUs))};
+    m_context.quotas.updatePeerUsage(hostStart(status.host, status.start), status.used, {sentAt, status.interval}, now);
+    const Duration loadLifetime = std::chrono::duration_cast<Duration>(status.interval * LoadReportIntervals);
+    m_context.balancer.setPeerOutstanding(host, status.outstanding, now, loadLifetime);
     m_context.upstreamLimits.apply(status.upstreamLimits, now);
     m_context.quarantine.apply(status.suspects, now);
     for (const streams::VersionReport &report : status.versions) {
@@ -265,12 +212,26 @@
         const TimePoint sent{Duration(static_cast<Duration::rep>(*status.echoUs))};
         m_context.configuration.confirm(status.configuration, sent - std::chrono::milliseconds(*status.confirmedAgeMs));
     }
+    m_context.configuration.noteVersion(status.configuration);
     if (status.configuration > m_context.configuration.version() && !m_fetchingConfiguration) {
         m_fetchingConfiguration = true;
         startTask(m_socket->get_executor(), fetchConfiguration(status.address));
     }
 }
 
+net::awaitable<void> GossipEndpoint::greetNewHosts()
+{
+    co_await pause(NewHostDelay);
+    const TimePoint now = hostNow();
+    std::vector<gossip::Destination> destinations;
+    for (const std::string &address : m_newAddresses) {
+        destinations.push_back(m_registry.destination(address, now));
+    }
+    m_newAddresses.clear();
+    updateShares(now);
+    sendStatus(localStatus(now), destinations, true);
+}
+
 net::awaitable<void> GossipEndpoint::fetchConfiguration(std::string address)
 {
     const std::uint64_t versionBefore = m_context.configuration.version();
@@ -302,9 +263,7 @@
     for (const bool leaving : {false, true}) {
         // The final counts go out before the leaving mark, since receivers take no counts from a datagram with that mark.
         last.leaving = leaving;
-        for (const std::string &address : m_registry.addresses()) {
-            sendTo(last, address, now);
-        }
+        sendStatus(last, m_registry.destinations(now), false);
         ++last.sentUs;
     }
 }
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -61,6 +61,10 @@
 
 net::awaitable<void> RequestSession::run()
 {
+    if (m_writer.detectCallerGone()) {
+        dropUnrouted();
+        co_return;
+    }
     if (!routeAndAuthenticate() || !admit()) {
         co_await reject(m_rejectionStatus, m_reason, m_retryAfter);
         co_return;
@@ -88,7 +92,7 @@
             if (!prepared) {
                 co_return;
             }
-            const std::optional<balancing::Choice> choice = chooseUpstream(now);
+            const std::optional<balancing::Choice> choice = chooseUpstream(hostNow());
             if (!choice) {
                 break;
             }
@@ -125,6 +129,12 @@
         m_rejectionStatus = 400;
         return false;
     }
+    if (m_context.configuration.outdated(m_arrivedAt, m_context.settings.maxConfigurationDelay)) {
+        m_rejectionStatus = 503;
+        m_reason = "stale_configuration";
+        m_retryAfter = ConfigurationRetryDelay;
+        return false;
+    }
     m_deadline = m_arrivedAt + m_callerRequest.timeLeft.value_or(DefaultTimeout);
     if (!admitByLoad()) {
         return false;
@@ -316,6 +326,9 @@
     if (m_firstByteLatency) {
         m_context.metrics.observe("rosemaryshift_first_byte_seconds", R"(kind=")" + std::string(kind) + R"(")", *m_firstByteLatency);
     }
+    if (outcome == "caller_gone") {
+        countCallerGone();
+    }
     const bool good = outcome == "answered";
     m_context.eventLog.write("request_ended",
                              good ? eventlog::Importance::Ordinary : eventlog::Importance::Failure,
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -39,6 +39,19 @@
         TryAnother, ///< The caller got no final response; another upstream may be tried.
     };
 
+    /// What the answers that make up one stream have in common.
+    struct StreamFormat {
+        int status = 0;
+        std::string contentType;
+        std::string contentEncoding;
+
+        bool operator==(const StreamFormat &) const = default;
+    };
+
+    /// Ends a request whose caller has left before it was routed.
+    void dropUnrouted();
+    /// Counts a request whose caller has left by how far it had come.
+    void countCallerGone();
     /// Reads the caller's headers and finds the route and the workspace. Returns false, with the rejection set, when the request cannot be served.
     bool routeAndAuthenticate();
     /// Whether this host, by its load, can answer the request in time. Returns false, with the rejection set, when it is not to be handled.
@@ -59,6 +72,17 @@
     boost::asio::awaitable<void> relayAnswer(http::Response answer);
     /// Ends a request of which the peer's answer is missing.
     boost::asio::awaitable<void> endForwarding();
+    /// Whether the caller still waits for an answer; sets the reason if not.
+    bool callerWaits(TimePoint now);
+    /// Whether the upstream of the current dispatch may be sent the request; sets the reason if not.
+    bool upstreamAccepts(TimePoint now);
+    /// The request as it is sent to the upstream of the current dispatch, whose connection is open; nothing, with the reason set, when it is not to be sent
+    /// any more.
+    std::optional<http::Request> requestForUpstream();
+    /// The same for a peer that accepts forwarded requests with this @p token.
+    std::optional<http::Request> requestForPeer(std::string_view token);
+    /// Ends a dispatch that was withdrawn before its request was sent.
+    void endWithdrawn();
     /// Notes that the upstream of the last dispatch was not reached, if that is what @p failure says.
     void noteUnreached(const http::ClientFailure &failure);
     /// Sends the request to @p upstream and forwards its response.
@@ -81,6 +105,9 @@
     boost::asio::awaitable<bool> findStreamOrigin();
     /// Records which software version began the stream, before its first event is passed on.
     void noteStreamBegan();
+    [[nodiscard]] static StreamFormat streamFormat(const http::Response &answer);
+    /// Whether @p answer may be the rest of the stream that was started; its status is no error then.
+    [[nodiscard]] bool continuesStream(const http::Response &answer) const;
     /// Whether @p upstream may continue a stream that @p softwareVersion began.
     [[nodiscard]] bool mayBeContinuedBy(const directory::Upstream &upstream, const std::string &softwareVersion) const;
     /// Whether no upstream of the version that began the stream is left.
@@ -135,7 +162,7 @@
     std::set<std::string> m_triedPeers;
     int m_connectFailures = 0;                     ///< Upstreams to which no connection could be opened.
     bool m_viaPeer = false;                        ///< The last dispatch went to a peer; it accounts for the request.
-    TimePoint m_dispatchedAt;                      ///< Time of the last dispatch.
+    TimePoint m_dispatchedAt;                      ///< Time at which the last dispatch was sent.
     std::string m_instance;                        ///< Upstream instance of the last dispatch.
     directory::UpstreamEntry m_upstream;           ///< Entry of that instance at the time of the dispatch.
     std::optional<std::string> m_continuedVersion; ///< The software version that began the stream, once it is known; only upstreams of it may continue it.
@@ -145,6 +172,7 @@
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
     bool m_waitsForAnswer = false;              ///< The request was admitted, and its answer has not begun.
     bool m_usageCounted = false;
+    StreamFormat m_streamFormat;  ///< Of the answer that started the stream.
     bool m_streamStarted = false; ///< The headers of a streamed response were sent to the caller.
 };
 
