Measure statuses, their round trip, and calls to the platform's log

Histograms of calls to the log by topic, call and outcome, and of the time from sending a status to its echo; counters of statuses and their bytes in both directions, the size of the last one; configuration_in_force has read_ms, the time since its read began.

--- a/src/gateway/internal/configurationfetcher.cpp
+++ b/src/gateway/internal/configurationfetcher.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/configurationfetcher.h"
 
 #include "gateway/internal/backgroundtask.h"
+#include "gateway/internal/hostclock.h"
 #include "http/ihttpclient.h"
 
 #include <algorithm>
@@ -75,6 +76,7 @@
 
 net::awaitable<bool> ConfigurationFetcher::fetchFrom(std::string address)
 {
+    const TimePoint startedAt = hostNow();
     http::Request request;
     request.target = "/configuration";
     http::ClientTimeouts timeouts;
@@ -84,7 +86,7 @@
     const http::Endpoint endpoint{address, m_context.settings.peerListener.port};
     const std::optional<http::Response> response = co_await http::fetch(endpoint, std::move(request), timeouts, failure);
     if (response && response->status == 200) {
-        co_return m_configurationFollower.applyText(response->body, "peer") > 0;
+        co_return m_configurationFollower.applyText(response->body, "peer", startedAt) > 0;
     }
     const std::string reason = response ? "status " + std::to_string(response->status) : failure.detail;
     m_context.eventLog.write("configuration_not_fetched", eventlog::Importance::StateChange, {{"from", address}, {"reason", reason}});
--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -50,7 +50,7 @@
     if (!newest) {
         co_return false;
     }
-    applyRecords(newest->records);
+    applyRecords(newest->records, startedAt);
     m_offset = newest->endOffset;
     m_context.configuration.confirm(m_newestVersion, startedAt);
     co_return true;
@@ -72,22 +72,22 @@
         m_offset.reset();
         co_return true;
     }
-    applyRecords(batch->records);
+    applyRecords(batch->records, startedAt);
     m_offset = batch->nextOffset;
     m_context.configuration.confirm(m_newestVersion, startedAt);
     co_return true;
 }
 
-void ConfigurationFollower::applyRecords(std::span<const ports::Record> records)
+void ConfigurationFollower::applyRecords(std::span<const ports::Record> records, TimePoint readAt)
 {
     for (const ports::Record &record : records) {
         if (m_context.ports.platformCodec->isConfiguration(record) && record.value) {
-            m_newestVersion = std::max(m_newestVersion, applyText(*record.value, "log"));
+            m_newestVersion = std::max(m_newestVersion, applyText(*record.value, "log", readAt));
         }
     }
 }
 
-std::uint64_t ConfigurationFollower::applyText(const std::string &text, std::string_view source)
+std::uint64_t ConfigurationFollower::applyText(const std::string &text, std::string_view source, TimePoint readAt)
 {
     std::string reason;
     std::optional<routing::Configuration> configuration = m_context.ports.platformCodec->configuration(text, reason);
@@ -100,9 +100,10 @@
     const std::uint64_t version = configuration->version;
     const std::int64_t routes = static_cast<std::int64_t>(configuration->routes.size());
     if (m_context.configuration.accept(std::move(*configuration), text)) {
-        m_context.eventLog.write("configuration_in_force",
-                                 eventlog::Importance::StateChange,
-                                 {{"source", source}, {"version", static_cast<std::int64_t>(version)}, {"routes", routes}});
+        m_context.eventLog.write(
+            "configuration_in_force",
+            eventlog::Importance::StateChange,
+            {{"source", source}, {"version", static_cast<std::int64_t>(version)}, {"routes", routes}, {"read_ms", wholeMilliseconds(hostNow() - readAt)}});
         m_onConfigurationChanged();
     }
     return version;
--- a/src/gateway/internal/configurationfollower.h
+++ b/src/gateway/internal/configurationfollower.h
@@ -18,13 +18,13 @@
     /// Reads the topic until the process ends; never returns.
     boost::asio::awaitable<void> run();
     /// Parses a configuration and puts it in force; one that is malformed or not newer changes nothing. @p source, "log" or "peer", goes into the event
-    /// log. Returns the version in @p text, or 0 when it is malformed.
-    std::uint64_t applyText(const std::string &text, std::string_view source);
+    /// log with the time since @p readAt, when reading it began. Returns the version in @p text, or 0 when it is malformed.
+    std::uint64_t applyText(const std::string &text, std::string_view source, TimePoint readAt);
 
 private:
     boost::asio::awaitable<bool> readNewest(ports::LogFailure &failure);
     boost::asio::awaitable<bool> readNext(ports::LogFailure &failure);
-    void applyRecords(std::span<const ports::Record> records);
+    void applyRecords(std::span<const ports::Record> records, TimePoint readAt);
     void updateReachable(bool reachable, std::string_view reason);
 
     GatewayContext &m_context;
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -2,6 +2,7 @@
 
 #include "base/text.h"
 #include "gateway/internal/hostclock.h"
+#include "gateway/internal/measuredlog.h"
 
 namespace rosemaryshift::gateway {
 
@@ -33,7 +34,7 @@
 
 GatewayContext::GatewayContext(const GatewaySettings &hostSettings, PlatformPorts platformPorts, std::string processStartId)
     : settings(hostSettings)
-    , ports(std::move(platformPorts))
+    , ports(withMeasuredLogs(std::move(platformPorts), metrics))
     , startId(std::move(processStartId))
     , eventLog(settings.name, startId, settings.logBudget, eventlog::makeOutputWriter())
     , directory([this](const directory::Upstream &upstream, std::string_view change) { handleUpstreamChange(upstream, change); })
--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -31,9 +31,9 @@
 
 }
 
-void GatewayMetrics::count(std::string_view name, std::string_view labels)
+void GatewayMetrics::count(std::string_view name, std::string_view labels, std::uint64_t amount)
 {
-    ++seriesOf<std::uint64_t>(m_counters, name, labels);
+    seriesOf<std::uint64_t>(m_counters, name, labels) += amount;
 }
 
 void GatewayMetrics::observe(std::string_view name, std::string_view labels, Duration latency)
--- a/src/gateway/internal/gatewaymetrics.h
+++ b/src/gateway/internal/gatewaymetrics.h
@@ -14,8 +14,8 @@
 class GatewayMetrics
 {
 public:
-    /// Increments the counter @p name with @p labels, such as kind="streaming",outcome="refused". Label values must come from a bounded set.
-    void count(std::string_view name, std::string_view labels);
+    /// Adds @p amount to the counter @p name with @p labels, such as kind="streaming",outcome="refused". Label values must come from a bounded set.
+    void count(std::string_view name, std::string_view labels, std::uint64_t amount = 1);
     /// Adds @p latency to the histogram @p name, whose unit is the second.
     void observe(std::string_view name, std::string_view labels, Duration latency);
     /// Sets the gauge @p name.
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -113,6 +113,8 @@
 void GossipEndpoint::sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers)
 {
     const gossip::CompactStatus compact(status, withPeers);
+    std::uint64_t datagrams = 0;
+    std::uint64_t bytes = 0;
     for (const gossip::Destination &destination : destinations) {
         boost::system::error_code error;
         const net::ip::address to = net::ip::make_address(destination.address, error);
@@ -123,13 +125,17 @@
         // A failed send is ignored like a lost datagram, since the status is sent periodically.
         if (destination.readsCompact) {
             const std::array<char, gossip::CompactStatus::HeaderBytes> header = compact.header(destination.echoUs);
-            m_socket->send_to(std::array<net::const_buffer, 2>{net::buffer(header), net::buffer(compact.body())}, endpoint, 0, error);
+            bytes += m_socket->send_to(std::array<net::const_buffer, 2>{net::buffer(header), net::buffer(compact.body())}, endpoint, 0, error);
         } else {
             gossip::PeerStatus addressed = status;
             addressed.echoUs = destination.echoUs;
-            m_socket->send_to(net::buffer(encoded(addressed)), endpoint, 0, error);
+            bytes += m_socket->send_to(net::buffer(encoded(addressed)), endpoint, 0, error);
         }
+        ++datagrams;
     }
+    m_context.metrics.count("rosemaryshift_statuses_total", R"(direction="sent")", datagrams);
+    m_context.metrics.count("rosemaryshift_status_bytes_total", R"(direction="sent")", bytes);
+    m_context.metrics.set("rosemaryshift_status_bytes", "", static_cast<double>(gossip::CompactStatus::HeaderBytes + compact.body().size()));
 }
 
 net::awaitable<void> GossipEndpoint::receive()
@@ -144,6 +150,8 @@
         if (error) {
             continue;
         }
+        m_context.metrics.count("rosemaryshift_statuses_total", R"(direction="received")");
+        m_context.metrics.count("rosemaryshift_status_bytes_total", R"(direction="received")", bytes);
         std::optional<gossip::PeerStatus> status = gossip::decodedPeerStatus(std::string_view(buffer.data(), bytes));
         if (!status) {
             m_context.eventLog.write("news_unreadable", eventlog::Importance::Failure, {{"from", from.address().to_string()}});
@@ -202,6 +210,10 @@
             m_usageCollector.note(start, window, counts);
         }
     }
+    if (status.echoUs) {
+        const TimePoint echoedSent{Duration(static_cast<Duration::rep>(*status.echoUs))};
+        m_context.metrics.observe("rosemaryshift_status_round_trip_seconds", "", now - echoedSent);
+    }
     // The peer measured the age after it received the datagram that it echoes. Subtracting the age from the time at which this host sent that
     // datagram never dates the confirmation too late, whatever the network delays were.
     if (status.echoUs && status.confirmedAgeMs) {
--- /dev/null
+++ b/src/gateway/internal/measuredlog.cpp
@@ -0,0 +1,102 @@
+#include "gateway/internal/measuredlog.h"
+
+#include "gateway/internal/hostclock.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace rosemaryshift::gateway {
+
+namespace net = boost::asio;
+
+namespace {
+
+std::string_view name(ports::Topic topic)
+{
+    switch (topic) {
+    case ports::Topic::Configuration:
+        return "configuration";
+    case ports::Topic::Upstreams:
+        return "upstreams";
+    case ports::Topic::Duties:
+        return "duties";
+    case ports::Topic::SoftwareVersions:
+        return "software_versions";
+    case ports::Topic::StreamOrigins:
+        return "stream_origins";
+    }
+    return "unknown";
+}
+
+std::string_view name(ports::LogError error)
+{
+    switch (error) {
+    case ports::LogError::Unreachable:
+        return "unreachable";
+    case ports::LogError::Refused:
+        return "refused";
+    case ports::LogError::Malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
+/// Passes all calls on to another log, and measures them.
+class MeasuredLog : public ports::IPlatformLog
+{
+public:
+    MeasuredLog(std::unique_ptr<ports::IPlatformLog> log, GatewayMetrics &metrics)
+        : m_log(std::move(log))
+        , m_metrics(metrics)
+    {
+    }
+
+    net::awaitable<std::optional<ports::NewestRecords>> readNewest(ports::Topic topic, std::chrono::milliseconds timeout, ports::LogFailure &failure) override
+    {
+        const TimePoint startedAt = hostNow();
+        std::optional<ports::NewestRecords> newest = co_await m_log->readNewest(topic, timeout, failure);
+        record(topic, "read_newest", startedAt, newest ? "ok" : name(failure.error));
+        co_return newest;
+    }
+
+    net::awaitable<std::optional<ports::RecordBatch>>
+    readFrom(ports::Topic topic, std::uint64_t offset, std::chrono::milliseconds wait, std::chrono::milliseconds timeout, ports::LogFailure &failure) override
+    {
+        const TimePoint startedAt = hostNow();
+        std::optional<ports::RecordBatch> batch = co_await m_log->readFrom(topic, offset, wait, timeout, failure);
+        record(topic, "read", startedAt, batch ? "ok" : name(failure.error));
+        co_return batch;
+    }
+
+    net::awaitable<std::optional<ports::AppendOutcome>> append(ports::Topic topic,
+                                                               ports::Record entry,
+                                                               std::optional<std::uint64_t> expectedEnd,
+                                                               std::chrono::milliseconds timeout,
+                                                               ports::LogFailure &failure) override
+    {
+        const TimePoint startedAt = hostNow();
+        const std::optional<ports::AppendOutcome> outcome = co_await m_log->append(topic, std::move(entry), expectedEnd, timeout, failure);
+        record(topic, "append", startedAt, outcome ? "ok" : name(failure.error));
+        co_return outcome;
+    }
+
+private:
+    void record(ports::Topic topic, std::string_view call, TimePoint startedAt, std::string_view outcome)
+    {
+        const std::string labels = fmt::format(R"(topic="{}",call="{}",outcome="{}")", name(topic), call, outcome);
+        m_metrics.observe("rosemaryshift_log_call_seconds", labels, hostNow() - startedAt);
+    }
+
+    const std::unique_ptr<ports::IPlatformLog> m_log;
+    GatewayMetrics &m_metrics;
+};
+
+}
+
+PlatformPorts withMeasuredLogs(PlatformPorts ports, GatewayMetrics &metrics)
+{
+    ports.configurationLog = std::make_unique<MeasuredLog>(std::move(ports.configurationLog), metrics);
+    ports.platformLog = std::make_unique<MeasuredLog>(std::move(ports.platformLog), metrics);
+    return ports;
+}
+
+}
