Refuse malformed requests also when their callers have half-closed

The look at the caller's connection came before the header values were read, so that a caller which had closed its sending side got no answer to a request with a malformed value, where it got 400 before ("Malformed and oversized input" in gateway_promise_tests failed). A host cannot tell a half-closed connection from a closed one by reading. The look now comes after routing and admission, which cost little, and before quota and choice, which do not.

The failed test and the four of requests that are not sent pass.

--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -15,18 +15,10 @@
 
 }
 
-void RequestSession::dropUnrouted()
-{
-    if (std::optional<ports::CallerRequest> caller = m_context.ports.messageCodec->callerRequest(m_request, m_reason)) {
-        m_callerRequest = std::move(*caller);
-    }
-    logOutcome("caller_gone", 0, "left_before_routing");
-}
-
 void RequestSession::countCallerGone()
 {
     std::string_view stage = "received";
-    if (m_attemptState) {
+    if (m_callerWatched) {
         stage = m_attemptState->mayRejectAsNotRun() ? "routed" : "sent";
     }
     m_context.metrics.count("rosemaryshift_caller_gone_total", R"(stage=")" + std::string(stage) + R"(")");
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -55,14 +55,15 @@
 
 net::awaitable<void> RequestSession::run()
 {
-    if (m_writer.detectCallerGone()) {
-        dropUnrouted();
-        co_return;
-    }
     if (!routeAndAuthenticate() || !admit()) {
         co_await reject(m_rejectionStatus, m_reason, m_retryAfter);
         co_return;
     }
+    if (m_writer.detectCallerGone()) {
+        logOutcome("caller_gone", 0, "left_before_dispatch");
+        co_return;
+    }
+    m_callerWatched = true;
     // The callback must not extend the life of the session; the connection destroys both when the request ends.
     m_writer.onCallerGone([weak = weak_from_this()] {
         const std::shared_ptr<RequestSession> self = weak.lock();
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -35,8 +35,6 @@
         TryAnother, ///< The caller got no final response; another upstream may be tried.
     };
 
-    /// Ends a request whose caller has left before it was routed.
-    void dropUnrouted();
     /// Counts a request whose caller has left by how far it had come.
     void countCallerGone();
     /// Reads the caller's headers and finds the route and the workspace. Returns false, with the rejection set, when the request cannot be served.
@@ -125,6 +123,7 @@
     const routing::Workspace *m_workspace = nullptr;
     std::string m_service;
     std::uint64_t m_fingerprint = 0; ///< The same for repetitions of this request by its caller.
+    bool m_callerWatched = false;    ///< The caller was connected when the request had been routed; its disconnect is reported from then on.
     bool m_charged = false;          ///< chargeQuota() has succeeded.
     double m_quotaCost = 0;          ///< Cost taken from the workspace's quota, in its unit; 0 when none was taken.
     TimePoint m_deadline;            ///< The earlier of the caller's deadline and the end of the route's timeout.
