Take one retry from the budget for each request that is sent again

A request that its upstream had answered with an error took two: one when the answer was held back, one when the next upstream was chosen. A service whose upstreams fail got half of the retries that the budget allows. A retry that was withdrawn before it was sent, or could not connect, took another one, too. A retry is now taken once and counts as used when it is sent.

--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -62,6 +62,7 @@
         return std::nullopt;
     }
     m_dispatchedAt = now;
+    m_retryTaken = false;
     m_context.upstreamLimits.noteSent(m_instance, now);
     ports::Dispatch dispatch;
     dispatch.timeLeft = deadlineMilliseconds(remainingTime(now));
@@ -86,6 +87,7 @@
     if (!callerWaits(now)) {
         return std::nullopt;
     }
+    m_retryTaken = false;
     const std::chrono::milliseconds timeLeft = deadlineMilliseconds(remainingTime(now) - ResponseMargin);
     http::Request request;
     request.method = m_request.method;
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -235,10 +235,11 @@
     if (m_attemptState->dispatches() == 0) {
         return true; // Nothing was sent yet, so this takes nothing from the retry budget.
     }
-    if (!m_context.retryBudget.take(m_service, now)) {
+    if (!m_retryTaken && !m_context.retryBudget.take(m_service, now)) {
         m_reason += ", no retry budget";
         return false;
     }
+    m_retryTaken = true;
     return true;
 }
 
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -124,6 +124,7 @@
     std::string m_service;
     std::uint64_t m_fingerprint = 0; ///< The same for repetitions of this request by its caller.
     bool m_callerWatched = false;    ///< The caller was connected when the request had been routed; its disconnect is reported from then on.
+    bool m_retryTaken = false;       ///< A retry was taken from the budget and not sent yet.
     bool m_charged = false;          ///< chargeQuota() has succeeded.
     double m_quotaCost = 0;          ///< Cost taken from the workspace's quota, in its unit; 0 when none was taken.
     TimePoint m_deadline;            ///< The earlier of the caller's deadline and the end of the route's timeout.
