Compare the names of headers without a locale

Each request offered to an upstream compared the names of its headers by boost::algorithm::iequals, which constructs a std::locale and looks up its ctype facet for every comparison: 40% of the instructions of a stream of three events at a gateway without peers, 30% of those of a plain request (callgrind, release build). The comparison of ASCII letters that the HTTP module has moves to base and serves all of them.

--- a/src/base/internal/text.cpp
+++ b/src/base/internal/text.cpp
@@ -4,6 +4,7 @@
 #include <openssl/evp.h>
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <fstream>
@@ -27,6 +28,11 @@
     return value;
 }
 
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
 std::string hex(std::span<const unsigned char> bytes)
 {
     constexpr std::string_view Digits = "0123456789abcdef";
@@ -172,6 +178,11 @@
     return encoded;
 }
 
+bool equalIgnoringCase(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, [](char x, char y) { return lower(x) == lower(y); });
+}
+
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view Whitespace = " \t\r\n";
--- a/src/base/tests/texttests.cpp
+++ b/src/base/tests/texttests.cpp
@@ -30,6 +30,18 @@
             CHECK(parseHexadecimal(hexadecimal(0xa0bU)) == 0xa0bU);
         }
     }
+    GIVEN("names of headers in different cases")
+    {
+        THEN("only the case of ASCII letters is ignored")
+        {
+            CHECK(equalIgnoringCase("X-Api-Key", "x-API-kEY"));
+            CHECK(equalIgnoringCase("", ""));
+            CHECK_FALSE(equalIgnoringCase("X-Api-Key", "X-Api-Ke"));
+            CHECK_FALSE(equalIgnoringCase("X-Api-Key", "X-Api-Kez"));
+            CHECK_FALSE(equalIgnoringCase("a[", "A{"));
+            CHECK_FALSE(equalIgnoringCase("\xe4", "\xc4"));
+        }
+    }
     GIVEN("JSON that is malformed or nested too deep")
     {
         std::string reason;
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -33,6 +33,8 @@
 std::optional<std::string> fromBase64(std::string_view text);
 /// Percent-encodes every byte of @p text except the unreserved URI characters (RFC 3986). Thread-safe.
 std::string percentEncoded(std::string_view text);
+/// Compares two texts regardless of the case of ASCII letters, as names in HTTP are compared, whatever the locale. Thread-safe.
+bool equalIgnoringCase(std::string_view a, std::string_view b);
 /// @p text without leading and trailing white space. Thread-safe.
 std::string_view trimmed(std::string_view text);
 
--- a/src/gateway/internal/endtoendheaders.cpp
+++ b/src/gateway/internal/endtoendheaders.cpp
@@ -2,8 +2,6 @@
 
 #include "base/text.h"
 
-#include <boost/algorithm/string/predicate.hpp>
-
 #include <array>
 
 namespace rosemaryshift::gateway {
@@ -26,7 +24,7 @@
 {
     while (!list.empty()) {
         const std::size_t comma = list.find(',');
-        if (boost::algorithm::iequals(trimmed(list.substr(0, comma)), name)) {
+        if (equalIgnoringCase(trimmed(list.substr(0, comma)), name)) {
             return true;
         }
         list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
@@ -38,7 +36,7 @@
 bool isHopByHop(const http::Header &field, std::string_view connection)
 {
     for (const std::string_view name : HopByHopFields) {
-        if (boost::algorithm::iequals(field.name, name)) {
+        if (equalIgnoringCase(field.name, name)) {
             return true;
         }
     }
@@ -52,7 +50,7 @@
     http::Headers forwarded;
     const std::string_view connection = headers.find("Connection").value_or("");
     for (const http::Header &field : headers.all()) {
-        if (!isHopByHop(field, connection) && !boost::algorithm::iequals(field.name, "Expect")) {
+        if (!isHopByHop(field, connection) && !equalIgnoringCase(field.name, "Expect")) {
             forwarded.add(field.name, field.value);
         }
     }
--- a/src/gateway/internal/peerheaders.cpp
+++ b/src/gateway/internal/peerheaders.cpp
@@ -1,6 +1,6 @@
 #include "gateway/internal/peerheaders.h"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include "base/text.h"
 
 namespace rosemaryshift::gateway {
 
@@ -8,7 +8,7 @@
 {
     http::Headers others;
     for (const http::Header &field : headers.all()) {
-        if (!boost::algorithm::iequals(field.name, name)) {
+        if (!equalIgnoringCase(field.name, name)) {
             others.add(field.name, field.value);
         }
     }
--- a/src/http/internal/httptypes.cpp
+++ b/src/http/internal/httptypes.cpp
@@ -2,7 +2,6 @@
 
 #include "base/text.h"
 
-#include <algorithm>
 #include <charconv>
 
 namespace rosemaryshift::http {
@@ -11,16 +10,6 @@
 
 constexpr std::uint64_t MaxPort = 65535;
 
-char lower(char c)
-{
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
-bool equalIgnoringCase(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
-}
-
 }
 
 std::string_view name(BodyFraming framing)
