Continue a stream only by an answer of the kind that began it

Callers found an upstream's error in the middle of their stream, its text and its whole head, or a stream that ended as if it were complete: when a stream broke off after its first events, the next upstream's answer to the resumption was passed on whatever it was. An error went the way of a whole answer, head and all, and a 2xx answer of any kind was taken for more events.

Once a stream was begun, only an answer with the same status, content type and content encoding continues it. Any other ends like a break-off: another upstream is tried if the route and the retry budget allow it, else the caller's connection is closed before the end of the stream. IResponseWriter::respond() aborts an answer that was begun instead of writing a second head into it, so that no other path can do the same. Answers that a peer relays can't meet this: only requests that have not begun are forwarded, and only once.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -171,6 +171,12 @@
         endDispatch(balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
+    if (m_streamStarted && !continuesStream(upstreamResponse)) {
+        m_reason = "no continuation of the stream: status " + std::to_string(upstreamResponse.status);
+        m_exchange->cancel();
+        endDispatch(balancing::AttemptEnd::Failed);
+        co_return DispatchResult::TryAnother;
+    }
     if (m_route->kind == routing::RequestKind::Streaming && isSuccess(upstreamResponse.status)) {
         const DispatchResult result = co_await forwardStream(std::move(upstreamResponse));
         co_return result;
@@ -211,6 +217,7 @@
         bool callerConnected = true;
         if (!m_streamStarted) {
             m_streamStarted = true;
+            m_streamFormat = streamFormat(upstreamResponse);
             noteStreamBegan();
             http::Headers headers = endToEndHeaders(upstreamResponse.headers);
             if (m_fromPeer) {
--- a/src/gateway/internal/requestresumption.cpp
+++ b/src/gateway/internal/requestresumption.cpp
@@ -75,6 +75,16 @@
     }
 }
 
+RequestSession::StreamFormat RequestSession::streamFormat(const http::Response &answer)
+{
+    return {answer.status, std::string(answer.headers.find("Content-Type").value_or("")), std::string(answer.headers.find("Content-Encoding").value_or(""))};
+}
+
+bool RequestSession::continuesStream(const http::Response &answer) const
+{
+    return streamFormat(answer) == m_streamFormat;
+}
+
 bool RequestSession::mayBeContinuedBy(const directory::Upstream &upstream, const std::string &softwareVersion) const
 {
     if (upstream.entry.softwareVersion != softwareVersion) {
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -35,6 +35,15 @@
         TryAnother, ///< The caller got no final response; another upstream may be tried.
     };
 
+    /// What the answers that make up one stream have in common.
+    struct StreamFormat {
+        int status = 0;
+        std::string contentType;
+        std::string contentEncoding;
+
+        bool operator==(const StreamFormat &) const = default;
+    };
+
     /// Reads the caller's headers and finds the route and the workspace. Returns false, with the rejection set, when the request cannot be served.
     bool routeAndAuthenticate();
     /// Chooses the service. Returns false, with the rejection set, when the request is not admitted.
@@ -73,6 +82,9 @@
     boost::asio::awaitable<bool> findStreamOrigin();
     /// Records which software version began the stream, before its first event is passed on.
     void noteStreamBegan();
+    [[nodiscard]] static StreamFormat streamFormat(const http::Response &answer);
+    /// Whether @p answer may be the rest of the stream that was started; its status is no error then.
+    [[nodiscard]] bool continuesStream(const http::Response &answer) const;
     /// Whether @p upstream may continue a stream that @p softwareVersion began.
     [[nodiscard]] bool mayBeContinuedBy(const directory::Upstream &upstream, const std::string &softwareVersion) const;
     /// Whether no upstream of the version that began the stream is left.
@@ -135,6 +147,7 @@
     std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
     bool m_usageCounted = false;
+    StreamFormat m_streamFormat;  ///< Of the answer that started the stream.
     bool m_streamStarted = false; ///< The headers of a streamed response were sent to the caller.
 };
 
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -17,7 +17,7 @@
 public:
     virtual ~IResponseWriter() = default;
 
-    /// Sends a complete answer; false when writing fails, as after the caller has disconnected.
+    /// Sends a complete answer; false when writing fails, as after the caller has disconnected. Aborts an answer that was begun and has not ended instead.
     virtual boost::asio::awaitable<bool> respond(Response response) = 0;
     /// Starts a streamed answer; false when writing fails. Precondition: nothing was sent yet.
     virtual boost::asio::awaitable<bool> begin(int status, Headers headers) = 0;
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -175,6 +175,7 @@
 net::awaitable<void> Connection::serve(Request request)
 {
     m_started = false;
+    m_begun = false;
     m_answered = std::make_shared<bool>(false);
     m_callerGoneCallback = nullptr;
     m_served = true;
@@ -199,6 +200,10 @@
 
 net::awaitable<bool> Connection::respond(Response response)
 {
+    if (m_begun) {
+        abort(); // The caller would take a second head for a part of the first answer's body.
+        co_return false;
+    }
     bhttp::response<bhttp::string_body> message(static_cast<bhttp::status>(response.status), m_version);
     for (const Header &field : response.headers.all()) {
         message.insert(field.name, field.value);
@@ -236,6 +241,7 @@
     message.keep_alive(m_keepAlive);
     bhttp::response_serializer<bhttp::empty_body> serializer(message);
     m_started = true;
+    m_begun = true;
     m_stream.expires_after(m_limits.writeTimeout);
     const auto [error, bytes] = co_await bhttp::async_write_header(m_stream, serializer, Token);
     m_open = m_open && !error;
@@ -261,6 +267,7 @@
 
 net::awaitable<bool> Connection::end()
 {
+    m_begun = false;
     if (!m_chunked) {
         setResetOnClose(false);
         co_return m_open;
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -74,6 +74,7 @@
     bool m_keepAlive = true;
     bool m_chunked = true;
     bool m_started = false;  ///< Sending the answer has started.
+    bool m_begun = false;    ///< An answer was begun by begin() and has not ended.
     bool m_idle = false;     ///< Waiting for a request.
     bool m_served = false;   ///< At least one request was passed to the handler.
     bool m_open = true;      ///< False once the connection is to be closed, as after a failed write or a disconnect.
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -21,8 +21,8 @@
 
 namespace {
 
-/// Answers with the request's method and body; the targets /stream, /cut and /watched test a streamed answer, an aborted one and the
-/// detection of disconnected callers.
+/// Answers with the request's method and body; the targets /stream, /cut, /second and /watched test a streamed answer, an aborted one, one that is
+/// followed by a second answer, and the detection of disconnected callers.
 net::awaitable<void> echo(Request request, IResponseWriter &writer)
 {
     if (request.target == "/stream") {
@@ -41,6 +41,11 @@
         writer.abort();
         co_return;
     }
+    if (request.target == "/second") {
+        Headers headers;
+        co_await writer.begin(200, std::move(headers));
+        co_await writer.write("half");
+    }
     if (request.target == "/watched") {
         writer.onCallerGone([] {});
         net::steady_timer delay(co_await net::this_coro::executor, std::chrono::milliseconds(1));
@@ -173,6 +178,11 @@
         CHECK_FALSE(server.fetchNow(request, failure));
         CHECK(failure.error == ClientError::Closed);
     }
+    GIVEN("a stream that is followed by another answer")
+    {
+        const std::string received = rawExchange(server.endpoint(), {"GET /second HTTP/1.1\r\nHost: h\r\n\r\n"});
+        CHECK_THAT(received, Catch::EndsWith("half\r\n"));
+    }
     GIVEN("a request that is not valid HTTP")
     {
         CHECK_THAT(rawExchange(server.endpoint(), {"NONSENSE\r\n\r\n"}), Catch::Contains("400 Bad Request") && Catch::Contains("malformed_request"));
