Don't take the confirmation of a newer configuration for one of the own

A host with version 4 that heard of peers, freshly confirmed, at 7 counted its 4 as just confirmed, since a confirmation of any version not older than its own was taken.

Unit test: the section failed before in both checks.

--- a/src/gateway/internal/activeconfiguration.cpp
+++ b/src/gateway/internal/activeconfiguration.cpp
@@ -16,8 +16,8 @@
 
 void ActiveConfiguration::confirm(std::uint64_t version, TimePoint at)
 {
-    // A confirmation of an older version dates from before the one in force existed.
-    if (m_table && version >= this->version() && (!m_confirmedAt || at > *m_confirmedAt)) {
+    // A confirmation of an older version dates from before the one in force existed; one of a newer version tells that the one in force is replaced.
+    if (m_table && version == this->version() && (!m_confirmedAt || at > *m_confirmedAt)) {
         m_confirmedAt = at;
     }
 }
--- a/src/gateway/tests/activeconfigurationtests.cpp
+++ b/src/gateway/tests/activeconfigurationtests.cpp
@@ -38,6 +38,12 @@
         CHECK_FALSE(active.outdated(Start + Bound, Bound));
         CHECK(active.outdated(Start + Bound + milliseconds(1), Bound));
 
+        SECTION("a confirmation of the newer version is none of the older one that is in force")
+        {
+            active.confirm(7, Start + Bound);
+            CHECK(active.age(Start + Bound) == Duration(Bound));
+            CHECK(active.outdated(Start + Bound + milliseconds(1), Bound));
+        }
         SECTION("an older report does not change that")
         {
             active.noteVersion(2);
