Read the statuses that wait before peers are taken for silent

A host that had not run for three intervals took all its peers for silent though their statuses waited in its socket, and read one of them in each turn of its event loop. With silent peers it keeps to its own share of each quota, so that callers got 429 below the quota, and withholds confirmations of the configuration.

--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -17,6 +17,8 @@
 constexpr double LoadReportIntervals = 5;
 /// The list of peers is left out of most statuses while it is unchanged; two in this number of statuses have it.
 constexpr std::uint32_t StatusesPerPeerList = 10;
+/// Number of waiting datagrams that are read in one turn of the event loop at most.
+constexpr int MaxDatagramsPerTurn = 64;
 /// Delay after which hosts that have just started are told of this host. They come by the dozen when a fleet starts, and are answered together.
 constexpr std::chrono::milliseconds NewHostDelay{20};
 /// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
@@ -53,6 +55,9 @@
     if (!error) {
         m_socket->bind(udp::endpoint(address, m_context.settings.gossipPort), error);
     }
+    if (!error) {
+        m_socket->non_blocking(true, error);
+    }
     if (error) {
         reason = "cannot bind " + m_context.settings.address + ":" + std::to_string(m_context.settings.gossipPort) + ": " + error.message();
         return false;
@@ -89,7 +94,8 @@
 {
     while (true) {
         const TimePoint now = hostNow();
-        m_registry.expire(now);
+        // Statuses that wait for a late host are no silence of the peers.
+        m_registry.expire(now - m_context.loopDelay.estimate(now));
         m_context.silentZones = m_registry.silentZones();
         m_context.quarantine.setHosts(m_context.settings.name, m_registry.heardHosts());
         m_context.quarantine.update(now);
@@ -147,18 +153,36 @@
         if (error == net::error::operation_aborted) {
             co_return;
         }
-        if (error) {
-            continue;
+        if (!error) {
+            handleDatagram(std::string_view(buffer.data(), bytes), from);
+            receiveWaiting(buffer);
         }
-        m_context.metrics.count("rosemaryshift_statuses_total", R"(direction="received")");
-        m_context.metrics.count("rosemaryshift_status_bytes_total", R"(direction="received")", bytes);
-        std::optional<gossip::PeerStatus> status = gossip::decodedPeerStatus(std::string_view(buffer.data(), bytes));
-        if (!status) {
-            m_context.eventLog.write("news_unreadable", eventlog::Importance::Failure, {{"from", from.address().to_string()}});
-            continue;
+    }
+}
+
+void GossipEndpoint::receiveWaiting(std::string &buffer)
+{
+    for (int datagram = 0; datagram < MaxDatagramsPerTurn; ++datagram) {
+        udp::endpoint from;
+        boost::system::error_code error;
+        const std::size_t bytes = m_socket->receive_from(net::buffer(buffer), from, 0, error);
+        if (error) {
+            return;
         }
-        handleStatus(std::move(*status));
+        handleDatagram(std::string_view(buffer.data(), bytes), from);
+    }
+}
+
+void GossipEndpoint::handleDatagram(std::string_view datagram, const udp::endpoint &from)
+{
+    m_context.metrics.count("rosemaryshift_statuses_total", R"(direction="received")");
+    m_context.metrics.count("rosemaryshift_status_bytes_total", R"(direction="received")", datagram.size());
+    std::optional<gossip::PeerStatus> status = gossip::decodedPeerStatus(datagram);
+    if (!status) {
+        m_context.eventLog.write("news_unreadable", eventlog::Importance::Failure, {{"from", from.address().to_string()}});
+        return;
     }
+    handleStatus(std::move(*status));
 }
 
 std::map<std::string, double> GossipEndpoint::totalBusyUpstreams(TimePoint now) const
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -44,6 +44,9 @@
     void addUsageTo(gossip::PeerStatus &status, TimePoint now);
     /// The host processes that have reported counts of these windows and are not heard now.
     [[nodiscard]] std::set<std::string> unheardProcesses(std::uint64_t firstWindow, std::uint64_t lastWindow) const;
+    /// Handles the datagrams that wait to be read, up to a limit. @p buffer takes one of them.
+    void receiveWaiting(std::string &buffer);
+    void handleDatagram(std::string_view datagram, const boost::asio::ip::udp::endpoint &from);
     void handleStatus(gossip::PeerStatus received);
     /// Sends @p status to all @p destinations, to each in the form that it reads.
     void sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers);
