Keep odd, old and long statuses from misleading a host

- A newer version of the configuration, once told, was remembered for good, so that one damaged status would have made a host refuse all requests whenever its own was not confirmed for the bound.
It is now what the peers that are heard have in force.
- An echo from after now (a machine whose clock began anew) and ages that overflow confirmed a configuration for good; they are ignored.

--- a/src/gateway/internal/activeconfiguration.cpp
+++ b/src/gateway/internal/activeconfiguration.cpp
@@ -22,9 +22,9 @@
     }
 }
 
-void ActiveConfiguration::noteVersion(std::uint64_t version)
+void ActiveConfiguration::setKnownVersion(std::uint64_t version)
 {
-    m_knownVersion = std::max(m_knownVersion, version);
+    m_knownVersion = version;
 }
 
 const std::shared_ptr<const routing::RouteTable> &ActiveConfiguration::table() const
--- a/src/gateway/internal/activeconfiguration.h
+++ b/src/gateway/internal/activeconfiguration.h
@@ -20,8 +20,8 @@
     /// Records that no configuration newer than @p version existed at the time @p at.
     void confirm(std::uint64_t version, TimePoint at);
 
-    /// Records that a configuration of this @p version exists, as told by a peer.
-    void noteVersion(std::uint64_t version);
+    /// Sets the newest @p version that is known to be in force at a peer.
+    void setKnownVersion(std::uint64_t version);
 
     /// The routes and the configuration in force; null before the first one.
     [[nodiscard]] const std::shared_ptr<const routing::RouteTable> &table() const;
@@ -40,7 +40,7 @@
     std::shared_ptr<const routing::RouteTable> m_table;
     std::string m_text;
     std::optional<TimePoint> m_confirmedAt;
-    std::uint64_t m_knownVersion = 0; ///< Newest version that was told by a peer.
+    std::uint64_t m_knownVersion = 0; ///< Newest version that is in force at a peer.
 };
 
 }
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -170,7 +170,8 @@
 bool DutyRunner::isComplete(std::uint64_t window, TimePoint now) const
 {
     const Duration sinceEnd = m_context.wallClock.sinceEpoch(now) - m_context.usageLedger.endOf(window);
-    if (sinceEnd < gossip::statusInterval(m_gossip.registry().peers().size()) * UsageGossipIntervals) {
+    const Duration gossipDelay = gossip::statusInterval(m_gossip.registry().peers().size()) * UsageGossipIntervals;
+    if (sinceEnd < std::min(gossipDelay, std::chrono::duration_cast<Duration>(m_context.settings.usageReportDelay * SilentPeerWaitPart))) {
         return false;
     }
     return !m_gossip.registry().anySilent() || sinceEnd > std::chrono::duration_cast<Duration>(m_context.settings.usageReportDelay * SilentPeerWaitPart);
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -17,6 +17,8 @@
 constexpr double LoadReportIntervals = 5;
 /// The list of peers is left out of most statuses while it is unchanged; two in this number of statuses have it.
 constexpr std::uint32_t StatusesPerPeerList = 10;
+/// An older confirmation of a peer's configuration is of no use; far from an overflow when it is subtracted from a time.
+constexpr std::uint64_t MaxConfirmedAgeMs = 3'600'000;
 /// Number of waiting datagrams that are read in one turn of the event loop at most.
 constexpr int MaxDatagramsPerTurn = 64;
 /// Delay after which hosts that have just started are told of this host. They come by the dozen when a fleet starts, and are answered together.
@@ -41,6 +43,7 @@
                      }
                  })
     , m_configurationFetcher(context, configurationFollower, m_registry)
+    , m_usageRelay(hostStart(context.settings.name, context.startId))
 {
 }
 
@@ -96,6 +99,7 @@
         const TimePoint now = hostNow();
         // Statuses that wait for a late host are no silence of the peers.
         m_registry.expire(now - m_context.loopDelay.estimate(now));
+        noteHeardVersions();
         m_context.silentZones = m_registry.silentZones();
         m_context.quarantine.setHosts(m_context.settings.name, m_registry.heardHosts());
         m_context.quarantine.update(now);
@@ -119,6 +123,10 @@
 void GossipEndpoint::sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers)
 {
     const gossip::CompactStatus compact(status, withPeers);
+    if (compact.body().size() > MaxDatagramBytes - gossip::CompactStatus::HeaderBytes) {
+        m_context.eventLog.write("status_too_long", eventlog::Importance::Failure, {{"bytes", static_cast<std::int64_t>(compact.body().size())}});
+        return;
+    }
     std::uint64_t datagrams = 0;
     std::uint64_t bytes = 0;
     for (const gossip::Destination &destination : destinations) {
@@ -234,18 +242,37 @@
             m_usageCollector.note(start, window, counts);
         }
     }
-    if (status.echoUs) {
-        const TimePoint echoedSent{Duration(static_cast<Duration::rep>(*status.echoUs))};
-        m_context.metrics.observe("rosemaryshift_status_round_trip_seconds", "", now - echoedSent);
+    noteConfirmation(status, now);
+    noteHeardVersions();
+    m_configurationFetcher.update(m_socket->get_executor());
+}
+
+void GossipEndpoint::noteConfirmation(const gossip::PeerStatus &status, TimePoint now)
+{
+    // An echo from after now is of an earlier start of this machine, whose clock began anew.
+    if (!status.echoUs || Duration(static_cast<Duration::rep>(*status.echoUs)) > now.time_since_epoch()) {
+        return;
     }
+    const TimePoint sent{Duration(static_cast<Duration::rep>(*status.echoUs))};
+    m_context.metrics.observe("rosemaryshift_status_round_trip_seconds", "", now - sent);
     // The peer measured the age after it received the datagram that it echoes. Subtracting the age from the time at which this host sent that
     // datagram never dates the confirmation too late, whatever the network delays were.
-    if (status.echoUs && status.confirmedAgeMs) {
-        const TimePoint sent{Duration(static_cast<Duration::rep>(*status.echoUs))};
+    if (status.confirmedAgeMs && *status.confirmedAgeMs < MaxConfirmedAgeMs) {
         m_context.configuration.confirm(status.configuration, sent - std::chrono::milliseconds(*status.confirmedAgeMs));
     }
-    m_context.configuration.noteVersion(status.configuration);
-    m_configurationFetcher.update(m_socket->get_executor());
+}
+
+void GossipEndpoint::noteHeardVersions()
+{
+    std::optional<std::uint64_t> newest;
+    for (const auto &[host, peer] : m_registry.peers()) {
+        if (!peer.silent) {
+            newest = std::max(newest.value_or(0), peer.status.configuration);
+        }
+    }
+    if (newest) {
+        m_context.configuration.setKnownVersion(*newest);
+    }
 }
 
 net::awaitable<void> GossipEndpoint::greetNewHosts()
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -48,6 +48,10 @@
     void receiveWaiting(std::string &buffer);
     void handleDatagram(std::string_view datagram, const boost::asio::ip::udp::endpoint &from);
     void handleStatus(gossip::PeerStatus received);
+    /// Applies what a peer tells of the age of its configuration.
+    void noteConfirmation(const gossip::PeerStatus &status, TimePoint now);
+    /// Notes the newest version of the configuration that is in force at the peers that are heard, if there are any.
+    void noteHeardVersions();
     /// Sends @p status to all @p destinations, to each in the form that it reads.
     void sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers);
     /// Whether the next status has to list the @p peers, as they have changed or were left out several times.
--- a/src/gateway/internal/gossipstatus.cpp
+++ b/src/gateway/internal/gossipstatus.cpp
@@ -33,7 +33,7 @@
     status.zone = m_context.settings.zone;
     status.address = m_context.settings.address;
     status.sentUs = microsecondsOf(now);
-    status.interval = gossip::statusInterval(m_registry.peers().size());
+    status.interval = gossip::statusInterval(m_registry.peers().size(), m_registry.anyHeardReadsJsonOnly());
     status.readsCompact = true;
     status.configuration = m_context.configuration.version();
     if (const std::optional<Duration> age = m_context.configuration.age(now)) {
--- a/src/gossip/internal/peerregistry.cpp
+++ b/src/gossip/internal/peerregistry.cpp
@@ -151,8 +151,14 @@
     for (const auto &[address, time] : m_learnedAddresses) {
         all.emplace(address, Destination{address, std::nullopt, false});
     }
+    std::map<std::string, TimePoint> heardAt;
     for (const auto &[host, peer] : m_peers) {
-        all.insert_or_assign(peer.status.address, destinationOf(peer, now));
+        // Addresses are used again: the host that was heard last has it.
+        const auto [heard, isFirst] = heardAt.try_emplace(peer.status.address, peer.heard);
+        if (isFirst || peer.heard > heard->second) {
+            heard->second = peer.heard;
+            all.insert_or_assign(peer.status.address, destinationOf(peer, now));
+        }
     }
     std::vector<Destination> destinations;
     destinations.reserve(all.size());
@@ -216,6 +222,11 @@
     return hosts;
 }
 
+bool PeerRegistry::anyHeardReadsJsonOnly() const
+{
+    return std::ranges::any_of(m_peers, [](const auto &entry) { return !entry.second.silent && !entry.second.status.readsCompact; });
+}
+
 bool PeerRegistry::anySilent() const
 {
     for (const auto &[host, peer] : m_peers) {
--- a/src/gossip/internal/usagerelay.cpp
+++ b/src/gossip/internal/usagerelay.cpp
@@ -4,6 +4,11 @@
 
 namespace rosemaryshift::gossip {
 
+UsageRelay::UsageRelay(std::string own)
+    : m_last(std::move(own))
+{
+}
+
 std::set<std::string> UsageRelay::next(const std::set<std::string> &unheard)
 {
     std::set<std::string> chosen;
--- a/src/gossip/peerregistry.h
+++ b/src/gossip/peerregistry.h
@@ -65,6 +65,8 @@
     [[nodiscard]] std::vector<const Peer *> peersReaching(const std::string &service) const;
     /// Names of the peers that are not silent.
     [[nodiscard]] std::vector<std::string> heardHosts() const;
+    /// Whether a peer that is not silent reads only the JSON form of statuses, as earlier software versions do.
+    [[nodiscard]] bool anyHeardReadsJsonOnly() const;
     /// Whether any peer is silent.
     [[nodiscard]] bool anySilent() const;
 
--- a/src/gossip/peerstatus.h
+++ b/src/gossip/peerstatus.h
@@ -23,8 +23,9 @@
 constexpr std::chrono::milliseconds ShortestStatusInterval{400};
 
 /// Interval at which a host sends its status to @p peers other hosts. It grows with their number, so that the statuses that a host sends and receives
-/// in a second do not. Thread-safe.
-std::chrono::milliseconds statusInterval(std::size_t peers);
+/// in a second do not. @p withEarlierVersions: hosts of earlier software versions are among them, which take a host for silent after 1.2 s whatever its
+/// interval. Thread-safe.
+std::chrono::milliseconds statusInterval(std::size_t peers, bool withEarlierVersions = false);
 
 /// What a gateway reports about itself to each other gateway once per interval, in one datagram.
 struct PeerStatus {
--- a/src/gossip/usagerelay.h
+++ b/src/gossip/usagerelay.h
@@ -14,6 +14,9 @@
     /// Number of processes whose counts are in one status at most.
     static constexpr std::size_t MaxProcesses = 4;
 
+    /// @p own: the process of this host, so that the hosts begin with different ones.
+    explicit UsageRelay(std::string own);
+
     /// The processes whose counts go into the next status, out of @p unheard.
     [[nodiscard]] std::set<std::string> next(const std::set<std::string> &unheard);
 
