Drop log lines beyond the budget before they are formatted

A line that the second's budget no longer admits was written out in full, measured and removed again, and each text went through a string stream. Lines are now dropped before they are formatted when the budget or the buffer is used up; which lines are dropped is unchanged. Text without characters to be escaped is copied.

--- a/src/eventlog/eventlog.h
+++ b/src/eventlog/eventlog.h
@@ -62,6 +62,7 @@
     struct Second;
 
     [[nodiscard]] bool admits(Importance importance, std::size_t bytes);
+    void noteDropped();
     void beginSecond(std::int64_t second);
     void append(std::string_view event, std::initializer_list<Field> fields);
 
--- a/src/eventlog/internal/eventlog.cpp
+++ b/src/eventlog/internal/eventlog.cpp
@@ -3,6 +3,7 @@
 #include <json/writer.h>
 #include <spdlog/fmt/fmt.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace rosemaryshift::eventlog {
@@ -38,10 +39,27 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+/// Whether @p text is written in JSON as it is.
+bool isPlain(std::string_view text)
+{
+    return std::ranges::all_of(text, [](char c) { return c >= ' ' && c <= '~' && c != '"' && c != '\\'; });
+}
+
+void appendText(std::string &line, std::string_view text)
+{
+    if (!isPlain(text)) {
+        line += Json::valueToQuotedString(std::string(text).c_str());
+        return;
+    }
+    line += '"';
+    line += text;
+    line += '"';
+}
+
 void appendValue(std::string &line, const Field &field)
 {
     if (const std::string_view *text = std::get_if<std::string_view>(&field.value)) {
-        line += Json::valueToQuotedString(std::string(*text).c_str());
+        appendText(line, *text);
     } else if (const std::int64_t *number = std::get_if<std::int64_t>(&field.value)) {
         line += std::to_string(*number);
     } else if (const double *real = std::get_if<double>(&field.value)) {
@@ -64,13 +82,16 @@
 void EventLog::write(std::string_view event, Importance importance, std::initializer_list<Field> fields)
 {
     beginSecond(steadyMilliseconds() / 1000);
+    if (!admits(importance, 0)) { // Formatting costs many times as much as dropping.
+        noteDropped();
+        return;
+    }
     const std::size_t before = m_buffer.size();
     append(event, fields);
     const std::size_t bytes = m_buffer.size() - before;
     if (!admits(importance, bytes)) {
         m_buffer.resize(before);
-        ++m_dropped;
-        ++m_unreportedDrops;
+        noteDropped();
         return;
     }
     ++m_linesInSecond;
@@ -97,6 +118,12 @@
         && static_cast<double>(m_bytesInSecond + bytes) <= share * m_budget.bytesPerSecond;
 }
 
+void EventLog::noteDropped()
+{
+    ++m_dropped;
+    ++m_unreportedDrops;
+}
+
 void EventLog::beginSecond(std::int64_t second)
 {
     if (second == m_second) {
@@ -116,7 +143,9 @@
     m_buffer += fmt::format(
         R"({{"time_ms":{},"steady_ms":{},"host":"{}","start":"{}","event":"{}")", wallMilliseconds(), steadyMilliseconds(), m_host, m_start, event);
     for (const Field &field : fields) {
-        m_buffer += fmt::format(R"(,"{}":)", field.name);
+        m_buffer += ",\"";
+        m_buffer += field.name;
+        m_buffer += "\":";
         appendValue(m_buffer, field);
     }
     m_buffer += "}\n";
