--- a/src/overload/internal/admissioncontrol.cpp
+++ b/src/overload/internal/admissioncontrol.cpp
@@ -32,7 +32,7 @@
 constexpr std::chrono::milliseconds MinTimeLeft{20};
 /// Retry-After of a rejection by a host that admits nearly all requests, and its upper bound, which is reached as the admitted share falls.
 constexpr std::chrono::milliseconds ShortestRetryDelay{150};
-constexpr std::chrono::milliseconds LongestRetryDelay{1'000};
+constexpr std::chrono::milliseconds LongestRetryDelay{800};
 
 double seconds(Duration duration)
 {
