Keep the admission control as long as the requests that it has admitted

Requests that are open when a gateway stops are destroyed with its event loop, after the components of the gateway, and their end was recorded in one that was gone by then: undefined, though without visible effect at the end of the process (found by review).

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -262,7 +262,7 @@
         metrics.set("rosemaryshift_quarantined_requests", "", static_cast<double>(m_context.quarantine.quarantined(quarantine::SuspectKind::Request)));
         metrics.set("rosemaryshift_paused_upstreams", "", static_cast<double>(m_context.upstreamPauses.paused()));
         metrics.set("rosemaryshift_limited_upstreams", "", static_cast<double>(m_context.upstreamLimits.limitedUpstreams()));
-        metrics.set("rosemaryshift_admitted_share", "", m_context.admission.admittedShare());
+        metrics.set("rosemaryshift_admitted_share", "", m_context.admission->admittedShare());
         metrics.set("rosemaryshift_idle_upstream_connections", "", static_cast<double>(m_context.upstreamConnections->size()));
         metrics.set("rosemaryshift_configuration_version", "", static_cast<double>(m_context.configuration.version()));
         metrics.set(
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -37,7 +37,7 @@
     , ports(withMeasuredLogs(std::move(platformPorts), metrics))
     , startId(std::move(processStartId))
     , eventLog(settings.name, startId, settings.logBudget, eventlog::makeOutputWriter())
-    , admission([this](const overload::OverloadReport &report) {
+    , admission(std::make_shared<overload::AdmissionControl>([this](const overload::OverloadReport &report) {
         eventLog.write("overload",
                        eventlog::Importance::StateChange,
                        {{"change", report.change == overload::OverloadChange::Begun ? "begun" : "ended"},
@@ -45,7 +45,7 @@
                         {"lasted_ms", wholeMilliseconds(report.lasted)},
                         {"waiting", static_cast<std::int64_t>(report.waiting)},
                         {"rejected", static_cast<std::int64_t>(report.rejected)}});
-    })
+    }))
     , directory([this](const directory::Upstream &upstream, std::string_view change) { handleUpstreamChange(upstream, change); })
     , listAvailability(settings.renewalInterval)
     , runContinuity(settings.renewalInterval * ListingRenewals)
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -40,7 +40,7 @@
     eventlog::EventLog eventLog;
     GatewayMetrics metrics;
     overload::LoopDelay loopDelay;
-    overload::AdmissionControl admission;
+    const std::shared_ptr<overload::AdmissionControl> admission; ///< Shared with the requests, which may end after the other components.
     ActiveConfiguration configuration;
     directory::UpstreamDirectory directory;
     directory::ListAvailability listAvailability;
--- a/src/gateway/internal/loopsampler.cpp
+++ b/src/gateway/internal/loopsampler.cpp
@@ -29,7 +29,7 @@
 {
     const net::any_io_executor executor = co_await net::this_coro::executor;
     while (true) {
-        const std::chrono::milliseconds interval = m_context.admission.needsFrequentDelays() ? FrequentSampleInterval : SampleInterval;
+        const std::chrono::milliseconds interval = m_context.admission->needsFrequentDelays() ? FrequentSampleInterval : SampleInterval;
         m_context.loopDelay.beginSample(hostNow() + interval);
         co_await pause(interval);
         m_context.loopDelay.noteTimerRan(hostNow());
@@ -38,7 +38,7 @@
         }
         const TimePoint now = hostNow();
         const overload::DelaySample sample = m_context.loopDelay.noteProbePassed(now);
-        m_context.admission.noteDelay(sample, now);
+        m_context.admission->noteDelay(sample, now);
         m_context.metrics.observe("rosemaryshift_loop_delay_seconds", "", sample.lateness);
     }
 }
--- a/src/gateway/internal/requestadmission.cpp
+++ b/src/gateway/internal/requestadmission.cpp
@@ -6,7 +6,7 @@
 bool RequestSession::admitByLoad()
 {
     const TimePoint now = hostNow();
-    const std::optional<overload::Rejection> rejection = m_context.admission.admit(remainingTime(now), now);
+    const std::optional<overload::Rejection> rejection = m_admission->admit(remainingTime(now), now);
     if (!rejection) {
         m_waitsForAnswer = true;
         return true;
@@ -21,7 +21,7 @@
 {
     if (m_waitsForAnswer) {
         m_waitsForAnswer = false;
-        m_context.admission.noteAnswering();
+        m_admission->noteAnswering();
     }
 }
 
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -47,6 +47,7 @@
     , m_streamRegistry(streamRegistry)
     , m_request(std::move(request))
     , m_writer(writer)
+    , m_admission(context.admission)
     , m_fromPeer(fromPeer)
     , m_handledAt(hostNow())
     , m_arrivedAt(m_handledAt - m_context.loopDelay.estimate(m_handledAt))
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -135,6 +135,7 @@
     StreamRegistry &m_streamRegistry;
     const http::Request m_request;
     http::IResponseWriter &m_writer;
+    const std::shared_ptr<overload::AdmissionControl> m_admission;
     const bool m_fromPeer;
     const TimePoint m_handledAt; ///< When the handling began.
     const TimePoint m_arrivedAt; ///< When the request is estimated to have reached this host, from which the caller's time counts.
