--- a/src/gateway/internal/activeconfiguration.cpp
+++ b/src/gateway/internal/activeconfiguration.cpp
@@ -16,15 +16,15 @@
 
 void ActiveConfiguration::confirm(std::uint64_t version, TimePoint at)
 {
-    // A confirmation of an older version dates from before the one in force existed.
-    if (m_table && version >= this->version() && (!m_confirmedAt || at > *m_confirmedAt)) {
+    // A confirmation of an older version dates from before the one in force existed; one of a newer version tells that the one in force is replaced.
+    if (m_table && version == this->version() && (!m_confirmedAt || at > *m_confirmedAt)) {
         m_confirmedAt = at;
     }
 }
 
-void ActiveConfiguration::noteVersion(std::uint64_t version)
+void ActiveConfiguration::setKnownVersion(std::uint64_t version)
 {
-    m_knownVersion = std::max(m_knownVersion, version);
+    m_knownVersion = version;
 }
 
 const std::shared_ptr<const routing::RouteTable> &ActiveConfiguration::table() const
@@ -37,6 +37,11 @@
     return m_table ? m_table->configuration().version : 0;
 }
 
+std::uint64_t ActiveConfiguration::knownVersion() const
+{
+    return std::max(m_knownVersion, version());
+}
+
 const std::string &ActiveConfiguration::text() const
 {
     return m_text;
@@ -53,7 +58,7 @@
 bool ActiveConfiguration::outdated(TimePoint now, Duration maxDelay) const
 {
     const std::optional<Duration> currentAge = age(now);
-    return m_knownVersion > version() && currentAge && *currentAge > maxDelay;
+    return knownVersion() > version() && currentAge && *currentAge > maxDelay;
 }
 
 }
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -3,7 +3,6 @@
 #include "gateway/internal/backgroundtask.h"
 #include "gateway/internal/busyupstreams.h"
 #include "gateway/internal/hostclock.h"
-#include "http/ihttpclient.h"
 
 namespace rosemaryshift::gateway {
 
@@ -18,31 +17,33 @@
 constexpr double LoadReportIntervals = 5;
 /// The list of peers is left out of most statuses while it is unchanged; two in this number of statuses have it.
 constexpr std::uint32_t StatusesPerPeerList = 10;
+/// An older confirmation of a peer's configuration is of no use; far from an overflow when it is subtracted from a time.
+constexpr std::uint64_t MaxConfirmedAgeMs = 3'600'000;
+/// Number of waiting datagrams that are read in one turn of the event loop at most.
+constexpr int MaxDatagramsPerTurn = 64;
 /// Delay after which hosts that have just started are told of this host. They come by the dozen when a fleet starts, and are answered together.
 constexpr std::chrono::milliseconds NewHostDelay{20};
 /// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
 constexpr std::size_t MaxDatagramBytes = 65'507;
-/// Time that a newer configuration known to a peer has to arrive from the log, before it is fetched from that peer.
-constexpr std::chrono::milliseconds PeerFetchDelay{250};
-/// Timeout of fetching a configuration from a peer.
-constexpr std::chrono::milliseconds FetchTimeout{800};
 
 }
 
 GossipEndpoint::GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurationFollower, duties::UsageCollector &usageCollector)
     : m_context(context)
-    , m_configurationFollower(configurationFollower)
     , m_usageCollector(usageCollector)
-    , m_registry(context.settings.address, [&context](const gossip::Peer &peer, std::string_view change) {
-        context.eventLog.write("peer",
-                               eventlog::Importance::StateChange,
-                               {{"peer", peer.status.host}, {"change", change}, {"silent_ms", wholeMilliseconds(hostNow() - peer.heard)}});
-        if (change == "forgotten" || change == "left") {
-            context.balancer.forgetPeer(peer.status.host);
-            context.quotas.forgetPeer(hostStart(peer.status.host, peer.status.start));
-            context.wallClock.forgetPeer(peer.status.host);
-        }
-    })
+    , m_registry(context.settings.address,
+                 [&context](const gossip::Peer &peer, std::string_view change) {
+                     context.eventLog.write("peer",
+                                            eventlog::Importance::StateChange,
+                                            {{"peer", peer.status.host}, {"change", change}, {"silent_ms", wholeMilliseconds(hostNow() - peer.heard)}});
+                     if (change == "forgotten" || change == "left") {
+                         context.balancer.forgetPeer(peer.status.host);
+                         context.quotas.forgetPeer(hostStart(peer.status.host, peer.status.start));
+                         context.wallClock.forgetPeer(peer.status.host);
+                     }
+                 })
+    , m_configurationFetcher(context, configurationFollower, m_registry)
+    , m_usageRelay(hostStart(context.settings.name, context.startId))
 {
 }
 
@@ -57,6 +58,9 @@
     if (!error) {
         m_socket->bind(udp::endpoint(address, m_context.settings.gossipPort), error);
     }
+    if (!error) {
+        m_socket->non_blocking(true, error);
+    }
     if (error) {
         reason = "cannot bind " + m_context.settings.address + ":" + std::to_string(m_context.settings.gossipPort) + ": " + error.message();
         return false;
@@ -93,7 +97,9 @@
 {
     while (true) {
         const TimePoint now = hostNow();
-        m_registry.expire(now);
+        // Statuses that wait for a late host are no silence of the peers.
+        m_registry.expire(now - m_context.loopDelay.estimate(now));
+        noteHeardVersions();
         m_context.silentZones = m_registry.silentZones();
         m_context.quarantine.setHosts(m_context.settings.name, m_registry.heardHosts());
         m_context.quarantine.update(now);
@@ -117,6 +123,12 @@
 void GossipEndpoint::sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers)
 {
     const gossip::CompactStatus compact(status, withPeers);
+    if (compact.body().size() > MaxDatagramBytes - gossip::CompactStatus::HeaderBytes) {
+        m_context.eventLog.write("status_too_long", eventlog::Importance::Failure, {{"bytes", static_cast<std::int64_t>(compact.body().size())}});
+        return;
+    }
+    std::uint64_t datagrams = 0;
+    std::uint64_t bytes = 0;
     for (const gossip::Destination &destination : destinations) {
         boost::system::error_code error;
         const net::ip::address to = net::ip::make_address(destination.address, error);
@@ -127,13 +139,17 @@
         // A failed send is ignored like a lost datagram, since the status is sent periodically.
         if (destination.readsCompact) {
             const std::array<char, gossip::CompactStatus::HeaderBytes> header = compact.header(destination.echoUs);
-            m_socket->send_to(std::array<net::const_buffer, 2>{net::buffer(header), net::buffer(compact.body())}, endpoint, 0, error);
+            bytes += m_socket->send_to(std::array<net::const_buffer, 2>{net::buffer(header), net::buffer(compact.body())}, endpoint, 0, error);
         } else {
             gossip::PeerStatus addressed = status;
             addressed.echoUs = destination.echoUs;
-            m_socket->send_to(net::buffer(encoded(addressed)), endpoint, 0, error);
+            bytes += m_socket->send_to(net::buffer(encoded(addressed)), endpoint, 0, error);
         }
+        ++datagrams;
     }
+    m_context.metrics.count("rosemaryshift_statuses_total", R"(direction="sent")", datagrams);
+    m_context.metrics.count("rosemaryshift_status_bytes_total", R"(direction="sent")", bytes);
+    m_context.metrics.set("rosemaryshift_status_bytes", "", static_cast<double>(gossip::CompactStatus::HeaderBytes + compact.body().size()));
 }
 
 net::awaitable<void> GossipEndpoint::receive()
@@ -145,16 +161,36 @@
         if (error == net::error::operation_aborted) {
             co_return;
         }
-        if (error) {
-            continue;
+        if (!error) {
+            handleDatagram(std::string_view(buffer.data(), bytes), from);
+            receiveWaiting(buffer);
         }
-        std::optional<gossip::PeerStatus> status = gossip::decodedPeerStatus(std::string_view(buffer.data(), bytes));
-        if (!status) {
-            m_context.eventLog.write("news_unreadable", eventlog::Importance::Failure, {{"from", from.address().to_string()}});
-            continue;
+    }
+}
+
+void GossipEndpoint::receiveWaiting(std::string &buffer)
+{
+    for (int datagram = 0; datagram < MaxDatagramsPerTurn; ++datagram) {
+        udp::endpoint from;
+        boost::system::error_code error;
+        const std::size_t bytes = m_socket->receive_from(net::buffer(buffer), from, 0, error);
+        if (error) {
+            return;
         }
-        handleStatus(std::move(*status));
+        handleDatagram(std::string_view(buffer.data(), bytes), from);
+    }
+}
+
+void GossipEndpoint::handleDatagram(std::string_view datagram, const udp::endpoint &from)
+{
+    m_context.metrics.count("rosemaryshift_statuses_total", R"(direction="received")");
+    m_context.metrics.count("rosemaryshift_status_bytes_total", R"(direction="received")", datagram.size());
+    std::optional<gossip::PeerStatus> status = gossip::decodedPeerStatus(datagram);
+    if (!status) {
+        m_context.eventLog.write("news_unreadable", eventlog::Importance::Failure, {{"from", from.address().to_string()}});
+        return;
     }
+    handleStatus(std::move(*status));
 }
 
 std::map<std::string, double> GossipEndpoint::totalBusyUpstreams(TimePoint now) const
@@ -206,16 +242,36 @@
             m_usageCollector.note(start, window, counts);
         }
     }
+    noteConfirmation(status, now);
+    noteHeardVersions();
+    m_configurationFetcher.update(m_socket->get_executor());
+}
+
+void GossipEndpoint::noteConfirmation(const gossip::PeerStatus &status, TimePoint now)
+{
+    // An echo from after now is of an earlier start of this machine, whose clock began anew.
+    if (!status.echoUs || Duration(static_cast<Duration::rep>(*status.echoUs)) > now.time_since_epoch()) {
+        return;
+    }
+    const TimePoint sent{Duration(static_cast<Duration::rep>(*status.echoUs))};
+    m_context.metrics.observe("rosemaryshift_status_round_trip_seconds", "", now - sent);
     // The peer measured the age after it received the datagram that it echoes. Subtracting the age from the time at which this host sent that
     // datagram never dates the confirmation too late, whatever the network delays were.
-    if (status.echoUs && status.confirmedAgeMs) {
-        const TimePoint sent{Duration(static_cast<Duration::rep>(*status.echoUs))};
+    if (status.confirmedAgeMs && *status.confirmedAgeMs < MaxConfirmedAgeMs) {
         m_context.configuration.confirm(status.configuration, sent - std::chrono::milliseconds(*status.confirmedAgeMs));
     }
-    m_context.configuration.noteVersion(status.configuration);
-    if (status.configuration > m_context.configuration.version() && !m_fetchingConfiguration) {
-        m_fetchingConfiguration = true;
-        startTask(m_socket->get_executor(), fetchConfiguration(status.address));
+}
+
+void GossipEndpoint::noteHeardVersions()
+{
+    std::optional<std::uint64_t> newest;
+    for (const auto &[host, peer] : m_registry.peers()) {
+        if (!peer.silent) {
+            newest = std::max(newest.value_or(0), peer.status.configuration);
+        }
+    }
+    if (newest) {
+        m_context.configuration.setKnownVersion(*newest);
     }
 }
 
@@ -232,30 +288,6 @@
     sendStatus(localStatus(now), destinations, true);
 }
 
-net::awaitable<void> GossipEndpoint::fetchConfiguration(std::string address)
-{
-    const std::uint64_t versionBefore = m_context.configuration.version();
-    if (versionBefore > 0) {
-        co_await pause(PeerFetchDelay);
-    }
-    if (m_context.configuration.version() == versionBefore) {
-        http::Request request;
-        request.target = "/configuration";
-        http::ClientTimeouts timeouts;
-        timeouts.connect = FetchTimeout;
-        timeouts.end = std::chrono::steady_clock::now() + FetchTimeout;
-        http::ClientFailure failure;
-        const http::Endpoint endpoint{address, m_context.settings.peerListener.port};
-        const std::optional<http::Response> response = co_await http::fetch(endpoint, std::move(request), timeouts, failure);
-        if (response && response->status == 200) {
-            m_configurationFollower.applyText(response->body, "peer");
-        } else {
-            m_context.eventLog.write("configuration_not_fetched", eventlog::Importance::StateChange, {{"from", address}, {"reason", failure.detail}});
-        }
-    }
-    m_fetchingConfiguration = false;
-}
-
 void GossipEndpoint::announceLeaving()
 {
     const TimePoint now = hostNow();
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/internal/configurationfollower.h"
+#include "gateway/internal/configurationfetcher.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gossip/peerregistry.h"
 #include "gossip/usagerelay.h"
@@ -44,7 +44,14 @@
     void addUsageTo(gossip::PeerStatus &status, TimePoint now);
     /// The host processes that have reported counts of these windows and are not heard now.
     [[nodiscard]] std::set<std::string> unheardProcesses(std::uint64_t firstWindow, std::uint64_t lastWindow) const;
+    /// Handles the datagrams that wait to be read, up to a limit. @p buffer takes one of them.
+    void receiveWaiting(std::string &buffer);
+    void handleDatagram(std::string_view datagram, const boost::asio::ip::udp::endpoint &from);
     void handleStatus(gossip::PeerStatus received);
+    /// Applies what a peer tells of the age of its configuration.
+    void noteConfirmation(const gossip::PeerStatus &status, TimePoint now);
+    /// Notes the newest version of the configuration that is in force at the peers that are heard, if there are any.
+    void noteHeardVersions();
     /// Sends @p status to all @p destinations, to each in the form that it reads.
     void sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers);
     /// Whether the next status has to list the @p peers, as they have changed or were left out several times.
@@ -57,12 +64,11 @@
     [[nodiscard]] std::map<std::string, double> totalDemand(const std::map<std::string, double> &own) const;
     /// Notes each peer's share of each workspace's quota, to be kept for it while it is silent.
     void notePeerShares(const std::map<std::string, double> &total, std::size_t hosts);
-    boost::asio::awaitable<void> fetchConfiguration(std::string address);
 
     GatewayContext &m_context;
-    ConfigurationFollower &m_configurationFollower;
     duties::UsageCollector &m_usageCollector;
     gossip::PeerRegistry m_registry;
+    ConfigurationFetcher m_configurationFetcher;
     std::optional<boost::asio::ip::udp::socket> m_socket;
     /// Quota shares of the peers, by peer and workspace, as last computed while no peer was silent.
     std::map<std::string, std::map<std::string, double>> m_peerShares;
@@ -70,7 +76,6 @@
     gossip::UsageRelay m_usageRelay;
     std::vector<std::string> m_sentPeers;
     std::uint32_t m_statusesWithoutPeers = 0; ///< Statuses since the list of peers has changed.
-    bool m_fetchingConfiguration = false;
     bool m_holdsDuties = false;
 };
 
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -61,14 +61,15 @@
 
 net::awaitable<void> RequestSession::run()
 {
-    if (m_writer.detectCallerGone()) {
-        dropUnrouted();
-        co_return;
-    }
     if (!routeAndAuthenticate() || !admit()) {
         co_await reject(m_rejectionStatus, m_reason, m_retryAfter);
         co_return;
     }
+    if (m_writer.detectCallerGone()) {
+        logOutcome("caller_gone", 0, "left_before_dispatch");
+        co_return;
+    }
+    m_callerWatched = true;
     // The callback must not extend the life of the session; the connection destroys both when the request ends.
     m_writer.onCallerGone([weak = weak_from_this()] {
         const std::shared_ptr<RequestSession> self = weak.lock();
@@ -129,7 +130,7 @@
         m_rejectionStatus = 400;
         return false;
     }
-    if (m_context.configuration.outdated(m_arrivedAt, m_context.settings.maxConfigurationDelay)) {
+    if (m_context.configuration.outdated(m_handledAt, m_context.settings.maxConfigurationDelay)) {
         m_rejectionStatus = 503;
         m_reason = "stale_configuration";
         m_retryAfter = ConfigurationRetryDelay;
@@ -249,10 +250,11 @@
     if (m_attemptState->dispatches() == 0) {
         return true; // Nothing was sent yet, so this takes nothing from the retry budget.
     }
-    if (!m_context.retryBudget.take(m_service, now)) {
+    if (!m_retryTaken && !m_context.retryBudget.take(m_service, now)) {
         m_reason += ", no retry budget";
         return false;
     }
+    m_retryTaken = true;
     return true;
 }
 
