--- a/src/base/tests/texttests.cpp
+++ b/src/base/tests/texttests.cpp
@@ -34,10 +34,10 @@
     {
         THEN("only the case of ASCII letters is ignored")
         {
-            CHECK(equalIgnoringCase("X-Api-Key", "x-API-kEY"));
+            CHECK(equalIgnoringCase("Keep-Alive", "keEP-aLIVE"));
             CHECK(equalIgnoringCase("", ""));
-            CHECK_FALSE(equalIgnoringCase("X-Api-Key", "X-Api-Ke"));
-            CHECK_FALSE(equalIgnoringCase("X-Api-Key", "X-Api-Kez"));
+            CHECK_FALSE(equalIgnoringCase("Keep-Alive", "Keep-Aliv"));
+            CHECK_FALSE(equalIgnoringCase("Keep-Alive", "Keep-Alivf"));
             CHECK_FALSE(equalIgnoringCase("a[", "A{"));
             CHECK_FALSE(equalIgnoringCase("\xe4", "\xc4"));
         }
