--- a/src/gateway/internal/activeconfiguration.cpp
+++ b/src/gateway/internal/activeconfiguration.cpp
@@ -22,6 +22,11 @@
     }
 }
 
+void ActiveConfiguration::noteVersion(std::uint64_t version)
+{
+    m_knownVersion = std::max(m_knownVersion, version);
+}
+
 const std::shared_ptr<const routing::RouteTable> &ActiveConfiguration::table() const
 {
     return m_table;
@@ -32,6 +37,11 @@
     return m_table ? m_table->configuration().version : 0;
 }
 
+std::uint64_t ActiveConfiguration::knownVersion() const
+{
+    return std::max(m_knownVersion, version());
+}
+
 const std::string &ActiveConfiguration::text() const
 {
     return m_text;
@@ -45,4 +55,10 @@
     return std::max(now - *m_confirmedAt, Duration::zero());
 }
 
+bool ActiveConfiguration::outdated(TimePoint now, Duration maxDelay) const
+{
+    const std::optional<Duration> currentAge = age(now);
+    return knownVersion() > version() && currentAge && *currentAge > maxDelay;
+}
+
 }
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -2,6 +2,7 @@
 
 #include "base/text.h"
 #include "gateway/internal/hostclock.h"
+#include "gateway/internal/measuredlog.h"
 
 namespace rosemaryshift::gateway {
 
@@ -33,9 +34,18 @@
 
 GatewayContext::GatewayContext(const GatewaySettings &hostSettings, PlatformPorts platformPorts, std::string processStartId)
     : settings(hostSettings)
-    , ports(std::move(platformPorts))
+    , ports(withMeasuredLogs(std::move(platformPorts), metrics))
     , startId(std::move(processStartId))
     , eventLog(settings.name, startId, settings.logBudget, eventlog::makeOutputWriter())
+    , admission([this](const overload::OverloadReport &report) {
+        eventLog.write("overload",
+                       eventlog::Importance::StateChange,
+                       {{"change", report.change == overload::OverloadChange::Begun ? "begun" : "ended"},
+                        {"lateness_ms", wholeMilliseconds(report.lateness)},
+                        {"lasted_ms", wholeMilliseconds(report.lasted)},
+                        {"waiting", static_cast<std::int64_t>(report.waiting)},
+                        {"rejected", static_cast<std::int64_t>(report.rejected)}});
+    })
     , directory([this](const directory::Upstream &upstream, std::string_view change) { handleUpstreamChange(upstream, change); })
     , listAvailability(settings.renewalInterval)
     , runContinuity(settings.renewalInterval * ListingRenewals)
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -48,17 +48,28 @@
     , m_request(std::move(request))
     , m_writer(writer)
     , m_fromPeer(fromPeer)
-    , m_arrivedAt(hostNow())
+    , m_handledAt(hostNow())
+    , m_arrivedAt(m_handledAt - m_context.loopDelay.estimate(m_handledAt))
     , m_deadline(m_arrivedAt + DefaultTimeout)
 {
 }
 
+RequestSession::~RequestSession()
+{
+    noteAnswering();
+}
+
 net::awaitable<void> RequestSession::run()
 {
     if (!routeAndAuthenticate() || !admit()) {
         co_await reject(m_rejectionStatus, m_reason, m_retryAfter);
         co_return;
     }
+    if (m_writer.detectCallerGone()) {
+        logOutcome("caller_gone", 0, "left_before_dispatch");
+        co_return;
+    }
+    m_callerWatched = true;
     // The callback must not extend the life of the session; the connection destroys both when the request ends.
     m_writer.onCallerGone([weak = weak_from_this()] {
         const std::shared_ptr<RequestSession> self = weak.lock();
@@ -82,7 +93,7 @@
             if (!prepared) {
                 co_return;
             }
-            const std::optional<balancing::Choice> choice = chooseUpstream(now);
+            const std::optional<balancing::Choice> choice = chooseUpstream(hostNow());
             if (!choice) {
                 break;
             }
@@ -106,7 +117,7 @@
 bool RequestSession::routeAndAuthenticate()
 {
     m_routeTable = m_context.configuration.table();
-    const std::optional<Duration> age = m_context.configuration.age(m_arrivedAt);
+    const std::optional<Duration> age = m_context.configuration.age(m_handledAt);
     if (!m_routeTable || !age) {
         m_rejectionStatus = 503;
         m_reason = "no_configuration";
@@ -119,7 +130,16 @@
         m_rejectionStatus = 400;
         return false;
     }
+    if (m_context.configuration.outdated(m_arrivedAt, m_context.settings.maxConfigurationDelay)) {
+        m_rejectionStatus = 503;
+        m_reason = "stale_configuration";
+        m_retryAfter = ConfigurationRetryDelay;
+        return false;
+    }
     m_deadline = m_arrivedAt + m_callerRequest.timeLeft.value_or(DefaultTimeout);
+    if (!admitByLoad()) {
+        return false;
+    }
     const bool configurationIsCurrent = *age < std::chrono::duration_cast<Duration>(m_context.settings.maxConfigurationDelay * CurrentConfigurationFactor);
     m_route = m_routeTable->route(m_request.headers.find("Host").value_or(""), http::path(m_request.target));
     if (m_route == nullptr) {
@@ -184,7 +204,7 @@
         const double tokenCount = m_callerRequest.promptTokens ? static_cast<double>(*m_callerRequest.promptTokens + m_callerRequest.maxOutputTokens)
                                                                : static_cast<double>(m_workspace->tokensOfPlainRequest);
         const double cost = countsTokens ? tokenCount : 1;
-        if (const std::optional<Duration> wait = m_context.quotas.take(m_workspace->name, cost, m_arrivedAt)) {
+        if (const std::optional<Duration> wait = m_context.quotas.take(m_workspace->name, cost, m_handledAt)) {
             m_rejectionStatus = 429;
             m_reason = "over_quota";
             m_retryAfter = *wait;
@@ -193,7 +213,7 @@
         m_quotaCost = cost;
     }
     m_charged = true;
-    m_context.retryBudget.noteRequest(m_service, m_arrivedAt);
+    m_context.retryBudget.noteRequest(m_service, m_handledAt);
     return true;
 }
 
@@ -230,10 +250,11 @@
     if (m_attemptState->dispatches() == 0) {
         return true; // Nothing was sent yet, so this takes nothing from the retry budget.
     }
-    if (!m_context.retryBudget.take(m_service, now)) {
+    if (!m_retryTaken && !m_context.retryBudget.take(m_service, now)) {
         m_reason += ", no retry budget";
         return false;
     }
+    m_retryTaken = true;
     return true;
 }
 
@@ -307,6 +328,9 @@
     if (m_firstByteLatency) {
         m_context.metrics.observe("rosemaryshift_first_byte_seconds", R"(kind=")" + std::string(kind) + R"(")", *m_firstByteLatency);
     }
+    if (outcome == "caller_gone") {
+        countCallerGone();
+    }
     const bool good = outcome == "answered";
     m_context.eventLog.write("request_ended",
                              good ? eventlog::Importance::Ordinary : eventlog::Importance::Failure,
@@ -326,6 +350,7 @@
                               {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
                               {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
                               {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
+                              {"waited_ms", wholeMilliseconds(m_handledAt - m_arrivedAt)},
                               {"took_ms", wholeMilliseconds(now - m_arrivedAt)}});
 }
 
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -19,6 +19,10 @@
     /// @p fromPeer: a peer that reaches no upstream has forwarded the request.
     RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer, bool fromPeer);
 
+    ~RequestSession();
+    RequestSession(const RequestSession &) = delete;
+    RequestSession &operator=(const RequestSession &) = delete;
+
     /// Sends the caller a response, or closes the connection when a response that was started cannot be completed.
     boost::asio::awaitable<void> run();
 
@@ -44,8 +48,14 @@
         bool operator==(const StreamFormat &) const = default;
     };
 
+    /// Counts a request whose caller has left by how far it had come.
+    void countCallerGone();
     /// Reads the caller's headers and finds the route and the workspace. Returns false, with the rejection set, when the request cannot be served.
     bool routeAndAuthenticate();
+    /// Whether this host, by its load, can answer the request in time. Returns false, with the rejection set, when it is not to be handled.
+    bool admitByLoad();
+    /// Records that the request, if it was admitted, no longer waits for the beginning of its answer.
+    void noteAnswering();
     /// Chooses the service. Returns false, with the rejection set, when the request is not admitted.
     bool admit();
     /// Takes the cost from the workspace's quota, once. Returns false, with the rejection set, when the quota is used up.
@@ -60,6 +70,17 @@
     boost::asio::awaitable<void> relayAnswer(http::Response answer);
     /// Ends a request of which the peer's answer is missing.
     boost::asio::awaitable<void> endForwarding();
+    /// Whether the caller still waits for an answer; sets the reason if not.
+    bool callerWaits(TimePoint now);
+    /// Whether the upstream of the current dispatch may be sent the request; sets the reason if not.
+    bool upstreamAccepts(TimePoint now);
+    /// The request as it is sent to the upstream of the current dispatch, whose connection is open; nothing, with the reason set, when it is not to be sent
+    /// any more.
+    std::optional<http::Request> requestForUpstream();
+    /// The same for a peer that accepts forwarded requests with this @p token.
+    std::optional<http::Request> requestForPeer(std::string_view token);
+    /// Ends a dispatch that was withdrawn before its request was sent.
+    void endWithdrawn();
     /// Notes that the upstream of the last dispatch was not reached, if that is what @p failure says.
     void noteUnreached(const http::ClientFailure &failure);
     /// Sends the request to @p upstream and forwards its response.
@@ -115,13 +136,16 @@
     const http::Request m_request;
     http::IResponseWriter &m_writer;
     const bool m_fromPeer;
-    const TimePoint m_arrivedAt;
+    const TimePoint m_handledAt; ///< When the handling began.
+    const TimePoint m_arrivedAt; ///< When the request is estimated to have reached this host, from which the caller's time counts.
     ports::CallerRequest m_callerRequest;
     std::shared_ptr<const routing::RouteTable> m_routeTable;
     const routing::Route *m_route = nullptr;
     const routing::Workspace *m_workspace = nullptr;
     std::string m_service;
     std::uint64_t m_fingerprint = 0; ///< The same for repetitions of this request by its caller.
+    bool m_callerWatched = false;    ///< The caller was connected when the request had been routed; its disconnect is reported from then on.
+    bool m_retryTaken = false;       ///< A retry was taken from the budget and not sent yet.
     bool m_charged = false;          ///< chargeQuota() has succeeded.
     double m_quotaCost = 0;          ///< Cost taken from the workspace's quota, in its unit; 0 when none was taken.
     TimePoint m_deadline;            ///< The earlier of the caller's deadline and the end of the route's timeout.
@@ -138,7 +162,7 @@
     std::set<std::string> m_triedPeers;
     int m_connectFailures = 0;                     ///< Upstreams to which no connection could be opened.
     bool m_viaPeer = false;                        ///< The last dispatch went to a peer; it accounts for the request.
-    TimePoint m_dispatchedAt;                      ///< Time of the last dispatch.
+    TimePoint m_dispatchedAt;                      ///< Time at which the last dispatch was sent.
     std::string m_instance;                        ///< Upstream instance of the last dispatch.
     directory::UpstreamEntry m_upstream;           ///< Entry of that instance at the time of the dispatch.
     std::optional<std::string> m_continuedVersion; ///< The software version that began the stream, once it is known; only upstreams of it may continue it.
@@ -146,6 +170,7 @@
     EventSplitter m_eventSplitter;
     std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
+    bool m_waitsForAnswer = false;              ///< The request was admitted, and its answer has not begun.
     bool m_usageCounted = false;
     StreamFormat m_streamFormat;  ///< Of the answer that started the stream.
     bool m_streamStarted = false; ///< The headers of a streamed response were sent to the caller.
