--- a/src/base/tests/texttests.cpp
+++ b/src/base/tests/texttests.cpp
@@ -30,6 +30,18 @@
             CHECK(parseHexadecimal(hexadecimal(0xa0bU)) == 0xa0bU);
         }
     }
+    GIVEN("names of headers in different cases")
+    {
+        THEN("only the case of ASCII letters is ignored")
+        {
+            CHECK(equalIgnoringCase("Keep-Alive", "keEP-aLIVE"));
+            CHECK(equalIgnoringCase("", ""));
+            CHECK_FALSE(equalIgnoringCase("Keep-Alive", "Keep-Aliv"));
+            CHECK_FALSE(equalIgnoringCase("Keep-Alive", "Keep-Alivf"));
+            CHECK_FALSE(equalIgnoringCase("a[", "A{"));
+            CHECK_FALSE(equalIgnoringCase("\xe4", "\xc4"));
+        }
+    }
     GIVEN("JSON that is malformed or nested too deep")
     {
         std::string reason;
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -1,11 +1,15 @@
 #pragma once
 
-#include "gateway/internal/configurationfollower.h"
+#include "gateway/internal/configurationfetcher.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gossip/peerregistry.h"
+#include "gossip/usagerelay.h"
 
 #include <boost/asio/ip/udp.hpp>
 
+#include <set>
+#include <span>
+
 namespace rosemaryshift::gateway {
 
 /// Exchanges gossip with the other gateways over UDP and applies what they send to the shared state. Used from the gateway's thread.
@@ -33,24 +37,45 @@
     [[nodiscard]] std::map<std::string, double> totalBusyUpstreams(TimePoint now) const;
 
 private:
-    [[nodiscard]] gossip::PeerStatus localStatus(TimePoint now) const;
-    /// Adds the counts of the recent usage windows: this host's own, and those of host processes that it no longer hears.
-    void addUsageTo(gossip::PeerStatus &status, TimePoint now) const;
+    /// Identifies one start of a host's process in usage counts and quotas.
+    [[nodiscard]] static std::string hostStart(const std::string &host, const std::string &start);
+    [[nodiscard]] gossip::PeerStatus localStatus(TimePoint now);
+    /// Adds the counts of the recent usage windows: this host's own, and those of some host processes that it no longer hears.
+    void addUsageTo(gossip::PeerStatus &status, TimePoint now);
+    /// The host processes that have reported counts of these windows and are not heard now.
+    [[nodiscard]] std::set<std::string> unheardProcesses(std::uint64_t firstWindow, std::uint64_t lastWindow) const;
+    /// Handles the datagrams that wait to be read, up to a limit. @p buffer takes one of them.
+    void receiveWaiting(std::string &buffer);
+    void handleDatagram(std::string_view datagram, const boost::asio::ip::udp::endpoint &from);
     void handleStatus(gossip::PeerStatus received);
-    /// Sends @p status to the peer at @p address, after setting its echo for that peer.
-    void sendTo(gossip::PeerStatus &status, const std::string &address, TimePoint now);
+    /// Applies what a peer tells of the age of its configuration.
+    void noteConfirmation(const gossip::PeerStatus &status, TimePoint now);
+    /// Notes the newest version of the configuration that is in force at the peers that are heard, if there are any.
+    void noteHeardVersions();
+    /// Sends @p status to all @p destinations, to each in the form that it reads.
+    void sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers);
+    /// Whether the next status has to list the @p peers, as they have changed or were left out several times.
+    bool peersAreDue(const std::vector<std::string> &peers);
+    /// Sends this host's status to the hosts that have just started, a short time after the first of them was heard.
+    boost::asio::awaitable<void> greetNewHosts();
     /// Recomputes this host's share of each workspace's quota from the demand on all hosts.
     void updateShares(TimePoint now);
-    boost::asio::awaitable<void> fetchConfiguration(std::string address);
+    /// The demand of all hosts that are not silent, for each workspace of @p own, this host's demand.
+    [[nodiscard]] std::map<std::string, double> totalDemand(const std::map<std::string, double> &own) const;
+    /// Notes each peer's share of each workspace's quota, to be kept for it while it is silent.
+    void notePeerShares(const std::map<std::string, double> &total, std::size_t hosts);
 
     GatewayContext &m_context;
-    ConfigurationFollower &m_configurationFollower;
     duties::UsageCollector &m_usageCollector;
     gossip::PeerRegistry m_registry;
+    ConfigurationFetcher m_configurationFetcher;
     std::optional<boost::asio::ip::udp::socket> m_socket;
     /// Quota shares of the peers, by peer and workspace, as last computed while no peer was silent.
     std::map<std::string, std::map<std::string, double>> m_peerShares;
-    bool m_fetchingConfiguration = false;
+    std::set<std::string> m_newAddresses; ///< Hosts that have just started and were not sent a status yet.
+    gossip::UsageRelay m_usageRelay;
+    std::vector<std::string> m_sentPeers;
+    std::uint32_t m_statusesWithoutPeers = 0; ///< Statuses since the list of peers has changed.
     bool m_holdsDuties = false;
 };
 
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -45,7 +45,7 @@
 
 bool RequestSession::notePause(const ports::ResponseMetadata &metadata)
 {
-    // A refusal may lack the id of the request, but never has that of another one.
+    // A refusal may lack the id of the request, but then it is the first answer on its connection.
     if (metadata.pauseMalformed) {
         m_context.eventLog.write(
             "upstream_pause_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}});
@@ -75,8 +75,10 @@
 void RequestSession::noteFirstByte()
 {
     const TimePoint now = hostNow();
+    noteAnswering();
     m_attemptState->noteResponseStarted();
-    m_context.balancer.recordFirstEvent(m_balancerAttempt, now);
+    // The time for which the event has waited for this host is not the upstream's.
+    m_context.balancer.recordFirstEvent(m_balancerAttempt, std::max(now - m_context.loopDelay.estimate(now), m_dispatchedAt));
     if (!m_firstByteLatency) {
         m_firstByteLatency = now - m_arrivedAt;
     }
