--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -1,6 +1,7 @@
 #include "balancing/upstreambalancer.h"
 
 #include "balancing/internal/cachehistory.h"
+#include "balancing/internal/peerload.h"
 
 #include <algorithm>
 #include <cmath>
@@ -87,24 +88,23 @@
     bool firstEvent = false;         ///< Whether the first event was received.
 };
 
-struct UpstreamBalancer::Peer {
-    std::map<std::string, Outstanding> outstanding;
-    TimePoint expires;
-};
-
 struct UpstreamBalancer::Scored {
     double expected = 0; ///< Estimated time to the first event, in milliseconds.
     double ranking = 0;  ///< Expected time with all penalties, in milliseconds; the lowest is chosen.
     std::uint64_t uncached = 0;
 };
 
-UpstreamBalancer::UpstreamBalancer() = default;
+UpstreamBalancer::UpstreamBalancer()
+    : m_peerLoad(std::make_unique<PeerLoad>())
+{
+}
+
 UpstreamBalancer::~UpstreamBalancer() = default;
 
 std::optional<Choice> UpstreamBalancer::choose(const RequestProfile &profile, std::span<const Candidate> candidates, TimePoint now)
 {
     static const Service Unseen;
-    dropExpiredReports(now);
+    m_peerLoad->expire(now);
     const auto foundService = m_services.find(profile.service);
     const Service &service = foundService == m_services.end() ? Unseen : foundService->second;
     const std::optional<std::uint64_t> shared = sharedPart(profile.promptParts);
@@ -182,11 +182,10 @@
 
 Outstanding UpstreamBalancer::total(const std::string &instance, const Upstream *upstream) const
 {
-    Outstanding sum = upstream != nullptr ? upstream->own : Outstanding();
-    const auto peers = m_peerLoad.find(instance);
-    if (peers != m_peerLoad.end()) {
-        sum.running += peers->second.running;
-        sum.prefillTokens += peers->second.prefillTokens;
+    Outstanding sum = m_peerLoad->at(instance);
+    if (upstream != nullptr) {
+        sum.running += upstream->own.running;
+        sum.prefillTokens += upstream->own.prefillTokens;
     }
     return sum;
 }
@@ -198,7 +197,7 @@
     attempt.instance = choice.instance;
     attempt.began = now;
     attempt.engine = profile.promptTokens > 0;
-    dropExpiredReports(now);
+    m_peerLoad->expire(now);
     Service &service = m_services[attempt.service];
     Upstream &upstream = m_upstreams[choice.instance];
     const Outstanding ahead = total(choice.instance, &upstream);
@@ -303,64 +302,12 @@
 
 void UpstreamBalancer::setPeerOutstanding(const std::string &host, std::map<std::string, Outstanding> outstanding, TimePoint now, Duration lifetime)
 {
-    Peer &peer = m_peers[host];
-    removeReport(peer.outstanding);
-    peer = Peer{std::move(outstanding), now + lifetime};
-    addReport(peer.outstanding);
-    m_nextExpiry = std::min(m_nextExpiry, peer.expires);
+    m_peerLoad->set(host, std::move(outstanding), now, lifetime);
 }
 
 void UpstreamBalancer::forgetPeer(const std::string &host)
 {
-    const auto found = m_peers.find(host);
-    if (found != m_peers.end()) {
-        removeReport(found->second.outstanding);
-        m_peers.erase(found);
-    }
-}
-
-void UpstreamBalancer::dropExpiredReports(TimePoint now)
-{
-    if (now < m_nextExpiry) {
-        return;
-    }
-    m_nextExpiry = TimePoint::max();
-    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
-        if (peer->second.expires <= now) {
-            removeReport(peer->second.outstanding);
-            peer = m_peers.erase(peer);
-        } else {
-            m_nextExpiry = std::min(m_nextExpiry, peer->second.expires);
-            ++peer;
-        }
-    }
-}
-
-void UpstreamBalancer::addReport(const std::map<std::string, Outstanding> &outstanding)
-{
-    for (const auto &[instance, load] : outstanding) {
-        if (load == Outstanding()) {
-            continue;
-        }
-        Outstanding &sum = m_peerLoad[instance];
-        sum.running += load.running;
-        sum.prefillTokens += load.prefillTokens;
-    }
-}
-
-void UpstreamBalancer::removeReport(const std::map<std::string, Outstanding> &outstanding)
-{
-    for (const auto &[instance, load] : outstanding) {
-        const auto sum = m_peerLoad.find(instance);
-        if (sum == m_peerLoad.end()) {
-            continue; // Reports of no load are not in the sum.
-        }
-        sum->second.running -= load.running;
-        sum->second.prefillTokens -= load.prefillTokens;
-        if (sum->second == Outstanding()) {
-            m_peerLoad.erase(sum);
-        }
-    }
+    m_peerLoad->forget(host);
 }
 
 void UpstreamBalancer::forgetUpstream(const std::string &instance)
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -4,11 +4,14 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <unordered_map>
 
 namespace rosemaryshift::balancing {
 
+class PeerLoad;
+
 /// Chooses the upstream with the earliest expected first event, estimated from the requests of all hosts at each upstream, the prompt tokens that
 /// are not in its cache and its measured speed. Requests whose prompts begin alike go to the same upstream while it has capacity; all hosts
 /// select that upstream without communication, by rendezvous hashing. The current time is passed to each call. Not thread-safe.
@@ -50,7 +53,6 @@
     struct Upstream;
     struct Service;
     struct Attempt;
-    struct Peer;
     struct Scored;
 
     [[nodiscard]] Scored score(const RequestProfile &profile,
@@ -61,20 +63,13 @@
                                TimePoint now) const;
     /// The load of all hosts on @p instance. @p upstream: what this host knows of it; null when it knows nothing.
     [[nodiscard]] Outstanding total(const std::string &instance, const Upstream *upstream) const;
-    /// Drops the reports of hosts that have not renewed them in time.
-    void dropExpiredReports(TimePoint now);
-    /// Adds a host's load on the upstreams to the sums of all hosts, or removes it from them.
-    void addReport(const std::map<std::string, Outstanding> &outstanding);
-    void removeReport(const std::map<std::string, Outstanding> &outstanding);
     [[nodiscard]] double failurePenalty(const Upstream *upstream, const Service &service, TimePoint now) const;
     void updateEstimates(Attempt &attempt, TimePoint now);
 
     std::unordered_map<std::string, Upstream> m_upstreams;
     std::map<std::string, Service, std::less<>> m_services;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
-    std::map<std::string, Peer> m_peers;
-    std::unordered_map<std::string, Outstanding> m_peerLoad; ///< Sum of what the other hosts have reported, by upstream.
-    TimePoint m_nextExpiry = TimePoint::max();               ///< When the first of the peers' reports expires, or earlier.
+    const std::unique_ptr<PeerLoad> m_peerLoad;
     std::uint64_t m_nextAttempt = 1;
 };
 
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -195,38 +195,6 @@
     return true;
 }
 
-bool RequestSession::chargeQuota()
-{
-    if (m_charged) {
-        return true;
-    }
-    if (m_workspace != nullptr) {
-        const bool countsTokens = m_workspace->unit == routing::QuotaUnit::Tokens;
-        const double tokenCount = m_callerRequest.promptTokens ? static_cast<double>(*m_callerRequest.promptTokens + m_callerRequest.maxOutputTokens)
-                                                               : static_cast<double>(m_workspace->tokensOfPlainRequest);
-        const double cost = countsTokens ? tokenCount : 1;
-        if (const std::optional<Duration> wait = m_context.quotas.take(m_workspace->name, cost, m_handledAt)) {
-            m_rejectionStatus = 429;
-            m_reason = "over_quota";
-            m_retryAfter = *wait;
-            return false;
-        }
-        m_quotaCost = cost;
-    }
-    m_charged = true;
-    m_context.retryBudget.noteRequest(m_service, m_handledAt);
-    return true;
-}
-
-void RequestSession::refundQuota()
-{
-    if (m_quotaCost > 0) {
-        m_context.quotas.refund(m_workspace->name, m_quotaCost);
-    }
-    m_quotaCost = 0;
-    m_charged = false;
-}
-
 net::awaitable<bool> RequestSession::prepareDispatch()
 {
     if (!chargeQuota()) {
