Grant less of a quota's tolerance when the reports of hosts are far apart

What hosts admit between two reports grows with the time between them, 608 to 688 ms there instead of 400, while the part of the tolerance that was granted to callers stayed. It is now divided by how much longer the interval is, and the level below which a host keeps to its share rises by as much.

--- a/src/limits/internal/workspacequotas.cpp
+++ b/src/limits/internal/workspacequotas.cpp
@@ -27,6 +27,8 @@
 /// Level of the pooled bucket, as a fraction of its capacity, below which a host is also limited to its share: reports of what other hosts use
 /// at the same moment would arrive too late. The fraction grows by as much with each interval in which this host handles no reports.
 constexpr double ScarceFraction = 0.3;
+/// Interval between reports at which the fractions here hold. With longer ones more requests are admitted at the same moment, and less can be granted.
+constexpr std::chrono::milliseconds ReferenceInterval{400};
 /// Fractions of the tolerated excess and slack that are granted to callers. The rest covers requests that several hosts admit at the same moment.
 constexpr double GrantedExcessFraction = 0.5;
 constexpr double GrantedSlackFraction = 0.3;
@@ -66,7 +68,7 @@
 
 void WorkspaceQuotas::resize(const std::string &workspace, Quota &quota, TimePoint now) const
 {
-    const double perSecond = quota.perSecond * (1 + GrantedExcessFraction * m_tolerance.excess);
+    const double perSecond = quota.perSecond * (1 + GrantedExcessFraction / reportSpread() * m_tolerance.excess);
     quota.own.refill(now);
     quota.own.rate = perSecond * quota.share;
     quota.own.capacity = quota.burst * SharedBurstFraction * quota.share;
@@ -174,11 +176,11 @@
     }
     quota.own.refill(now);
     const double unreported = refillPooled(workspace, quota, now);
-    const double grantedSlack = GrantedSlackFraction * m_tolerance.slack;
+    const double grantedSlack = GrantedSlackFraction / reportSpread() * m_tolerance.slack;
     double level = quota.own.level + grantedSlack * quota.share;
     if (m_pooled) {
         const double pooled = quota.pooled.level - unreported + grantedSlack * quota.pooledFraction;
-        level = pooled < ScarceFraction * (1 + missedIntervals(now)) * quota.pooled.capacity ? std::min(pooled, level) : pooled;
+        level = pooled < ScarceFraction * reportSpread() * (1 + missedIntervals(now)) * quota.pooled.capacity ? std::min(pooled, level) : pooled;
     }
     if (level > 0) {
         quota.pooled.level -= cost;
@@ -233,6 +235,11 @@
     return used;
 }
 
+double WorkspaceQuotas::reportSpread() const
+{
+    return std::max(1.0, seconds(m_lastReportInterval) / seconds(ReferenceInterval));
+}
+
 double WorkspaceQuotas::missedIntervals(TimePoint now) const
 {
     const double interval = seconds(std::max(m_lastReportInterval, MinReportInterval));
--- a/src/limits/workspacequotas.h
+++ b/src/limits/workspacequotas.h
@@ -98,6 +98,8 @@
     double refillPooled(const std::string &workspace, Quota &quota, TimePoint now) const;
     /// Estimates what the other hosts have used since their last reports.
     [[nodiscard]] double estimatedUnreportedUse(const std::string &workspace, TimePoint now) const;
+    /// How far apart the reports of the other hosts are, as a multiple of the interval of a small fleet; at least 1.
+    [[nodiscard]] double reportSpread() const;
     /// Number of intervals, beyond the usual one, in which this host has handled no reports at all.
     [[nodiscard]] double missedIntervals(TimePoint now) const;
 
