--- a/src/gossip/internal/compactstatus.cpp
+++ b/src/gossip/internal/compactstatus.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 using flatbuffers::Offset;
+using flatbuffers::String;
 using flatbuffers::Vector;
 
 /// Collects the names that numbers of a status belong to, each once.
@@ -102,23 +103,23 @@
 public:
     std::string encode(const PeerStatus &status, bool withPeers)
     {
-        const auto demand = m_builder.CreateVectorOfStructs(toWire(status.demand, m_names));
-        const auto used = m_builder.CreateVectorOfStructs(toWire(status.used, m_names));
-        const auto busy = m_builder.CreateVectorOfStructs(toWire(status.busy, m_names));
-        const auto outstanding = m_builder.CreateVectorOfStructs(toWire(status.outstanding, m_names));
-        const auto usage = usageOf(status);
-        const auto limits = limitsOf(status);
-        const auto suspects = suspectsOf(status);
-        const auto versions = versionsOf(status);
-        const auto streams = streamsOf(status);
-        const auto unreached = m_builder.CreateVectorOfStrings(status.unreachedServices);
-        const auto peers = withPeers ? m_builder.CreateVector(addressNumbers(status.peers)) : Offset<Vector<std::uint32_t>>();
-        const auto names = m_builder.CreateString(m_names.text());
-        const auto host = m_builder.CreateString(status.host);
-        const auto start = m_builder.CreateString(status.start);
-        const auto zone = m_builder.CreateString(status.zone);
-        const auto address = m_builder.CreateString(status.address);
-        const auto token = m_builder.CreateString(status.forwardingToken);
+        const Offset<Vector<const wire::Rate *>> demand = m_builder.CreateVectorOfStructs(toWire(status.demand, m_names));
+        const Offset<Vector<const wire::Count *>> used = m_builder.CreateVectorOfStructs(toWire(status.used, m_names));
+        const Offset<Vector<const wire::Rate *>> busy = m_builder.CreateVectorOfStructs(toWire(status.busy, m_names));
+        const Offset<Vector<const wire::Load *>> outstanding = m_builder.CreateVectorOfStructs(toWire(status.outstanding, m_names));
+        const Offset<Vector<Offset<wire::ProcessUsage>>> usage = usageOf(status);
+        const Offset<Vector<Offset<wire::Limit>>> limits = limitsOf(status);
+        const Offset<Vector<Offset<wire::Suspect>>> suspects = suspectsOf(status);
+        const Offset<Vector<Offset<wire::Version>>> versions = versionsOf(status);
+        const Offset<Vector<Offset<wire::StreamGroup>>> streams = streamsOf(status);
+        const Offset<Vector<Offset<String>>> unreached = m_builder.CreateVectorOfStrings(status.unreachedServices);
+        const Offset<Vector<std::uint32_t>> peers = withPeers ? m_builder.CreateVector(addressNumbers(status.peers)) : Offset<Vector<std::uint32_t>>();
+        const Offset<String> names = m_builder.CreateString(m_names.text());
+        const Offset<String> host = m_builder.CreateString(status.host);
+        const Offset<String> start = m_builder.CreateString(status.start);
+        const Offset<String> zone = m_builder.CreateString(status.zone);
+        const Offset<String> address = m_builder.CreateString(status.address);
+        const Offset<String> token = m_builder.CreateString(status.forwardingToken);
         m_builder.Finish(wire::CreateStatus(m_builder,
                                             host,
                                             start,
@@ -154,7 +155,7 @@
         std::vector<Offset<wire::ProcessUsage>> all;
         for (const auto &[window, processes] : status.usage) {
             for (const auto &[process, counts] : processes) {
-                const auto entries = m_builder.CreateVectorOfStructs(requestCounts(counts, m_names));
+                const Offset<Vector<const wire::RequestCount *>> entries = m_builder.CreateVectorOfStructs(requestCounts(counts, m_names));
                 all.push_back(wire::CreateProcessUsage(m_builder, window, m_builder.CreateSharedString(process), entries));
             }
         }
@@ -178,8 +179,8 @@
             for (const quarantine::CrashReport &crash : report.crashes) {
                 crashes.push_back(wire::CreateCrash(m_builder, m_builder.CreateSharedString(crash.instance), crash.ageMs));
             }
-            const auto crashList = m_builder.CreateVector(crashes);
-            const auto service = m_builder.CreateSharedString(report.service);
+            const Offset<Vector<Offset<wire::Crash>>> crashList = m_builder.CreateVector(crashes);
+            const Offset<String> service = m_builder.CreateSharedString(report.service);
             all.push_back(wire::CreateSuspect(
                 m_builder, static_cast<std::uint8_t>(report.id.kind), report.id.number, service, crashList, report.quarantined, toWire(report.completedAgeMs)));
         }
@@ -190,7 +191,7 @@
     {
         std::vector<Offset<wire::Version>> all;
         for (const streams::VersionReport &report : status.versions) {
-            const auto service = m_builder.CreateSharedString(report.version.service);
+            const Offset<String> service = m_builder.CreateSharedString(report.version.service);
             all.push_back(wire::CreateVersion(m_builder, service, m_builder.CreateSharedString(report.version.softwareVersion), report.ageMs));
         }
         return m_builder.CreateVector(all);
@@ -201,8 +202,8 @@
         std::vector<Offset<wire::StreamGroup>> all;
         for (const auto &[service, versions] : status.streams.streams) {
             for (const auto &[version, keys] : versions) {
-                const auto serviceName = m_builder.CreateSharedString(service);
-                const auto versionName = m_builder.CreateSharedString(version);
+                const Offset<String> serviceName = m_builder.CreateSharedString(service);
+                const Offset<String> versionName = m_builder.CreateSharedString(version);
                 all.push_back(wire::CreateStreamGroup(m_builder, serviceName, versionName, m_builder.CreateVector(keys)));
             }
         }
