--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -29,11 +29,6 @@
 constexpr int MaxSkippedResponses = 2;
 /// Largest body of an answer that is held until it is complete; a faulty upstream may send bytes without end.
 constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
-/// @p duration in whole milliseconds, rounded down but at least one.
-std::chrono::milliseconds atLeastOneMillisecond(Duration duration)
-{
-    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(duration), std::chrono::milliseconds(1));
-}
 
 bool isSuccess(int status)
 {
--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -5,16 +5,6 @@
 
 namespace rosemaryshift::gateway {
 
-namespace {
-
-/// @p duration in whole milliseconds, rounded down but at least one, for the deadline header.
-std::chrono::milliseconds deadlineMilliseconds(Duration duration)
-{
-    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(duration), std::chrono::milliseconds(1));
-}
-
-}
-
 void RequestSession::countCallerGone()
 {
     std::string_view stage = "received";
@@ -65,7 +55,7 @@
     m_retryTaken = false;
     m_context.upstreamLimits.noteSent(m_instance, now);
     ports::Dispatch dispatch;
-    dispatch.timeLeft = deadlineMilliseconds(remainingTime(now));
+    dispatch.timeLeft = atLeastOneMillisecond(remainingTime(now));
     dispatch.instance = m_instance;
     dispatch.workspace = m_workspace != nullptr ? m_workspace->name : "";
     if (m_callerRequest.promptTokens) {
@@ -88,7 +78,7 @@
         return std::nullopt;
     }
     m_retryTaken = false;
-    const std::chrono::milliseconds timeLeft = deadlineMilliseconds(remainingTime(now) - ResponseMargin);
+    const std::chrono::milliseconds timeLeft = atLeastOneMillisecond(remainingTime(now) - ResponseMargin);
     http::Request request;
     request.method = m_request.method;
     request.target = m_request.target;
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -119,7 +119,7 @@
     }
 }
 
-// Guards against a cost of statuses that grows with the number of hosts until the smallest ones have no processor time left for requests (issue 29).
+// Guards against a cost of statuses that grows with the number of hosts until the smallest ones have no processor time left for requests.
 TEST_CASE("What a host sends and receives in a second does not grow with the number of hosts")
 {
     constexpr double MaxStatusesPerSecond = 130;
@@ -285,8 +285,8 @@
     }
 }
 
-// Guards against statuses that grow with every peer that is not heard, until the links of the hosts are full of them and no peer is heard (issue 29).
-TEST_CASE("The usage of few unheard processes is passed on at a time, and by turns that of all")
+// Guards against statuses that grow with every peer that is not heard, until the links of the hosts are full of them and no peer is heard.
+TEST_CASE("The usage of a few unheard processes is passed on in each status, and by turns that of all")
 {
     UsageRelay relay("entry-1/a");
     CHECK(relay.next({}).empty());
--- a/src/limits/tests/latereportstests.cpp
+++ b/src/limits/tests/latereportstests.cpp
@@ -127,8 +127,8 @@
 
 }
 
-// Failure: SHORT. Hosts short of processor time handled several statuses of a peer at once, took its usage for many times what it was, and
-// refused up to half of the requests that the quota allowed.
+// Guards against hosts short of processor time that handle several reports of a peer at once, take its usage for many times what it is, and refuse
+// requests that the quota allows.
 TEST_CASE("Hosts that handle usage reports late refuse no more of what a workspace's quota allows than punctual ones")
 {
     const std::size_t count = GENERATE(9U, 77U);
@@ -170,7 +170,7 @@
     }
 }
 
-// Guards against many hosts that together admit more than a quota tolerates since their reports are far apart (rule QUOTA, two of 16 hunted days of issue 29).
+// Guards against many hosts that together admit more than a quota tolerates, since their reports are far apart.
 TEST_CASE("Hosts whose reports are as far apart as in a fleet of 86 admit no more than a workspace's quota tolerates")
 {
     const auto [count, sendInterval] = GENERATE(table<std::size_t, std::chrono::milliseconds>({{9, ShortestInterval}, {86, std::chrono::milliseconds(688)}}));
