--- a/src/gateway/internal/requestadmission.cpp
+++ b/src/gateway/internal/requestadmission.cpp
@@ -30,12 +30,13 @@
     if (m_charged) {
         return true;
     }
+    const TimePoint now = hostNow();
     if (m_workspace != nullptr) {
         const bool countsTokens = m_workspace->unit == routing::QuotaUnit::Tokens;
         const double tokenCount = m_callerRequest.promptTokens ? static_cast<double>(*m_callerRequest.promptTokens + m_callerRequest.maxOutputTokens)
                                                                : static_cast<double>(m_workspace->tokensOfPlainRequest);
         const double cost = countsTokens ? tokenCount : 1;
-        if (const std::optional<Duration> wait = m_context.quotas.take(m_workspace->name, cost, m_handledAt)) {
+        if (const std::optional<Duration> wait = m_context.quotas.take(m_workspace->name, cost, now)) {
             m_rejectionStatus = 429;
             m_reason = "over_quota";
             m_retryAfter = *wait;
@@ -44,7 +45,7 @@
         m_quotaCost = cost;
     }
     m_charged = true;
-    m_context.retryBudget.noteRequest(m_service, m_handledAt);
+    m_context.retryBudget.noteRequest(m_service, now);
     return true;
 }
 
--- a/src/limits/internal/workspacequotas.cpp
+++ b/src/limits/internal/workspacequotas.cpp
@@ -51,7 +51,7 @@
 {
     const double gained = std::max(0.0, seconds(now - refilledAt)) * rate;
     level = std::min(level + gained, capacity + unreported);
-    refilledAt = now;
+    refilledAt = std::max(refilledAt, now);
 }
 
 WorkspaceQuotas::WorkspaceQuotas(QuotaTolerance tolerance)
--- a/src/limits/tests/limitstests.cpp
+++ b/src/limits/tests/limitstests.cpp
@@ -308,3 +308,19 @@
     CHECK(connectionShare(370, 420) == 1);
     CHECK(connectionShare(0, 8) == 0);
 }
+
+// Guards against a bucket that gains the same time twice when a request is charged at an earlier time than the one before it.
+TEST_CASE("Requests that are charged out of order gain nothing for a quota")
+{
+    WorkspaceQuotas quotas({0, 0});
+    const std::vector<routing::Workspace> workspaces{makeWorkspace(1'000, 2'000)};
+    quotas.configure(workspaces, Start);
+    quotas.setShare("yard", 1, Start);
+    double admitted = 0;
+    for (int step = 0; step < 1'000; ++step) {
+        const TimePoint now = Start + std::chrono::milliseconds(10) * step;
+        const TimePoint charged = step % 2 == 0 ? now : now - std::chrono::milliseconds(500);
+        admitted += quotas.take("yard", 100, charged) ? 0 : 100;
+    }
+    CHECK(admitted <= 1'000 * 10 + 2'000);
+}
