Let two times follow the interval of statuses that were based on 400 ms

A caller that resumes an unknown stream was told to come back after 500 ms, longer than hosts took to tell each other of a stream when statuses were 400 ms apart. With 63 hosts and more they are further apart, and the caller came back in vain. A claim of the duties was trusted for 2.5 intervals, 8.4 s with 419 peers, though the lease behind it lasts 3 s. No test of its own: both are bounds by constants that the existing tests of streams and duties pass with.

--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// A peer's claim to hold the duties is trusted for this number of its intervals: two and a margin.
+/// A peer's claim to hold the duties is trusted for this number of its intervals, two and a margin, but not longer than its lease lasts.
 constexpr double HolderClaimIntervals = 2.5;
 /// What a peer reports of its load on the upstreams is used for this number of its intervals.
 constexpr double LoadReportIntervals = 5;
@@ -81,7 +81,8 @@
 bool GossipEndpoint::peerHoldsDuties(TimePoint now) const
 {
     for (const auto &[host, peer] : m_registry.peers()) {
-        if (peer.status.holdsDuties && now - peer.heard < peer.lifetime(HolderClaimIntervals)) {
+        const Duration lifetime = std::min<Duration>(peer.lifetime(HolderClaimIntervals), m_context.settings.leaseDuration);
+        if (peer.status.holdsDuties && now - peer.heard < lifetime) {
             return true;
         }
     }
--- a/src/gateway/internal/requestresumption.cpp
+++ b/src/gateway/internal/requestresumption.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Retry-After for a caller that resumes a stream of which this host knows nothing; longer than a host takes to tell the others of a stream.
+/// Shortest Retry-After for a caller that resumes a stream of which this host knows nothing; others tell of their streams in their next status.
 constexpr std::chrono::milliseconds UnknownOriginRetryDelay{500};
 
 }
@@ -39,7 +39,7 @@
     const std::optional<streams::Origin> origin = co_await m_streamRegistry.find(key, services);
     if (!origin) {
         m_reason = "stream_unknown";
-        m_retryAfter = UnknownOriginRetryDelay;
+        m_retryAfter = std::max(UnknownOriginRetryDelay, gossip::statusInterval(m_context.hostCount));
         co_return false;
     }
     if (!origin->certain() || !services.contains(origin->service)) {
