Resume a stream at a service's only known version only after the list was read since

Cause: StreamRegistry::find() took the only version that the host had heard of for the only one that there is. It read the list once more for that, but ignored a read that failed, and did not read at all while the list was known to be unreachable. "Not heard" was not kept apart from "there is none".

Change: the only version is evidence only when a read of the list that began after the call has succeeded. Otherwise the origin is unknown, and the take-up is refused as not run, with a time to come back. Streams that the host knows itself, or by its peers, go on as before. In an outage of the platform for all hosts a stream is resumed by the host through which it began, or one that heard of it; other hosts refuse it, since an upstream listed just before the outage may be known to some hosts and not to others.

Why it works: a stream that broke began before its take-up came in, at an upstream that its host had read from the list, so that a later read of the same log contains that upstream's entry.

--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -226,9 +226,15 @@
     if (!m_versionsRead) {
         co_await m_versionsReader.run();
     }
-    // Another host may have begun streams at a version that was listed after this host last read the list.
-    if (soleOrigin(services) && !m_context.listAvailability.unreachable()) {
-        co_await m_upstreamFollower.refresh();
+    if (soleOrigin(services)) {
+        // Another host may have begun the stream at a version that was listed after this host last read the list.
+        if (m_context.listAvailability.unreachable()) {
+            co_return std::nullopt;
+        }
+        const bool listRead = co_await m_upstreamFollower.refresh();
+        if (!listRead) {
+            co_return std::nullopt;
+        }
     }
     if (std::optional<streams::Origin> sole = soleOrigin(services)) {
         co_return sole;
--- a/src/gateway/internal/streamregistry.h
+++ b/src/gateway/internal/streamregistry.h
@@ -23,7 +23,8 @@
     /// Records versions and streams until the process ends; never returns.
     boost::asio::awaitable<void> run();
     /// The origin of the stream with this @p key, one of @p services; nothing when it is not known, as without a key. An uncertain origin has no
-    /// version. Reads the platform's log when this host does not know the stream.
+    /// version. Reads the platform's log when this host does not know the stream. A single known version counts only when the
+    /// list of upstreams has been read since this call, since another one may have joined unheard.
     boost::asio::awaitable<std::optional<streams::Origin>> find(std::optional<streams::StreamKey> key, std::set<std::string> services);
 
 private:
