Count an outage of the list into the time in which an upstream may have restarted

Callers saw: an upstream restarted under its id with another version while a host could not read the list of upstreams. Streams that this host began there counted as streams of the version before, were taken up at the host and went on at an upstream of that version (ORDER).

Cause: the same class, what a host has not heard counts as not there. Two places: an upstream whose connections were lost was trusted if the service has a single known version, also when the list was not read for seconds; and streams were made uncertain only if they began up to two renewals before the host read of the new run, although the run may have begun at any time since the read before.

Change: the single version excuses a possible restart only while the list is read; the time is counted from the last read before the outage.

Why it works: a run is listed within two renewals of its start, so it began after the last read less two renewals. Any stream from then on is uncertain once the new run is seen. Until then lost connections tell of the restart.

Evidence: the test on the code before, with GatewayFleet: its connections to the upstream were lost CHECK( answer.status == 503 ) with expansion: 200 == 503 CHECK( ran(1, "taken-up") == 0 ) with expansion: 1 == 0 it did not notice the restart until it reads the list again CHECK( answer.status == 503 ) with expansion: 200 == 503 CHECK( ran(1, "taken-up") == 0 ) with expansion: 1 == 0 With the change these pass, as do the tests of versions and the directory's.

--- a/src/directory/internal/listavailability.cpp
+++ b/src/directory/internal/listavailability.cpp
@@ -78,6 +78,11 @@
     return m_settlesAt;
 }
 
+std::optional<TimePoint> ListAvailability::outageBegan() const
+{
+    return m_outageBegan;
+}
+
 void ListAvailability::noteSettled()
 {
     m_settlesAt.reset();
--- a/src/directory/listavailability.h
+++ b/src/directory/listavailability.h
@@ -32,6 +32,8 @@
     [[nodiscard]] bool unsettled(TimePoint now) const;
     /// The time from which upstreams whose entries are still missing count as gone; nothing unless a read followed an outage.
     [[nodiscard]] std::optional<TimePoint> settlesAt() const;
+    /// When the list was last read before the outage after which it has not settled yet; nothing when it is settled.
+    [[nodiscard]] std::optional<TimePoint> outageBegan() const;
     /// Notes that the upstreams whose entries are missing were dropped.
     void noteSettled();
 
--- a/src/directory/tests/listavailabilitytests.cpp
+++ b/src/directory/tests/listavailabilitytests.cpp
@@ -26,6 +26,32 @@
 
 }
 
+// Guards against streams that are taken for those of an earlier run because an outage of the list was not counted into the time to its listing.
+TEST_CASE("The list tells since when it was not read until it has settled after an outage")
+{
+    ListAvailability list(Renewal);
+    readRepeatedly(list, 0, 1'000);
+    CHECK(!list.outageBegan());
+    list.noteFailure(after(1'500));
+    CHECK(!list.outageBegan());
+    list.noteRead(after(9'000));
+    CHECK(list.outageBegan() == after(1'000));
+
+    SECTION("reads after it do not change that")
+    {
+        list.noteRead(after(9'500));
+        CHECK(list.outageBegan() == after(1'000));
+        list.noteSettled();
+        CHECK(!list.outageBegan());
+    }
+    SECTION("it is the same for a host that was suspended and saw no read fail")
+    {
+        list.noteSettled();
+        list.noteRead(after(20'000));
+        CHECK(list.outageBegan() == after(9'000));
+    }
+}
+
 TEST_CASE("An outage of the list for all hosts is told apart from a partition of this host")
 {
     ListAvailability list(Renewal);
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -95,7 +95,9 @@
         balancer.forgetUpstream(entry.instance);
         runContinuity.forget(entry.instance);
     } else if (change == "listed") {
-        streamOrigins.noteRun(entry.instance, entry.softwareVersion, upstream.firstSeen - settings.renewalInterval * ListingRenewals);
+        // The run may have begun at any time since the list was last read.
+        const TimePoint lastRead = listAvailability.outageBegan().value_or(upstream.firstSeen);
+        streamOrigins.noteRun(entry.instance, entry.softwareVersion, lastRead - settings.renewalInterval * ListingRenewals);
     }
 }
 
--- a/src/gateway/internal/requestresumption.cpp
+++ b/src/gateway/internal/requestresumption.cpp
@@ -90,8 +90,9 @@
     if (upstream.entry.softwareVersion != softwareVersion) {
         return false;
     }
-    // An upstream that has just restarted may run another version than the one listed, if the service has several.
-    return m_context.runContinuity.certain(upstream) || m_context.softwareVersions.versions(m_service).size() == 1;
+    // An upstream that has just restarted may run another version than the one listed, if the service has several, or may have by now.
+    const bool listCurrent = m_context.listAvailability.reachableFor(hostNow()).has_value();
+    return m_context.runContinuity.certain(upstream) || (listCurrent && m_context.softwareVersions.versions(m_service).size() == 1);
 }
 
 bool RequestSession::streamVersionGone(TimePoint now) const
--- a/src/streams/streamorigins.h
+++ b/src/streams/streamorigins.h
@@ -20,7 +20,7 @@
     /// Notes that this host passes the first event of a stream on. @p instance: the upstream that sent it.
     void noteBegan(StreamKey key, const Origin &origin, const std::string &instance, TimePoint now);
     /// Notes that @p instance is listed as a run with version @p softwareVersion. Streams that it began at or after @p since, as another version by
-    /// what this host knew, become uncertain: the list may have lagged behind its restart.
+    /// what this host knew, become uncertain: the list may have lagged behind its restart, or was not read.
     void noteRun(const std::string &instance, const std::string &softwareVersion, TimePoint since);
     /// Merges what another host tells.
     void apply(const OriginReport &report, TimePoint now);
