Count and log each request that ends without a complete answer, with its cause

A connection that ended with a request read left no trace: neither the hypotheses on idle timers nor the one on exceptions could be told from callers that leave. The server reports each such request to an observer, with cause, id, bytes read, whether it was received completely and whether an answer had begun. The gateway counts them (rosemaryshift_unanswered_total) and logs connection_unanswered, which follows request_ended where the request was handled: `cut` and `caller_gone` there stay as they were.

Not reported yet: requests that are open when the process stops its event loop, and exceptions of handlers.

The golden log of a stream that was cut has the new line; its test waits for that line, which is written after request_ended.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -2,6 +2,7 @@
 #include "gateway/igateway.h"
 #include "gateway/internal/backgroundtask.h"
 #include "gateway/internal/configurationfollower.h"
+#include "gateway/internal/connectionobserver.h"
 #include "gateway/internal/dutyrunner.h"
 #include "gateway/internal/gossipendpoint.h"
 #include "gateway/internal/hostclock.h"
@@ -88,7 +89,8 @@
             settings.callerListener,
             {},
             [this](http::Request request, http::IResponseWriter &writer) { return serve(std::move(request), writer, false); },
-            reason);
+            reason,
+            std::make_shared<ConnectionObserver>(m_context, "caller"));
         m_readinessServer = http::makeHttpServer(
             m_io,
             settings.readinessListener,
@@ -100,7 +102,8 @@
             settings.peerListener,
             {},
             [this](http::Request request, http::IResponseWriter &writer) { return servePeer(std::move(request), writer); },
-            reason);
+            reason,
+            std::make_shared<ConnectionObserver>(m_context, "peer"));
         if (!m_callerServer || !m_readinessServer || !m_peerServer || !m_gossip.open(m_io, reason)) {
             return false;
         }
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -127,6 +127,7 @@
     }
     if (std::optional<ports::CallerRequest> caller = m_context.ports.messageCodec->callerRequest(m_request, m_reason)) {
         m_callerRequest = std::move(*caller);
+        m_writer.setRequestId(m_callerRequest.attemptId);
     } else {
         m_rejectionStatus = 400;
         return false;
--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/httptypes.h"
+#include "http/iserverobserver.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -35,6 +36,8 @@
     /// Looks at the connection now and returns callerGone(). Detects a disconnect before the callback of onCallerGone() gets its turn, and without one; not
     /// while bytes of a further request wait to be read.
     virtual bool detectCallerGone() = 0;
+    /// Sets the id under which the request is reported to the observer if it gets no complete answer.
+    virtual void setRequestId(std::string_view id) = 0;
     /// True once sending the answer has started.
     [[nodiscard]] virtual bool started() const = 0;
 };
@@ -63,8 +66,12 @@
 };
 
 /// Starts a server on @p endpoint; the system assigns a port when it is 0. Each connection runs on its own strand of @p context.
-/// Null, with @p reason set, when the server cannot listen on the address.
-std::unique_ptr<IHttpServer>
-makeHttpServer(boost::asio::io_context &context, const Endpoint &endpoint, const ServerLimits &limits, RequestHandler handler, std::string &reason);
+/// Null, with @p reason set, when the server cannot listen on the address. @p observer may be null; the connections share its ownership.
+std::unique_ptr<IHttpServer> makeHttpServer(boost::asio::io_context &context,
+                                            const Endpoint &endpoint,
+                                            const ServerLimits &limits,
+                                            RequestHandler handler,
+                                            std::string &reason,
+                                            std::shared_ptr<IServerObserver> observer = nullptr);
 
 }
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/ihttpserver.h"
+#include "http/internal/requestprogress.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -21,7 +22,11 @@
 class Connection : public std::enable_shared_from_this<Connection>, public IResponseWriter
 {
 public:
-    Connection(boost::asio::ip::tcp::socket socket, const ServerLimits &limits, const RequestHandler &handler, const ServerState &state);
+    Connection(boost::asio::ip::tcp::socket socket,
+               const ServerLimits &limits,
+               const RequestHandler &handler,
+               const ServerState &state,
+               std::shared_ptr<IServerObserver> observer);
 
     /// Serves until the connection ends. Precondition: started once, on the strand of the socket.
     boost::asio::awaitable<void> run();
@@ -36,11 +41,14 @@
     void onCallerGone(std::function<void()> callback) override;
     [[nodiscard]] bool callerGone() const override;
     bool detectCallerGone() override;
+    void setRequestId(std::string_view id) override;
     [[nodiscard]] bool started() const override;
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// Reads one request and has it handled. Returns false when the connection is to be closed.
+    boost::asio::awaitable<bool> serveNext();
     boost::asio::awaitable<bool> waitForRequest();
     boost::asio::awaitable<std::optional<Request>> readRequest();
     boost::asio::awaitable<bool> readBody(Parser &parser);
@@ -48,6 +56,8 @@
     void startDeadline(std::chrono::milliseconds timeout);
     /// Stops the timer; true when the read was cancelled because the timeout had expired.
     bool stopDeadline();
+    /// Records the result of a write. Returns whether it succeeded.
+    bool noteWritten(boost::beast::error_code error);
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
     boost::asio::awaitable<void> serve(Request request);
     boost::asio::awaitable<void> watchCaller(std::shared_ptr<bool> answered);
@@ -69,6 +79,7 @@
     const ServerLimits &m_limits;
     const RequestHandler &m_handler;
     const ServerState &m_state;
+    RequestProgress m_progress;
     std::function<void()> m_callerGoneCallback;
     std::shared_ptr<bool> m_answered; ///< Set when the handler of the current request returns.
     unsigned int m_version = 11;      ///< HTTP version of the request: 10 for 1.0, 11 for 1.1.
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -19,11 +19,12 @@
 class HttpServer : public IHttpServer, public std::enable_shared_from_this<HttpServer>
 {
 public:
-    HttpServer(net::io_context &context, const ServerLimits &limits, RequestHandler handler)
+    HttpServer(net::io_context &context, const ServerLimits &limits, RequestHandler handler, std::shared_ptr<IServerObserver> observer)
         : m_context(context)
         , m_acceptor(net::make_strand(context))
         , m_limits(limits)
         , m_handler(std::move(handler))
+        , m_observer(std::move(observer))
     {
     }
 
@@ -130,7 +131,7 @@
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
         const net::any_io_executor executor = socket.get_executor();
-        const std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(socket), m_limits, m_handler, m_state);
+        const std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(socket), m_limits, m_handler, m_state, m_observer);
         remember(connection);
         ++m_openCount;
         net::co_spawn(
@@ -165,6 +166,7 @@
     tcp::acceptor m_acceptor;
     ServerLimits m_limits;
     const RequestHandler m_handler;
+    const std::shared_ptr<IServerObserver> m_observer;
     Endpoint m_endpoint;
     ServerState m_state;
     std::atomic<std::size_t> m_openCount = 0;
@@ -217,10 +219,14 @@
 
 }
 
-std::unique_ptr<IHttpServer>
-makeHttpServer(net::io_context &context, const Endpoint &endpoint, const ServerLimits &limits, RequestHandler handler, std::string &reason)
+std::unique_ptr<IHttpServer> makeHttpServer(net::io_context &context,
+                                            const Endpoint &endpoint,
+                                            const ServerLimits &limits,
+                                            RequestHandler handler,
+                                            std::string &reason,
+                                            std::shared_ptr<IServerObserver> observer)
 {
-    const std::shared_ptr<HttpServer> server = std::make_shared<HttpServer>(context, limits, std::move(handler));
+    const std::shared_ptr<HttpServer> server = std::make_shared<HttpServer>(context, limits, std::move(handler), std::move(observer));
     if (!server->listen(endpoint, reason)) {
         return nullptr;
     }
--- a/src/timeline/internal/logexplanation.cpp
+++ b/src/timeline/internal/logexplanation.cpp
@@ -105,6 +105,9 @@
     if (line.event == "foreign_answer") {
         return textField(line, "instance") + " sent an answer to another request, which was skipped.";
     }
+    if (line.event == "connection_unanswered") {
+        return "Its connection ended without a complete answer (" + textField(line, "cause") + ").";
+    }
     return line.event == "request_ended" ? endSentence(line) : "Event '" + line.event + "'.";
 }
 
