Read the bytes that have arrived before a timeout closes or refuses a caller's connection

What callers saw: a request on a kept connection ended with a reset and no answer, or with a false 408 although it had arrived whole.

Cause: the idle timeout was Beast's stream timer, which closes the socket when it expires, and the deadlines of header and body cancelled the read. A late event loop handles a timer that it has noticed before it looks at its sockets again: bytes that arrived in between were dropped. A stop closed idle connections in the same way, without a look at the socket.

Change: the server reads requests itself, in steps, instead of by Beast's composed reads. A timeout only cancels the step that waits; then the bytes that are there are read without waiting, and only if there are none does the timeout count. A stop lets the same deadline expire at once. The cause idle_timeout of connection_unanswered can no longer occur and is removed.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -26,11 +26,13 @@
     , m_state(state)
     , m_progress(std::move(observer))
 {
+    beast::error_code ignored;
+    m_stream.socket().non_blocking(true, ignored);
 }
 
 net::awaitable<void> Connection::run()
 {
-    while (m_open && m_keepAlive && !(m_state.stopping && m_served)) {
+    while (m_open && m_keepAlive) {
         m_progress.start(m_buffer.size());
         const bool served = co_await serveNext();
         m_progress.end();
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -52,10 +52,16 @@
     boost::asio::awaitable<bool> waitForRequest();
     boost::asio::awaitable<std::optional<Request>> readRequest();
     boost::asio::awaitable<bool> readBody(Parser &parser);
+    using ParserState = bool (Parser::*)() const;
+    /// Reads until @p state holds.
+    boost::asio::awaitable<boost::beast::error_code> parse(Parser &parser, ParserState state);
+    /// Reads the next bytes into the buffer. Waits for them until the deadline expires; bytes that have arrived by then are read, also later.
+    boost::asio::awaitable<boost::beast::error_code> readSome();
     /// Cancels the pending read after @p timeout; the stream's own timeout would close the socket, so that no answer could be sent.
     void startDeadline(std::chrono::milliseconds timeout);
-    /// Stops the timer; true when the read was cancelled because the timeout had expired.
-    bool stopDeadline();
+    /// Lets the deadline expire now.
+    void expireDeadline();
+    void stopDeadline();
     /// Records the result of a write. Returns whether it succeeded.
     bool noteWritten(boost::beast::error_code error);
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
@@ -91,7 +97,7 @@
     bool m_served = false;   ///< At least one request was passed to the handler.
     bool m_open = true;      ///< False once the connection is to be closed, as after a failed write or a disconnect.
     bool m_isHead = false;   ///< The current request's method is HEAD.
-    bool m_timedOut = false; ///< The deadline of startDeadline() expired.
+    bool m_timedOut = false; ///< The deadline has expired; readSome() no longer waits.
 };
 
 }
--- a/src/http/internal/requestprogress.cpp
+++ b/src/http/internal/requestprogress.cpp
@@ -21,8 +21,6 @@
 std::string_view name(UnansweredCause cause)
 {
     switch (cause) {
-    case UnansweredCause::IdleTimeout:
-        return "idle_timeout";
     case UnansweredCause::CallerLeft:
         return "caller_left";
     case UnansweredCause::ReadCancelled:
--- a/src/http/internal/requestreading.cpp
+++ b/src/http/internal/requestreading.cpp
@@ -16,6 +16,8 @@
 /// Bounds on discarding a refused request's remaining bytes.
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
 constexpr std::chrono::milliseconds DiscardTimeout{500};
+/// Maximum number of bytes of one read.
+constexpr std::size_t ReadBytes = 4096;
 /// Time within which a connection must send its first request once the server stops.
 constexpr std::chrono::milliseconds FirstRequestTimeoutOnStop{1'000};
 
@@ -39,19 +41,13 @@
         co_return true;
     }
     m_idle = true;
-    if (m_state.stopping) {
-        startDeadline(FirstRequestTimeoutOnStop);
-    } else {
-        m_stream.expires_after(m_limits.idleTimeout);
+    startDeadline(m_state.stopping ? FirstRequestTimeoutOnStop : m_limits.idleTimeout);
+    if (m_state.stopping && m_served) {
+        expireDeadline();
     }
-    const auto [error, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(4096), Token);
+    const beast::error_code error = co_await readSome();
     m_idle = false;
-    m_buffer.commit(bytes);
-    m_progress.noteRead(bytes);
     stopDeadline();
-    if (error) {
-        m_progress.noteFailure(error == beast::error::timeout ? UnansweredCause::IdleTimeout : UnansweredCause::ReadFailed, error.message());
-    }
     co_return !error;
 }
 
@@ -61,12 +57,10 @@
     parser.header_limit(m_limits.headerBytes);
     parser.body_limit(m_limits.bodyBytes);
     startDeadline(m_limits.headerTimeout);
-    const std::size_t buffered = m_buffer.size();
-    const auto [error, bytes] = co_await bhttp::async_read_header(m_stream, m_buffer, parser, Token);
-    m_progress.noteRead(bytes + m_buffer.size() - buffered);
-    const bool timedOut = stopDeadline();
+    const beast::error_code error = co_await parse(parser, &Parser::is_header_done);
+    stopDeadline();
     if (error) {
-        co_await refuse(timedOut ? beast::error_code(beast::error::timeout) : error);
+        co_await refuse(error);
         co_return std::nullopt;
     }
     if (!co_await readBody(parser)) {
@@ -85,17 +79,56 @@
         constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await net::async_write(m_stream, net::buffer(Continue), Token);
     }
-    const std::size_t buffered = m_buffer.size();
-    const auto [error, bytes] = co_await bhttp::async_read(m_stream, m_buffer, parser, Token);
-    m_progress.noteRead(bytes + m_buffer.size() - buffered);
-    const bool timedOut = stopDeadline();
+    parser.eager(true);
+    const beast::error_code error = co_await parse(parser, &Parser::is_done);
+    stopDeadline();
     if (error) {
-        co_await refuse(timedOut ? beast::error_code(beast::error::timeout) : error);
+        co_await refuse(error);
         co_return false;
     }
     co_return true;
 }
 
+net::awaitable<beast::error_code> Connection::parse(Parser &parser, ParserState state)
+{
+    while (!(parser.*state)()) {
+        beast::error_code error = bhttp::error::need_more;
+        if (m_buffer.size() > 0) {
+            m_buffer.consume(parser.put(m_buffer.data(), error));
+        }
+        if (error == bhttp::error::need_more) {
+            error = co_await readSome();
+        }
+        if (error == net::error::eof && parser.got_some()) {
+            parser.put_eof(error);
+        } else if (error == net::error::eof) {
+            error = bhttp::error::end_of_stream;
+        }
+        if (error) {
+            co_return error;
+        }
+    }
+    co_return beast::error_code();
+}
+
+net::awaitable<beast::error_code> Connection::readSome()
+{
+    const net::mutable_buffer space = m_buffer.prepare(ReadBytes);
+    beast::error_code error = net::error::operation_aborted;
+    std::size_t bytes = 0;
+    if (!m_timedOut) {
+        std::tie(error, bytes) = co_await m_stream.socket().async_read_some(space, Token);
+    }
+    if (error == net::error::operation_aborted && m_timedOut) {
+        // A late event loop handles the timer before it notices bytes that have arrived in time.
+        bytes = m_stream.socket().read_some(space, error);
+        error = error == net::error::would_block ? beast::error_code(beast::error::timeout) : error;
+    }
+    m_buffer.commit(bytes);
+    m_progress.noteRead(bytes);
+    co_return error;
+}
+
 void Connection::startDeadline(std::chrono::milliseconds timeout)
 {
     m_stream.expires_never();
@@ -103,16 +136,20 @@
     m_deadline.expires_after(timeout);
     m_deadline.async_wait([self = shared_from_this()](beast::error_code error) {
         if (!error) {
-            self->m_timedOut = true;
-            self->m_stream.cancel();
+            self->expireDeadline();
         }
     });
 }
 
-bool Connection::stopDeadline()
+void Connection::expireDeadline()
+{
+    m_timedOut = true;
+    m_stream.cancel();
+}
+
+void Connection::stopDeadline()
 {
     m_deadline.cancel();
-    return m_timedOut;
 }
 
 net::awaitable<void> Connection::refuse(beast::error_code error)
@@ -139,16 +176,15 @@
 {
     beast::error_code ignored;
     m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_send, ignored);
-    m_stream.expires_after(DiscardTimeout);
+    startDeadline(DiscardTimeout);
     std::size_t discarded = 0;
-    while (discarded < MaxDiscardedBytes) {
+    beast::error_code error;
+    while (!error && discarded < MaxDiscardedBytes) {
         m_buffer.clear();
-        const auto [error, bytes] = co_await m_stream.async_read_some(m_buffer.prepare(4096), Token);
-        if (error) {
-            co_return;
-        }
-        discarded += bytes;
+        error = co_await readSome();
+        discarded += m_buffer.size();
     }
+    stopDeadline();
 }
 
 void Connection::closeIfIdle()
@@ -158,7 +194,7 @@
             return;
         }
         if (self->m_served) {
-            self->m_stream.cancel();
+            self->expireDeadline();
         } else {
             self->startDeadline(FirstRequestTimeoutOnStop);
         }
--- a/src/http/iserverobserver.h
+++ b/src/http/iserverobserver.h
@@ -9,7 +9,6 @@
 
 /// Why a request that was received, wholly or in part, got no complete answer.
 enum class UnansweredCause : std::uint8_t {
-    IdleTimeout,   ///< The connection was closed as idle, although bytes had arrived.
     CallerLeft,    ///< The caller closed or reset the connection.
     ReadCancelled, ///< The server cancelled its own wait for the caller, although no timeout had expired.
     ReadFailed,    ///< Reading failed for another reason.
