Let a timeout of a caller's connection affect only the operation that it was started for

What callers saw: a false 408, or no answer at all, since their connection was taken to be closed and the call to the upstream was cancelled; or an answer cut although they were taking it.

Cause: a timer's handler that is queued when its read completes still runs, and cancelled whatever was pending on the socket by then: the read of the body, or the wait of watchCaller(), which took each error for a caller that has left. Beast's write timer closed the socket of a late event loop before the loop noticed that the caller had taken bytes.

Change: each deadline has a number, and the handler of an earlier one does nothing. A cancelled wait is followed by another look at the socket, which alone decides whether the caller has left. Writes have the same deadline, without Beast's stream: it cancels the write, and starts again while the socket accepts bytes, which on an event loop in time it never does when a write is pending.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -19,15 +19,15 @@
 
 Connection::Connection(
     net::ip::tcp::socket socket, const ServerLimits &limits, const RequestHandler &handler, const ServerState &state, std::shared_ptr<IServerObserver> observer)
-    : m_stream(std::move(socket))
-    , m_deadline(m_stream.get_executor())
+    : m_socket(std::move(socket))
+    , m_deadline(m_socket.get_executor())
     , m_limits(limits)
     , m_handler(handler)
     , m_state(state)
     , m_progress(std::move(observer))
 {
     beast::error_code ignored;
-    m_stream.socket().non_blocking(true, ignored);
+    m_socket.non_blocking(true, ignored);
 }
 
 net::awaitable<void> Connection::run()
@@ -41,8 +41,8 @@
         }
     }
     beast::error_code ignored;
-    m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_both, ignored);
-    m_stream.close();
+    m_socket.shutdown(net::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
 }
 
 net::awaitable<bool> Connection::serveNext()
@@ -90,12 +90,12 @@
     serializer.split(m_isHead);
     m_started = true;
     m_progress.noteAnswerBegun();
-    m_stream.expires_after(m_limits.writeTimeout);
+    startWriteDeadline();
     beast::error_code error;
     if (m_isHead) {
-        std::tie(error, std::ignore) = co_await bhttp::async_write_header(m_stream, serializer, Token);
+        std::tie(error, std::ignore) = co_await bhttp::async_write_header(m_socket, serializer, Token);
     } else {
-        std::tie(error, std::ignore) = co_await bhttp::async_write(m_stream, serializer, Token);
+        std::tie(error, std::ignore) = co_await bhttp::async_write(m_socket, serializer, Token);
     }
     if (!error) {
         m_progress.noteAnswered();
@@ -120,8 +120,8 @@
     m_started = true;
     m_begun = true;
     m_progress.noteAnswerBegun();
-    m_stream.expires_after(m_limits.writeTimeout);
-    const auto [error, bytes] = co_await bhttp::async_write_header(m_stream, serializer, Token);
+    startWriteDeadline();
+    const auto [error, bytes] = co_await bhttp::async_write_header(m_socket, serializer, Token);
     co_return noteWritten(error);
 }
 
@@ -130,13 +130,13 @@
     if (piece.empty()) {
         co_return m_open;
     }
-    m_stream.expires_after(m_limits.writeTimeout);
+    startWriteDeadline();
     beast::error_code error;
     const net::const_buffer buffer(piece.data(), piece.size());
     if (m_chunked) {
-        std::tie(error, std::ignore) = co_await net::async_write(m_stream, bhttp::make_chunk(buffer), Token);
+        std::tie(error, std::ignore) = co_await net::async_write(m_socket, bhttp::make_chunk(buffer), Token);
     } else {
-        std::tie(error, std::ignore) = co_await net::async_write(m_stream, buffer, Token);
+        std::tie(error, std::ignore) = co_await net::async_write(m_socket, buffer, Token);
     }
     co_return noteWritten(error);
 }
@@ -151,8 +151,8 @@
         }
         co_return m_open;
     }
-    m_stream.expires_after(m_limits.writeTimeout);
-    const auto [error, bytes] = co_await net::async_write(m_stream, bhttp::make_chunk_last(), Token);
+    startWriteDeadline();
+    const auto [error, bytes] = co_await net::async_write(m_socket, bhttp::make_chunk_last(), Token);
     if (!error) {
         m_progress.noteAnswered();
     }
@@ -161,6 +161,10 @@
 
 bool Connection::noteWritten(beast::error_code error)
 {
+    stopDeadline();
+    if (error == net::error::operation_aborted && m_timedOut) {
+        error = beast::error::timeout;
+    }
     if (error) {
         m_progress.noteWriteFailure(error);
     }
@@ -171,35 +175,38 @@
 void Connection::setResetOnClose(bool reset)
 {
     beast::error_code ignored;
-    m_stream.socket().set_option(net::socket_base::linger(reset, 0), ignored);
+    m_socket.set_option(net::socket_base::linger(reset, 0), ignored);
 }
 
 void Connection::abort()
 {
     m_progress.noteFailure(UnansweredCause::Aborted, {});
     m_open = false;
-    m_stream.close();
+    beast::error_code ignored;
+    m_socket.close(ignored);
 }
 
 void Connection::onCallerGone(std::function<void()> callback)
 {
     m_callerGoneCallback = std::move(callback);
     net::co_spawn(
-        m_stream.get_executor(), [self = shared_from_this(), answered = m_answered] { return self->watchCaller(answered); }, net::detached);
+        m_socket.get_executor(), [self = shared_from_this(), answered = m_answered] { return self->watchCaller(answered); }, net::detached);
 }
 
 net::awaitable<void> Connection::watchCaller(std::shared_ptr<bool> answered)
 {
     PeekResult result = PeekResult::Empty;
     while (result == PeekResult::Empty) {
-        const auto [error] = co_await m_stream.socket().async_wait(net::ip::tcp::socket::wait_read, Token);
-        if (*answered) {
+        const auto [error] = co_await m_socket.async_wait(net::ip::tcp::socket::wait_read, Token);
+        if (*answered || !m_socket.is_open()) {
             co_return;
         }
-        if (error) {
+        // A cancelled wait says nothing about the caller.
+        const bool failed = error && error != net::error::operation_aborted;
+        if (failed) {
             m_progress.noteReadFailure(error);
         }
-        result = error ? PeekResult::Closed : peek();
+        result = failed ? PeekResult::Closed : peek();
     }
     if (result == PeekResult::Bytes) {
         co_return;
@@ -218,7 +225,7 @@
         return PeekResult::Bytes;
     }
     char byte = 0;
-    const ssize_t count = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (count > 0) {
         return PeekResult::Bytes;
     }
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -57,10 +57,15 @@
     boost::asio::awaitable<boost::beast::error_code> parse(Parser &parser, ParserState state);
     /// Reads the next bytes into the buffer. Waits for them until the deadline expires; bytes that have arrived by then are read, also later.
     boost::asio::awaitable<boost::beast::error_code> readSome();
-    /// Cancels the pending read after @p timeout; the stream's own timeout would close the socket, so that no answer could be sent.
+    /// Cancels the pending read after @p timeout, and leaves the socket open, so that an answer can be sent.
     void startDeadline(std::chrono::milliseconds timeout);
+    /// Cancels the pending write after the write timeout; not while the socket accepts more bytes.
+    void startWriteDeadline();
+    /// Calls @p expire after @p timeout, unless the deadline is stopped or started again before.
+    void startTimer(std::chrono::milliseconds timeout, void (Connection::*expire)());
     /// Lets the deadline expire now.
     void expireDeadline();
+    void expireWriteDeadline();
     void stopDeadline();
     /// Records the result of a write. Returns whether it succeeded.
     bool noteWritten(boost::beast::error_code error);
@@ -79,7 +84,7 @@
     };
     [[nodiscard]] PeekResult peek();
 
-    boost::beast::tcp_stream m_stream;
+    boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_deadline;
     boost::beast::flat_buffer m_buffer;
     const ServerLimits &m_limits;
@@ -91,13 +96,14 @@
     unsigned int m_version = 11;      ///< HTTP version of the request: 10 for 1.0, 11 for 1.1.
     bool m_keepAlive = true;
     bool m_chunked = true;
-    bool m_started = false;  ///< Sending the answer has started.
-    bool m_begun = false;    ///< An answer was begun by begin() and has not ended.
-    bool m_idle = false;     ///< Waiting for a request.
-    bool m_served = false;   ///< At least one request was passed to the handler.
-    bool m_open = true;      ///< False once the connection is to be closed, as after a failed write or a disconnect.
-    bool m_isHead = false;   ///< The current request's method is HEAD.
-    bool m_timedOut = false; ///< The deadline has expired; readSome() no longer waits.
+    bool m_started = false;             ///< Sending the answer has started.
+    bool m_begun = false;               ///< An answer was begun by begin() and has not ended.
+    bool m_idle = false;                ///< Waiting for a request.
+    bool m_served = false;              ///< At least one request was passed to the handler.
+    bool m_open = true;                 ///< False once the connection is to be closed, as after a failed write or a disconnect.
+    bool m_isHead = false;              ///< The current request's method is HEAD.
+    bool m_timedOut = false;            ///< The deadline has expired; readSome() no longer waits.
+    std::uint64_t m_deadlineNumber = 0; ///< Number of the latest deadline; the timer's handler of an earlier one may still be queued.
 };
 
 }
--- a/src/http/internal/requestreading.cpp
+++ b/src/http/internal/requestreading.cpp
@@ -77,7 +77,7 @@
     startDeadline(m_limits.bodyTimeout);
     if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue") && !parser.is_done()) {
         constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await net::async_write(m_stream, net::buffer(Continue), Token);
+        co_await net::async_write(m_socket, net::buffer(Continue), Token);
     }
     parser.eager(true);
     const beast::error_code error = co_await parse(parser, &Parser::is_done);
@@ -117,11 +117,11 @@
     beast::error_code error = net::error::operation_aborted;
     std::size_t bytes = 0;
     if (!m_timedOut) {
-        std::tie(error, bytes) = co_await m_stream.socket().async_read_some(space, Token);
+        std::tie(error, bytes) = co_await m_socket.async_read_some(space, Token);
     }
     if (error == net::error::operation_aborted && m_timedOut) {
         // A late event loop handles the timer before it notices bytes that have arrived in time.
-        bytes = m_stream.socket().read_some(space, error);
+        bytes = m_socket.read_some(space, error);
         error = error == net::error::would_block ? beast::error_code(beast::error::timeout) : error;
     }
     m_buffer.commit(bytes);
@@ -129,29 +129,6 @@
     co_return error;
 }
 
-void Connection::startDeadline(std::chrono::milliseconds timeout)
-{
-    m_stream.expires_never();
-    m_timedOut = false;
-    m_deadline.expires_after(timeout);
-    m_deadline.async_wait([self = shared_from_this()](beast::error_code error) {
-        if (!error) {
-            self->expireDeadline();
-        }
-    });
-}
-
-void Connection::expireDeadline()
-{
-    m_timedOut = true;
-    m_stream.cancel();
-}
-
-void Connection::stopDeadline()
-{
-    m_deadline.cancel();
-}
-
 net::awaitable<void> Connection::refuse(beast::error_code error)
 {
     m_open = false;
@@ -175,7 +152,7 @@
 net::awaitable<void> Connection::discardInput()
 {
     beast::error_code ignored;
-    m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_send, ignored);
+    m_socket.shutdown(net::ip::tcp::socket::shutdown_send, ignored);
     startDeadline(DiscardTimeout);
     std::size_t discarded = 0;
     beast::error_code error;
@@ -189,7 +166,7 @@
 
 void Connection::closeIfIdle()
 {
-    net::post(m_stream.get_executor(), [self = shared_from_this()] {
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (!self->m_idle) {
             return;
         }
--- a/src/http/tests/latetimertests.cpp
+++ b/src/http/tests/latetimertests.cpp
@@ -1,6 +1,8 @@
 #include "http/tests/polledserver.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -27,6 +29,40 @@
     co_await writer.respond(std::move(response));
 }
 
+/// Answers after a pause during which the caller is watched; not if the caller is gone then.
+net::awaitable<void> answerWatched(Request request, IResponseWriter &writer)
+{
+    writer.onCallerGone([] {});
+    net::steady_timer delay(co_await net::this_coro::executor, ShorterThanTimeout);
+    co_await delay.async_wait(net::use_awaitable);
+    if (writer.callerGone()) {
+        co_return;
+    }
+    co_await answer(std::move(request), writer);
+}
+
+/// Size of an answer that does not fit into the buffers of a connection.
+constexpr std::size_t LargeBytes = 16 * 1024 * 1024;
+
+net::awaitable<void> answerLarge(Request, IResponseWriter &writer)
+{
+    Response response;
+    response.body.assign(LargeBytes, 'x');
+    co_await writer.respond(std::move(response));
+}
+
+/// Reads what has arrived at @p caller, and returns the number of bytes.
+std::size_t readArrived(net::ip::tcp::socket &caller)
+{
+    std::size_t total = 0;
+    boost::system::error_code error;
+    std::vector<char> bytes(64 * 1024);
+    while (!error) {
+        total += caller.read_some(net::buffer(bytes), error);
+    }
+    return total;
+}
+
 /// Has @p bytes arrive after the event loop has noticed that the server's timeout is over, and before it handles that.
 void sendBesideTimeout(PolledServer &server, net::ip::tcp::socket &caller, std::string_view bytes)
 {
@@ -139,3 +175,83 @@
         CHECK(server.receive(caller, {}).empty());
     }
 }
+
+// Guards against a timeout that was over when its read completed, and cancels the operation after that one.
+SCENARIO("A timeout that expires in the turn in which its read completes does not affect what follows")
+{
+    ServerLimits limits;
+
+    GIVEN("a header whose rest arrives late, with a body to follow")
+    {
+        limits.headerTimeout = Timeout;
+        PolledServer server(limits, answer);
+        net::ip::tcp::socket caller = server.connect();
+        send(caller, "POST / HTTP/1.1\r\nContent-Length: 4\r\n");
+        server.poll();
+        std::this_thread::sleep_for(LongerThanTimeout);
+        send(caller, "\r\n");
+        server.poll();
+        THEN("the body is still read")
+        {
+            send(caller, "body");
+            CHECK_THAT(server.receive(caller, "whole:body"), Catch::Contains("200 OK"));
+        }
+    }
+    GIVEN("a body whose rest arrives late, and a handler that watches the caller")
+    {
+        limits.bodyTimeout = Timeout;
+        PolledServer server(limits, answerWatched);
+        net::ip::tcp::socket caller = server.connect();
+        send(caller, "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo");
+        server.poll();
+        std::this_thread::sleep_for(LongerThanTimeout);
+        send(caller, "dy");
+        THEN("the caller is not taken to be gone, and gets its answer")
+        {
+            CHECK_THAT(server.receive(caller, "whole:body"), Catch::Contains("200 OK"));
+            CHECK(server.reports().empty());
+        }
+    }
+}
+
+// Guards against a write timeout that cuts an answer although the caller has just taken a part of it: the event loop was late and handled the timer first.
+SCENARIO("A late event loop goes on with an answer of which the caller took a part beside the write timeout")
+{
+    ServerLimits limits;
+    limits.writeTimeout = Timeout;
+    PolledServer server(limits, answerLarge);
+    net::ip::tcp::socket caller = server.connect();
+    REQUIRE(server.pollUntil([&server] { return server.server().connections() == 1; }));
+    send(caller, WholeRequest);
+    // The system moves bytes between its buffers for a while, which lets the server write more.
+    for (int turn = 0; turn < 10; ++turn) {
+        server.poll();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+    GIVEN("a caller that reads beside the timeout")
+    {
+        std::size_t received = 0;
+        server.runBeforeTimers(ShorterThanTimeout, [&caller, &received] { received += readArrived(caller); });
+        std::this_thread::sleep_for(LongerThanTimeout);
+        server.poll();
+        THEN("it gets the whole answer")
+        {
+            server.pollUntil([&server, &caller, &received] {
+                received += readArrived(caller);
+                return received > LargeBytes || !server.reports().empty();
+            });
+            CHECK(received > LargeBytes);
+            CHECK(server.reports().empty());
+        }
+    }
+    GIVEN("a caller that does not read")
+    {
+        THEN("its connection is closed, and the cause is reported")
+        {
+            REQUIRE(server.pollUntil([&server] { return !server.reports().empty(); }));
+            CHECK(server.reports().front().cause == UnansweredCause::WriteTimedOut);
+            CHECK(server.pollUntil([&server] { return server.server().connections() == 0; }));
+        }
+    }
+}
