--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/ihttpserver.h"
+#include "http/internal/requestprogress.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -21,7 +22,11 @@
 class Connection : public std::enable_shared_from_this<Connection>, public IResponseWriter
 {
 public:
-    Connection(boost::asio::ip::tcp::socket socket, const ServerLimits &limits, const RequestHandler &handler, const ServerState &state);
+    Connection(boost::asio::ip::tcp::socket socket,
+               const ServerLimits &limits,
+               const RequestHandler &handler,
+               const ServerState &state,
+               std::shared_ptr<IServerObserver> observer);
 
     /// Serves until the connection ends. Precondition: started once, on the strand of the socket.
     boost::asio::awaitable<void> run();
@@ -36,18 +41,34 @@
     void onCallerGone(std::function<void()> callback) override;
     [[nodiscard]] bool callerGone() const override;
     bool detectCallerGone() override;
+    void setRequestId(std::string_view id) override;
     [[nodiscard]] bool started() const override;
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// Reads one request and has it handled. Returns false when the connection is to be closed.
+    boost::asio::awaitable<bool> serveNext();
     boost::asio::awaitable<bool> waitForRequest();
     boost::asio::awaitable<std::optional<Request>> readRequest();
     boost::asio::awaitable<bool> readBody(Parser &parser);
-    /// Cancels the pending read after @p timeout; the stream's own timeout would close the socket, so that no answer could be sent.
+    using ParserState = bool (Parser::*)() const;
+    /// Reads until @p state holds.
+    boost::asio::awaitable<boost::beast::error_code> parse(Parser &parser, ParserState state);
+    /// Reads the next bytes into the buffer. Waits for them until the deadline expires; bytes that have arrived by then are read, also later.
+    boost::asio::awaitable<boost::beast::error_code> readSome();
+    /// Cancels the pending read after @p timeout, and leaves the socket open, so that an answer can be sent.
     void startDeadline(std::chrono::milliseconds timeout);
-    /// Stops the timer; true when the read was cancelled because the timeout had expired.
-    bool stopDeadline();
+    /// Cancels the pending write after the write timeout; not while the socket accepts more bytes.
+    void startWriteDeadline();
+    /// Calls @p expire after @p timeout, unless the deadline is stopped or started again before.
+    void startTimer(std::chrono::milliseconds timeout, void (Connection::*expire)());
+    /// Lets the deadline expire now.
+    void expireDeadline();
+    void expireWriteDeadline();
+    void stopDeadline();
+    /// Records the result of a write. Returns whether it succeeded.
+    bool noteWritten(boost::beast::error_code error);
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
     boost::asio::awaitable<void> serve(Request request);
     boost::asio::awaitable<void> watchCaller(std::shared_ptr<bool> answered);
@@ -63,24 +84,26 @@
     };
     [[nodiscard]] PeekResult peek();
 
-    boost::beast::tcp_stream m_stream;
+    boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_deadline;
     boost::beast::flat_buffer m_buffer;
     const ServerLimits &m_limits;
     const RequestHandler &m_handler;
     const ServerState &m_state;
+    RequestProgress m_progress;
     std::function<void()> m_callerGoneCallback;
     std::shared_ptr<bool> m_answered; ///< Set when the handler of the current request returns.
     unsigned int m_version = 11;      ///< HTTP version of the request: 10 for 1.0, 11 for 1.1.
     bool m_keepAlive = true;
     bool m_chunked = true;
-    bool m_started = false;  ///< Sending the answer has started.
-    bool m_begun = false;    ///< An answer was begun by begin() and has not ended.
-    bool m_idle = false;     ///< Waiting for a request.
-    bool m_served = false;   ///< At least one request was passed to the handler.
-    bool m_open = true;      ///< False once the connection is to be closed, as after a failed write or a disconnect.
-    bool m_isHead = false;   ///< The current request's method is HEAD.
-    bool m_timedOut = false; ///< The deadline of startDeadline() expired.
+    bool m_started = false;             ///< Sending the answer has started.
+    bool m_begun = false;               ///< An answer was begun by begin() and has not ended.
+    bool m_idle = false;                ///< Waiting for a request.
+    bool m_served = false;              ///< At least one request was passed to the handler.
+    bool m_open = true;                 ///< False once the connection is to be closed, as after a failed write or a disconnect.
+    bool m_isHead = false;              ///< The current request's method is HEAD.
+    bool m_timedOut = false;            ///< The deadline has expired; readSome() no longer waits.
+    std::uint64_t m_deadlineNumber = 0; ///< Number of the latest deadline; the timer's handler of an earlier one may still be queued.
 };
 
 }
