Forward no requests to a host that is told to stop

What callers saw: at a host that reaches no upstream, some requests were answered with 503 (stopping), although another peer could serve them, for as long as one of its peers was in a planned stop and refused requests. Before that the peer accepted forwarded requests late in its grace.

Cause: peers learned of a stop when the process exited. Until then its statuses went on to name the token with which requests are forwarded, and its refusals were marked as answers of a host that had accepted the request, so that they were passed on to the caller.

Change: from SIGTERM on, a host's statuses name no token, which peers of all versions take for a host that accepts none, and one status is sent at once. A request that arrives nevertheless is refused without the mark of an accepted one, and its sender turns to another peer. Connections of peers close behind their next answer.

Why it works: the senders choose among peers whose last status has a token, and an answer without the mark is known not to have run.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -149,6 +149,12 @@
             co_await writer.respond(std::move(response));
             co_return;
         }
+        if (m_context.stop.begun()) {
+            // Without the header of an accepted request, so that the peer sends it to another host.
+            http::Response response = textResponse(503, {});
+            co_await writer.respond(std::move(response));
+            co_return;
+        }
         request.headers = withoutHeader(request.headers, PeerTokenHeader);
         co_await serve(std::move(request), writer, true);
     }
@@ -232,6 +238,8 @@
         m_context.stop.begin(hostNow());
         m_context.eventLog.write("stopping", eventlog::Importance::StateChange, {{"open_requests", static_cast<std::int64_t>(m_openRequests.size())}});
         m_callerServer->announceClose();
+        m_peerServer->announceClose();
+        m_gossip.sendNow();
         co_await pause(m_context.stop.untilRefusing(hostNow()));
         m_callerServer->stopAccepting();
         while (isOccupied() && m_context.stop.untilEnding(hostNow()).count() > 0) {
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -289,6 +289,12 @@
     sendStatus(localStatus(now), destinations, true);
 }
 
+void GossipEndpoint::sendNow()
+{
+    const TimePoint now = hostNow();
+    sendStatus(localStatus(now), m_registry.destinations(now), false);
+}
+
 void GossipEndpoint::announceLeaving()
 {
     const TimePoint now = hostNow();
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -26,6 +26,8 @@
     boost::asio::awaitable<void> receive();
     /// Sets the IP addresses of gateways that may exist; this host's status is also sent to them.
     void setSeeds(const std::vector<std::string> &addresses);
+    /// Sends the current status to the peers, outside of the interval.
+    void sendNow();
     /// Sends the final counts to the peers, and then that this host is leaving.
     void announceLeaving();
     /// Sets whether this host's status says that it holds the singleton duties.
--- a/src/gateway/internal/gossipstatus.cpp
+++ b/src/gateway/internal/gossipstatus.cpp
@@ -50,7 +50,7 @@
     status.outstanding = m_context.balancer.outstanding();
     status.upstreamLimits = m_context.upstreamLimits.reports(now);
     status.suspects = m_context.quarantine.reports(now);
-    status.forwardingToken = m_context.forwardingToken;
+    status.forwardingToken = m_context.stop.begun() ? "" : m_context.forwardingToken;
     status.unreachedServices = m_context.upstreamReach.unreachedServices();
     status.versions = m_context.softwareVersions.reports(now);
     status.streams = m_context.streamOrigins.unrecorded(m_context.softwareVersions.mixedServices(), MaxSentStreams);
