Answer a request that waits unread on a kept connection when the server stops

What callers saw: a request on a kept connection that had reached the host before it stopped accepting, and that the host had not read yet, ended with a closed connection instead of an answer.

Cause: closeIfIdle() cancels the wait for a further request without looking whether one has arrived. The system reports the cancelled read first when both are due in one turn of the event loop, as on a host that is late.

Change: a connection with bytes to read is left alone. It reads and answers that request, and closes behind the answer, as the server stops.

Evidence: the new test of src/http/tests/httptests.cpp fails on the code before:

src/http/tests/httptests.cpp:286: FAILED: CHECK_THAT( answer, Catch::StartsWith("HTTP/1.1 200") ) with expansion: "" starts with: "HTTP/1.1 200"

Why it works: bytes that have arrived complete the pending read, which nothing cancels any more. Bytes that arrive after the look cross the close, as they could before.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -187,7 +187,7 @@
 void Connection::closeIfIdle()
 {
     net::post(m_stream.get_executor(), [self = shared_from_this()] {
-        if (!self->m_idle) {
+        if (!self->m_idle || self->peek() == PeekResult::Bytes) {
             return;
         }
         if (self->m_served) {
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -255,3 +255,46 @@
         }
     }
 }
+
+// Guards against a stopping server that closes a kept connection on which a request has arrived that it has not read, so that the request gets no answer.
+SCENARIO("A stopping server answers a request that has arrived on a kept connection before the stop")
+{
+    net::io_context context;
+    std::string reason;
+    const std::unique_ptr<IHttpServer> server = makeHttpServer(context, {"127.0.0.1", 0}, {}, echo, reason);
+    REQUIRE(server);
+    net::io_context callerContext;
+    net::ip::tcp::socket caller(callerContext);
+    caller.connect({net::ip::make_address("127.0.0.1"), server->endpoint().port});
+    constexpr std::string_view Request = "GET / HTTP/1.1\r\n\r\n";
+    net::write(caller, net::buffer(Request));
+    std::array<char, 4'096> firstAnswer{};
+    while (caller.available() == 0) {
+        context.run_for(std::chrono::milliseconds(10));
+    }
+    REQUIRE(caller.read_some(net::buffer(firstAnswer)) > 0);
+
+    GIVEN("a further request that the server has not read when it stops")
+    {
+        net::write(caller, net::buffer(Request));
+        server->stopAccepting();
+        std::thread thread([&context] { context.run(); });
+        std::string answer;
+        boost::system::error_code end;
+        net::read(caller, net::dynamic_buffer(answer), end);
+        thread.join();
+        CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
+        CHECK(end == net::error::eof);
+    }
+    GIVEN("no further request")
+    {
+        server->stopAccepting();
+        std::thread thread([&context] { context.run(); });
+        std::string answer;
+        boost::system::error_code end;
+        net::read(caller, net::dynamic_buffer(answer), end);
+        thread.join();
+        CHECK(answer.empty());
+        CHECK(end == net::error::eof);
+    }
+}
