Read an answer that arrived before the timer of its read was handled

What callers saw: an answer that had reached this host became a cut stream, a 502 or a 504 when the host was late.

Cause: the reads ran under Beast's timer, whose handler closes the socket without looking at it. When a host gets the processor back after its timer has become due, the handler of the timer may run before the socket is polled, and what had arrived is thrown away with the connection.

Change: the exchange has a timer of its own, which only cancels the pending read. A cancelled read loses no bytes; it is repeated when there is something to read. At the end of the exchange only what had arrived by then is read; Beast's timer did not end the reading from a server that sends without pause.

Evidence: "An answer that arrives before a late host handles the timer of the read is read" writes the bytes in a handler that runs between the expiry and the handler of the timer.

--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -11,10 +11,12 @@
 
 /// A client connection to a server.
 struct ClientConnection {
-    explicit ClientConnection(const boost::asio::any_io_executor &executor)
-        : stream(executor)
-    {
-    }
+    explicit ClientConnection(const boost::asio::any_io_executor &executor);
+
+    /// Sets the options of the socket. Precondition: it is open.
+    void setOptions();
+    /// Number of bytes that have arrived and were not read from the socket; at least 1 when the connection has ended.
+    [[nodiscard]] std::size_t unreadBytes();
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer; ///< Bytes read but not yet parsed.
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -6,8 +6,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <atomic>
 #include <cstdlib>
@@ -24,8 +22,6 @@
 constexpr auto Token = net::as_tuple(net::use_awaitable);
 /// Size of the buffer for reading a body.
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
-/// Time after which a connection with unacknowledged sent bytes is closed; long enough for several TCP retransmissions.
-constexpr std::chrono::milliseconds UnacknowledgedTimeout{1'200};
 /// Largest accepted body of an answer.
 constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
 
@@ -35,6 +31,7 @@
     Exchange(const net::any_io_executor &executor, std::shared_ptr<ConnectionPool> pool)
         : m_executor(executor)
         , m_pool(std::move(pool))
+        , m_timer(executor)
     {
     }
 
@@ -93,16 +90,24 @@
         while (!m_parser->is_done()) {
             m_parser->get().body().data = m_readBuffer.data();
             m_parser->get().body().size = m_readBuffer.size();
-            expireAfter(m_timeouts.body);
-            const auto [error, bytes] = co_await bhttp::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, Token);
-            if (error && error != bhttp::error::need_buffer) {
-                failure = failureOf(error, ClientError::Closed);
+            if (endReached()) {
+                failure = timeoutFailure();
                 co_return std::nullopt;
             }
+            startTimer(m_timeouts.body);
+            const auto [error, bytes] = co_await bhttp::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, Token);
+            const bool expired = stopTimer(error, bytes);
             const std::size_t length = m_readBuffer.size() - m_parser->get().body().size;
-            if (length > 0) {
+            if (length > 0 && (!error || error == bhttp::error::need_buffer)) {
                 co_return std::string(m_readBuffer.data(), length);
             }
+            if (expired && readsOn()) {
+                continue;
+            }
+            if (error && error != bhttp::error::need_buffer) {
+                failure = expired ? timeoutFailure() : failureOf(error, ClientError::Closed);
+                co_return std::nullopt;
+            }
         }
         co_return std::string();
     }
@@ -138,19 +143,13 @@
             co_return true;
         }
         m_connection = std::make_unique<ClientConnection>(m_executor);
-        expireAfter(m_timeouts.connect);
+        m_connection->stream.expires_at(expiry(m_timeouts.connect));
         const auto [error] = co_await m_connection->stream.async_connect(net::ip::tcp::endpoint(address, endpoint.port), Token);
         if (error || m_cancelled) {
             failure = {m_cancelled ? ClientError::Cancelled : ClientError::ConnectFailed, endpoint.text() + ": " + error.message()};
             co_return false;
         }
-        beast::error_code ignored;
-        m_connection->stream.socket().set_option(net::ip::tcp::no_delay(true), ignored);
-        // Detects a broken network link earlier than the timeout of the answer does.
-        using UserTimeout = net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-        m_connection->stream.socket().set_option(UserTimeout(static_cast<int>(UnacknowledgedTimeout.count())), ignored);
-        // Closing resets the connection, so that a delayed request is dropped with its exchange instead of arriving later.
-        m_connection->stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
+        m_connection->setOptions();
         co_return true;
     }
 
@@ -169,7 +168,7 @@
         message.keep_alive(m_pool != nullptr);
         message.body() = std::move(request.body);
         message.prepare_payload();
-        expireAfter(m_timeouts.header);
+        m_connection->stream.expires_at(expiry(m_timeouts.header));
         const auto [error, bytes] = co_await bhttp::async_write(m_connection->stream, message, Token);
         if (error) {
             failure = failureOf(error, ClientError::SendFailed);
@@ -183,20 +182,72 @@
         m_parser.emplace();
         m_parser->body_limit(MaxBodyBytes);
         m_parser->skip(m_isHead);
-        expireAfter(m_timeouts.header);
-        const auto [error, bytes] = co_await bhttp::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, Token);
-        if (error) {
-            failure = failureOf(error, ClientError::Closed);
-            co_return std::nullopt;
+        while (!endReached()) {
+            startTimer(m_timeouts.header);
+            const auto [error, bytes] = co_await bhttp::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, Token);
+            const bool expired = stopTimer(error, bytes);
+            if (!error) {
+                co_return head();
+            }
+            if (!expired) {
+                failure = failureOf(error, ClientError::Closed);
+                co_return std::nullopt;
+            }
+            if (!readsOn()) {
+                break;
+            }
+        }
+        failure = timeoutFailure();
+        co_return std::nullopt;
+    }
+
+    /// Has the next read cancelled after @p timeout, or at the end of the whole exchange. The connection stays open then.
+    void startTimer(std::chrono::milliseconds timeout)
+    {
+        m_connection->stream.expires_never();
+        m_expired = false;
+        m_timer.expires_at(expiry(timeout));
+        m_timer.async_wait([weak = weak_from_this(), number = ++m_timerNumber](beast::error_code error) {
+            const std::shared_ptr<Exchange> self = weak.lock();
+            // The handler of a timer that was stopped may have been queued before.
+            if (!error && self && self->m_connection && self->m_timerNumber == number) {
+                self->m_expired = true;
+                self->m_connection->stream.cancel();
+            }
+        });
+    }
+
+    /// Stops the timer after a read that ended with @p error and consumed @p bytes. Returns whether the timer has cancelled the read.
+    bool stopTimer(beast::error_code error, std::size_t bytes)
+    {
+        ++m_timerNumber;
+        m_timer.cancel();
+        if (m_bytesAtEnd) {
+            *m_bytesAtEnd -= std::min(bytes, *m_bytesAtEnd);
         }
-        co_return head();
+        return m_expired && error == net::error::operation_aborted && !m_cancelled;
+    }
+
+    /// Whether to repeat a read that the timer has cancelled: when the host is late, bytes have arrived before the timer is handled.
+    bool readsOn()
+    {
+        return !m_bytesAtEnd && m_connection->unreadBytes() > 0;
     }
 
-    /// Sets the timeout of the next operation to @p timeout, but not beyond the end of the whole exchange.
-    void expireAfter(std::chrono::milliseconds timeout)
+    /// Whether the end of the exchange has passed, and what had arrived by then is parsed.
+    bool endReached()
+    {
+        if (!m_bytesAtEnd && m_timeouts.end && std::chrono::steady_clock::now() >= *m_timeouts.end) {
+            m_bytesAtEnd = m_connection->buffer.size() + m_connection->unreadBytes();
+        }
+        return m_bytesAtEnd == 0;
+    }
+
+    /// When an operation with this @p timeout ends that starts now; not beyond the end of the whole exchange.
+    [[nodiscard]] std::chrono::steady_clock::time_point expiry(std::chrono::milliseconds timeout) const
     {
         const std::chrono::steady_clock::time_point expiry = std::chrono::steady_clock::now() + timeout;
-        m_connection->stream.expires_at(m_timeouts.end ? std::min(expiry, *m_timeouts.end) : expiry);
+        return m_timeouts.end ? std::min(expiry, *m_timeouts.end) : expiry;
     }
 
     /// Gives the connection to the pool before a request was sent on it.
@@ -262,12 +313,22 @@
         return {fallback, error.message()};
     }
 
+    [[nodiscard]] ClientFailure timeoutFailure()
+    {
+        m_connection->stream.close();
+        return failureOf(beast::error::timeout, ClientError::Closed);
+    }
+
     net::any_io_executor m_executor;
     std::shared_ptr<ConnectionPool> m_pool;
     std::unique_ptr<ClientConnection> m_connection;
     std::optional<bhttp::response_parser<bhttp::buffer_body>> m_parser;
     std::string m_readBuffer;
     ClientTimeouts m_timeouts;
+    net::steady_timer m_timer;
+    std::uint64_t m_timerNumber = 0;         ///< Counts starts and stops of the timer.
+    bool m_expired = false;                  ///< The timer has expired during the current read.
+    std::optional<std::size_t> m_bytesAtEnd; ///< Bytes that had arrived at the end of the exchange and are not parsed yet; nothing before that.
     Endpoint m_endpoint;
     bool m_isHead = false;
     std::atomic<bool> m_cancelled = false;
@@ -275,44 +336,9 @@
 
 }
 
-net::awaitable<std::optional<Response>> IExchange::open(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure)
-{
-    RequestSource source = [request = std::move(request)]() mutable { return std::optional<Request>(std::move(request)); };
-    return open(endpoint, std::move(source), timeouts, failure);
-}
-
 std::shared_ptr<IExchange> makeExchange(const net::any_io_executor &executor, std::shared_ptr<ConnectionPool> pool)
 {
     return std::make_shared<Exchange>(executor, std::move(pool));
 }
 
-net::awaitable<std::optional<Response>> fetch(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure)
-{
-    // A named variable, since GCC 12 destroys a temporary of this type twice when it is passed to a coroutine.
-    const std::shared_ptr<ConnectionPool> noPool;
-    std::optional<Response> response = co_await fetch(endpoint, std::move(request), timeouts, failure, noPool);
-    co_return response;
-}
-
-net::awaitable<std::optional<Response>>
-fetch(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure, std::shared_ptr<ConnectionPool> pool)
-{
-    const net::any_io_executor executor = co_await net::this_coro::executor;
-    const std::shared_ptr<IExchange> exchange = makeExchange(executor, std::move(pool));
-    std::optional<Response> response = co_await exchange->open(endpoint, std::move(request), timeouts, failure);
-    if (!response) {
-        co_return std::nullopt;
-    }
-    while (true) {
-        const std::optional<std::string> piece = co_await exchange->readSome(failure);
-        if (!piece) {
-            co_return std::nullopt;
-        }
-        if (piece->empty()) {
-            co_return response;
-        }
-        response->body += *piece;
-    }
-}
-
 }
