Leave a silent upstream only when another one can take over at once

What callers saw: a stream that had begun was cut, and a request that may be repeated got 502, though its upstream was sound, would have gone on, and time was left.

Cause: where one more attempt was allowed by max_attempts, the exchange ended itself after a short time of silence (the gap timeout or the timeout of the head). Only then the session looked whether another upstream could be had: by version, pauses, limits, connection share, retry budget, quarantine. If not, the answer was gone.

Change: the exchange asks when nothing came within the time, and goes on waiting for the same answer, until the end of the caller's time, unless it is told to give up (IExchange::setSilenceHandler()). RequestSession::findSuccessor() says so once it has chosen another upstream, opened a connection to it and, in one turn of the event loop, checked the quarantine, taken the retry and closed the silent exchange; run() sends the request there in that same turn. So at most one upstream works for the caller, nothing is sent without a retry from the budget, and no retry is taken that is not sent. An upstream that cannot be connected to no longer costs the answer that runs. Requests that may not be repeated are never asked for. The conditions under which the question comes up are unchanged; with max_attempts = 2 it does not, now as before.

rosemaryshift_silent_upstreams_total{decision} and the line silent_upstream tell these cases apart. logOutcome() moved to requestobservations.cpp, the messages of the client to clientmessages.cpp, for the length of the files.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -11,15 +11,14 @@
 
 namespace {
 
-/// Timeout of connecting to an upstream. Nothing has been sent by then, so that another upstream can be tried.
-constexpr std::chrono::milliseconds ConnectTimeout{400};
-/// A request that may run twice is sent to another upstream when no response starts within this multiple of the expected time.
+/// A request that may run twice is sent to another upstream, if one can take it, when no response starts within this multiple of the expected time.
 constexpr int HeaderTimeoutFactor = 4;
 /// Lower bound of the time without a response after which a request that may run twice is sent to another upstream.
 constexpr std::chrono::milliseconds MinHeaderTimeout{300};
 /// A request that may run twice stays with its upstream for at least this multiple of the route's latency goal.
 constexpr int LatencyGoalFactor = 2;
-/// A resumable stream is continued by another upstream when no bytes come within this multiple of the route's goal for the gap between events.
+/// A resumable stream is continued by another upstream, if one can take it, when no bytes come within this multiple of the route's goal for the gap between
+/// events.
 constexpr int EventGapFactor = 2;
 /// Lower bound of the time after which a resumable stream is continued by another upstream.
 constexpr std::chrono::milliseconds MinEventGapTimeout{2'000};
@@ -65,6 +64,7 @@
     m_instance = upstream.instance;
     m_upstream = upstream;
     m_framing.reset();
+    m_silenceNoted = false;
     m_triedInstances.insert(m_instance);
     m_attemptState->noteDispatched();
     m_balancerAttempt = m_context.balancer.begin(requestProfile(), choice, now);
@@ -86,6 +86,7 @@
 
     const net::any_io_executor executor = co_await net::this_coro::executor;
     m_exchange = http::makeExchange(executor, m_context.upstreamConnections);
+    m_exchange->setSilenceHandler([this] { return leaveSilentUpstream(); });
     http::ClientFailure failure;
     const http::ClientTimeouts limits = dispatchTimeouts(choice, now);
     http::RequestSource source = [this] { return requestForUpstream(); };
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -6,6 +6,20 @@
 
 namespace {
 
+/// Name of a request kind in log lines and metrics.
+std::string_view kindName(routing::RequestKind kind)
+{
+    switch (kind) {
+    case routing::RequestKind::Idempotent:
+        return "idempotent";
+    case routing::RequestKind::NonIdempotent:
+        return "non_idempotent";
+    case routing::RequestKind::Streaming:
+        return "streaming";
+    }
+    return "unknown";
+}
+
 /// Maximum number of a prompt's parts that are logged with a failure.
 constexpr std::size_t MaxLoggedParts = 8;
 
@@ -105,4 +119,38 @@
     }
 }
 
+void RequestSession::logOutcome(std::string_view outcome, int status, std::string_view reason)
+{
+    const TimePoint now = hostNow();
+    const std::string_view kind = m_route != nullptr ? kindName(m_route->kind) : "unrouted";
+    m_context.metrics.count("rosemaryshift_requests_total", R"(kind=")" + std::string(kind) + R"(",outcome=")" + std::string(outcome) + R"(")");
+    if (m_firstByteLatency) {
+        m_context.metrics.observe("rosemaryshift_first_byte_seconds", R"(kind=")" + std::string(kind) + R"(")", *m_firstByteLatency);
+    }
+    if (outcome == "caller_gone") {
+        countCallerGone();
+    }
+    const bool good = outcome == "answered";
+    m_context.eventLog.write("request_ended",
+                             good ? eventlog::Importance::Ordinary : eventlog::Importance::Failure,
+                             {{"request", m_callerRequest.attemptId},
+                              {"kind", kind},
+                              {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
+                              {"workspace", m_workspace != nullptr ? std::string_view(m_workspace->name) : std::string_view()},
+                              {"configuration", static_cast<std::int64_t>(m_routeTable ? m_routeTable->configuration().version : 0)},
+                              {"configuration_age_ms", wholeMilliseconds(m_context.configuration.age(now).value_or(Duration::zero()))},
+                              {"outcome", outcome},
+                              {"status", static_cast<std::int64_t>(status)},
+                              {"reason", reason},
+                              {"run", m_attemptState ? name(m_attemptState->executionState()) : std::string_view("not_offered")},
+                              {"offers", static_cast<std::int64_t>(m_attemptState ? m_attemptState->dispatches() : 0)},
+                              {"instance", m_instance},
+                              {"framing", m_framing ? http::name(*m_framing) : std::string_view()},
+                              {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
+                              {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
+                              {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
+                              {"waited_ms", wholeMilliseconds(m_handledAt - m_arrivedAt)},
+                              {"took_ms", wholeMilliseconds(now - m_arrivedAt)}});
+}
+
 }
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -26,20 +26,6 @@
 /// Retry-After is randomized by up to this part, to spread the retries: in both directions, or upwards when an earlier retry would be in vain.
 constexpr double RetryJitter = 0.5;
 
-/// Name of a request kind in log lines and metrics.
-std::string_view kindName(routing::RequestKind kind)
-{
-    switch (kind) {
-    case routing::RequestKind::Idempotent:
-        return "idempotent";
-    case routing::RequestKind::NonIdempotent:
-        return "non_idempotent";
-    case routing::RequestKind::Streaming:
-        return "streaming";
-    }
-    return "unknown";
-}
-
 }
 
 RequestSession::RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer, bool fromPeer)
@@ -80,21 +66,23 @@
     });
     while (true) {
         const TimePoint now = hostNow();
-        if (const std::optional<quarantine::Rejection> rejection = m_context.quarantine.admit(requestTraits(), now)) {
-            m_reason = rejection->kind == quarantine::SuspectKind::Request ? "request_quarantined" : "prompt_quarantined";
-            m_retryAfter = rejection->wait;
+        std::optional<balancing::Choice> choice = std::exchange(m_successor, std::nullopt);
+        if (!choice && !admitByQuarantine(now)) {
             break;
         }
         DispatchResult result = DispatchResult::TryAnother;
-        if (const gossip::Peer *const peer = peerToForwardTo(now)) {
+        const gossip::Peer *const peer = choice ? nullptr : peerToForwardTo(now);
+        if (peer != nullptr) {
             gossip::PeerStatus receiver = peer->status;
             result = co_await forwardToPeer(std::move(receiver));
         } else {
-            const bool prepared = co_await prepareDispatch();
-            if (!prepared) {
-                co_return;
+            if (!choice) {
+                const bool prepared = co_await prepareDispatch();
+                if (!prepared) {
+                    co_return;
+                }
+                choice = chooseUpstream(hostNow());
             }
-            const std::optional<balancing::Choice> choice = chooseUpstream(hostNow());
             if (!choice) {
                 break;
             }
@@ -195,6 +183,16 @@
     return true;
 }
 
+bool RequestSession::admitByQuarantine(TimePoint now)
+{
+    const std::optional<quarantine::Rejection> rejection = m_context.quarantine.admit(requestTraits(), now);
+    if (rejection) {
+        m_reason = rejection->kind == quarantine::SuspectKind::Request ? "request_quarantined" : "prompt_quarantined";
+        m_retryAfter = rejection->wait;
+    }
+    return !rejection;
+}
+
 net::awaitable<bool> RequestSession::prepareDispatch()
 {
     if (!chargeQuota()) {
@@ -289,38 +287,4 @@
     co_await m_writer.respond(std::move(response));
 }
 
-void RequestSession::logOutcome(std::string_view outcome, int status, std::string_view reason)
-{
-    const TimePoint now = hostNow();
-    const std::string_view kind = m_route != nullptr ? kindName(m_route->kind) : "unrouted";
-    m_context.metrics.count("rosemaryshift_requests_total", R"(kind=")" + std::string(kind) + R"(",outcome=")" + std::string(outcome) + R"(")");
-    if (m_firstByteLatency) {
-        m_context.metrics.observe("rosemaryshift_first_byte_seconds", R"(kind=")" + std::string(kind) + R"(")", *m_firstByteLatency);
-    }
-    if (outcome == "caller_gone") {
-        countCallerGone();
-    }
-    const bool good = outcome == "answered";
-    m_context.eventLog.write("request_ended",
-                             good ? eventlog::Importance::Ordinary : eventlog::Importance::Failure,
-                             {{"request", m_callerRequest.attemptId},
-                              {"kind", kind},
-                              {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
-                              {"workspace", m_workspace != nullptr ? std::string_view(m_workspace->name) : std::string_view()},
-                              {"configuration", static_cast<std::int64_t>(m_routeTable ? m_routeTable->configuration().version : 0)},
-                              {"configuration_age_ms", wholeMilliseconds(m_context.configuration.age(now).value_or(Duration::zero()))},
-                              {"outcome", outcome},
-                              {"status", static_cast<std::int64_t>(status)},
-                              {"reason", reason},
-                              {"run", m_attemptState ? name(m_attemptState->executionState()) : std::string_view("not_offered")},
-                              {"offers", static_cast<std::int64_t>(m_attemptState ? m_attemptState->dispatches() : 0)},
-                              {"instance", m_instance},
-                              {"framing", m_framing ? http::name(*m_framing) : std::string_view()},
-                              {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
-                              {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
-                              {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
-                              {"waited_ms", wholeMilliseconds(m_handledAt - m_arrivedAt)},
-                              {"took_ms", wholeMilliseconds(now - m_arrivedAt)}});
-}
-
 }
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -30,6 +30,9 @@
     /// Time before the deadline that is reserved for sending the response back to the caller.
     static constexpr std::chrono::milliseconds ResponseMargin{20};
 
+    /// Timeout of connecting to an upstream. Nothing has been sent by then, so that another upstream can be tried.
+    static constexpr std::chrono::milliseconds ConnectTimeout{400};
+
     /// Retry-After for a caller when no upstream is listed, or none took the request.
     static constexpr std::chrono::milliseconds UpstreamRetryDelay{150};
 
@@ -61,6 +64,8 @@
     /// Takes the cost from the workspace's quota, once. Returns false, with the rejection set, when the quota is used up.
     bool chargeQuota();
     void refundQuota();
+    /// Whether no suspect in quarantine keeps the request from the upstreams; sets the reason if one does.
+    bool admitByQuarantine(TimePoint now);
     /// Does what has to precede the first dispatch to an upstream. Returns false when it has rejected the request.
     boost::asio::awaitable<bool> prepareDispatch();
     /// The peer to forward the request to because this host reaches no upstream; null when there is none, or no need.
@@ -85,7 +90,15 @@
     void noteUnreached(const http::ClientFailure &failure);
     /// Sends the request to @p upstream and forwards its response.
     boost::asio::awaitable<DispatchResult> dispatchTo(const balancing::Choice &choice, const directory::UpstreamEntry &upstream);
-    boost::asio::awaitable<std::optional<http::Response>> readHead(const directory::UpstreamEntry &upstream, ports::ResponseMetadata &metadata);
+    /// Whether to leave the upstream of the current dispatch, which sends nothing, because another one can take over at once; the current answer goes on
+    /// otherwise. Precondition: called from the exchange of that dispatch.
+    boost::asio::awaitable<bool> leaveSilentUpstream();
+    /// Records that the upstream of the current dispatch sends nothing, and whether it is left.
+    void noteSilence(bool leaves);
+    /// Chooses the upstream that takes over, opens a connection to it and takes the retry. Returns false, with the reason set, when that is not possible.
+    boost::asio::awaitable<bool> findSuccessor();
+    /// Opens a connection to an upstream for the next dispatch.
+    boost::asio::awaitable<bool> connectTo(const balancing::Choice &choice);
     boost::asio::awaitable<DispatchResult> handleResponse(http::Response upstreamResponse, const ports::ResponseMetadata &metadata);
     boost::asio::awaitable<DispatchResult> forwardStream(http::Response upstreamResponse);
     /// Whether a stream whose body has just ended was broken off by its upstream. @p receivedEvent: a whole event came before the end.
@@ -157,8 +170,9 @@
     int m_rejectionStatus = 0;
     std::string m_reason; ///< Why the request was rejected, or the last dispatch failed.
 
-    std::shared_ptr<http::IExchange> m_exchange; ///< Exchange with the upstream of the current dispatch.
-    std::uint64_t m_balancerAttempt = 0;         ///< Number of the current dispatch at the balancer.
+    std::shared_ptr<http::IExchange> m_exchange;  ///< Exchange with the upstream of the current dispatch.
+    std::optional<balancing::Choice> m_successor; ///< Takes over from the upstream of the current dispatch, in the same turn of the event loop.
+    std::uint64_t m_balancerAttempt = 0;          ///< Number of the current dispatch at the balancer.
     std::set<std::string> m_triedInstances;
     std::set<std::string> m_triedPeers;
     int m_connectFailures = 0;                     ///< Upstreams to which no connection could be opened.
@@ -172,6 +186,7 @@
     std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
     bool m_waitsForAnswer = false;              ///< The request was admitted, and its answer has not begun.
+    bool m_silenceNoted = false;                ///< The silence of the upstream of the current dispatch was recorded.
     bool m_usageCounted = false;
     StreamFormat m_streamFormat;  ///< Of the answer that started the stream.
     bool m_streamStarted = false; ///< The headers of a streamed response were sent to the caller.
--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -17,6 +17,10 @@
 /// Provides the request of an exchange; nothing when it is not to be sent any more.
 using RequestSource = std::function<std::optional<Request>()>;
 
+/// Asked when nothing came from the server of an exchange within a timeout. Returns whether to give the exchange up; if not, it waits for the same answer as
+/// long again.
+using SilenceHandler = std::function<boost::asio::awaitable<bool>()>;
+
 /// One HTTP request and its response, on a new or a pooled connection. Used from one coroutine; cancel() may be called from
 /// any thread.
 class IExchange
@@ -37,6 +41,11 @@
     /// Skips the rest of the current answer and reads the status and headers of the next one on the same connection, for a server
     /// that answered an earlier request twice. Nothing, with @p failure set, when that fails. Precondition: open() succeeded.
     virtual boost::asio::awaitable<std::optional<Response>> openNext(ClientFailure &failure) = 0;
+    /// Sets what decides whether to give up the exchange when nothing came within ClientTimeouts::header or ClientTimeouts::body while an answer is read;
+    /// without a handler it is given up. It is not asked after ClientTimeouts::end. Not to be called during another call.
+    virtual void setSilenceHandler(SilenceHandler handler) = 0;
+    /// Whether bytes have arrived that were not read yet, or the connection has ended. Precondition: open() has sent the request.
+    [[nodiscard]] virtual bool hasUnread() = 0;
     /// Cancels the exchange; a pending call fails with ClientError::Cancelled. Thread-safe.
     virtual void cancel() = 0;
     /// True when the request was sent on a connection that had served an earlier exchange. Precondition: open() was called.
--- /dev/null
+++ b/src/http/internal/clientmessages.cpp
@@ -0,0 +1,48 @@
+#include "http/internal/clientmessages.h"
+
+namespace rosemaryshift::http {
+
+namespace bhttp = boost::beast::http;
+
+namespace {
+
+BodyFraming framingOf(const ResponseParser &parser)
+{
+    if (parser.need_eof()) {
+        return BodyFraming::Connection;
+    }
+    return parser.chunked() ? BodyFraming::Chunked : BodyFraming::Length;
+}
+
+}
+
+bhttp::request<bhttp::string_body> toMessage(const Endpoint &endpoint, Request request, bool keepAlive)
+{
+    bhttp::request<bhttp::string_body> message(bhttp::string_to_verb(request.method), request.target, 11);
+    if (message.method() == bhttp::verb::unknown) {
+        message.method_string(request.method);
+    }
+    if (!request.headers.find("Host")) {
+        message.set(bhttp::field::host, endpoint.text());
+    }
+    for (const Header &field : request.headers.all()) {
+        message.insert(field.name, field.value);
+    }
+    message.keep_alive(keepAlive);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+Response toResponse(const ResponseParser &parser)
+{
+    Response response;
+    response.status = static_cast<int>(parser.get().result_int());
+    for (const auto &field : parser.get()) {
+        response.headers.add(field.name_string(), field.value());
+    }
+    response.framing = framingOf(parser);
+    return response;
+}
+
+}
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -1,6 +1,7 @@
 #include "http/connectionpool.h"
 #include "http/ihttpclient.h"
 #include "http/internal/clientconnection.h"
+#include "http/internal/clientmessages.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -101,8 +102,11 @@
             if (length > 0 && (!error || error == bhttp::error::need_buffer)) {
                 co_return std::string(m_readBuffer.data(), length);
             }
-            if (expired && readsOn()) {
-                continue;
+            if (expired) {
+                const bool readsOn = co_await mayReadOn();
+                if (readsOn) {
+                    continue;
+                }
             }
             if (error && error != bhttp::error::need_buffer) {
                 failure = expired ? timeoutFailure() : failureOf(error, ClientError::Closed);
@@ -122,6 +126,16 @@
         });
     }
 
+    void setSilenceHandler(SilenceHandler handler) override
+    {
+        m_silenceHandler = std::move(handler);
+    }
+
+    [[nodiscard]] bool hasUnread() override
+    {
+        return m_connection && m_connection->unreadBytes() > 0;
+    }
+
     [[nodiscard]] bool reused() const override
     {
         return m_connection && m_connection->exchanges > 1;
@@ -155,19 +169,7 @@
 
     net::awaitable<bool> send(const Endpoint &endpoint, Request request, ClientFailure &failure)
     {
-        bhttp::request<bhttp::string_body> message(bhttp::string_to_verb(request.method), request.target, 11);
-        if (message.method() == bhttp::verb::unknown) {
-            message.method_string(request.method);
-        }
-        if (!request.headers.find("Host")) {
-            message.set(bhttp::field::host, endpoint.text());
-        }
-        for (const Header &field : request.headers.all()) {
-            message.insert(field.name, field.value);
-        }
-        message.keep_alive(m_pool != nullptr);
-        message.body() = std::move(request.body);
-        message.prepare_payload();
+        const bhttp::request<bhttp::string_body> message = toMessage(endpoint, std::move(request), m_pool != nullptr);
         m_connection->stream.expires_at(expiry(m_timeouts.header));
         const auto [error, bytes] = co_await bhttp::async_write(m_connection->stream, message, Token);
         if (error) {
@@ -187,13 +189,14 @@
             const auto [error, bytes] = co_await bhttp::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, Token);
             const bool expired = stopTimer(error, bytes);
             if (!error) {
-                co_return head();
+                co_return toResponse(*m_parser);
             }
             if (!expired) {
                 failure = failureOf(error, ClientError::Closed);
                 co_return std::nullopt;
             }
-            if (!readsOn()) {
+            const bool readsOn = co_await mayReadOn();
+            if (!readsOn) {
                 break;
             }
         }
@@ -229,9 +232,19 @@
     }
 
     /// Whether to repeat a read that the timer has cancelled: when the host is late, bytes have arrived before the timer is handled.
-    bool readsOn()
+    net::awaitable<bool> mayReadOn()
     {
-        return !m_bytesAtEnd && m_connection->unreadBytes() > 0;
+        if (m_bytesAtEnd) {
+            co_return false;
+        }
+        if (m_connection->unreadBytes() > 0) {
+            co_return true;
+        }
+        if (!m_silenceHandler || endReached()) {
+            co_return false;
+        }
+        const bool givesUp = co_await m_silenceHandler();
+        co_return !givesUp && !m_cancelled;
     }
 
     /// Whether the end of the exchange has passed, and what had arrived by then is parsed.
@@ -274,25 +287,6 @@
         m_pool->keep(m_endpoint, std::move(m_connection), idleTimeout);
     }
 
-    [[nodiscard]] Response head() const
-    {
-        Response response;
-        response.status = static_cast<int>(m_parser->get().result_int());
-        for (const auto &field : m_parser->get()) {
-            response.headers.add(field.name_string(), field.value());
-        }
-        response.framing = framing();
-        return response;
-    }
-
-    [[nodiscard]] BodyFraming framing() const
-    {
-        if (m_parser->need_eof()) {
-            return BodyFraming::Connection;
-        }
-        return m_parser->chunked() ? BodyFraming::Chunked : BodyFraming::Length;
-    }
-
     [[nodiscard]] ClientFailure failureOf(beast::error_code error, ClientError fallback) const
     {
         if (m_cancelled) {
@@ -322,9 +316,10 @@
     net::any_io_executor m_executor;
     std::shared_ptr<ConnectionPool> m_pool;
     std::unique_ptr<ClientConnection> m_connection;
-    std::optional<bhttp::response_parser<bhttp::buffer_body>> m_parser;
+    std::optional<ResponseParser> m_parser;
     std::string m_readBuffer;
     ClientTimeouts m_timeouts;
+    SilenceHandler m_silenceHandler;
     net::steady_timer m_timer;
     std::uint64_t m_timerNumber = 0;         ///< Counts starts and stops of the timer.
     bool m_expired = false;                  ///< The timer has expired during the current read.
--- a/src/limits/internal/retrybudget.cpp
+++ b/src/limits/internal/retrybudget.cpp
@@ -28,16 +28,21 @@
     expire(requests, now);
 }
 
-bool RetryBudget::take(const std::string &service, TimePoint now)
+bool RetryBudget::allows(const std::string &service, TimePoint now)
 {
     Usage &usage = m_usage[service];
     expire(usage.requests, now);
     expire(usage.retries, now);
     const double allowed = UsableFraction * (m_allowance.ratio * static_cast<double>(usage.requests.size()) + m_allowance.slack / static_cast<double>(m_hosts));
-    if (static_cast<double>(usage.retries.size()) + 1 > allowed) {
+    return static_cast<double>(usage.retries.size()) + 1 <= allowed;
+}
+
+bool RetryBudget::take(const std::string &service, TimePoint now)
+{
+    if (!allows(service, now)) {
         return false;
     }
-    usage.retries.push_back(now);
+    m_usage[service].retries.push_back(now);
     return true;
 }
 
--- a/src/limits/retrybudget.h
+++ b/src/limits/retrybudget.h
@@ -26,6 +26,8 @@
     void setHosts(std::size_t hosts);
     /// Counts a caller's request for @p service, which raises the number of retries allowed.
     void noteRequest(const std::string &service, TimePoint now);
+    /// Whether take() would succeed.
+    [[nodiscard]] bool allows(const std::string &service, TimePoint now);
     /// Takes one retry from the budget of @p service; false when the budget is exhausted.
     bool take(const std::string &service, TimePoint now);
 
