Answer and report a request whose handler throws or returns without an answer

What callers saw: nothing. An exception ended the connection without a word; a handler that returned silently left its caller waiting on a kept connection until its own timeout.

Cause: connections were started with net::detached, which drops exceptions. The code behind the call was skipped: connections() counted one too many for ever, and so did the gateway's open requests, for which a stop waits.

Change: the connection catches what its handler throws. A handler that did not begin an answer is replaced by a 500 that does not promise "not run"; an answer that it did not end is cut. Both are reported as handler_failed or not_answered. The counts no longer depend on a normal return. An exception of the accept loop ends the process, as with the gateway's other tasks.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -62,6 +62,28 @@
     return addresses;
 }
 
+/// Counts a request as open during its own lifetime.
+class OpenRequest
+{
+public:
+    explicit OpenRequest(std::size_t &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+
+    ~OpenRequest()
+    {
+        --m_count;
+    }
+
+    OpenRequest(const OpenRequest &) = delete;
+    OpenRequest &operator=(const OpenRequest &) = delete;
+
+private:
+    std::size_t &m_count;
+};
+
 class Gateway : public IGateway
 {
 public:
@@ -163,10 +185,9 @@
 
     net::awaitable<void> serve(http::Request request, http::IResponseWriter &writer, bool fromPeer)
     {
-        ++m_openRequests;
+        const OpenRequest open(m_openRequests);
         const std::shared_ptr<RequestSession> session = std::make_shared<RequestSession>(m_context, m_streamRegistry, std::move(request), writer, fromPeer);
         co_await session->run();
-        --m_openRequests;
     }
 
     [[nodiscard]] bool ready() const
@@ -277,6 +298,7 @@
     }
 
     const std::function<std::optional<GatewaySettings>()> m_reload;
+    std::size_t m_openRequests = 0; ///< Precedes the event loop, whose destructor ends requests.
     net::io_context m_io{1};
     GatewayContext m_context;
     duties::UsageCollector m_usageCollector;
@@ -293,7 +315,6 @@
     std::unique_ptr<http::IHttpServer> m_peerServer;
     std::unique_ptr<http::IHttpServer> m_metricsServer;
     std::vector<std::string> m_seeds;
-    std::size_t m_openRequests = 0;
 };
 
 }
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -31,18 +31,28 @@
 }
 
 net::awaitable<void> Connection::run()
+{
+    try {
+        co_await serveRequests();
+    } catch (const std::exception &exception) {
+        m_progress.noteException(exception.what());
+        m_progress.end();
+    }
+    beast::error_code ignored;
+    m_socket.shutdown(net::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+}
+
+net::awaitable<void> Connection::serveRequests()
 {
     while (m_open && m_keepAlive) {
         m_progress.start(m_buffer.size());
         const bool served = co_await serveNext();
         m_progress.end();
         if (!served) {
-            break;
+            co_return;
         }
     }
-    beast::error_code ignored;
-    m_socket.shutdown(net::ip::tcp::socket::shutdown_both, ignored);
-    m_socket.close(ignored);
 }
 
 net::awaitable<bool> Connection::serveNext()
@@ -66,9 +76,32 @@
     m_answered = std::make_shared<bool>(false);
     m_callerGoneCallback = nullptr;
     m_served = true;
-    co_await m_handler(std::move(request), *this);
+    try {
+        co_await m_handler(std::move(request), *this);
+    } catch (const std::exception &exception) {
+        m_progress.noteException(exception.what());
+    }
     *m_answered = true;
     m_callerGoneCallback = nullptr;
+    if (m_open && !m_progress.answered()) {
+        co_await completeAnswer();
+    }
+}
+
+net::awaitable<void> Connection::completeAnswer()
+{
+    m_progress.noteFailure(UnansweredCause::NotAnswered, {});
+    m_progress.end();
+    m_keepAlive = false;
+    if (m_begun) {
+        abort();
+        co_return;
+    }
+    Response response;
+    response.status = 500;
+    response.headers.add("Content-Type", "application/json");
+    response.body = R"({"error":{"message":"the request may have run, and its answer is missing","type":"server_error","code":"internal_error"}})";
+    co_await respond(std::move(response));
 }
 
 net::awaitable<bool> Connection::respond(Response response)
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -47,6 +47,7 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    boost::asio::awaitable<void> serveRequests();
     /// Reads one request and has it handled. Returns false when the connection is to be closed.
     boost::asio::awaitable<bool> serveNext();
     boost::asio::awaitable<bool> waitForRequest();
@@ -71,6 +72,8 @@
     bool noteWritten(boost::beast::error_code error);
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
     boost::asio::awaitable<void> serve(Request request);
+    /// Answers in place of a handler that did not begin an answer, or aborts the answer that it did not end.
+    boost::asio::awaitable<void> completeAnswer();
     boost::asio::awaitable<void> watchCaller(std::shared_ptr<bool> answered);
     /// Whether closing the socket resets the connection. Set while a stream without chunks is sent, whose caller would otherwise take the close for
     /// the end of the answer.
--- a/src/http/internal/httpserver.cpp
+++ b/src/http/internal/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/connection.h"
 
+#include <exception>
 #include <limits>
 #include <mutex>
 #include <vector>
@@ -56,7 +57,13 @@
         }
         m_endpoint = {endpoint.address, m_acceptor.local_endpoint().port()};
         net::co_spawn(
-            m_acceptor.get_executor(), [self = shared_from_this()] { return self->acceptLoop(); }, net::detached);
+            m_acceptor.get_executor(),
+            [self = shared_from_this()] { return self->acceptLoop(); },
+            [](const std::exception_ptr &exception) {
+                if (exception) {
+                    std::rethrow_exception(exception);
+                }
+            });
         return true;
     }
 
@@ -135,12 +142,7 @@
         remember(connection);
         ++m_openCount;
         net::co_spawn(
-            executor,
-            [connection, self = shared_from_this()]() -> net::awaitable<void> {
-                co_await connection->run();
-                --self->m_openCount;
-            },
-            net::detached);
+            executor, [connection] { return connection->run(); }, [self = shared_from_this()](const std::exception_ptr &) { --self->m_openCount; });
     }
 
     void remember(const std::shared_ptr<Connection> &connection)
--- a/src/http/internal/requestprogress.cpp
+++ b/src/http/internal/requestprogress.cpp
@@ -93,6 +93,12 @@
     }
 }
 
+void RequestProgress::noteException(std::string_view detail)
+{
+    m_state.cause = UnansweredCause::HandlerFailed;
+    m_state.detail = detail;
+}
+
 void RequestProgress::noteReadFailure(beast::error_code error)
 {
     UnansweredCause cause = UnansweredCause::ReadFailed;
@@ -117,9 +123,11 @@
 
 void RequestProgress::end()
 {
-    if (!m_observer || m_state.bytesRead == 0 || m_state.answered) {
+    const bool succeeded = m_state.answered && m_state.cause != UnansweredCause::HandlerFailed;
+    if (!m_observer || m_state.bytesRead == 0 || m_state.reported || succeeded) {
         return;
     }
+    m_state.reported = true;
     UnansweredRequest request;
     request.cause = m_state.cause.value_or(UnansweredCause::NotAnswered);
     request.detail = m_state.detail;
--- a/src/http/internal/requestprogress.h
+++ b/src/http/internal/requestprogress.h
@@ -33,11 +33,13 @@
     [[nodiscard]] bool answered() const;
     /// Sets why there will be no complete answer, unless a cause was set before.
     void noteFailure(UnansweredCause cause, std::string_view detail);
-    /// The same for a read that ended with @p error.
+    /// The handler ended with an exception. Replaces a cause that was set before.
+    void noteException(std::string_view detail);
+    /// As noteFailure() for a read that ended with @p error.
     void noteReadFailure(boost::beast::error_code error);
-    /// The same for a write that ended with @p error.
+    /// As noteFailure() for a write that ended with @p error.
     void noteWriteFailure(boost::beast::error_code error);
-    /// Ends the request. Reports it if bytes of it were read and no complete answer was sent.
+    /// Ends the request. Reports it, once, if bytes of it were read and no complete answer was sent or the handler ended with an exception.
     void end();
 
 private:
@@ -51,6 +53,7 @@
         bool received = false;
         bool answerBegun = false;
         bool answered = false;
+        bool reported = false;
     };
 
     const std::shared_ptr<IServerObserver> m_observer;
--- a/src/http/iserverobserver.h
+++ b/src/http/iserverobserver.h
@@ -7,13 +7,13 @@
 
 namespace rosemaryshift::http {
 
-/// Why a request that was received, wholly or in part, got no complete answer.
+/// Why a request that was received, wholly or in part, got no complete answer from its handler.
 enum class UnansweredCause : std::uint8_t {
     CallerLeft,    ///< The caller closed or reset the connection.
     ReadCancelled, ///< The server cancelled its own wait for the caller, although no timeout had expired.
     ReadFailed,    ///< Reading failed for another reason.
     NotAnswered,   ///< The handler returned without an answer.
-    HandlerFailed, ///< The handler ended with an exception.
+    HandlerFailed, ///< The handler, or the server itself, ended with an exception.
     Aborted,       ///< The handler aborted the answer.
     WriteTimedOut, ///< The caller did not take the answer in time.
     WriteFailed,   ///< Writing failed for another reason.
@@ -22,7 +22,7 @@
 /// Name of @p cause in log lines and metrics. Thread-safe.
 std::string_view name(UnansweredCause cause);
 
-/// A request that got no complete answer. The views are valid during the call only.
+/// A request that got no complete answer from its handler. The views are valid during the call only.
 struct UnansweredRequest {
     UnansweredCause cause = UnansweredCause::NotAnswered;
     std::string_view detail;             ///< Text of the error; may be empty.
@@ -39,7 +39,8 @@
 public:
     virtual ~IServerObserver() = default;
 
-    /// A request got no complete answer, and its connection ends. Called on the executor of the connection.
+    /// A request got no complete answer from its handler, and its connection ends; where none was begun, the server sends 500 after this call. Called on the
+    /// executor of the connection.
     virtual void onUnanswered(const UnansweredRequest &request) = 0;
 };
 
