Read the recorded versions again when the history of the list was lost

Callers saw: a host was out of step while servers of a new software version joined and left again. A stream that had begun there through another host was taken up at this host and went on at a server of the old version (ORDER).

Cause: records of the list of upstreams may be deleted at any time, except for the newest of each key. A host whose next record is gone reads the newest entries, which do not show what came and went in between, and went on as if it had followed the list all the time. The record of versions in the platform's log, which tells of such a version, was read once, at the start.

Change: after each read of only the newest entries, known versions count as listed until then, and no single version is evidence before the recorded versions have been read again.

--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -66,8 +66,8 @@
         for (streams::ServiceVersion &version : m_context.softwareVersions.expire(now)) {
             m_retired.push_back(std::move(version));
         }
-        bool succeeded = m_versionsRead;
-        if (!m_versionsRead) {
+        bool succeeded = versionsRead();
+        if (!succeeded) {
             succeeded = co_await m_versionsReader.run();
         }
         // Also after a failed read, since the topic does not exist before the first append.
@@ -85,11 +85,17 @@
     return m_context.softwareVersions.mixedServices().empty() ? std::max(interval, IdleInterval) : interval;
 }
 
+bool StreamRegistry::versionsRead() const
+{
+    return m_upstreamFollower.listRead() && m_versionsReadAfter == m_upstreamFollower.newestReads();
+}
+
 net::awaitable<bool> StreamRegistry::readVersions()
 {
     if (!m_upstreamFollower.listRead()) {
         co_return false;
     }
+    const std::uint64_t newestReads = m_upstreamFollower.newestReads();
     ports::LogFailure failure;
     const std::optional<ports::NewestRecords> newest = co_await m_context.ports.platformLog->readNewest(ports::Topic::SoftwareVersions, CallTimeout, failure);
     if (!newest) {
@@ -101,7 +107,7 @@
             m_context.softwareVersions.noteRecorded(*version, hostNow());
         }
     }
-    m_versionsRead = true;
+    m_versionsReadAfter = newestReads;
     co_return true;
 }
 
@@ -211,7 +217,7 @@
 
 std::optional<streams::Origin> StreamRegistry::soleOrigin(const std::set<std::string> &services) const
 {
-    if (services.size() != 1 || !m_versionsRead) {
+    if (services.size() != 1 || !versionsRead()) {
         return std::nullopt;
     }
     const std::set<std::string> versions = m_context.softwareVersions.versions(*services.begin());
@@ -223,7 +229,7 @@
     if (std::optional<streams::Origin> known = key ? m_context.streamOrigins.find(*key) : std::nullopt) {
         co_return known;
     }
-    if (!m_versionsRead) {
+    if (!versionsRead()) {
         co_await m_versionsReader.run();
     }
     if (soleOrigin(services)) {
@@ -235,6 +241,9 @@
         if (!listRead) {
             co_return std::nullopt;
         }
+        if (!versionsRead()) {
+            co_await m_versionsReader.run();
+        }
     }
     if (std::optional<streams::Origin> sole = soleOrigin(services)) {
         co_return sole;
--- a/src/gateway/internal/streamregistry.h
+++ b/src/gateway/internal/streamregistry.h
@@ -28,6 +28,8 @@
     boost::asio::awaitable<std::optional<streams::Origin>> find(std::optional<streams::StreamKey> key, std::set<std::string> services);
 
 private:
+    /// Whether the recorded versions were read since the list of upstreams last showed its newest entries only.
+    [[nodiscard]] bool versionsRead() const;
     boost::asio::awaitable<bool> readVersions();
     boost::asio::awaitable<bool> readOrigins();
     boost::asio::awaitable<bool> recordVersions();
@@ -44,7 +46,7 @@
     SharedRead m_versionsReader;
     SharedRead m_originsReader;
     std::uint64_t m_originsOffset = 0;     ///< Offset of the next read of origins.
-    bool m_versionsRead = false;           ///< The recorded versions were read since the start.
+    std::uint64_t m_versionsReadAfter = 0; ///< UpstreamFollower::newestReads() at the last read of the recorded versions.
     std::set<std::string> m_splitServices; ///< Services of resumable routes that have several, in the configuration with m_configurationVersion.
     std::uint64_t m_configurationVersion = 0;
     std::vector<streams::ServiceVersion> m_retired; ///< Versions whose records are to be removed.
--- a/src/gateway/internal/upstreamfollower.cpp
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -95,7 +95,12 @@
 
 bool UpstreamFollower::listRead() const
 {
-    return m_listRead;
+    return m_newestReads > 0;
+}
+
+std::uint64_t UpstreamFollower::newestReads() const
+{
+    return m_newestReads;
 }
 
 net::awaitable<bool> UpstreamFollower::readNewest(ports::LogFailure &failure)
@@ -113,8 +118,9 @@
     }
     const TimePoint now = hostNow();
     m_context.directory.applyAll(entries, now, m_context.listAvailability.unsettled(now));
+    m_context.softwareVersions.noteUnobserved(now);
     m_offset = newest->endOffset;
-    m_listRead = true;
+    ++m_newestReads;
     co_return true;
 }
 
--- a/src/gateway/internal/upstreamfollower.h
+++ b/src/gateway/internal/upstreamfollower.h
@@ -19,6 +19,8 @@
     boost::asio::awaitable<bool> refresh();
     /// Whether the list of upstreams was read at least once.
     [[nodiscard]] bool listRead() const;
+    /// Number of times that only the newest entries of the list were read, which do not show the versions that came and went before.
+    [[nodiscard]] std::uint64_t newestReads() const;
 
 private:
     boost::asio::awaitable<bool> read();
@@ -36,7 +38,7 @@
     GatewayContext &m_context;
     SharedRead m_read;
     std::optional<std::uint64_t> m_offset; ///< Offset of the next read; nothing when the newest records must be read first.
-    bool m_listRead = false;
+    std::uint64_t m_newestReads = 0;
 };
 
 }
--- a/src/streams/internal/versionhistory.cpp
+++ b/src/streams/internal/versionhistory.cpp
@@ -30,6 +30,15 @@
     add(version, now).listedAt = now;
 }
 
+void VersionHistory::noteUnobserved(TimePoint now)
+{
+    for (auto &[service, presences] : m_services) {
+        for (auto &[version, presence] : presences) {
+            presence.listedAt = now;
+        }
+    }
+}
+
 void VersionHistory::noteRecorded(const ServiceVersion &version, TimePoint now)
 {
     add(version, now).recorded = true;
--- a/src/streams/tests/versionhistorytests.cpp
+++ b/src/streams/tests/versionhistorytests.cpp
@@ -91,3 +91,17 @@
         CHECK(second.versions("models") == std::set<std::string>{"v1"});
     }
 }
+
+// Guards against the loss of a version that was listed unseen, while the host did not follow the list.
+TEST_CASE("A version counts as listed until the end of a time in which the list was not observed")
+{
+    VersionHistory history;
+    history.noteListed(First, Start);
+    history.noteListed(Second, Start);
+    history.noteUnobserved(Start + 50s);
+    history.noteListed(First, Start + 100s);
+    CHECK(history.expire(Start + 100s).empty());
+    CHECK(history.versions("models").size() == 2);
+    history.expire(Start + 111s);
+    CHECK(history.versions("models") == std::set<std::string>{"v1"});
+}
--- a/src/streams/versionhistory.h
+++ b/src/streams/versionhistory.h
@@ -39,6 +39,8 @@
 
     /// Notes that an upstream of @p version is listed.
     void noteListed(const ServiceVersion &version, TimePoint now);
+    /// Notes that upstreams may have been listed unseen until @p now: the known versions count as listed until then.
+    void noteUnobserved(TimePoint now);
     /// Notes that @p version is recorded, by this host or by another one. When it is not known here it counts as listed until now, since the record
     /// does not tell how long ago its last upstream left.
     void noteRecorded(const ServiceVersion &version, TimePoint now);
