Test that an answer which ends within its head is passed on as no success

It does not happen here; no code changes. Answers that a peer forwards are not covered by a platform test.

--- a/src/http/tests/exchangetests.cpp
+++ b/src/http/tests/exchangetests.cpp
@@ -314,6 +314,56 @@
     }());
 }
 
+// Guards against a server that stops in the head of its answer and closes, and whose answer is taken for a success with an empty or short body.
+TEST_CASE("A head that ends early is no answer, wherever it ends")
+{
+    const bool pooled = GENERATE(false, true);
+    const std::string framing = GENERATE("Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "", "Content-Length: 5\r\nConnection: close\r\n");
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + framing + "X-Last: 1\r\n\r\n";
+    CAPTURE(pooled, framing);
+    net::io_context context;
+    RawServer server(context);
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        CAPTURE(length);
+        const std::shared_ptr<ConnectionPool> pool = std::make_shared<ConnectionPool>();
+        net::co_spawn(
+            context,
+            [&]() -> net::awaitable<void> {
+                tcp::socket socket = co_await server.accept();
+                co_await readHead(socket);
+                if (pooled) {
+                    std::string body = "first";
+                    co_await answer(socket, std::move(body), {});
+                    co_await readHead(socket);
+                }
+                co_await net::async_write(socket, net::buffer(head.data(), length), Token);
+                boost::system::error_code ignored;
+                socket.shutdown(tcp::socket::shutdown_send, ignored);
+                std::string rest;
+                co_await net::async_read(socket, net::dynamic_buffer(rest), Token);
+            },
+            net::detached);
+        context.restart();
+        runScript(context, [&]() -> net::awaitable<void> {
+            const net::any_io_executor executor = co_await net::this_coro::executor;
+            if (pooled) {
+                const std::string first = co_await fetchBody(server.endpoint(), pool);
+                CHECK(first == "first");
+            }
+            std::shared_ptr<IExchange> exchange = makeExchange(executor, pool);
+            ClientFailure failure;
+            Request request;
+            const ClientTimeouts timeouts;
+            const std::optional<Response> response = co_await exchange->open(server.endpoint(), std::move(request), timeouts, failure);
+            CHECK(!response);
+            CHECK(failure.error == ClientError::Closed);
+            CHECK(exchange->reused() == pooled);
+            exchange.reset();
+            CHECK(pool->size() == 0);
+        }());
+    }
+}
+
 TEST_CASE("A response tells what marks the end of its body")
 {
     net::io_context context;
