Let a stream that has started run until its caller's time is over

What callers saw: streams that were still running were broken off 20 ms before their time was over.

Cause: each exchange with an upstream ends ResponseMargin before the caller's time is over, so that a refusal or a failure can still reach the caller. Events of a stream are passed on as they come; there is no answer that the time could be reserved for.

Change: once a stream has started, its exchange ends with the caller's time (IExchange::setEnd()), and so do those that continue it. That is also the time that the upstream was given in its deadline. Until then, and for whole answers, the margin is unchanged. A stream that a peer forwards still ends 20 ms early, since the peer is given that much less.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -38,7 +38,8 @@
 
 http::ClientTimeouts RequestSession::dispatchTimeouts(const balancing::Choice &choice, TimePoint now) const
 {
-    const std::chrono::milliseconds remaining = atLeastOneMillisecond(remainingTime(now) - ResponseMargin);
+    const Duration margin = m_streamStarted ? Duration::zero() : Duration(ResponseMargin);
+    const std::chrono::milliseconds remaining = atLeastOneMillisecond(remainingTime(now) - margin);
     http::ClientTimeouts timeouts;
     timeouts.end = std::chrono::steady_clock::now() + remaining;
     timeouts.connect = std::min(ConnectTimeout, remaining);
@@ -202,6 +203,8 @@
         bool callerConnected = true;
         if (!m_streamStarted) {
             m_streamStarted = true;
+            // Events are passed on as they come, so that no time has to be reserved for it.
+            m_exchange->setEnd(std::chrono::steady_clock::now() + remainingTime(hostNow()));
             m_streamFormat = streamFormat(upstreamResponse);
             noteStreamBegan();
             http::Headers headers = endToEndHeaders(upstreamResponse.headers);
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -27,7 +27,7 @@
     boost::asio::awaitable<void> run();
 
 private:
-    /// Time before the deadline that is reserved for sending the response back to the caller.
+    /// Time before the deadline that is reserved for sending the response back to the caller, until a stream has started.
     static constexpr std::chrono::milliseconds ResponseMargin{20};
 
     /// Timeout of connecting to an upstream. Nothing has been sent by then, so that another upstream can be tried.
--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -44,6 +44,8 @@
     /// Sets what decides whether to give up the exchange when nothing came within ClientTimeouts::header or ClientTimeouts::body while an answer is read;
     /// without a handler it is given up. It is not asked after ClientTimeouts::end. Not to be called during another call.
     virtual void setSilenceHandler(SilenceHandler handler) = 0;
+    /// Replaces ClientTimeouts::end for the reads that begin later. No effect on an exchange whose end has passed. Not to be called during another call.
+    virtual void setEnd(std::chrono::steady_clock::time_point end) = 0;
     /// Whether bytes have arrived that were not read yet, or the connection has ended. Precondition: open() has sent the request.
     [[nodiscard]] virtual bool hasUnread() = 0;
     /// Cancels the exchange; a pending call fails with ClientError::Cancelled. Thread-safe.
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -131,6 +131,11 @@
         m_silenceHandler = std::move(handler);
     }
 
+    void setEnd(std::chrono::steady_clock::time_point end) override
+    {
+        m_timeouts.end = end;
+    }
+
     [[nodiscard]] bool hasUnread() override
     {
         return m_connection && m_connection->unreadBytes() > 0;
