--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -29,7 +29,7 @@
     void endByStop();
 
 private:
-    /// Time before the deadline that is reserved for sending the response back to the caller.
+    /// Time before the deadline that is reserved for sending the response back to the caller, until a stream has started.
     static constexpr std::chrono::milliseconds ResponseMargin{20};
 
     /// Timeout of connecting to an upstream. Nothing has been sent by then, so that another upstream can be tried.
