Tell callers for how long a kept connection may be used

Cause: a host closes a connection at the end of the idle timeout without having told anybody when that is.

Change: each answer behind which the connection stays open carries "Keep-Alive: timeout=" with four fifths of the idle timeout in whole seconds, as servers of the field do. The wait itself is not shorter.

Evidence: the new test fails without the header.

Why it works: callers close a connection, or don't use it, before the host's timer comes close.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr auto Token = net::as_tuple(net::use_awaitable);
+/// Part of the idle timeout for which an answer says that its connection is kept. The rest is for the caller's next request to arrive, so that it does not
+/// cross the close.
+constexpr double StatedIdlePart = 0.8;
 
 }
 
@@ -117,6 +120,7 @@
     }
     m_keepAlive = m_keepAlive && !m_state.closing;
     message.keep_alive(m_keepAlive);
+    stateKeepAlive(message);
     message.body() = std::move(response.body);
     message.prepare_payload();
     bhttp::response_serializer<bhttp::string_body> serializer(message);
@@ -149,6 +153,7 @@
     m_keepAlive = m_keepAlive && m_chunked && !m_state.closing;
     message.chunked(m_chunked);
     message.keep_alive(m_keepAlive);
+    stateKeepAlive(message);
     bhttp::response_serializer<bhttp::empty_body> serializer(message);
     m_started = true;
     m_begun = true;
@@ -192,6 +197,14 @@
     co_return noteWritten(error);
 }
 
+void Connection::stateKeepAlive(bhttp::fields &fields) const
+{
+    const std::chrono::seconds stated = std::chrono::duration_cast<std::chrono::seconds>(m_limits.idleTimeout * StatedIdlePart);
+    if (m_keepAlive && stated.count() > 0) {
+        fields.set(bhttp::field::keep_alive, "timeout=" + std::to_string(stated.count()));
+    }
+}
+
 bool Connection::noteWritten(beast::error_code error)
 {
     stopDeadline();
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -68,6 +68,8 @@
     void expireDeadline();
     void expireWriteDeadline();
     void stopDeadline();
+    /// Adds for how long the connection is kept, unless it is closed behind the answer.
+    void stateKeepAlive(boost::beast::http::fields &fields) const;
     /// Records the result of a write. Returns whether it succeeded.
     bool noteWritten(boost::beast::error_code error);
     boost::asio::awaitable<void> refuse(boost::beast::error_code error);
--- a/src/http/tests/httptests.cpp
+++ b/src/http/tests/httptests.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -203,6 +204,45 @@
     }
 }
 
+// Guards against requests that cross the close of an idle connection because their callers do not know when the server closes it.
+SCENARIO("An HTTP server tells callers to stop using an idle connection before it closes it")
+{
+    ServerLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(1'500);
+    const RunningServer server(limits);
+
+    GIVEN("a connection that is kept behind an answer")
+    {
+        net::io_context context;
+        net::ip::tcp::socket caller(context);
+        caller.connect({net::ip::make_address("127.0.0.1"), server.endpoint().port});
+        net::write(caller, net::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+        std::string answer;
+        boost::system::error_code error;
+        net::read_until(caller, net::dynamic_buffer(answer), "GET ", error);
+        THEN("the answer states a time that is shorter than the idle timeout")
+        {
+            CHECK_THAT(answer, Catch::Contains("Keep-Alive: timeout=1\r\n"));
+        }
+        WHEN("the caller uses the connection at the end of that time")
+        {
+            std::this_thread::sleep_for(std::chrono::seconds(1));
+            net::write(caller, net::buffer(std::string_view("GET / HTTP/1.1\r\nConnection: close\r\n\r\n")), error);
+            std::string next;
+            net::read(caller, net::dynamic_buffer(next), error);
+            THEN("it is answered, and an answer behind which the connection is closed states no time")
+            {
+                CHECK_THAT(next, Catch::StartsWith("HTTP/1.1 200") && !Catch::Contains("Keep-Alive"));
+            }
+        }
+    }
+    GIVEN("a streamed answer")
+    {
+        const std::string answer = rawExchange(server.endpoint(), {"GET /stream HTTP/1.1\r\n\r\n"});
+        CHECK_THAT(answer, Catch::Contains("Keep-Alive: timeout=1\r\n"));
+    }
+}
+
 // Guards against a stream that was broken off reaching an HTTP/1.0 caller as complete: such an answer ends with its connection.
 SCENARIO("An HTTP/1.0 caller can tell an aborted stream from a complete one")
 {
