--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -215,6 +215,7 @@
         }
         if (callerConnected) {
             callerConnected = co_await m_writer.write(events);
+            m_passedOnBytes += callerConnected ? events.size() : 0;
         }
         if (callerConnected && end) {
             co_await m_writer.end();
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -147,10 +147,12 @@
                               {"instance", m_instance},
                               {"framing", m_framing ? http::name(*m_framing) : std::string_view()},
                               {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
+                              {"passed_on_bytes", static_cast<std::int64_t>(m_passedOnBytes)},
                               {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
                               {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
                               {"waited_ms", wholeMilliseconds(m_handledAt - m_arrivedAt)},
-                              {"took_ms", wholeMilliseconds(now - m_arrivedAt)}});
+                              {"took_ms", wholeMilliseconds(now - m_arrivedAt)},
+                              {"left_ms", wholeMilliseconds(remainingTime(now))}});
 }
 
 }
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -188,8 +188,9 @@
     bool m_waitsForAnswer = false;              ///< The request was admitted, and its answer has not begun.
     bool m_silenceNoted = false;                ///< The silence of the upstream of the current dispatch was recorded.
     bool m_usageCounted = false;
-    StreamFormat m_streamFormat;  ///< Of the answer that started the stream.
-    bool m_streamStarted = false; ///< The headers of a streamed response were sent to the caller.
+    std::size_t m_passedOnBytes = 0; ///< Bytes of a stream's events that were written to the caller.
+    StreamFormat m_streamFormat;     ///< Of the answer that started the stream.
+    bool m_streamStarted = false;    ///< The headers of a streamed response were sent to the caller.
 };
 
 }
