Take the internal error of a peer for a request that may have run

What callers would have seen: a booking that a peer had accepted and sent on, and whose handling failed there, was sent a second time, or refused as not run.

Cause: since a handler that fails is answered with 500. That answer lacks the header by which a peer says that it has accepted a forwarded request, and an answer without it counted as declined.

Change: declines() tells by status and header; 500 without the header does not decline.

Why it works: a refusal before the handling has another status, and the server sends 500 only in place of a missing answer.

--- a/src/gateway/internal/peerheaders.cpp
+++ b/src/gateway/internal/peerheaders.cpp
@@ -4,6 +4,13 @@
 
 namespace rosemaryshift::gateway {
 
+bool declines(const http::Response &answer)
+{
+    // Sent in place of an answer when the handling of an accepted request has failed, and then without the header.
+    constexpr int InternalError = 500;
+    return answer.status != InternalError && !answer.headers.find(PeerAnswerHeader);
+}
+
 http::Headers withoutHeader(const http::Headers &headers, std::string_view name)
 {
     http::Headers others;
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -78,8 +78,8 @@
         endWithdrawn();
         co_return DispatchResult::TryAnother;
     }
-    const bool accepted = answer && answer->headers.find(PeerAnswerHeader).has_value();
-    if (!accepted && (answer || !m_sent)) {
+    const bool notRun = answer ? declines(*answer) : !m_sent;
+    if (notRun) {
         m_attemptState->noteNotSent();
         m_reason = answer ? "the peer did not accept the request" : "no connection to the peer: " + failure.detail;
         m_viaPeer = false;
