Do not take the wait between two reads of the list of upstreams for an outage

Cause: ListAvailability took two reads more than one renewal apart for an outage. The time between reads follows another setting of the platform, a third of the time in which a leaving upstream has to be known (leaving_ms). Where that is more than a renewal, as with 4,000 and 1,200 ms, each read began a new outage: the list was never settled, and upstreams whose entries were removed were kept as lapsed and got requests (DRAIN). Change: the reader's own planned wait is no outage. One is a read that failed, or one that is overdue by more than a renewal. The wait is a renewal at most, so that no outage in which entries lapse passes between two reads that are on time. Ruled out: reading faster alone, which keeps two unrelated settings in an order that nothing states, and costs calls.

--- a/src/directory/internal/listavailability.cpp
+++ b/src/directory/internal/listavailability.cpp
@@ -1,23 +1,33 @@
 #include "directory/listavailability.h"
 
+#include <algorithm>
+
 namespace rosemaryshift::directory {
 
 namespace {
 
 /// Running upstreams are listed again within this time after an outage of the list, as guaranteed by the platform.
 constexpr std::chrono::milliseconds SettlingTime{2'000};
+/// Number of reads in the time after which a leaving upstream must get no new requests.
+constexpr int ReadsPerLeavingDelay = 3;
 
 }
 
-ListAvailability::ListAvailability(Duration renewal)
+ListAvailability::ListAvailability(Duration renewal, Duration readInterval)
     : m_renewal(renewal)
+    , m_readInterval(readInterval)
+{
+}
+
+bool ListAvailability::overdue(TimePoint now) const
 {
+    return now - *m_lastRead > m_readInterval + m_renewal;
 }
 
 std::optional<Duration> ListAvailability::noteRead(TimePoint now)
 {
     // Uses the time since the last read, because a host that was suspended saw no read fail.
-    const bool gap = m_lastRead && now - *m_lastRead > m_renewal;
+    const bool gap = m_lastRead && (overdue(now) || (m_unreachableSince && now - *m_lastRead > m_renewal));
     if (gap) {
         // Entries that lapsed in an earlier outage may still come back when another outage follows before the list has settled.
         m_outageBegan = m_settlesAt ? m_outageBegan : m_lastRead;
@@ -62,7 +72,7 @@
 
 std::optional<Duration> ListAvailability::reachableFor(TimePoint now) const
 {
-    if (!m_reachableSince || now - *m_lastRead > m_renewal) {
+    if (!m_reachableSince || overdue(now)) {
         return std::nullopt;
     }
     return now - *m_reachableSince;
@@ -89,4 +99,9 @@
     m_outageBegan.reset();
 }
 
+Duration listReadInterval(Duration maxLeavingDelay, Duration renewal)
+{
+    return std::min(maxLeavingDelay / ReadsPerLeavingDelay, renewal);
+}
+
 }
--- a/src/directory/tests/listavailabilitytests.cpp
+++ b/src/directory/tests/listavailabilitytests.cpp
@@ -10,6 +10,7 @@
 
 constexpr TimePoint Start{std::chrono::seconds(100)};
 constexpr std::chrono::milliseconds Renewal{1'200};
+constexpr std::chrono::milliseconds ReadInterval{500};
 constexpr std::chrono::milliseconds OneMillisecond{1};
 
 TimePoint after(std::int64_t milliseconds)
@@ -29,7 +30,7 @@
 // Guards against streams that are taken for those of an earlier run because an outage of the list was not counted into the time to its listing.
 TEST_CASE("The list tells since when it was not read until it has settled after an outage")
 {
-    ListAvailability list(Renewal);
+    ListAvailability list(Renewal, ReadInterval);
     readRepeatedly(list, 0, 1'000);
     CHECK(!list.outageBegan());
     list.noteFailure(after(1'500));
@@ -54,7 +55,7 @@
 
 TEST_CASE("An outage of the list for all hosts is told apart from a partition of this host")
 {
-    ListAvailability list(Renewal);
+    ListAvailability list(Renewal, ReadInterval);
     CHECK(!list.reachableFor(Start));
     CHECK(!list.noteRead(Start));
     CHECK(list.reachableFor(after(500)) == std::chrono::milliseconds(500));
@@ -119,6 +120,8 @@
     }
     SECTION("a long time without any read counts as an outage, since a suspended host sees no read fail")
     {
+        CHECK(list.reachableFor(Start + ReadInterval + Renewal));
+        CHECK(!list.reachableFor(Start + ReadInterval + Renewal + OneMillisecond));
         CHECK(!list.reachableFor(after(5'000)));
         CHECK(!list.noteRead(after(5'000)));
         CHECK(list.unsettled(after(5'000)));
@@ -138,7 +141,7 @@
 {
     // A host is partitioned from the platform's log for 5 s, and the entry of a leaving upstream is removed just before the partition ends. The host
     // must know within 3 s of the end that the upstream has left: 0.95 s until the next read succeeds, plus one gossip round of a peer.
-    ListAvailability list(Renewal);
+    ListAvailability list(Renewal, ReadInterval);
     UpstreamDirectory directory;
     UpstreamEntry entry;
     entry.instance = "a";
@@ -157,3 +160,54 @@
     directory.settle(peerReport);
     CHECK(directory.usable("engines", peerReport).empty());
 }
+
+// Guards against a list that never settles, because the time between two reads is longer than the one between two renewals and each read is taken for the
+// end of an outage: an upstream whose entry is removed was then kept, and got requests, until the next read that was on time.
+TEST_CASE("An upstream whose entry is removed gets no requests after the next read, whatever the bounds of the platform are")
+{
+    const std::chrono::milliseconds renewal = GENERATE(std::chrono::milliseconds(300), Renewal, std::chrono::milliseconds(5'000));
+    const std::chrono::milliseconds maxLeavingDelay = GENERATE(std::chrono::milliseconds(1'000),
+                                                               std::chrono::milliseconds(2'000),
+                                                               std::chrono::milliseconds(3'000),
+                                                               std::chrono::milliseconds(4'000),
+                                                               std::chrono::milliseconds(12'000));
+    // The time until the log answers, and by which a host that is short of processor time is late.
+    const std::chrono::milliseconds lateness = GENERATE(std::chrono::milliseconds(4), std::chrono::milliseconds(250));
+    CAPTURE(renewal.count(), maxLeavingDelay.count(), lateness.count());
+    const Duration interval = listReadInterval(maxLeavingDelay, renewal);
+    ListAvailability list(renewal, interval);
+    UpstreamDirectory directory;
+    UpstreamEntry entry;
+    entry.instance = "a";
+    entry.service = "engines";
+    directory.apply(entry, Start);
+    TimePoint now = Start;
+    for (int read = 0; read < 20; ++read) {
+        list.noteRead(now);
+        CHECK(!list.unsettled(now));
+        now += interval + lateness;
+        CHECK(list.reachableFor(now) == now - Start);
+    }
+    SECTION("the upstream is gone with the first read that finds its entry missing, within the bound")
+    {
+        const TimePoint removedAt = now - interval;
+        list.noteRead(now);
+        directory.remove("a", now, list.unsettled(now));
+        CHECK(directory.usable("engines", now).empty());
+        CHECK(now - removedAt < maxLeavingDelay / 2);
+    }
+    SECTION("an outage in which entries may lapse is noticed, by a read that fails or one that is overdue")
+    {
+        const bool readFails = GENERATE(true, false);
+        CAPTURE(readFails);
+        list.noteRead(now);
+        if (readFails) {
+            list.noteFailure(now + interval);
+        }
+        now += interval + renewal + OneMillisecond;
+        list.noteRead(now);
+        CHECK(list.unsettled(now));
+        directory.remove("a", now, list.unsettled(now));
+        CHECK(directory.usable("engines", now).size() == 1);
+    }
+}
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -47,7 +47,8 @@
                         {"rejected", static_cast<std::int64_t>(report.rejected)}});
     }))
     , directory([this](const directory::Upstream &upstream, std::string_view change) { handleUpstreamChange(upstream, change); })
-    , listAvailability(settings.renewalInterval)
+    , listReadInterval(directory::listReadInterval(settings.maxLeavingDelay, settings.renewalInterval))
+    , listAvailability(settings.renewalInterval, listReadInterval)
     , runContinuity(settings.renewalInterval * ListingRenewals)
     , upstreamReach([this](const std::string &service, bool reached) {
         eventLog.write("service_reach", eventlog::Importance::StateChange, {{"service", service}, {"change", reached ? "reached" : "unreached"}});
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -46,6 +46,7 @@
     const std::shared_ptr<overload::AdmissionControl> admission; ///< Shared with the requests, which may end after the other components.
     ActiveConfiguration configuration;
     directory::UpstreamDirectory directory;
+    const Duration listReadInterval; ///< Planned time between two reads of the list of upstreams.
     directory::ListAvailability listAvailability;
     directory::RunContinuity runContinuity;
     directory::UpstreamReach upstreamReach;
--- a/src/gateway/internal/upstreamfollower.cpp
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -11,8 +11,6 @@
 
 /// Timeout of a read.
 constexpr std::chrono::milliseconds ResponseTimeout{700};
-/// Number of reads in the time after which a leaving upstream must get no new requests.
-constexpr int ReadsPerLeavingDelay = 3;
 /// Delay before a failed read is repeated. Together with ResponseTimeout it stays below one second, since the changes made during an outage of the
 /// log must be known within a second of its end.
 constexpr std::chrono::milliseconds RetryDelay{200};
@@ -75,7 +73,7 @@
     if (!succeeded) {
         return RetryDelay;
     }
-    std::chrono::milliseconds time = m_context.settings.maxLeavingDelay / ReadsPerLeavingDelay;
+    std::chrono::milliseconds time = std::chrono::ceil<std::chrono::milliseconds>(m_context.listReadInterval);
     if (const std::optional<TimePoint> settlesAt = m_context.listAvailability.settlesAt()) {
         time = std::min(time, std::chrono::ceil<std::chrono::milliseconds>(std::max(*settlesAt - hostNow(), Duration::zero())));
     }
