Spread the statuses of an interval over its length, in an order of each host's own

Cause: a host sent its status to all peers in one turn, in the order of their addresses. While any peer was silent, the shares of the quotas stayed as computed before; of hundreds of peers one is silent at nearly any time. A send that fails is counted and logged. The share of a silent peer is kept per peer, as of when it was last heard.

--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -3,6 +3,7 @@
 #include "gateway/internal/backgroundtask.h"
 #include "gateway/internal/busyupstreams.h"
 #include "gateway/internal/hostclock.h"
+#include "gossip/statuspacing.h"
 
 namespace rosemaryshift::gateway {
 
@@ -23,6 +24,11 @@
 constexpr int MaxDatagramsPerTurn = 64;
 /// Delay after which hosts that have just started are told of this host. They come by the dozen when a fleet starts, and are answered together.
 constexpr std::chrono::milliseconds NewHostDelay{20};
+std::chrono::milliseconds atLeastZero(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(std::max(duration, Duration::zero()));
+}
+
 /// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
 constexpr std::size_t MaxDatagramBytes = 65'507;
 
@@ -97,19 +103,25 @@
 net::awaitable<void> GossipEndpoint::send()
 {
     while (true) {
-        const TimePoint now = hostNow();
+        const TimePoint begin = hostNow();
         // Statuses that wait for a late host are no silence of the peers.
-        m_registry.expire(now - m_context.loopDelay.estimate(now));
+        m_registry.expire(begin - m_context.loopDelay.estimate(begin));
         noteHeardVersions();
         m_context.silentZones = m_registry.silentZones();
         m_context.quarantine.setHosts(m_context.settings.name, m_registry.heardHosts());
-        m_context.quarantine.update(now);
-        m_context.upstreamLimits.expire(now);
-        m_context.upstreamPauses.expire(now);
-        updateShares(now);
-        const gossip::PeerStatus status = localStatus(now);
-        sendStatus(status, m_registry.destinations(now), peersAreDue(status.peers));
-        co_await pause(status.interval);
+        m_context.quarantine.update(begin);
+        m_context.upstreamLimits.expire(begin);
+        m_context.upstreamPauses.expire(begin);
+        updateShares(begin);
+        chooseRelayedUsage(begin);
+        const gossip::PeerStatus first = localStatus(begin);
+        const bool withPeers = peersAreDue(first.peers);
+        for (const gossip::StatusBatch &batch : gossip::pacedBatches(m_context.settings.address, m_registry.addresses(), first.interval)) {
+            co_await pause(atLeastZero(begin + batch.delay - hostNow()));
+            const TimePoint now = hostNow();
+            sendStatus(localStatus(now), m_registry.destinations(batch.addresses, now), withPeers);
+        }
+        co_await pause(atLeastZero(begin + first.interval - hostNow()));
     }
 }
 
@@ -130,6 +142,8 @@
     }
     std::uint64_t datagrams = 0;
     std::uint64_t bytes = 0;
+    std::uint64_t failed = 0;
+    std::string reason;
     for (const gossip::Destination &destination : destinations) {
         boost::system::error_code error;
         const net::ip::address to = net::ip::make_address(destination.address, error);
@@ -137,7 +151,7 @@
             continue;
         }
         const udp::endpoint endpoint(to, m_context.settings.gossipPort);
-        // A failed send is ignored like a lost datagram, since the status is sent periodically.
+        // A failed send is not repeated, like a lost datagram, since the status is sent periodically.
         if (destination.readsCompact) {
             const std::array<char, gossip::CompactStatus::HeaderBytes> header = compact.header(destination.echoUs);
             bytes += m_socket->send_to(std::array<net::const_buffer, 2>{net::buffer(header), net::buffer(compact.body())}, endpoint, 0, error);
@@ -146,7 +160,12 @@
             addressed.echoUs = destination.echoUs;
             bytes += m_socket->send_to(net::buffer(encoded(addressed)), endpoint, 0, error);
         }
-        ++datagrams;
+        ++(error ? failed : datagrams);
+        reason = error ? error.message() : reason;
+    }
+    if (failed > 0) {
+        m_context.metrics.count("rosemaryshift_statuses_total", R"(direction="not_sent")", failed);
+        m_context.eventLog.write("statuses_not_sent", eventlog::Importance::Ordinary, {{"statuses", static_cast<std::int64_t>(failed)}, {"reason", reason}});
     }
     m_context.metrics.count("rosemaryshift_statuses_total", R"(direction="sent")", datagrams);
     m_context.metrics.count("rosemaryshift_status_bytes_total", R"(direction="sent")", bytes);
@@ -280,19 +299,22 @@
 {
     co_await pause(NewHostDelay);
     const TimePoint now = hostNow();
-    std::vector<gossip::Destination> destinations;
-    for (const std::string &address : m_newAddresses) {
-        destinations.push_back(m_registry.destination(address, now));
-    }
+    const std::vector<std::string> addresses(m_newAddresses.begin(), m_newAddresses.end());
     m_newAddresses.clear();
     updateShares(now);
-    sendStatus(localStatus(now), destinations, true);
+    sendStatus(localStatus(now), m_registry.destinations(addresses, now), true);
+}
+
+std::vector<gossip::Destination> GossipEndpoint::allDestinations(TimePoint now) const
+{
+    const std::set<std::string> addresses = m_registry.addresses();
+    return m_registry.destinations(std::vector<std::string>(addresses.begin(), addresses.end()), now);
 }
 
 void GossipEndpoint::sendNow()
 {
     const TimePoint now = hostNow();
-    sendStatus(localStatus(now), m_registry.destinations(now), false);
+    sendStatus(localStatus(now), allDestinations(now), false);
 }
 
 void GossipEndpoint::announceLeaving()
@@ -302,7 +324,7 @@
     for (const bool leaving : {false, true}) {
         // The final counts go out before the leaving mark, since receivers take no counts from a datagram with that mark.
         last.leaving = leaving;
-        sendStatus(last, m_registry.destinations(now), false);
+        sendStatus(last, allDestinations(now), false);
         ++last.sentUs;
     }
 }
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -42,10 +42,14 @@
     /// Identifies one start of a host's process in usage counts and quotas.
     [[nodiscard]] static std::string hostStart(const std::string &host, const std::string &start);
     [[nodiscard]] gossip::PeerStatus localStatus(TimePoint now);
+    /// Chooses the host processes whose usage counts the statuses of this interval hold in place of them.
+    void chooseRelayedUsage(TimePoint now);
     /// Adds the counts of the recent usage windows: this host's own, and those of some host processes that it no longer hears.
     void addUsageTo(gossip::PeerStatus &status, TimePoint now);
     /// The host processes that have reported counts of these windows and are not heard now.
     [[nodiscard]] std::set<std::string> unheardProcesses(std::uint64_t firstWindow, std::uint64_t lastWindow) const;
+    /// All hosts that statuses are sent to.
+    [[nodiscard]] std::vector<gossip::Destination> allDestinations(TimePoint now) const;
     /// Handles the datagrams that wait to be read, up to a limit. @p buffer takes one of them.
     void receiveWaiting(std::string &buffer);
     void handleDatagram(std::string_view datagram, const boost::asio::ip::udp::endpoint &from);
@@ -62,20 +66,21 @@
     boost::asio::awaitable<void> greetNewHosts();
     /// Recomputes this host's share of each workspace's quota from the demand on all hosts.
     void updateShares(TimePoint now);
-    /// The demand of all hosts that are not silent, for each workspace of @p own, this host's demand.
-    [[nodiscard]] std::map<std::string, double> totalDemand(const std::map<std::string, double> &own) const;
-    /// Notes each peer's share of each workspace's quota, to be kept for it while it is silent.
-    void notePeerShares(const std::map<std::string, double> &total, std::size_t hosts);
+    /// The demand of the hosts that are heard, and with @p withSilent of all others as last reported, for each workspace of @p own, this host's demand.
+    [[nodiscard]] std::map<std::string, double> totalDemand(const std::map<std::string, double> &own, bool withSilent) const;
+    /// Notes the share of each workspace's quota of each peer that is heard, to be kept for it while it is silent.
+    void notePeerShares(const std::map<std::string, double> &own, std::size_t hosts);
 
     GatewayContext &m_context;
     duties::UsageCollector &m_usageCollector;
     gossip::PeerRegistry m_registry;
     ConfigurationFetcher m_configurationFetcher;
     std::optional<boost::asio::ip::udp::socket> m_socket;
-    /// Quota shares of the peers, by peer and workspace, as last computed while no peer was silent.
+    /// Quota shares of the peers, by peer and workspace, as of when each of them was last heard.
     std::map<std::string, std::map<std::string, double>> m_peerShares;
     std::set<std::string> m_newAddresses; ///< Hosts that have just started and were not sent a status yet.
     gossip::UsageRelay m_usageRelay;
+    std::set<std::string> m_relayedProcesses; ///< See chooseRelayedUsage().
     std::vector<std::string> m_sentPeers;
     std::uint32_t m_statusesWithoutPeers = 0; ///< Statuses since the list of peers has changed.
     bool m_holdsDuties = false;
--- a/src/gateway/internal/gossipshares.cpp
+++ b/src/gateway/internal/gossipshares.cpp
@@ -19,10 +19,8 @@
     m_context.upstreamLimits.setHosts(m_context.settings.address, m_registry.otherHostAddresses(), now);
     m_context.quotas.setPooled(hosts > 1, now);
     const std::map<std::string, double> own = m_context.quotas.demand(now);
-    const std::map<std::string, double> total = totalDemand(own);
-    if (!m_registry.anySilent()) {
-        notePeerShares(total, hosts);
-    }
+    const std::map<std::string, double> total = totalDemand(own, false);
+    notePeerShares(own, hosts);
     std::map<std::string, double> silentShares;
     std::size_t reachableHosts = 1;
     for (const auto &[host, peer] : m_registry.peers()) {
@@ -44,11 +42,11 @@
     }
 }
 
-std::map<std::string, double> GossipEndpoint::totalDemand(const std::map<std::string, double> &own) const
+std::map<std::string, double> GossipEndpoint::totalDemand(const std::map<std::string, double> &own, bool withSilent) const
 {
     std::map<std::string, double> total = own;
     for (const auto &[host, peer] : m_registry.peers()) {
-        if (peer.silent) {
+        if (peer.silent && !withSilent) {
             continue;
         }
         for (const auto &[workspace, demand] : peer.status.demand) {
@@ -61,9 +59,14 @@
     return total;
 }
 
-void GossipEndpoint::notePeerShares(const std::map<std::string, double> &total, std::size_t hosts)
+void GossipEndpoint::notePeerShares(const std::map<std::string, double> &own, std::size_t hosts)
 {
+    // Each peer computes its share in this way while it hears all others. Some of hundreds of peers are silent at nearly any time.
+    const std::map<std::string, double> total = totalDemand(own, true);
     for (const auto &[host, peer] : m_registry.peers()) {
+        if (peer.silent && m_peerShares.contains(host)) {
+            continue;
+        }
         std::map<std::string, double> &shares = m_peerShares[host];
         for (const auto &[workspace, demandOfAll] : total) {
             const auto demand = peer.status.demand.find(workspace);
--- a/src/gateway/internal/gossipstatus.cpp
+++ b/src/gateway/internal/gossipstatus.cpp
@@ -63,15 +63,20 @@
     return status;
 }
 
+void GossipEndpoint::chooseRelayedUsage(TimePoint now)
+{
+    const std::uint64_t current = m_context.usageLedger.windowAt(m_context.wallClock.sinceEpoch(now));
+    m_relayedProcesses = m_usageRelay.next(unheardProcesses(current - std::min(current, SentUsageWindows - 1), current));
+}
+
 void GossipEndpoint::addUsageTo(gossip::PeerStatus &status, TimePoint now)
 {
     const std::uint64_t current = m_context.usageLedger.windowAt(m_context.wallClock.sinceEpoch(now));
     const std::uint64_t first = current - std::min(current, SentUsageWindows - 1);
     const std::string own = hostStart(m_context.settings.name, m_context.startId);
-    const std::set<std::string> relayed = m_usageRelay.next(unheardProcesses(first, current));
     for (std::uint64_t window = first; window <= current; ++window) {
         for (const auto &[process, counts] : m_usageCollector.countsByProcess(window)) {
-            if (relayed.contains(process)) {
+            if (m_relayedProcesses.contains(process)) {
                 status.usage[window][process] = counts;
             }
         }
--- a/src/gossip/internal/peerregistry.cpp
+++ b/src/gossip/internal/peerregistry.cpp
@@ -142,42 +142,28 @@
     return destination;
 }
 
-std::vector<Destination> PeerRegistry::destinations(TimePoint now) const
+std::vector<Destination> PeerRegistry::destinations(std::span<const std::string> addresses, TimePoint now) const
 {
-    std::map<std::string, Destination> all;
-    for (const std::string &address : m_seeds) {
-        all.emplace(address, Destination{address, std::nullopt, false});
+    std::map<std::string_view, const Peer *> peersByAddress;
+    for (const std::string &address : addresses) {
+        peersByAddress.emplace(address, nullptr);
     }
-    for (const auto &[address, time] : m_learnedAddresses) {
-        all.emplace(address, Destination{address, std::nullopt, false});
-    }
-    std::map<std::string, TimePoint> heardAt;
     for (const auto &[host, peer] : m_peers) {
+        const auto entry = peersByAddress.find(peer.status.address);
         // Addresses are used again: the host that was heard last has it.
-        const auto [heard, isFirst] = heardAt.try_emplace(peer.status.address, peer.heard);
-        if (isFirst || peer.heard > heard->second) {
-            heard->second = peer.heard;
-            all.insert_or_assign(peer.status.address, destinationOf(peer, now));
+        if (entry != peersByAddress.end() && (entry->second == nullptr || peer.heard > entry->second->heard)) {
+            entry->second = &peer;
         }
     }
     std::vector<Destination> destinations;
-    destinations.reserve(all.size());
-    for (auto &[address, destination] : all) {
-        destinations.push_back(std::move(destination));
+    destinations.reserve(addresses.size());
+    for (const std::string &address : addresses) {
+        const Peer *const peer = peersByAddress.at(address);
+        destinations.push_back(peer != nullptr ? destinationOf(*peer, now) : Destination{address, std::nullopt, false});
     }
     return destinations;
 }
 
-Destination PeerRegistry::destination(const std::string &address, TimePoint now) const
-{
-    for (const auto &[host, peer] : m_peers) {
-        if (peer.status.address == address) {
-            return destinationOf(peer, now);
-        }
-    }
-    return {address, std::nullopt, false};
-}
-
 std::size_t PeerRegistry::hostCount() const
 {
     return m_peers.size() + 1;
@@ -229,12 +215,7 @@
 
 bool PeerRegistry::anySilent() const
 {
-    for (const auto &[host, peer] : m_peers) {
-        if (peer.silent) {
-            return true;
-        }
-    }
-    return false;
+    return std::ranges::any_of(m_peers, [](const auto &entry) { return entry.second.silent; });
 }
 
 }
--- a/src/gossip/peerregistry.h
+++ b/src/gossip/peerregistry.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <set>
+#include <span>
 
 namespace rosemaryshift::gossip {
 
@@ -53,10 +54,8 @@
     [[nodiscard]] std::vector<std::string> otherHostAddresses() const;
     /// All known peers, by host name; includes the silent ones.
     [[nodiscard]] const std::map<std::string, Peer> &peers() const;
-    /// The addresses(), each with what a status sent there depends on.
-    [[nodiscard]] std::vector<Destination> destinations(TimePoint now) const;
-    /// The destination of a status to the host at @p address.
-    [[nodiscard]] Destination destination(const std::string &address, TimePoint now) const;
+    /// The hosts at @p addresses in the same order, each with what a status sent there at @p now depends on.
+    [[nodiscard]] std::vector<Destination> destinations(std::span<const std::string> addresses, TimePoint now) const;
     /// Number of hosts that share quotas and budgets: this one and all known peers, including the silent ones.
     [[nodiscard]] std::size_t hostCount() const;
     /// Availability zones in which all known peers are silent. This host may be partitioned from them.
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -24,6 +24,11 @@
     return status;
 }
 
+Destination destination(const PeerRegistry &registry, const std::string &address, TimePoint now)
+{
+    return registry.destinations(std::vector{address}, now).at(0);
+}
+
 PeerStatus fullStatus()
 {
     PeerStatus status = makeStatus("entry-2", 5);
@@ -175,9 +180,9 @@
     current.interval = std::chrono::milliseconds(4'000);
     REQUIRE(registry.apply(earlier, Start));
     REQUIRE(registry.apply(current, Start));
-    CHECK(!registry.destination("10.0.0.9", Start).readsCompact);
-    CHECK(!registry.destination("10.0.0.2", Start).readsCompact);
-    CHECK(registry.destination("10.0.0.3", Start).readsCompact);
+    CHECK(!destination(registry, "10.0.0.9", Start).readsCompact);
+    CHECK(!destination(registry, "10.0.0.2", Start).readsCompact);
+    CHECK(destination(registry, "10.0.0.3", Start).readsCompact);
     CHECK(registry.anyHeardReadsJsonOnly());
 
     registry.expire(Start + std::chrono::milliseconds(1'300));
@@ -206,7 +211,7 @@
         PeerStatus replaced = makeStatus("entry-3", 1);
         replaced.start = "b";
         REQUIRE(registry.apply(replaced, Start + std::chrono::seconds(13)));
-        CHECK(!registry.destination("10.0.0.3", Start + std::chrono::seconds(13)).readsCompact);
+        CHECK(!destination(registry, "10.0.0.3", Start + std::chrono::seconds(13)).readsCompact);
     }
 }
 
@@ -223,9 +228,9 @@
     REQUIRE(registry.apply(status, Start));
     CHECK(registry.addresses() == std::set<std::string>{"10.0.0.2", "10.0.0.3", "10.0.0.9"});
     CHECK(registry.hostCount() == 2);
-    CHECK(registry.destination("10.0.0.2", Start).echoUs == 5);
-    CHECK(!registry.destination("10.0.0.3", Start).echoUs);
-    CHECK(registry.destinations(Start).size() == 3);
+    CHECK(destination(registry, "10.0.0.2", Start).echoUs == 5);
+    CHECK(!destination(registry, "10.0.0.3", Start).echoUs);
+    CHECK(registry.addresses().size() == 3);
 
     SECTION("a status that is not newer than the known one is not applied")
     {
@@ -238,7 +243,7 @@
         registry.expire(Start + std::chrono::seconds(2));
         CHECK(registry.anySilent());
         CHECK(registry.hostCount() == 2);
-        CHECK(!registry.destination("10.0.0.2", Start + std::chrono::seconds(3)).echoUs);
+        CHECK(!destination(registry, "10.0.0.2", Start + std::chrono::seconds(3)).echoUs);
         registry.expire(Start + std::chrono::seconds(121));
         CHECK(!registry.anySilent());
         CHECK(registry.hostCount() == 1);
