Let a few hosts of an availability zone read the platform's log for the others

Change: src/relay, without network: rendezvous hashing chooses two readers or more among the hosts of a zone that are heard; a reader keeps the changes that it has read, without the renewals. The other hosts ask one by a datagram, with the offset up to which they know the list, and get the changes, the age of the read that shows them, and the version of the configuration with the age of its confirmation. Ages count back from the sending of the question, so they are never too young. A host that gets no answer in 300 ms, or none that is certain and young enough, reads the log itself and avoids that reader for 10 s; so it does where another reading is needed, and after a time without reads. Zones of up to eight hosts go on as before. Readers read twice as often. Ruled out: log-join of the platform for the choice of readers, which costs calls of all and another state that lapses; reading only on peers' confirmations by statuses, which are up to two intervals old, 4.7 s at 294 peers, where keys must be refused after 5 s.

--- a/src/directory/directorytypes.h
+++ b/src/directory/directorytypes.h
@@ -28,6 +28,8 @@
     bool reclaimable = false;                          ///< The platform may take the upstream away at short notice.
     std::optional<std::chrono::milliseconds> leavesIn; ///< Time until the platform takes the upstream away, when known.
     std::chrono::milliseconds warmUp{0};               ///< Remaining time during which the upstream is slow after its start.
+
+    bool operator==(const UpstreamEntry &) const = default;
 };
 
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -24,6 +24,7 @@
     http::Endpoint readinessListener;              ///< Serves the load balancer's readiness checks.
     http::Endpoint peerListener;                   ///< Serves the configuration to other gateways.
     std::uint16_t gossipPort = 0;                  ///< UDP port for gossip; the same on all gateways.
+    std::uint16_t relayPort = 0;                   ///< UDP port for what gateways read from the log for each other; the same on all; 0 for none.
     std::optional<http::Endpoint> metricsListener; ///< Serves the metrics in Prometheus' text format.
     std::vector<std::string> seeds;                ///< Peer listeners of other gateways, as address:port; may be out of date.
 
--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -16,11 +16,18 @@
 /// The longest wait of a read is the bound on the revocation of API keys divided by this number. A read confirms the configuration as of its start,
 /// so that when an outage begins, the last confirmation may be up to two waits old.
 constexpr int ReadsPerRevocationDelay = 5;
+/// A host that others ask waits for a shorter time, by this factor, since what it tells is as old as its last read.
+constexpr int ReaderReadsPerInterval = 2;
+/// A host that has a reader reads the log itself when its configuration was last confirmed longer ago than this part of the bound on revocations.
+constexpr double ConfirmedPart = 0.6;
+/// Interval at which a host that has a reader checks whether its configuration is confirmed, and the newest that is known.
+constexpr std::chrono::milliseconds ConfirmationPollInterval{100};
 
 }
 
-ConfigurationFollower::ConfigurationFollower(GatewayContext &context, std::function<void()> onConfigurationChanged)
+ConfigurationFollower::ConfigurationFollower(GatewayContext &context, const LogRelay &relay, std::function<void()> onConfigurationChanged)
     : m_context(context)
+    , m_relay(relay)
     , m_onConfigurationChanged(std::move(onConfigurationChanged))
 {
 }
@@ -28,6 +35,7 @@
 net::awaitable<void> ConfigurationFollower::run()
 {
     while (true) {
+        co_await waitWhileConfirmed();
         ports::LogFailure failure;
         bool succeeded = false;
         if (m_offset) {
@@ -42,6 +50,20 @@
     }
 }
 
+net::awaitable<void> ConfigurationFollower::waitWhileConfirmed() const
+{
+    const Duration longestAge = std::chrono::duration_cast<Duration>(m_context.settings.maxRevocationDelay * ConfirmedPart);
+    while (m_offset && m_reachable && m_relay.hasReader(hostNow())) {
+        co_await pause(ConfirmationPollInterval);
+        const ActiveConfiguration &configuration = m_context.configuration;
+        const std::uint64_t newest = std::max(configuration.knownVersion(), m_relay.newestConfiguration());
+        const std::optional<Duration> age = configuration.age(hostNow());
+        if (!age || *age > longestAge || configuration.version() < newest) {
+            co_return;
+        }
+    }
+}
+
 net::awaitable<bool> ConfigurationFollower::readNewest(ports::LogFailure &failure)
 {
     const TimePoint startedAt = hostNow();
@@ -60,7 +82,12 @@
 {
     const TimePoint startedAt = hostNow();
     // After an outage, read without waiting, to learn soon whether anything changed.
-    const std::chrono::milliseconds wait = m_reachable ? m_context.settings.maxRevocationDelay / ReadsPerRevocationDelay : std::chrono::milliseconds::zero();
+    std::chrono::milliseconds wait = m_reachable ? m_context.settings.maxRevocationDelay / ReadsPerRevocationDelay : std::chrono::milliseconds::zero();
+    if (m_relay.hasReader(startedAt)) {
+        wait = std::chrono::milliseconds::zero();
+    } else if (m_relay.isReader()) {
+        wait /= ReaderReadsPerInterval;
+    }
     const std::optional<ports::RecordBatch> batch
         = co_await m_context.ports.configurationLog->readFrom(ports::Topic::Configuration, *m_offset, wait, ResponseTimeout, failure);
     if (!batch) {
--- a/src/gateway/internal/configurationfollower.h
+++ b/src/gateway/internal/configurationfollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/logrelay.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -13,7 +14,7 @@
 {
 public:
     /// @p onConfigurationChanged is called after each change of the configuration in force.
-    ConfigurationFollower(GatewayContext &context, std::function<void()> onConfigurationChanged);
+    ConfigurationFollower(GatewayContext &context, const LogRelay &relay, std::function<void()> onConfigurationChanged);
 
     /// Reads the topic until the process ends; never returns.
     boost::asio::awaitable<void> run();
@@ -27,7 +28,11 @@
     void applyRecords(std::span<const ports::Record> records, TimePoint readAt);
     void updateReachable(bool reachable, std::string_view reason);
 
+    /// Waits while other hosts confirm the configuration in force, and this one need not read the log for it.
+    boost::asio::awaitable<void> waitWhileConfirmed() const;
+
     GatewayContext &m_context;
+    const LogRelay &m_relay;
     const std::function<void()> m_onConfigurationChanged;
     std::optional<std::uint64_t> m_offset; ///< Offset of the next read; nothing when the newest records must be read first.
     std::uint64_t m_newestVersion = 0;     ///< Newest version read from the log.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/dutyrunner.h"
 #include "gateway/internal/gossipendpoint.h"
 #include "gateway/internal/hostclock.h"
+#include "gateway/internal/logrelay.h"
 #include "gateway/internal/loopsampler.h"
 #include "gateway/internal/peerheaders.h"
 #include "gateway/internal/reachprober.h"
@@ -63,8 +64,9 @@
     Gateway(const GatewaySettings &settings, PlatformPorts ports, std::function<std::optional<GatewaySettings>()> reload)
         : m_reload(std::move(reload))
         , m_context(settings, std::move(ports), randomId().substr(0, 8))
-        , m_configurationFollower(m_context, [this] { applyConfiguration(); })
-        , m_upstreamFollower(m_context)
+        , m_logRelay(m_context)
+        , m_configurationFollower(m_context, m_logRelay, [this] { applyConfiguration(); })
+        , m_upstreamFollower(m_context, m_logRelay)
         , m_streamRegistry(m_context, m_upstreamFollower)
         , m_gossip(m_context, m_configurationFollower, m_usageCollector)
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
@@ -99,7 +101,7 @@
             [this](http::Request request, http::IResponseWriter &writer) { return servePeer(std::move(request), writer); },
             reason,
             std::make_shared<ConnectionObserver>(m_context, "peer"));
-        if (!m_callerServer || !m_readinessServer || !m_peerServer || !m_gossip.open(m_io, reason)) {
+        if (!m_callerServer || !m_readinessServer || !m_peerServer || !m_gossip.open(m_io, reason) || !m_logRelay.open(m_io, reason)) {
             return false;
         }
         if (settings.metricsListener) {
@@ -127,6 +129,7 @@
         startTask(m_io.get_executor(), m_loopSampler.run());
         startTask(m_io.get_executor(), m_gossip.send());
         startTask(m_io.get_executor(), m_gossip.receive());
+        startTask(m_io.get_executor(), m_logRelay.receive());
         startTask(m_io.get_executor(), runMaintenance());
         if (m_context.ports.dutyClient) {
             startTask(m_io.get_executor(), m_dutyRunner.run());
@@ -306,6 +309,7 @@
     net::io_context m_io{1};
     GatewayContext m_context;
     duties::UsageCollector m_usageCollector;
+    LogRelay m_logRelay;
     ConfigurationFollower m_configurationFollower;
     UpstreamFollower m_upstreamFollower;
     StreamRegistry m_streamRegistry;
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -37,6 +37,7 @@
     settings.readinessListener = endpointSetting(*listen, "readiness");
     settings.peerListener = endpointSetting(*listen, "peers");
     settings.gossipPort = static_cast<std::uint16_t>(listen->number("gossip_port", {1, MaxPort}));
+    settings.relayPort = static_cast<std::uint16_t>(listen->number("relay_port", {0, MaxPort}, 0));
     const std::uint64_t metricsPort = listen->number("metrics_port", {0, MaxPort}, 0);
     if (metricsPort > 0) {
         settings.metricsListener = http::Endpoint{settings.address, static_cast<std::uint16_t>(metricsPort)};
--- a/src/gateway/internal/upstreamfollower.cpp
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -14,11 +14,16 @@
 /// Delay before a failed read is repeated. Together with ResponseTimeout it stays below one second, since the changes made during an outage of the
 /// log must be known within a second of its end.
 constexpr std::chrono::milliseconds RetryDelay{200};
+/// A host that others ask reads the list this number of times as often, since what it tells is as old as its last read.
+constexpr int ReaderReadsPerInterval = 2;
+/// Number of answers of a reader within the bound on the revocation of API keys.
+constexpr int AnswersPerRevocationDelay = 5;
 
 }
 
-UpstreamFollower::UpstreamFollower(GatewayContext &context)
+UpstreamFollower::UpstreamFollower(GatewayContext &context, LogRelay &relay)
     : m_context(context)
+    , m_relay(relay)
     , m_read([this] { return read(); })
 {
 }
@@ -35,6 +40,7 @@
 
 net::awaitable<bool> UpstreamFollower::refresh()
 {
+    m_ownReadNeeded = true;
     bool succeeded = co_await m_read.run();
     if (succeeded && !m_offset) { // The log had lost its history.
         succeeded = co_await m_read.run();
@@ -45,6 +51,15 @@
 net::awaitable<bool> UpstreamFollower::read()
 {
     const TimePoint startedAt = hostNow();
+    // After a time without reads, as after a suspension, the offset may be of a log that has been restored since.
+    const bool mayAsk = m_offset && !m_ownReadNeeded && m_context.listAvailability.reachableFor(startedAt) && m_relay.hasReader(startedAt);
+    m_ownReadNeeded = false;
+    if (mayAsk) {
+        const bool told = co_await readThroughRelay();
+        if (told) {
+            co_return true;
+        }
+    }
     ports::LogFailure failure;
     bool succeeded = false;
     if (m_offset) {
@@ -57,10 +72,41 @@
     noteVersions(hostNow());
     if (succeeded && m_offset) {
         m_context.runContinuity.noteListRead(startedAt);
+        m_relay.noteListRead(startedAt);
     }
     co_return succeeded;
 }
 
+net::awaitable<bool> UpstreamFollower::readThroughRelay()
+{
+    while (true) {
+        const std::optional<LogRelay::Answer> answer = co_await m_relay.ask(*m_offset);
+        if (!answer) {
+            m_context.metrics.count("rosemaryshift_relay_total", R"(event="not_told")");
+            co_return false;
+        }
+        const relay::Answer &content = answer->content;
+        const TimePoint now = hostNow();
+        if (content.confirmedAge) {
+            m_context.configuration.confirm(content.configuration, answer->askedAt - *content.confirmedAge);
+        }
+        updateReachable(true, {});
+        for (const relay::Change &change : content.changes.changes) {
+            applyRecord({change.key, change.value, change.offset}, now);
+            m_relay.changes().note(change); // This host may be asked later.
+        }
+        m_offset = content.changes.nextOffset;
+        m_relay.changes().advance(*m_offset);
+        dropMissingEntries();
+        noteVersions(now);
+        m_context.runContinuity.noteListRead(answer->askedAt - *content.listAge);
+        m_context.metrics.count("rosemaryshift_relay_total", R"(event="told")");
+        if (!content.changes.more) {
+            co_return true;
+        }
+    }
+}
+
 void UpstreamFollower::noteVersions(TimePoint now)
 {
     for (const auto &[instance, upstream] : m_context.directory.all()) {
@@ -74,6 +120,11 @@
         return RetryDelay;
     }
     std::chrono::milliseconds time = std::chrono::ceil<std::chrono::milliseconds>(m_context.listReadInterval);
+    if (m_relay.isReader()) {
+        time /= ReaderReadsPerInterval;
+    } else if (m_relay.hasReader(hostNow())) {
+        time = std::min(time, m_context.settings.maxRevocationDelay / AnswersPerRevocationDelay); // The answers also confirm the configuration.
+    }
     if (const std::optional<TimePoint> settlesAt = m_context.listAvailability.settlesAt()) {
         time = std::min(time, std::chrono::ceil<std::chrono::milliseconds>(std::max(*settlesAt - hostNow(), Duration::zero())));
     }
@@ -118,6 +169,7 @@
     m_context.directory.applyAll(entries, now, m_context.listAvailability.unsettled(now));
     m_context.softwareVersions.noteUnobserved(now);
     m_offset = newest->endOffset;
+    m_relay.changes().reset(newest->endOffset);
     ++m_newestReads;
     co_return true;
 }
@@ -137,17 +189,32 @@
     }
     const TimePoint now = hostNow();
     for (const ports::Record &record : batch->records) {
-        if (!record.value) {
-            m_context.directory.remove(record.key, now, m_context.listAvailability.unsettled(now));
-        } else if (const std::optional<directory::UpstreamEntry> entry = parseEntry(record)) {
-            m_context.softwareVersions.noteListed({entry->service, entry->softwareVersion}, now); // It may be gone again by the end of the batch.
-            m_context.directory.apply(*entry, now);
+        if (applyRecord(record, now)) {
+            m_relay.changes().note({record.key, record.value, record.offset});
         }
     }
     m_offset = batch->nextOffset;
+    m_relay.changes().advance(batch->nextOffset);
     co_return true;
 }
 
+bool UpstreamFollower::applyRecord(const ports::Record &record, TimePoint now)
+{
+    if (!record.value) {
+        m_context.directory.remove(record.key, now, m_context.listAvailability.unsettled(now));
+        return true;
+    }
+    const std::optional<directory::UpstreamEntry> entry = parseEntry(record);
+    if (!entry) {
+        return false;
+    }
+    const directory::Upstream *const known = m_context.directory.find(entry->instance);
+    const bool changed = known == nullptr || known->entry != *entry || known->lapsedAt;
+    m_context.softwareVersions.noteListed({entry->service, entry->softwareVersion}, now); // It may be gone again by the end of the batch.
+    m_context.directory.apply(*entry, now);
+    return changed;
+}
+
 std::optional<directory::UpstreamEntry> UpstreamFollower::parseEntry(const ports::Record &record) const
 {
     std::string reason = "no value";
--- a/src/gateway/internal/upstreamfollower.h
+++ b/src/gateway/internal/upstreamfollower.h
@@ -1,17 +1,19 @@
 #pragma once
 
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/logrelay.h"
 #include "gateway/internal/sharedread.h"
 
 #include <boost/asio/awaitable.hpp>
 
 namespace rosemaryshift::gateway {
 
-/// Follows the upstream topic of the platform log and keeps the upstream directory up to date. Used from the gateway's thread.
+/// Follows the upstream topic of the platform log and keeps the upstream directory up to date, by reads of its own or through another host that reads the log.
+/// Used from the gateway's thread.
 class UpstreamFollower
 {
 public:
-    explicit UpstreamFollower(GatewayContext &context);
+    UpstreamFollower(GatewayContext &context, LogRelay &relay);
 
     /// Reads the topic until the process ends; never returns.
     boost::asio::awaitable<void> run();
@@ -26,6 +28,10 @@
     boost::asio::awaitable<bool> read();
     boost::asio::awaitable<bool> readNewest(ports::LogFailure &failure);
     boost::asio::awaitable<bool> readNext(ports::LogFailure &failure);
+    /// Asks a reader for the changes of the list. Returns false when it cannot tell them.
+    boost::asio::awaitable<bool> readThroughRelay();
+    /// Applies a record of the list. Returns whether it changed an entry.
+    bool applyRecord(const ports::Record &record, TimePoint now);
     [[nodiscard]] std::optional<directory::UpstreamEntry> parseEntry(const ports::Record &record) const;
     [[nodiscard]] std::chrono::milliseconds delayAfter(bool succeeded) const;
     /// Drops the entries that did not come back in time after an outage of the log.
@@ -36,7 +42,9 @@
     void noteVersions(TimePoint now);
 
     GatewayContext &m_context;
+    LogRelay &m_relay;
     SharedRead m_read;
+    bool m_ownReadNeeded = false;          ///< The next read must show what was written before now, which another host may not have read yet.
     std::optional<std::uint64_t> m_offset; ///< Offset of the next read; nothing when the newest records must be read first.
     std::uint64_t m_newestReads = 0;
 };
