Compare only a few upstreams where the reports of load are old, so that hosts do not herd

Cause: each host takes the upstream with the earliest expected first event out of all, by the requests that its peers last reported. With 294 peers a report is up to 2.4 s old, ten times as long as a question takes: all hosts take the same upstreams for the least busy ones. Change: where reports are more than 400 ms apart, a host compares two upstreams that it picks at random among those that seem sound, and the one that keeps the shared part of the prompt. Small fleets compare all, as before. The balancer's records and the choice of what is compared have files of their own.

--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -1,7 +1,7 @@
 #include "balancing/upstreambalancer.h"
 
-#include "balancing/internal/cachehistory.h"
 #include "balancing/internal/peerload.h"
+#include "balancing/internal/upstreamrecords.h"
 
 #include <algorithm>
 #include <cmath>
@@ -14,10 +14,6 @@
 
 /// Weight of a new sample in an exponential moving average.
 constexpr double SampleWeight = 0.1;
-/// Initial estimate of the time to process a thousand prompt tokens, in milliseconds.
-constexpr double InitialPrefillCost = 15;
-/// Initial estimate of the base latency, in milliseconds: time to the first event without prompt processing, or to a non-engine service's answer.
-constexpr double InitialBase = 50;
 /// Relative increase of the time to a first event for each request that runs at the upstream.
 constexpr double BatchCostPerRequest = 0.02;
 /// Number of running requests up to which a prompt is processed nearly as fast as at an idle upstream.
@@ -59,48 +55,25 @@
 
 }
 
-struct UpstreamBalancer::Upstream {
-    Outstanding own;
-    std::optional<double> prefillCost; ///< Milliseconds for a thousand prompt tokens; nothing before any was measured.
-    std::optional<double> base;        ///< Base latency in milliseconds, see InitialBase; nothing before any was measured.
-    double failureRate = 0;            ///< Moving average, 0 to 1.
-    std::uint32_t consecutiveFailures = 0;
-    std::optional<TimePoint> ejectedUntil;
-    CacheHistory cache;
-};
-
-struct UpstreamBalancer::Service {
-    double prefillCost = InitialPrefillCost;
-    double unloadedCost = InitialPrefillCost; ///< As prefillCost, but only from requests to nearly idle upstreams.
-    double base = InitialBase;
-    double failureRate = 0;
-    std::deque<std::pair<TimePoint, std::uint64_t>> prefills; ///< Time and uncached prompt tokens of each request sent within the last RateWindow.
-};
-
-struct UpstreamBalancer::Attempt {
-    std::string service;
-    std::string instance;
-    TimePoint began;
-    std::uint64_t prefillTokens = 0; ///< Uncached prompt tokens of this request.
-    std::uint64_t aheadTokens = 0;   ///< Uncached prompt tokens that the upstream had to process before it.
-    bool engine = false;             ///< Whether the upstream is an engine.
-    bool nearlyIdle = false;         ///< Whether the upstream was nearly idle when the attempt began.
-    bool firstEvent = false;         ///< Whether the first event was received.
-};
-
 struct UpstreamBalancer::Scored {
     double expected = 0; ///< Estimated time to the first event, in milliseconds.
     double ranking = 0;  ///< Expected time with all penalties, in milliseconds; the lowest is chosen.
     std::uint64_t uncached = 0;
 };
 
-UpstreamBalancer::UpstreamBalancer()
+UpstreamBalancer::UpstreamBalancer(std::uint64_t seed)
     : m_peerLoad(std::make_unique<PeerLoad>())
+    , m_random(seed)
 {
 }
 
 UpstreamBalancer::~UpstreamBalancer() = default;
 
+void UpstreamBalancer::setReportInterval(Duration interval)
+{
+    m_reportInterval = interval;
+}
+
 std::optional<Choice> UpstreamBalancer::choose(const RequestProfile &profile, std::span<const Candidate> candidates, TimePoint now)
 {
     static const Service Unseen;
@@ -112,9 +85,9 @@
     std::optional<Choice> best;
     double bestRanking = 0;
     double secondRanking = 0;
-    for (const Candidate &candidate : candidates) {
-        const auto known = m_upstreams.find(std::string(candidate.instance));
-        const Upstream *const upstream = known == m_upstreams.end() ? nullptr : &known->second;
+    for (const Candidate *const considered : compared(candidates, home, now)) {
+        const Candidate &candidate = *considered;
+        const Upstream *const upstream = find(candidate.instance);
         if (candidate.maxConcurrentRequests > 0 && upstream != nullptr && upstream->own.running >= candidate.maxConcurrentRequests) {
             continue;
         }
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <unordered_map>
 
 namespace rosemaryshift::balancing {
@@ -15,14 +16,21 @@
 /// Chooses the upstream with the earliest expected first event, estimated from the requests of all hosts at each upstream, the prompt tokens that
 /// are not in its cache and its measured speed. Requests whose prompts begin alike go to the same upstream while it has capacity; all hosts
 /// select that upstream without communication, by rendezvous hashing. The current time is passed to each call. Not thread-safe.
+///
+/// What the hosts know of each other's load is as old as their reports. In a large fleet, whose reports are far apart, all hosts would send to the upstreams
+/// that were the least busy some time ago, and overload them. There each host compares only a few upstreams that it picks at random.
 class UpstreamBalancer
 {
 public:
-    UpstreamBalancer();
+    /// @p seed: differs between the hosts, which pick upstreams at random.
+    explicit UpstreamBalancer(std::uint64_t seed = 0);
     ~UpstreamBalancer();
     UpstreamBalancer(const UpstreamBalancer &) = delete;
     UpstreamBalancer &operator=(const UpstreamBalancer &) = delete;
 
+    /// Sets the time between two reports of another host's load.
+    void setReportInterval(Duration interval);
+
     /// Returns the best of @p candidates that may be sent one more request; nothing when there is none.
     [[nodiscard]] std::optional<Choice> choose(const RequestProfile &profile, std::span<const Candidate> candidates, TimePoint now);
 
@@ -61,6 +69,10 @@
                                const Upstream *upstream,
                                std::string_view home,
                                TimePoint now) const;
+    /// The candidates to compare: all, or in a large fleet @p home and a few picked at random among those that seem sound.
+    [[nodiscard]] std::vector<const Candidate *> compared(std::span<const Candidate> candidates, std::string_view home, TimePoint now);
+    /// What this host knows of an upstream; null when it knows nothing.
+    [[nodiscard]] const Upstream *find(std::string_view instance) const;
     /// The load of all hosts on @p instance. @p upstream: what this host knows of it; null when it knows nothing.
     [[nodiscard]] Outstanding total(const std::string &instance, const Upstream *upstream) const;
     [[nodiscard]] double failurePenalty(const Upstream *upstream, const Service &service, TimePoint now) const;
@@ -71,6 +83,8 @@
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
     const std::unique_ptr<PeerLoad> m_peerLoad;
     std::uint64_t m_nextAttempt = 1;
+    Duration m_reportInterval{0};
+    std::mt19937_64 m_random;
 };
 
 /// Returns the id of the prompt part that requests are grouped by: the last but one, as the last part belongs to one request alone. Nothing when
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -53,6 +53,7 @@
     , upstreamReach([this](const std::string &service, bool reached) {
         eventLog.write("service_reach", eventlog::Importance::StateChange, {{"service", service}, {"change", reached ? "reached" : "unreached"}});
     })
+    , balancer(randomSeed())
     , quotas(settings.quotas, randomSeed())
     , retryBudget(settings.retries)
     , upstreamLimits([this](const std::string &instance, std::optional<double> perSecond) {
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -116,6 +116,7 @@
         chooseRelayedUsage(begin);
         const gossip::PeerStatus first = localStatus(begin);
         const bool withPeers = peersAreDue(first.peers);
+        m_context.balancer.setReportInterval(first.interval);
         for (const gossip::StatusBatch &batch : gossip::pacedBatches(m_context.settings.address, m_registry.addresses(), first.interval)) {
             co_await pause(atLeastZero(begin + batch.delay - hostNow()));
             const TimePoint now = hostNow();
