--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -22,6 +22,8 @@
 constexpr double ConfirmedPart = 0.6;
 /// Interval at which a host that has a reader checks whether its configuration is confirmed, and the newest that is known.
 constexpr std::chrono::milliseconds ConfirmationPollInterval{100};
+/// Delay before such a host reads the log again for a version that others know and its last read did not show, as when the log has lost it.
+constexpr std::chrono::milliseconds MissingVersionDelay{500};
 
 }
 
@@ -57,8 +59,10 @@
         co_await pause(ConfirmationPollInterval);
         const ActiveConfiguration &configuration = m_context.configuration;
         const std::uint64_t newest = std::max(configuration.knownVersion(), m_relay.newestConfiguration());
-        const std::optional<Duration> age = configuration.age(hostNow());
-        if (!age || *age > longestAge || configuration.version() < newest) {
+        const TimePoint now = hostNow();
+        const std::optional<Duration> age = configuration.age(now);
+        const bool readLately = m_readAt && now - *m_readAt < MissingVersionDelay;
+        if (!age || *age > longestAge || (configuration.version() < newest && !readLately)) {
             co_return;
         }
     }
@@ -81,6 +85,7 @@
 net::awaitable<bool> ConfigurationFollower::readNext(ports::LogFailure &failure)
 {
     const TimePoint startedAt = hostNow();
+    m_readAt = startedAt;
     // After an outage, read without waiting, to learn soon whether anything changed.
     std::chrono::milliseconds wait = m_reachable ? m_context.settings.maxRevocationDelay / ReadsPerRevocationDelay : std::chrono::milliseconds::zero();
     if (m_relay.hasReader(startedAt)) {
