Open the two datagram sockets of a gateway in one place

Cause: found by the search for duplicates: the relay's socket was opened by the same lines as the one for statuses. Change: openDatagramSocket(). No change of behaviour.

--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/internal/backgroundtask.h"
 #include "gateway/internal/busyupstreams.h"
+#include "gateway/internal/datagramsocket.h"
 #include "gateway/internal/hostclock.h"
 #include "gossip/statuspacing.h"
 
@@ -24,14 +25,12 @@
 constexpr int MaxDatagramsPerTurn = 64;
 /// Delay after which hosts that have just started are told of this host. They come by the dozen when a fleet starts, and are answered together.
 constexpr std::chrono::milliseconds NewHostDelay{20};
+
 std::chrono::milliseconds atLeastZero(Duration duration)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(std::max(duration, Duration::zero()));
 }
 
-/// Size of the receive buffer in bytes: the largest payload of UDP over IPv4. A truncated status could not be read.
-constexpr std::size_t MaxDatagramBytes = 65'507;
-
 }
 
 GossipEndpoint::GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurationFollower, duties::UsageCollector &usageCollector)
@@ -55,23 +54,8 @@
 
 bool GossipEndpoint::open(net::io_context &ioContext, std::string &reason)
 {
-    boost::system::error_code error;
-    const net::ip::address address = net::ip::make_address(m_context.settings.address, error);
-    m_socket.emplace(ioContext);
-    if (!error) {
-        m_socket->open(udp::v4(), error);
-    }
-    if (!error) {
-        m_socket->bind(udp::endpoint(address, m_context.settings.gossipPort), error);
-    }
-    if (!error) {
-        m_socket->non_blocking(true, error);
-    }
-    if (error) {
-        reason = "cannot bind " + m_context.settings.address + ":" + std::to_string(m_context.settings.gossipPort) + ": " + error.message();
-        return false;
-    }
-    return true;
+    m_socket = openDatagramSocket(ioContext, m_context.settings.address, m_context.settings.gossipPort, reason);
+    return m_socket.has_value();
 }
 
 void GossipEndpoint::setSeeds(const std::vector<std::string> &addresses)
--- a/src/gateway/internal/logrelay.cpp
+++ b/src/gateway/internal/logrelay.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/logrelay.h"
 
+#include "gateway/internal/datagramsocket.h"
 #include "gateway/internal/hostclock.h"
 #include "relay/logreaders.h"
 
@@ -18,8 +19,6 @@
 constexpr std::chrono::seconds AvoidanceTime{10};
 /// Time for which the choice of the readers is kept, as the hosts of the zone rarely change.
 constexpr std::chrono::milliseconds ReadersLifetime{500};
-/// Size of the receive buffer in bytes: the largest payload of UDP over IPv4.
-constexpr std::size_t MaxDatagramBytes = 65'507;
 
 }
 
@@ -34,24 +33,9 @@
     if (m_context.settings.relayPort == 0) {
         return true;
     }
-    boost::system::error_code error;
-    const net::ip::address address = net::ip::make_address(m_context.settings.address, error);
-    m_socket.emplace(ioContext);
-    if (!error) {
-        m_socket->open(udp::v4(), error);
-    }
-    if (!error) {
-        m_socket->bind(udp::endpoint(address, m_context.settings.relayPort), error);
-    }
-    if (!error) {
-        m_socket->non_blocking(true, error);
-    }
-    if (error) {
-        reason = "cannot bind " + m_context.settings.address + ":" + std::to_string(m_context.settings.relayPort) + ": " + error.message();
-        return false;
-    }
+    m_socket = openDatagramSocket(ioContext, m_context.settings.address, m_context.settings.relayPort, reason);
     m_answerTimer.emplace(ioContext);
-    return true;
+    return m_socket.has_value();
 }
 
 net::awaitable<void> LogRelay::receive()
