--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -241,7 +241,9 @@
 
     net::awaitable<void> stop()
     {
-        m_context.stop.begin(hostNow());
+        const TimePoint now = hostNow();
+        // The platform counts from the signal, which has waited as long as the event loop was late.
+        m_context.stop.begin(now, m_context.loopDelay.estimate(now));
         m_context.eventLog.write("stopping", eventlog::Importance::StateChange, {{"open_requests", static_cast<std::int64_t>(m_openRequests.size())}});
         m_callerServer->announceClose();
         m_peerServer->announceClose();
--- a/src/gateway/internal/stopschedule.cpp
+++ b/src/gateway/internal/stopschedule.cpp
@@ -13,6 +13,8 @@
 constexpr double DrainingPart = 0.85;
 /// Part of the stop timeout after which the process exits even if requests or connections are still open.
 constexpr double ExitPart = 0.93;
+/// Part of the stop timeout that is taken to have passed at most when a late process handles the signal: its open requests still have to be answered.
+constexpr double MaxLatePart = 0.5;
 
 }
 
@@ -21,10 +23,10 @@
 {
 }
 
-void StopSchedule::begin(TimePoint now)
+void StopSchedule::begin(TimePoint now, Duration lateness)
 {
     if (!m_begunAt) {
-        m_begunAt = now;
+        m_begunAt = now - std::min(lateness, std::chrono::duration_cast<Duration>(m_stopTimeout * MaxLatePart));
     }
 }
 
--- a/src/gateway/internal/stopschedule.h
+++ b/src/gateway/internal/stopschedule.h
@@ -15,8 +15,9 @@
     /// @p stopTimeout: time from the signal to stop until the process is killed.
     explicit StopSchedule(std::chrono::milliseconds stopTimeout);
 
-    /// Records that the process was told to stop. Further calls change nothing.
-    void begin(TimePoint now);
+    /// Records that the process was told to stop, with a signal that it handles @p now and that came at most @p lateness ago. The stop begins at the
+    /// earliest of these times, but at least half of the stop timeout is left. Further calls change nothing.
+    void begin(TimePoint now, Duration lateness = Duration::zero());
     /// Whether the process was told to stop.
     [[nodiscard]] bool begun() const;
     /// Whether all new requests are refused.
--- a/src/gateway/tests/stopscheduletests.cpp
+++ b/src/gateway/tests/stopscheduletests.cpp
@@ -53,6 +53,19 @@
             CHECK(schedule.untilExit(start + 1h) == 0ms);
         }
     }
+    SECTION("a signal that a late process handles counts from when it may have come")
+    {
+        schedule.begin(start, 2s);
+        CHECK(schedule.refusesRequests(start + 400ms));
+        CHECK(schedule.untilExit(start) < 6s);
+    }
+    SECTION("after a pause of unknown length, enough time is left to answer the open requests")
+    {
+        schedule.begin(start, 1h);
+        CHECK(schedule.refusesRequests(start));
+        CHECK(schedule.untilEnding(start) >= 2s);
+        CHECK(schedule.untilExit(start) < 4s);
+    }
     SECTION("without any time to stop, nothing is accepted")
     {
         StopSchedule immediate(0ms);
