Write addresses without a buffer that the optimised build warns of

Cause: the optimised build stops at -Wstringop-overflow for the last separator, which is written behind the fourth number; the build with tests does not optimise enough to see it. Change: the text is appended to a string.

--- a/src/gossip/internal/compactstatusdecoder.cpp
+++ b/src/gossip/internal/compactstatusdecoder.cpp
@@ -4,8 +4,6 @@
 
 #include <boost/endian/conversion.hpp>
 
-#include <array>
-#include <charconv>
 #include <cmath>
 #include <cstring>
 
@@ -45,13 +43,12 @@
 /// The dotted form of an IPv4 @p address. The system's function takes most of the time that a status with hundreds of peers takes.
 std::string addressText(std::uint32_t address)
 {
-    std::array<char, 16> text{};
-    char *end = text.data();
-    for (const unsigned int shift : {24U, 16U, 8U, 0U}) {
-        end = std::to_chars(end, text.data() + text.size(), (address >> shift) & 0xffU).ptr;
-        *end++ = '.';
+    std::string text = std::to_string(address >> 24U);
+    for (const unsigned int shift : {16U, 8U, 0U}) {
+        text += '.';
+        text += std::to_string((address >> shift) & 0xffU);
     }
-    return {text.data(), end - 1};
+    return text;
 }
 
 /// Decodes one status.
