Let the readers of a zone bring configurations and outages of the log to the other hosts

A host that reaches its reader, but not the log, read the configuration every 200 ms, since it left its reader once its own read had failed. Each change of the configuration was read by each of the 65 hosts.

Change: a host with a reader relies on it while the configuration is confirmed, whether or not its own last read succeeded. A newer version is fetched from a peer first, of the own zone if one has it, and read from the log when a quarter of the bound on configurations has passed. What a reader tells counts as known, so that the fetch does not wait for a status.

--- a/src/gateway/internal/configurationfetcher.cpp
+++ b/src/gateway/internal/configurationfetcher.cpp
@@ -95,13 +95,14 @@
 
 std::vector<std::string> ConfigurationFetcher::sources() const
 {
-    std::vector<std::string> addresses;
+    std::vector<std::string> ofOwnZone;
+    std::vector<std::string> ofOtherZones;
     for (const auto &[host, peer] : m_registry.peers()) {
         if (!peer.silent && peer.status.configuration > m_context.configuration.version()) {
-            addresses.push_back(peer.status.address);
+            (peer.status.zone == m_context.settings.zone ? ofOwnZone : ofOtherZones).push_back(peer.status.address);
         }
     }
-    return addresses;
+    return ofOwnZone.empty() ? ofOtherZones : ofOwnZone;
 }
 
 }
--- a/src/gateway/internal/configurationfetcher.h
+++ b/src/gateway/internal/configurationfetcher.h
@@ -33,7 +33,7 @@
     boost::asio::awaitable<void> fetchNewer();
     /// Fetches the configuration from the peer at @p address and puts it in force. Returns false when that fails.
     boost::asio::awaitable<bool> fetchFrom(std::string address);
-    /// Addresses of the peers that are heard and have a newer configuration than this host.
+    /// Addresses of the peers that are heard and have a newer configuration than this host; those of its own availability zone if there are any.
     [[nodiscard]] std::vector<std::string> sources() const;
 
     GatewayContext &m_context;
--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -20,6 +20,8 @@
 constexpr int ReaderReadsPerInterval = 2;
 /// A host that has a reader reads the log itself when its configuration was last confirmed longer ago than this part of the bound on revocations.
 constexpr double ConfirmedPart = 0.6;
+/// Such a host leaves it to a fetch from a peer to bring a newer configuration that others know, for this part of the bound on configurations.
+constexpr double PeerFetchPart = 0.25;
 /// Interval at which a host that has a reader checks whether its configuration is confirmed, and the newest that is known.
 constexpr std::chrono::milliseconds ConfirmationPollInterval{100};
 /// Delay before such a host reads the log again for a version that others know and its last read did not show, as when the log has lost it.
@@ -55,14 +57,23 @@
 net::awaitable<void> ConfigurationFollower::waitWhileConfirmed() const
 {
     const Duration longestAge = std::chrono::duration_cast<Duration>(m_context.settings.maxRevocationDelay * ConfirmedPart);
-    while (m_offset && m_reachable && m_relay.hasReader(hostNow())) {
+    const Duration fetchTime = std::chrono::duration_cast<Duration>(m_context.settings.maxConfigurationDelay * PeerFetchPart);
+    std::optional<TimePoint> outdatedSince;
+    // Also while the log is out of this host's reach: the readers tell what changes, and what they cannot tell is soon too old.
+    while (m_offset && m_relay.hasReader(hostNow())) {
         co_await pause(ConfirmationPollInterval);
         const ActiveConfiguration &configuration = m_context.configuration;
         const std::uint64_t newest = std::max(configuration.knownVersion(), m_relay.newestConfiguration());
         const TimePoint now = hostNow();
         const std::optional<Duration> age = configuration.age(now);
         const bool readLately = m_readAt && now - *m_readAt < MissingVersionDelay;
-        if (!age || *age > longestAge || (configuration.version() < newest && !readLately)) {
+        if (configuration.version() >= newest) {
+            outdatedSince.reset();
+        } else if (!outdatedSince) {
+            outdatedSince = now;
+        }
+        const bool isFetchLate = outdatedSince && now - *outdatedSince > fetchTime;
+        if (!age || *age > longestAge || (isFetchLate && !readLately)) {
             co_return;
         }
     }
--- a/src/gateway/internal/upstreamfollower.cpp
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -90,6 +90,9 @@
         if (content.confirmedAge) {
             m_context.configuration.confirm(content.configuration, answer->askedAt - *content.confirmedAge);
         }
+        if (content.configuration > m_context.configuration.knownVersion()) {
+            m_context.configuration.setKnownVersion(content.configuration);
+        }
         updateReachable(true, {});
         for (const relay::Change &change : content.changes.changes) {
             applyRecord({change.key, change.value, change.offset}, now);
