Compute the quota shares of silent peers once, and shares at most five times a second at a start of many

Each update walked the demand of all peers for all workspaces three times.

Change: the share of a peer is computed when it has fallen silent, and kept while it is; the demand of the peers that are heard, and of all, is summed in one pass over both ordered lists; new hosts cause an update at most each 200 ms.

--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -23,6 +23,8 @@
 constexpr int MaxDatagramsPerTurn = 64;
 /// Delay after which hosts that have just started are told of this host. They come by the dozen when a fleet starts, and are answered together.
 constexpr std::chrono::milliseconds NewHostDelay{20};
+/// Hosts that have just started change the shares of the quotas at most this often.
+constexpr std::chrono::milliseconds SharesUpdateInterval{200};
 
 std::chrono::milliseconds atLeastZero(Duration duration)
 {
@@ -287,7 +289,9 @@
     const TimePoint now = hostNow();
     const std::vector<std::string> addresses(m_newAddresses.begin(), m_newAddresses.end());
     m_newAddresses.clear();
-    updateShares(now);
+    if (!m_sharesUpdatedAt || now - *m_sharesUpdatedAt > SharesUpdateInterval) {
+        updateShares(now);
+    }
     sendStatus(localStatus(now), m_registry.destinations(addresses, now), true);
 }
 
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -67,18 +67,24 @@
     boost::asio::awaitable<void> greetNewHosts();
     /// Recomputes this host's share of each workspace's quota from the demand on all hosts.
     void updateShares(TimePoint now);
-    /// The demand of the hosts that are heard, and with @p withSilent of all others as last reported, for each workspace of @p own, this host's demand.
-    [[nodiscard]] std::map<std::string, double> totalDemand(const std::map<std::string, double> &own, bool withSilent) const;
-    /// Notes the share of each workspace's quota of each peer that is heard, to be kept for it while it is silent.
-    void notePeerShares(const std::map<std::string, double> &own, std::size_t hosts);
+    /// Demand on each workspace's quota.
+    struct DemandOfHosts {
+        std::map<std::string, double> heard; ///< On this host and the peers that are heard.
+        std::map<std::string, double> all;   ///< Also on the silent peers, as last reported.
+    };
+    /// The demand for each workspace of @p own, this host's demand.
+    [[nodiscard]] DemandOfHosts demandOfHosts(const std::map<std::string, double> &own) const;
+    /// Notes the share of each workspace's quota of each peer that has fallen silent, to be kept for it while it is.
+    void notePeerShares(const std::map<std::string, double> &totalDemand, std::size_t hosts);
 
     GatewayContext &m_context;
     duties::UsageCollector &m_usageCollector;
     gossip::PeerRegistry m_registry;
     ConfigurationFetcher m_configurationFetcher;
     std::optional<boost::asio::ip::udp::socket> m_socket;
-    /// Quota shares of the peers, by peer and workspace, as of when each of them was last heard.
-    std::map<std::string, std::map<std::string, double>> m_peerShares;
+    /// Quota shares of the silent peers, by peer and workspace, as of when each of them fell silent.
+    std::map<std::string, std::map<std::string, double>> m_silentShares;
+    std::optional<TimePoint> m_sharesUpdatedAt;
     std::set<std::string> m_newAddresses; ///< Hosts that have just started and were not sent a status yet.
     gossip::UsageRelay m_usageRelay;
     std::set<std::string> m_relayedProcesses; ///< See chooseRelayedUsage().
--- a/src/gateway/internal/gossipshares.cpp
+++ b/src/gateway/internal/gossipshares.cpp
@@ -9,66 +9,81 @@
 /// Share of a quota that a host uses before it has heard from any peer; small, since the number of peers is unknown.
 constexpr double LoneHostShare = 0.05;
 
+/// Adds @p demand to @p total for each workspace that is in both. Both are in order, so that they are passed once.
+void addDemand(std::map<std::string, double> &total, const std::map<std::string, double> &demand)
+{
+    auto sum = total.begin();
+    for (auto part = demand.begin(); part != demand.end() && sum != total.end();) {
+        const int order = part->first.compare(sum->first);
+        if (order == 0) {
+            sum->second += part->second;
+        }
+        if (order <= 0) {
+            ++part;
+        }
+        if (order >= 0) {
+            ++sum;
+        }
+    }
+}
+
 }
 
 void GossipEndpoint::updateShares(TimePoint now)
 {
+    m_sharesUpdatedAt = now;
     const std::size_t hosts = m_registry.hostCount();
     m_context.hostCount = hosts;
     m_context.retryBudget.setHosts(hosts);
     m_context.upstreamLimits.setHosts(m_context.settings.address, m_registry.otherHostAddresses(), now);
     m_context.quotas.setPooled(hosts > 1, now);
     const std::map<std::string, double> own = m_context.quotas.demand(now);
-    const std::map<std::string, double> total = totalDemand(own, false);
-    notePeerShares(own, hosts);
+    const DemandOfHosts demand = demandOfHosts(own);
+    notePeerShares(demand.all, hosts);
     std::map<std::string, double> silentShares;
-    std::size_t reachableHosts = 1;
-    for (const auto &[host, peer] : m_registry.peers()) {
-        reachableHosts += peer.silent ? 0 : 1;
-        if (peer.silent) {
-            for (const auto &[workspace, share] : m_peerShares[host]) {
-                silentShares[workspace] += share;
-            }
+    for (const auto &[host, shares] : m_silentShares) {
+        for (const auto &[workspace, share] : shares) {
+            silentShares[workspace] += share;
         }
     }
-    for (const auto &[workspace, demand] : own) {
+    const std::size_t reachableHosts = hosts - m_silentShares.size();
+    for (const auto &[workspace, ownDemand] : own) {
         const auto silent = silentShares.find(workspace);
         // Silent peers may still use the shares that they computed before contact was lost.
         const double available = std::max(1 - (silent == silentShares.end() ? 0 : silent->second), 0.0);
-        const double share = hosts > 1 ? available * limits::quotaShare(demand, total.at(workspace), reachableHosts) : LoneHostShare;
+        const double total = demand.heard.at(workspace);
+        const double share = hosts > 1 ? available * limits::quotaShare(ownDemand, total, reachableHosts) : LoneHostShare;
         m_context.quotas.setShare(workspace, share, now);
-        m_context.quotas.setTotalDemand(workspace, total.at(workspace));
+        m_context.quotas.setTotalDemand(workspace, total);
         m_context.quotas.setPooledFraction(workspace, available, now);
     }
 }
 
-std::map<std::string, double> GossipEndpoint::totalDemand(const std::map<std::string, double> &own, bool withSilent) const
+GossipEndpoint::DemandOfHosts GossipEndpoint::demandOfHosts(const std::map<std::string, double> &own) const
 {
-    std::map<std::string, double> total = own;
+    DemandOfHosts demand{own, own};
     for (const auto &[host, peer] : m_registry.peers()) {
-        if (peer.silent && !withSilent) {
-            continue;
-        }
-        for (const auto &[workspace, demand] : peer.status.demand) {
-            const auto entry = total.find(workspace);
-            if (entry != total.end()) {
-                entry->second += demand;
-            }
+        addDemand(demand.all, peer.status.demand);
+        if (!peer.silent) {
+            addDemand(demand.heard, peer.status.demand);
         }
     }
-    return total;
+    return demand;
 }
 
-void GossipEndpoint::notePeerShares(const std::map<std::string, double> &own, std::size_t hosts)
+void GossipEndpoint::notePeerShares(const std::map<std::string, double> &totalDemand, std::size_t hosts)
 {
+    std::erase_if(m_silentShares, [this](const auto &entry) {
+        const auto peer = m_registry.peers().find(entry.first);
+        return peer == m_registry.peers().end() || !peer->second.silent;
+    });
     // Each peer computes its share in this way while it hears all others. Some of hundreds of peers are silent at nearly any time.
-    const std::map<std::string, double> total = totalDemand(own, true);
     for (const auto &[host, peer] : m_registry.peers()) {
-        if (peer.silent && m_peerShares.contains(host)) {
+        if (!peer.silent || m_silentShares.contains(host)) {
             continue;
         }
-        std::map<std::string, double> &shares = m_peerShares[host];
-        for (const auto &[workspace, demandOfAll] : total) {
+        std::map<std::string, double> &shares = m_silentShares[host];
+        for (const auto &[workspace, demandOfAll] : totalDemand) {
             const auto demand = peer.status.demand.find(workspace);
             shares[workspace] = limits::quotaShare(demand == peer.status.demand.end() ? 0 : demand->second, demandOfAll, hosts);
         }
