Gather evidence against prompts for as long as the reports of a large fleet take

A part was quarantined 800 ms after its first crash, and equal requests after 1,200 ms: two and three intervals of the reports in a small fleet. With 295 hosts the interval is 2.35 s, so that complete answers on other hosts were heard of too late, and a workspace with few requests waits for the end of a hold of 30 s or more. Complete answers were also left out of a status when a dozen suspects had crashes.

Change: the times are two and three intervals of the reports; crashes are reported for at least two and complete answers for at least three of them; a dozen suspects with complete answers alone go into a status beside those with crashes.

--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -101,6 +101,7 @@
         const gossip::PeerStatus first = localStatus(begin);
         const bool withPeers = m_peerLists.nextContainsList(first.peers, peerAddresses());
         m_context.balancer.setReportInterval(first.interval);
+        m_context.quarantine.setReportInterval(first.interval);
         for (const gossip::StatusBatch &batch : gossip::pacedBatches(m_context.settings.address, m_registry.addresses(), first.interval)) {
             co_await pause(atLeastZero(begin + batch.delay - hostNow()));
             const TimePoint now = hostNow();
--- a/src/quarantine/crashquarantine.h
+++ b/src/quarantine/crashquarantine.h
@@ -33,6 +33,8 @@
 
     /// Sets the name of this host and those of the other hosts that are heard; the trials of each suspect are made by one of them.
     void setHosts(std::string own, std::vector<std::string> others);
+    /// Sets how far apart the reports of each other host are. It grows with the number of hosts, and with it the time for which evidence is gathered.
+    void setReportInterval(Duration interval);
     /// Records that the connection to @p instance broke after a request was sent to it and before its answer was complete.
     void noteBroken(const RequestTraits &request, std::string_view instance, TimePoint now);
     /// Records that a request was answered completely, with whatever status: its upstream did not crash.
@@ -70,7 +72,9 @@
     /// Adds a crash unless it is known already or came before a complete answer.
     static void addCrash(Suspect &suspect, Crash crash);
     /// The crashes of a suspect to send to the other hosts, latest first.
-    static std::vector<CrashReport> reportedCrashes(const Suspect &suspect, TimePoint now);
+    [[nodiscard]] std::vector<CrashReport> reportedCrashes(const Suspect &suspect, TimePoint now) const;
+    /// Time for which a complete answer is reported, and clears crashes that are reported later.
+    [[nodiscard]] Duration completionLifetime() const;
     /// The suspects that a request belongs to, whether they are known or not.
     static std::vector<SuspectId> suspectsOf(const RequestTraits &request);
     /// Whether a quarantined suspect that is not among @p own came with the suspected one in each of its crashes.
@@ -93,7 +97,11 @@
     /// Whether this host is the one that makes the trials of a suspect.
     [[nodiscard]] bool makesTrials(SuspectId id) const;
 
+    /// The shortest interval between two reports of a host.
+    static constexpr Duration ShortestReportInterval = std::chrono::milliseconds(400);
+
     const Listener m_listener;
+    Duration m_reportInterval = ShortestReportInterval;
     std::string m_ownHost;
     std::vector<std::string> m_otherHosts;
     std::map<std::string, AnswerHistory, std::less<>> m_answers; ///< By service.
--- a/src/quarantine/internal/crashquarantine.cpp
+++ b/src/quarantine/internal/crashquarantine.cpp
@@ -19,10 +19,10 @@
 constexpr double MinPartOfCrashes = 0.5;
 /// The same when so many other requests broke that their share tells nothing, as while all upstreams of a service are down.
 constexpr double MinPartWithoutAnswers = 0.75;
-/// Time from the first crash of a suspect until it can be quarantined, for complete answers on other hosts to be heard of.
-constexpr std::chrono::milliseconds MinObservation{800};
+/// Time from the first crash of a suspect until it can be quarantined, for complete answers on other hosts to be heard of: in intervals of their reports.
+constexpr int ObservationIntervals = 2;
 /// The same when only the crashes tell: a report has to reach a host that answers such a request, and the answer to be reported back.
-constexpr std::chrono::milliseconds MinCrashObservation{1'200};
+constexpr int CrashObservationIntervals = 3;
 /// Two breaks at one upstream within this time are one crash, also when different hosts saw them.
 constexpr std::chrono::seconds CrashMergeTime{1};
 /// Time without requests after the last crash until the first trial, and its upper bound. Doubled with each crash beyond the first few for a
@@ -76,6 +76,11 @@
     return ids;
 }
 
+void CrashQuarantine::setReportInterval(Duration interval)
+{
+    m_reportInterval = std::max(interval, ShortestReportInterval);
+}
+
 void CrashQuarantine::noteBroken(const RequestTraits &request, std::string_view instance, TimePoint now)
 {
     const std::string service(request.service);
@@ -169,7 +174,7 @@
             }
             suspect = Suspect{};
         }
-        const bool remembered = suspect.completedAt && now - *suspect.completedAt <= CompletionLifetime;
+        const bool remembered = suspect.completedAt && now - *suspect.completedAt <= completionLifetime();
         entry = suspect.crashes.empty() && !remembered ? m_suspects.erase(entry) : std::next(entry);
     }
 }
@@ -185,6 +190,11 @@
     return a.instance == b.instance && std::chrono::abs(a.at - b.at) < CrashMergeTime;
 }
 
+Duration CrashQuarantine::completionLifetime() const
+{
+    return std::max<Duration>(CompletionLifetime, CompletionIntervals * m_reportInterval);
+}
+
 void CrashQuarantine::addCrash(Suspect &suspect, Crash crash)
 {
     if (suspect.completedAt && crash.at <= *suspect.completedAt) {
@@ -220,7 +230,7 @@
         return;
     }
     const Duration observed = now - suspect.crashes.front().at;
-    const bool unlikely = observed >= MinObservation && isUnlikelyCoincidence(suspect, now);
+    const bool unlikely = observed >= ObservationIntervals * m_reportInterval && isUnlikelyCoincidence(suspect, now);
     if (id.kind == SuspectKind::PromptPart ? unlikely : isCauseOfCrashes(suspect, unlikely, observed)) {
         quarantine(id, suspect);
     }
@@ -250,7 +260,7 @@
     }
     const std::ptrdiff_t all = std::ranges::count_if(found->second, [since](const Crash &crash) { return crash.at >= since; });
     const double part = static_cast<double>(suspect.crashes.size()) / static_cast<double>(std::max<std::ptrdiff_t>(all, 1));
-    return (unlikelyCoincidence && part >= MinPartOfCrashes) || (observed >= MinCrashObservation && part >= MinPartWithoutAnswers);
+    return (unlikelyCoincidence && part >= MinPartOfCrashes) || (observed >= CrashObservationIntervals * m_reportInterval && part >= MinPartWithoutAnswers);
 }
 
 void CrashQuarantine::noteServiceCrash(const std::string &service, const Crash &crash)
--- a/src/quarantine/internal/suspectreports.cpp
+++ b/src/quarantine/internal/suspectreports.cpp
@@ -2,16 +2,20 @@
 #include "quarantine/internal/evidencelimits.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace rosemaryshift::quarantine {
 
 namespace {
 
-/// Crashes of each suspect that are sent to the other hosts at a time, and the age up to which a host sends those that it saw itself.
+/// Crashes of each suspect that are sent to the other hosts at a time, and the age up to which a host sends those that it saw itself: the longer of a time
+/// and of a number of intervals of reports.
 constexpr std::size_t MaxReportedCrashes = 6;
 constexpr std::chrono::seconds ReportedCrashAge{3};
-/// Upper bound on the suspects that are sent to the other hosts at a time.
+constexpr int ReportedCrashIntervals = 2;
+/// Upper bound on the suspects with crashes that are sent to the other hosts at a time, and on those with complete answers alone.
 constexpr std::size_t MaxReports = 12;
+constexpr std::size_t MaxCompletionReports = 12;
 
 std::uint64_t millisecondsBetween(TimePoint earlier, TimePoint later)
 {
@@ -30,27 +34,34 @@
 std::vector<SuspectReport> CrashQuarantine::reports(TimePoint now) const
 {
     std::vector<SuspectReport> reports;
+    std::vector<SuspectReport> completions;
     for (const auto &[id, suspect] : m_suspects) {
         SuspectReport report{id, suspect.service, reportedCrashes(suspect, now), suspect.quarantined, std::nullopt};
-        if (suspect.completedHere && suspect.completedAt && now - *suspect.completedAt <= CompletionLifetime) {
+        if (suspect.completedHere && suspect.completedAt && now - *suspect.completedAt <= completionLifetime()) {
             report.completedAgeMs = millisecondsBetween(*suspect.completedAt, now);
         }
-        if (!report.crashes.empty() || report.completedAgeMs) {
+        if (!report.crashes.empty()) {
             reports.push_back(std::move(report));
+        } else if (report.completedAgeMs) {
+            completions.push_back(std::move(report));
         }
     }
     std::ranges::stable_sort(reports, std::ranges::greater(), [](const SuspectReport &report) { return std::pair(report.quarantined, report.crashes.size()); });
     reports.resize(std::min(reports.size(), MaxReports));
+    std::ranges::stable_sort(completions, {}, &SuspectReport::completedAgeMs);
+    completions.resize(std::min(completions.size(), MaxCompletionReports));
+    std::ranges::move(completions, std::back_inserter(reports));
     return reports;
 }
 
-std::vector<CrashReport> CrashQuarantine::reportedCrashes(const Suspect &suspect, TimePoint now)
+std::vector<CrashReport> CrashQuarantine::reportedCrashes(const Suspect &suspect, TimePoint now) const
 {
+    const Duration ownAge = std::max<Duration>(ReportedCrashAge, ReportedCrashIntervals * m_reportInterval);
     std::vector<CrashReport> reported;
     for (auto crash = suspect.crashes.rbegin(); crash != suspect.crashes.rend() && reported.size() < MaxReportedCrashes; ++crash) {
         // A host that has just started needs some crashes of a suspect to accept that it is in quarantine.
         const bool needed = suspect.quarantined && reported.size() <= MinCrashes;
-        const bool own = crash->observedHere && now - crash->at <= ReportedCrashAge;
+        const bool own = crash->observedHere && now - crash->at <= ownAge;
         if (needed || own) {
             reported.push_back({crash->instance, millisecondsBetween(crash->at, now)});
         }
