Review case 5: a usage window is reported twice with different counts after a drill of the store

The holder reports a window; all processes are killed and the store goes on from a copy of before that report. The new holder decides the window anew and reports it without the counts of before. Shown by run.sh.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../support/run.sh" 5
