Review case 2: count the requests that are lost with the ended process

Rule LOST instead of Fault: clients keep their connections, and the requests count that the two sound servers ran and whose kept connection was closed without an answer. The spoilt answers begin 4 s after the gateways are ready, so that these are in touch.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -16,9 +16,11 @@
 constexpr unsigned long long MemoryLimit = 260ULL * 1024 * 1024;
 /// Bytes that the faulty servers send together in a hundredth of a second: 800 Mbit/s to each gateway, where the link of a machine has 1,000.
 constexpr std::size_t PieceBytes = 2'000'000;
-/// Ends of its own of each process that break the rule.
-constexpr int EndsThatCount = 3;
-constexpr double LengthSeconds = 60;
+/// Requests that may be lost before the rule is broken.
+constexpr int LostThatCount = 3;
+/// Until the machines have been in touch for contact_ms.
+constexpr int CalmMs = 4000;
+constexpr double LengthSeconds = 24;
 /// Servers, and how many of them are faulty: 0.6 of them.
 constexpr int Servers = 5;
 constexpr int FaultyServers = 3;
@@ -64,7 +66,7 @@
     Store store(record);
     Cloud cloud(record);
     store.put("keyed.op", "config", configuration(1));
-    const bool trouble = hasTrouble();
+    std::atomic<bool> trouble = false;
     const auto answerSoundly = [](const Received &, Reply &reply) {
         reply.fields.emplace_back("Content-Type", "text/event-stream");
         reply.body = streamEvents();
@@ -94,20 +96,30 @@
     std::atomic<bool> stopping = false;
     std::atomic<int> sent = 0;
     std::atomic<int> answered = 0;
+    std::mutex mutex;
+    std::set<std::string> unanswered; ///< Requests whose kept connection was closed without an answer.
     std::vector<std::thread> clients;
     for (int client = 0; client < ClientsForEach * Count; ++client) {
         clients.emplace_back([&, client] {
+            KeptConnection connection(gateways.front(client % Count));
             for (int number = 0; !stopping; ++number) {
                 const std::string id = "a" + std::to_string(client) + "-" + std::to_string(number);
                 ++sent;
-                const Answer answer = call(gateways.front(client % Count), "POST", "/question/" + id, clientLines(id, 3000), "{}", 4000);
+                const double begin = record.seconds();
+                const Answer answer = connection.call("POST", "/question/" + id, clientLines(id, 3000), "{}", 4000);
                 answered += answer.complete && answer.status == 200 ? 1 : 0;
-                record.write("client: " + id + " at " + Gateways::name(client % Count) + " got " + std::to_string(answer.status)
-                             + (answer.complete ? "" : ", incomplete"));
+                record.write("client: " + id + " at " + Gateways::name(client % Count) + ", request " + std::to_string(connection.requests())
+                             + " of its connection, got " + std::to_string(answer.status) + (answer.complete ? "" : ", incomplete"));
+                if (!answer.complete && connection.requests() > 1 && record.seconds() - begin < 3) {
+                    const std::lock_guard lock(mutex);
+                    unanswered.insert(id);
+                }
                 sleepMs(10);
             }
         });
     }
+    sleepMs(CalmMs);
+    trouble = hasTrouble();
     // The platform ends a process whose memory is over the limit, and starts it again.
     std::map<int, int> ends;
     unsigned long long most = 0;
@@ -124,19 +136,29 @@
                 gateways.start(index);
             }
         }
-        if (ends[0] >= EndsThatCount && ends[1] >= EndsThatCount) {
-            break;
-        }
         sleepMs(5);
     }
     stopping = true;
     for (std::thread &client : clients) {
         client.join();
     }
-    const bool broken = ends[0] >= EndsThatCount && ends[1] >= EndsThatCount;
-    const std::string reason = "most memory " + std::to_string(most >> 20U) + " MB; ends for memory over the limit: " + std::to_string(ends[0]) + " and "
-        + std::to_string(ends[1]) + "; " + std::to_string(answered) + " of " + std::to_string(sent) + " requests answered";
+    // The sound servers are the last ones.
+    std::set<std::string> lost;
+    for (std::size_t server = FaultyServers; server < Servers; ++server) {
+        for (const Received &run : servers[server]->runs()) {
+            const std::string id = run.field("x-rosemaryshift-attempt-id");
+            if (unanswered.contains(id)) {
+                lost.insert(id);
+                record.write("lost: " + id);
+            }
+        }
+    }
+    const bool broken = lost.size() > LostThatCount;
+    const std::string reason = std::to_string(lost.size())
+        + " requests that were passed on to sound servers lost their kept connection without an answer; most memory " + std::to_string(most >> 20U)
+        + " MB; ends for memory over the limit: " + std::to_string(ends[0]) + " and " + std::to_string(ends[1]) + "; " + std::to_string(answered) + " of "
+        + std::to_string(sent) + " requests answered";
     record.write(reason);
-    std::puts(((broken ? "Fault: " : "held: ") + reason).c_str());
+    std::puts(((broken ? "LOST is broken: " : "held: ") + reason).c_str());
     return broken ? Broken : Held;
 }
--- a/review/support/http.cpp
+++ b/review/support/http.cpp
@@ -281,15 +281,48 @@
 }
 
 Answer call(const std::string &endpoint, const std::string &method, const std::string &target, const std::string &lines, const std::string &body, int timeoutMs)
+{
+    KeptConnection connection(endpoint);
+    return connection.call(method, target, lines, body, timeoutMs);
+}
+
+KeptConnection::KeptConnection(std::string endpoint)
+    : m_endpoint(std::move(endpoint))
+{
+}
+
+KeptConnection::~KeptConnection()
+{
+    if (m_connection >= 0) {
+        ::close(m_connection);
+    }
+}
+
+int KeptConnection::requests() const
+{
+    return m_requests;
+}
+
+Answer KeptConnection::call(const std::string &method, const std::string &target, const std::string &lines, const std::string &body, int timeoutMs)
 {
     Answer answer;
     const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + std::chrono::milliseconds(timeoutMs);
-    const std::size_t colon = endpoint.rfind(':');
-    const sockaddr_in address = socketAddress(endpoint.substr(0, colon), static_cast<std::uint16_t>(std::strtoul(endpoint.c_str() + colon + 1, nullptr, 10)));
-    const int connection = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (m_connection < 0) {
+        m_requests = 0;
+        const std::size_t colon = m_endpoint.rfind(':');
+        const sockaddr_in address
+            = socketAddress(m_endpoint.substr(0, colon), static_cast<std::uint16_t>(std::strtoul(m_endpoint.c_str() + colon + 1, nullptr, 10)));
+        m_connection = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (::connect(m_connection, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
+            ::close(m_connection);
+            m_connection = -1;
+            return answer;
+        }
+    }
+    ++m_requests;
     const std::string request = method + " " + target + " HTTP/1.1\r\n" + lines + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    if (::connect(connection, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0 && sendAll(connection, request)) {
-        Reader reader(connection, end);
+    if (sendAll(m_connection, request)) {
+        Reader reader(m_connection, end);
         const std::optional<std::string> line = reader.line();
         const std::optional<Fields> fields = line && line->size() > 12 ? reader.fields() : std::nullopt;
         if (fields) {
@@ -298,7 +331,11 @@
             answer.complete = reader.body(*fields, answer.body);
         }
     }
-    ::close(connection);
+    const auto connection = answer.fields.find("connection");
+    if (!answer.complete || (connection != answer.fields.end() && lowerCase(connection->second) == "close")) {
+        ::close(m_connection);
+        m_connection = -1;
+    }
     return answer;
 }
 
--- a/review/support/http.h
+++ b/review/support/http.h
@@ -85,6 +85,26 @@
 Answer
 call(const std::string &endpoint, const std::string &method, const std::string &target, const std::string &lines, const std::string &body, int timeoutMs);
 
+/// A client that keeps its connection for further requests. Not thread-safe.
+class KeptConnection
+{
+public:
+    explicit KeptConnection(std::string endpoint);
+    ~KeptConnection();
+    KeptConnection(const KeptConnection &) = delete;
+    KeptConnection &operator=(const KeptConnection &) = delete;
+
+    /// As the function of the same name, on the connection that is open, or on a new one.
+    Answer call(const std::string &method, const std::string &target, const std::string &lines, const std::string &body, int timeoutMs);
+    /// Number of requests that were sent on the connection of the last call, that one included; 0 when no connection could be opened.
+    [[nodiscard]] int requests() const;
+
+private:
+    const std::string m_endpoint;
+    int m_connection = -1;
+    int m_requests = 0;
+};
+
 /// A port from which on @p count ports are free on all loopback addresses.
 std::uint16_t freePorts(int count);
 
