Return the era of the platform's log with each answer, and compare positions by it

Cause: nothing read the header that states how often the log went on from an earlier copy. A reader whose offset the restored log had grown beyond got records of another history without an error; the readers of a zone compared offsets of two eras by size. Change: a position is an offset and an era; a read from a position of another era reports that the history is lost. LogEraTracker notes the era from answers and from hosts that read the log, and answers of an earlier era fail as superseded. Queries and answers between hosts carry the era in fields that earlier versions ignore.

--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -42,7 +42,7 @@
         co_await waitWhileConfirmed();
         ports::LogFailure failure;
         bool succeeded = false;
-        if (m_offset) {
+        if (m_position) {
             succeeded = co_await readNext(failure);
         } else {
             succeeded = co_await readNewest(failure);
@@ -60,7 +60,7 @@
     const Duration fetchTime = std::chrono::duration_cast<Duration>(m_context.settings.maxConfigurationDelay * PeerFetchPart);
     std::optional<TimePoint> outdatedSince;
     // Also while the log is out of this host's reach: the readers tell what changes, and what they cannot tell is soon too old.
-    while (m_offset && m_relay.hasReader(hostNow())) {
+    while (m_position && m_relay.hasReader(hostNow())) {
         co_await pause(ConfirmationPollInterval);
         const ActiveConfiguration &configuration = m_context.configuration;
         const std::uint64_t newest = std::max(configuration.knownVersion(), m_relay.newestConfiguration());
@@ -88,7 +88,7 @@
         co_return false;
     }
     applyRecords(newest->records, startedAt);
-    m_offset = newest->endOffset;
+    m_position = newest->end;
     m_context.configuration.confirm(m_newestVersion, startedAt);
     co_return true;
 }
@@ -105,18 +105,18 @@
         wait /= ReaderReadsPerInterval;
     }
     const std::optional<ports::RecordBatch> batch
-        = co_await m_context.ports.configurationLog->readFrom(ports::Topic::Configuration, *m_offset, wait, ResponseTimeout, failure);
+        = co_await m_context.ports.configurationLog->readFrom(ports::Topic::Configuration, *m_position, wait, ResponseTimeout, failure);
     if (!batch) {
         co_return false;
     }
     if (batch->historyLost) {
         m_context.eventLog.write(
-            "history_lost", eventlog::Importance::StateChange, {{"topic", "configuration"}, {"offset", static_cast<std::int64_t>(*m_offset)}});
-        m_offset.reset();
+            "history_lost", eventlog::Importance::StateChange, {{"topic", "configuration"}, {"offset", static_cast<std::int64_t>(m_position->offset)}});
+        m_position.reset();
         co_return true;
     }
     applyRecords(batch->records, startedAt);
-    m_offset = batch->nextOffset;
+    m_position = batch->next;
     m_context.configuration.confirm(m_newestVersion, startedAt);
     co_return true;
 }
--- a/src/gateway/internal/configurationfollower.h
+++ b/src/gateway/internal/configurationfollower.h
@@ -34,9 +34,9 @@
     GatewayContext &m_context;
     const LogRelay &m_relay;
     const std::function<void()> m_onConfigurationChanged;
-    std::optional<std::uint64_t> m_offset; ///< Offset of the next read; nothing when the newest records must be read first.
-    std::optional<TimePoint> m_readAt;     ///< Beginning of the last read of new records.
-    std::uint64_t m_newestVersion = 0;     ///< Newest version read from the log.
+    std::optional<ports::LogPosition> m_position; ///< Position of the next read; nothing when the newest records must be read first.
+    std::optional<TimePoint> m_readAt;            ///< Beginning of the last read of new records.
+    std::uint64_t m_newestVersion = 0;            ///< Newest version read from the log.
     bool m_reachable = true;
 };
 
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -93,9 +93,9 @@
     record.key = "holder";
     record.value = encoded(next);
     ports::LogFailure failure;
-    const std::optional<ports::AppendOutcome> outcome
+    const std::optional<ports::AppendResult> result
         = co_await m_context.ports.platformLog->append(ports::Topic::Duties, std::move(record), m_lease.end(), LogCallTimeout, failure);
-    if (outcome == ports::AppendOutcome::Appended) {
+    if (result && result->outcome == ports::AppendOutcome::Appended) {
         m_lease.noteAppended(next, startedAt);
         co_return;
     }
@@ -103,7 +103,7 @@
     m_context.eventLog.write(
         "lease_not_written",
         eventlog::Importance::StateChange,
-        {{"fence", static_cast<std::int64_t>(next.fence)}, {"reason", outcome ? std::string_view("conflict") : std::string_view(failure.detail)}});
+        {{"fence", static_cast<std::int64_t>(next.fence)}, {"reason", result ? std::string_view("conflict") : std::string_view(failure.detail)}});
 }
 
 net::awaitable<void> DutyRunner::readRecord()
@@ -122,7 +122,7 @@
             m_context.eventLog.write("lease_unreadable", eventlog::Importance::StateChange, {{"reason", reason}});
         }
     }
-    m_lease.observe(std::move(record), newest->endOffset, startedAt);
+    m_lease.observe(std::move(record), newest->end.offset, startedAt);
 }
 
 void DutyRunner::updateHolding()
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -34,7 +34,10 @@
 
 GatewayContext::GatewayContext(const GatewaySettings &hostSettings, PlatformPorts platformPorts, std::string processStartId)
     : settings(hostSettings)
-    , ports(withMeasuredLogs(std::move(platformPorts), metrics))
+    , logEra([this](std::uint64_t era) {
+        eventLog.write("log_restored", eventlog::Importance::StateChange, {{"era", static_cast<std::int64_t>(era)}});
+    })
+    , ports(withMeasuredLogs(std::move(platformPorts), metrics, logEra))
     , startId(std::move(processStartId))
     , eventLog(settings.name, startId, settings.logBudget, eventlog::makeOutputWriter())
     , admission(std::make_shared<overload::AdmissionControl>([this](const overload::OverloadReport &report) {
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -12,6 +12,7 @@
 #include "gateway/internal/activeconfiguration.h"
 #include "gateway/internal/answertimes.h"
 #include "gateway/internal/gatewaymetrics.h"
+#include "gateway/internal/logeratracker.h"
 #include "gateway/internal/openrequests.h"
 #include "gateway/internal/stopschedule.h"
 #include "gateway/internal/wallclockestimator.h"
@@ -38,6 +39,7 @@
     GatewayContext(const GatewaySettings &hostSettings, PlatformPorts platformPorts, std::string processStartId);
 
     const GatewaySettings settings;
+    LogEraTracker logEra;
     const PlatformPorts ports;
     const std::string startId; ///< Random id of this start of the process, which tells it from earlier ones of the same host.
     eventlog::EventLog eventLog;
--- a/src/gateway/internal/logrelay.cpp
+++ b/src/gateway/internal/logrelay.cpp
@@ -79,10 +79,11 @@
     relay::Answer answer;
     answer.number = query.number;
     answer.configuration = m_context.configuration.version();
+    answer.era = m_context.logEra.current();
     if (const std::optional<Duration> age = m_context.configuration.age(now)) {
         answer.confirmedAge = std::chrono::ceil<std::chrono::milliseconds>(*age);
     }
-    std::optional<relay::Changes> changes = m_changes.from(query.fromOffset);
+    std::optional<relay::Changes> changes = m_changes.from(query.from);
     if (changes && m_listReadAt && !m_context.listAvailability.unreachable()) {
         answer.listAge = std::chrono::ceil<std::chrono::milliseconds>(now - *m_listReadAt);
         answer.changes = std::move(*changes);
@@ -143,7 +144,7 @@
     return m_newestConfiguration;
 }
 
-net::awaitable<std::optional<LogRelay::Answer>> LogRelay::ask(std::uint64_t offset)
+net::awaitable<std::optional<LogRelay::Answer>> LogRelay::ask(ports::LogPosition position)
 {
     const TimePoint askedAt = hostNow();
     const Reader *const preferred = reader(askedAt);
@@ -155,7 +156,7 @@
     m_answer.reset();
     boost::system::error_code error;
     const net::ip::address address = net::ip::make_address(asked.address, error);
-    const std::string query = relay::encoded(relay::Query{m_number, offset});
+    const std::string query = relay::encoded(relay::Query{m_number, position});
     if (!error) {
         m_socket->send_to(net::buffer(query), udp::endpoint(address, m_context.settings.relayPort), 0, error);
     }
@@ -163,7 +164,8 @@
         m_answerTimer->expires_after(AnswerTimeout);
         co_await m_answerTimer->async_wait(net::as_tuple(net::use_awaitable));
     }
-    if (!m_answer || !m_answer->listAge || *m_answer->listAge > m_context.listReadInterval) {
+    const bool isOfEarlierEra = m_answer && !m_context.logEra.note(m_answer->era);
+    if (!m_answer || isOfEarlierEra || !m_answer->listAge || *m_answer->listAge > m_context.listReadInterval) {
         m_avoidedUntil[asked.host] = hostNow() + AvoidanceTime;
         m_context.eventLog.write("reader_avoided",
                                  eventlog::Importance::StateChange,
@@ -171,6 +173,7 @@
                                   {"reason",
                                    error                   ? error.message()
                                        : !m_answer         ? "no answer"
+                                       : isOfEarlierEra    ? "it knows an earlier era of the log"
                                        : m_answer->listAge ? "its read is too old"
                                                            : "it cannot tell"}});
         co_return std::nullopt;
--- a/src/gateway/internal/logrelay.h
+++ b/src/gateway/internal/logrelay.h
@@ -33,9 +33,9 @@
     [[nodiscard]] bool hasReader(TimePoint now) const;
     /// Whether hosts of this zone may ask this one.
     [[nodiscard]] bool isReader() const;
-    /// Asks a reader for the changes of the list of upstreams from @p offset on. Returns nothing when none answers in time, or it cannot tell. Precondition: no
-    /// other call is pending.
-    boost::asio::awaitable<std::optional<Answer>> ask(std::uint64_t offset);
+    /// Asks a reader for the changes of the list of upstreams from @p position on. Returns nothing when none answers in time, or it cannot tell. Precondition:
+    /// no other call is pending.
+    boost::asio::awaitable<std::optional<Answer>> ask(ports::LogPosition position);
 
     /// Newest version of the configuration that a reader has told; 0 when none has.
     [[nodiscard]] std::uint64_t newestConfiguration() const;
--- a/src/gateway/internal/measuredlog.cpp
+++ b/src/gateway/internal/measuredlog.cpp
@@ -36,17 +36,20 @@
         return "refused";
     case ports::LogError::Malformed:
         return "malformed";
+    case ports::LogError::Superseded:
+        return "superseded";
     }
     return "unknown";
 }
 
-/// Passes all calls on to another log, and measures them.
+/// Passes all calls on to another log, measures them, and notes the era that their answers state.
 class MeasuredLog : public ports::IPlatformLog
 {
 public:
-    MeasuredLog(std::unique_ptr<ports::IPlatformLog> log, GatewayMetrics &metrics)
+    MeasuredLog(std::unique_ptr<ports::IPlatformLog> log, GatewayMetrics &metrics, LogEraTracker &era)
         : m_log(std::move(log))
         , m_metrics(metrics)
+        , m_era(era)
     {
     }
 
@@ -54,32 +57,51 @@
     {
         const TimePoint startedAt = hostNow();
         std::optional<ports::NewestRecords> newest = co_await m_log->readNewest(topic, timeout, failure);
+        if (newest && isSuperseded(newest->end.era, failure)) {
+            newest.reset();
+        }
         record(topic, "read_newest", startedAt, newest ? "ok" : name(failure.error));
         co_return newest;
     }
 
-    net::awaitable<std::optional<ports::RecordBatch>>
-    readFrom(ports::Topic topic, std::uint64_t offset, std::chrono::milliseconds wait, std::chrono::milliseconds timeout, ports::LogFailure &failure) override
+    net::awaitable<std::optional<ports::RecordBatch>> readFrom(
+        ports::Topic topic, ports::LogPosition position, std::chrono::milliseconds wait, std::chrono::milliseconds timeout, ports::LogFailure &failure) override
     {
         const TimePoint startedAt = hostNow();
-        std::optional<ports::RecordBatch> batch = co_await m_log->readFrom(topic, offset, wait, timeout, failure);
+        std::optional<ports::RecordBatch> batch = co_await m_log->readFrom(topic, position, wait, timeout, failure);
+        if (batch && isSuperseded(batch->next.era, failure)) {
+            batch.reset();
+        }
         record(topic, "read", startedAt, batch ? "ok" : name(failure.error));
         co_return batch;
     }
 
-    net::awaitable<std::optional<ports::AppendOutcome>> append(ports::Topic topic,
-                                                               ports::Record entry,
-                                                               std::optional<std::uint64_t> expectedEnd,
-                                                               std::chrono::milliseconds timeout,
-                                                               ports::LogFailure &failure) override
+    net::awaitable<std::optional<ports::AppendResult>> append(ports::Topic topic,
+                                                              ports::Record entry,
+                                                              std::optional<std::uint64_t> expectedEnd,
+                                                              std::chrono::milliseconds timeout,
+                                                              ports::LogFailure &failure) override
     {
         const TimePoint startedAt = hostNow();
-        const std::optional<ports::AppendOutcome> outcome = co_await m_log->append(topic, std::move(entry), expectedEnd, timeout, failure);
-        record(topic, "append", startedAt, outcome ? "ok" : name(failure.error));
-        co_return outcome;
+        std::optional<ports::AppendResult> result = co_await m_log->append(topic, std::move(entry), expectedEnd, timeout, failure);
+        if (result && isSuperseded(result->era, failure)) {
+            result.reset();
+        }
+        record(topic, "append", startedAt, result ? "ok" : name(failure.error));
+        co_return result;
     }
 
 private:
+    /// Notes the era of an answer. Returns whether a later one is known, and sets @p failure then.
+    bool isSuperseded(ports::LogEra era, ports::LogFailure &failure)
+    {
+        if (m_era.note(era)) {
+            return false;
+        }
+        failure = {ports::LogError::Superseded, "the log has been restored since"};
+        return true;
+    }
+
     void record(ports::Topic topic, std::string_view call, TimePoint startedAt, std::string_view outcome)
     {
         const std::string labels = fmt::format(R"(topic="{}",call="{}",outcome="{}")", name(topic), call, outcome);
@@ -88,14 +110,15 @@
 
     const std::unique_ptr<ports::IPlatformLog> m_log;
     GatewayMetrics &m_metrics;
+    LogEraTracker &m_era;
 };
 
 }
 
-PlatformPorts withMeasuredLogs(PlatformPorts ports, GatewayMetrics &metrics)
+PlatformPorts withMeasuredLogs(PlatformPorts ports, GatewayMetrics &metrics, LogEraTracker &era)
 {
-    ports.configurationLog = std::make_unique<MeasuredLog>(std::move(ports.configurationLog), metrics);
-    ports.platformLog = std::make_unique<MeasuredLog>(std::move(ports.platformLog), metrics);
+    ports.configurationLog = std::make_unique<MeasuredLog>(std::move(ports.configurationLog), metrics, era);
+    ports.platformLog = std::make_unique<MeasuredLog>(std::move(ports.platformLog), metrics, era);
     return ports;
 }
 
--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -116,9 +116,9 @@
     for (const streams::ServiceVersion &version : m_context.softwareVersions.unrecorded()) {
         ports::LogFailure failure;
         ports::Record record = versionRecord(version);
-        const std::optional<ports::AppendOutcome> outcome
+        const std::optional<ports::AppendResult> result
             = co_await m_context.ports.platformLog->append(ports::Topic::SoftwareVersions, std::move(record), std::nullopt, CallTimeout, failure);
-        if (!outcome) {
+        if (!result) {
             m_context.eventLog.write("version_not_recorded",
                                      eventlog::Importance::Failure,
                                      {{"service", version.service}, {"version", version.softwareVersion}, {"reason", failure.detail}});
@@ -134,9 +134,9 @@
     while (!m_retired.empty()) {
         ports::LogFailure failure;
         ports::Record tombstone{versionRecord(m_retired.back()).key, std::nullopt};
-        const std::optional<ports::AppendOutcome> outcome
+        const std::optional<ports::AppendResult> result
             = co_await m_context.ports.platformLog->append(ports::Topic::SoftwareVersions, std::move(tombstone), std::nullopt, CallTimeout, failure);
-        if (!outcome) {
+        if (!result) {
             co_return false; // Tried again later; the record only makes hosts that start meanwhile more careful.
         }
         m_retired.pop_back();
@@ -152,9 +152,9 @@
     }
     ports::LogFailure failure;
     ports::Record record{m_context.settings.name, toText(streams::toJson(report))};
-    const std::optional<ports::AppendOutcome> outcome
+    const std::optional<ports::AppendResult> result
         = co_await m_context.ports.platformLog->append(ports::Topic::StreamOrigins, std::move(record), std::nullopt, CallTimeout, failure);
-    if (!outcome) {
+    if (!result) {
         m_context.eventLog.write(
             "streams_not_recorded", eventlog::Importance::Failure, {{"streams", static_cast<std::int64_t>(report.size())}, {"reason", failure.detail}});
         co_return false;
@@ -168,16 +168,16 @@
     while (true) {
         ports::LogFailure failure;
         const std::optional<ports::RecordBatch> batch = co_await m_context.ports.platformLog->readFrom(
-            ports::Topic::StreamOrigins, m_originsOffset, std::chrono::milliseconds::zero(), CallTimeout, failure);
+            ports::Topic::StreamOrigins, m_originsPosition, std::chrono::milliseconds::zero(), CallTimeout, failure);
         if (!batch) {
             m_context.eventLog.write("streams_not_read", eventlog::Importance::Failure, {{"reason", failure.detail}});
             co_return false;
         }
         if (batch->historyLost) {
-            if (batch->firstOffset == m_originsOffset) {
+            if (batch->next == m_originsPosition) {
                 co_return false;
             }
-            m_originsOffset = batch->firstOffset;
+            m_originsPosition = batch->next;
             continue;
         }
         const TimePoint now = hostNow();
@@ -188,9 +188,9 @@
                 m_context.eventLog.write("streams_unreadable", eventlog::Importance::Failure, {{"offset", static_cast<std::int64_t>(record.offset)}});
             }
         }
-        const bool rewound = batch->endOffset < m_originsOffset; // The log was restored from an earlier copy.
-        m_originsOffset = rewound ? 0 : batch->nextOffset;
-        if (!rewound && m_originsOffset >= batch->endOffset) {
+        const bool rewound = batch->endOffset < m_originsPosition.offset; // The log was restored from an earlier copy and does not state its era.
+        m_originsPosition = rewound ? ports::LogPosition{} : batch->next;
+        if (!rewound && m_originsPosition.offset >= batch->endOffset) {
             co_return true;
         }
     }
--- a/src/gateway/internal/streamregistry.h
+++ b/src/gateway/internal/streamregistry.h
@@ -45,7 +45,7 @@
     UpstreamFollower &m_upstreamFollower;
     SharedRead m_versionsReader;
     SharedRead m_originsReader;
-    std::uint64_t m_originsOffset = 0;     ///< Offset of the next read of origins.
+    ports::LogPosition m_originsPosition;  ///< Position of the next read of origins.
     std::uint64_t m_versionsReadAfter = 0; ///< UpstreamFollower::newestReads() at the last read of the recorded versions.
     std::set<std::string> m_splitServices; ///< Services of resumable routes that have several, in the configuration with m_configurationVersion.
     std::uint64_t m_configurationVersion = 0;
--- a/src/gateway/internal/upstreamfollower.cpp
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -32,7 +32,7 @@
 {
     while (true) {
         const bool succeeded = co_await m_read.run();
-        if (m_offset || !succeeded) {
+        if (m_position || !succeeded) {
             co_await pause(delayAfter(succeeded));
         }
     }
@@ -42,7 +42,7 @@
 {
     m_ownReadNeeded = true;
     bool succeeded = co_await m_read.run();
-    if (succeeded && !m_offset) { // The log had lost its history.
+    if (succeeded && !m_position) { // The log had lost its history.
         succeeded = co_await m_read.run();
     }
     co_return succeeded;
@@ -51,8 +51,8 @@
 net::awaitable<bool> UpstreamFollower::read()
 {
     const TimePoint startedAt = hostNow();
-    // After a time without reads, as after a suspension, the offset may be of a log that has been restored since.
-    const bool mayAsk = m_offset && !m_ownReadNeeded && m_context.listAvailability.reachableFor(startedAt) && m_relay.hasReader(startedAt);
+    // After a time without reads, as after a suspension, the position may be of a log that has been restored since.
+    const bool mayAsk = m_position && !m_ownReadNeeded && m_context.listAvailability.reachableFor(startedAt) && m_relay.hasReader(startedAt);
     m_ownReadNeeded = false;
     if (mayAsk) {
         const bool told = co_await readThroughRelay();
@@ -62,7 +62,7 @@
     }
     ports::LogFailure failure;
     bool succeeded = false;
-    if (m_offset) {
+    if (m_position) {
         succeeded = co_await readNext(failure);
     } else {
         succeeded = co_await readNewest(failure);
@@ -70,7 +70,7 @@
     updateReachable(succeeded, failure.detail);
     dropMissingEntries();
     noteVersions(hostNow());
-    if (succeeded && m_offset) {
+    if (succeeded && m_position) {
         m_context.runContinuity.noteListRead(startedAt);
         m_relay.noteListRead(startedAt);
     }
@@ -80,7 +80,7 @@
 net::awaitable<bool> UpstreamFollower::readThroughRelay()
 {
     while (true) {
-        const std::optional<LogRelay::Answer> answer = co_await m_relay.ask(*m_offset);
+        const std::optional<LogRelay::Answer> answer = co_await m_relay.ask(*m_position);
         if (!answer) {
             m_context.metrics.count("rosemaryshift_relay_total", R"(event="not_told")");
             co_return false;
@@ -98,8 +98,8 @@
             applyRecord({change.key, change.value, change.offset}, now);
             m_relay.changes().note(change); // This host may be asked later.
         }
-        m_offset = content.changes.nextOffset;
-        m_relay.changes().advance(*m_offset);
+        m_position = ports::LogPosition{content.changes.next.offset, content.changes.next.era ? content.changes.next.era : m_position->era};
+        m_relay.changes().advance(*m_position);
         dropMissingEntries();
         noteVersions(now);
         m_context.runContinuity.noteListRead(answer->askedAt - *content.listAge);
@@ -171,8 +171,8 @@
     const TimePoint now = hostNow();
     m_context.directory.applyAll(entries, now, m_context.listAvailability.unsettled(now));
     m_context.softwareVersions.noteUnobserved(now);
-    m_offset = newest->endOffset;
-    m_relay.changes().reset(newest->endOffset);
+    m_position = newest->end;
+    m_relay.changes().reset(newest->end);
     ++m_newestReads;
     co_return true;
 }
@@ -180,14 +180,15 @@
 net::awaitable<bool> UpstreamFollower::readNext(ports::LogFailure &failure)
 {
     const std::optional<ports::RecordBatch> batch
-        = co_await m_context.ports.platformLog->readFrom(ports::Topic::Upstreams, *m_offset, std::chrono::milliseconds::zero(), ResponseTimeout, failure);
+        = co_await m_context.ports.platformLog->readFrom(ports::Topic::Upstreams, *m_position, std::chrono::milliseconds::zero(), ResponseTimeout, failure);
     if (!batch) {
         co_return false;
     }
     updateReachable(true, {});
     if (batch->historyLost) {
-        m_context.eventLog.write("history_lost", eventlog::Importance::StateChange, {{"topic", "upstreams"}, {"offset", static_cast<std::int64_t>(*m_offset)}});
-        m_offset.reset();
+        m_context.eventLog.write(
+            "history_lost", eventlog::Importance::StateChange, {{"topic", "upstreams"}, {"offset", static_cast<std::int64_t>(m_position->offset)}});
+        m_position.reset();
         co_return true;
     }
     const TimePoint now = hostNow();
@@ -196,8 +197,8 @@
             m_relay.changes().note({record.key, record.value, record.offset});
         }
     }
-    m_offset = batch->nextOffset;
-    m_relay.changes().advance(batch->nextOffset);
+    m_position = batch->next;
+    m_relay.changes().advance(batch->next);
     co_return true;
 }
 
--- a/src/gateway/internal/upstreamfollower.h
+++ b/src/gateway/internal/upstreamfollower.h
@@ -44,8 +44,8 @@
     GatewayContext &m_context;
     LogRelay &m_relay;
     SharedRead m_read;
-    bool m_ownReadNeeded = false;          ///< The next read must show what was written before now, which another host may not have read yet.
-    std::optional<std::uint64_t> m_offset; ///< Offset of the next read; nothing when the newest records must be read first.
+    bool m_ownReadNeeded = false;                 ///< The next read must show what was written before now, which another host may not have read yet.
+    std::optional<ports::LogPosition> m_position; ///< Position of the next read; nothing when the newest records must be read first.
     std::uint64_t m_newestReads = 0;
 };
 
--- a/src/ports/iplatformlog.h
+++ b/src/ports/iplatformlog.h
@@ -21,6 +21,18 @@
     StreamOrigins,    ///< Software versions that began streams, written by gateways. Its records are not kept by key and expire.
 };
 
+/// The era of the log: rises by one each time that the log goes on from an earlier copy of itself and loses what it has accepted since. Nothing when
+/// the log does not state it.
+using LogEra = std::optional<std::uint64_t>;
+
+/// A place in a topic. The log gives offsets out again after it was restored from a copy, so that offsets of two eras cannot be compared.
+struct LogPosition {
+    std::uint64_t offset = 0;
+    LogEra era = std::nullopt;
+
+    bool operator==(const LogPosition &) const = default;
+};
+
 /// One record of a topic. A record without a value is a tombstone: it deletes the key.
 struct Record {
     std::string key;
@@ -31,17 +43,18 @@
 /// The newest record of each key of a topic.
 struct NewestRecords {
     std::vector<Record> records;
-    std::uint64_t endOffset = 0; ///< Offset after the last record that the result is certain to include; reading continues from here.
+    LogPosition end; ///< After the last record that the result is certain to include; reading continues from here.
 };
 
 /// Consecutive records of a topic, as returned by one read.
 struct RecordBatch {
     std::vector<Record> records;
-    std::uint64_t nextOffset = 0;  ///< Offset to continue reading from.
-    std::uint64_t endOffset = 0;   ///< Offset after the last record of the topic.
-    std::uint64_t skipped = 0;     ///< Number of records that could not be parsed.
-    bool historyLost = false;      ///< The log no longer has the requested offset; read the newest records, or continue from firstOffset.
-    std::uint64_t firstOffset = 0; ///< The first offset that the log still has; set with historyLost.
+    LogPosition next;            ///< To continue reading from; its era is that of the answer.
+    std::uint64_t endOffset = 0; ///< Offset after the last record of the topic.
+    std::uint64_t skipped = 0;   ///< Number of records that could not be parsed.
+    /// The log no longer has the requested position, or it has been restored since the position was read. Read the newest records, or continue from next,
+    /// the first position that the log still has.
+    bool historyLost = false;
 };
 
 /// Result of an append.
@@ -50,11 +63,18 @@
     Conflict, ///< The topic did not end at the expected offset; nothing was appended.
 };
 
+/// What the log answered to an append.
+struct AppendResult {
+    AppendOutcome outcome = AppendOutcome::Appended;
+    LogEra era = std::nullopt; ///< Era of the log that gave the answer, in which the record stands.
+};
+
 /// Why a call to the platform log failed.
 enum class LogError : std::uint8_t {
     Unreachable, ///< No response came; an append may have taken effect, or may still do so.
     Refused,     ///< The log refused the call; nothing was appended.
     Malformed,   ///< The response could not be parsed.
+    Superseded,  ///< The response is of an era of the log that has ended; what it says may no longer hold, and an append may be lost.
 };
 
 /// Why a call to the platform log failed, with a text for event logs.
@@ -72,12 +92,12 @@
 
     /// Reads the newest record of each key of @p topic.
     virtual boost::asio::awaitable<std::optional<NewestRecords>> readNewest(Topic topic, std::chrono::milliseconds timeout, LogFailure &failure) = 0;
-    /// Reads the records of @p topic from @p offset on. When there are none yet, waits up to @p wait for the first one (long polling); @p timeout is
+    /// Reads the records of @p topic from @p position on. When there are none yet, waits up to @p wait for the first one (long polling); @p timeout is
     /// the time for the response beyond that.
     virtual boost::asio::awaitable<std::optional<RecordBatch>>
-    readFrom(Topic topic, std::uint64_t offset, std::chrono::milliseconds wait, std::chrono::milliseconds timeout, LogFailure &failure) = 0;
-    /// Appends one record. With @p expectedEnd, only if the topic ends at that offset.
-    virtual boost::asio::awaitable<std::optional<AppendOutcome>>
+    readFrom(Topic topic, LogPosition position, std::chrono::milliseconds wait, std::chrono::milliseconds timeout, LogFailure &failure) = 0;
+    /// Appends one record. With @p expectedEnd, only if the topic ends at that offset, in whichever era; the result states the era.
+    virtual boost::asio::awaitable<std::optional<AppendResult>>
     append(Topic topic, Record record, std::optional<std::uint64_t> expectedEnd, std::chrono::milliseconds timeout, LogFailure &failure) = 0;
 };
 
--- a/src/relay/changelog.h
+++ b/src/relay/changelog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ports/iplatformlog.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -20,8 +22,8 @@
 /// The changes between two offsets of the log, in their order.
 struct Changes {
     std::deque<Change> changes;
-    std::uint64_t nextOffset = 0; ///< Offset from which the next changes are to be asked for.
-    bool more = false;            ///< There are more changes from there on, which did not fit.
+    ports::LogPosition next; ///< From which the next changes are to be asked for.
+    bool more = false;       ///< There are more changes from there on, which did not fit.
 };
 
 /// What a host has recently read from a topic of the platform's log, for other hosts that ask it. Most records only renew an entry; these are left out. Not
@@ -29,18 +31,19 @@
 class ChangeLog
 {
 public:
-    /// Begins anew, after the newest record of each key was read. @p endOffset: offset of the next read.
-    void reset(std::uint64_t endOffset);
+    /// Begins anew, after the newest record of each key was read. @p end: position of the next read.
+    void reset(ports::LogPosition end);
     /// Notes the next record that was read, if it changes an entry.
     void note(Change change);
-    /// Notes that all records before @p endOffset were read. Offsets that go back begin the log anew.
-    void advance(std::uint64_t endOffset);
-    /// The changes from @p offset on, bounded in size. Nothing when some of them are not known, or have not been read yet.
-    [[nodiscard]] std::optional<Changes> from(std::uint64_t offset) const;
+    /// Notes that all records before @p end were read. A later era, or an offset that goes back, begins the log anew.
+    void advance(ports::LogPosition end);
+    /// The changes from @p position on, bounded in size. Nothing when some of them are not known, or have not been read yet, or @p position is of another
+    /// era.
+    [[nodiscard]] std::optional<Changes> from(ports::LogPosition position) const;
 
 private:
     std::optional<std::uint64_t> m_beginOffset; ///< From which on all changes are known; nothing before the first read.
-    std::uint64_t m_endOffset = 0;
+    ports::LogPosition m_end;
     std::deque<Change> m_changes;
     std::size_t m_bytes = 0;
 };
--- a/src/relay/internal/changelog.cpp
+++ b/src/relay/internal/changelog.cpp
@@ -16,10 +16,10 @@
 
 }
 
-void ChangeLog::reset(std::uint64_t endOffset)
+void ChangeLog::reset(ports::LogPosition end)
 {
-    m_beginOffset = endOffset;
-    m_endOffset = endOffset;
+    m_beginOffset = end.offset;
+    m_end = end;
     m_changes.clear();
     m_bytes = 0;
 }
@@ -35,29 +35,31 @@
     }
 }
 
-void ChangeLog::advance(std::uint64_t endOffset)
+void ChangeLog::advance(ports::LogPosition end)
 {
-    if (!m_beginOffset || endOffset < m_endOffset) {
-        reset(endOffset);
+    if (!m_beginOffset || end.offset < m_end.offset || end.era != m_end.era) {
+        reset(end);
     }
-    m_endOffset = endOffset;
+    m_end = end;
 }
 
-std::optional<Changes> ChangeLog::from(std::uint64_t offset) const
+std::optional<Changes> ChangeLog::from(ports::LogPosition position) const
 {
-    if (!m_beginOffset || offset < *m_beginOffset || offset > m_endOffset) {
+    // Hosts of earlier software versions do not state the era.
+    const bool sameEra = !position.era || position.era == m_end.era;
+    if (!m_beginOffset || !sameEra || position.offset < *m_beginOffset || position.offset > m_end.offset) {
         return std::nullopt;
     }
     Changes result;
-    result.nextOffset = m_endOffset;
+    result.next = m_end;
     std::size_t bytes = 0;
     for (const Change &change : m_changes) {
-        if (change.offset < offset) {
+        if (change.offset < position.offset) {
             continue;
         }
         bytes += sizeOf(change);
         if (bytes > MaxAnsweredBytes && !result.changes.empty()) {
-            result.nextOffset = change.offset;
+            result.next.offset = change.offset;
             result.more = true;
             break;
         }
--- a/src/relay/internal/relaymessages.cpp
+++ b/src/relay/internal/relaymessages.cpp
@@ -22,6 +22,13 @@
     return age && *age <= MaxAgeMs ? std::optional(std::chrono::milliseconds(*age)) : std::nullopt;
 }
 
+void addEra(Json::Value &object, const char *key, ports::LogEra era)
+{
+    if (era) {
+        object[key] = static_cast<Json::UInt64>(*era);
+    }
+}
+
 std::optional<Json::Value> parsedObject(std::string_view datagram)
 {
     std::string reason;
@@ -51,7 +58,7 @@
         return std::nullopt;
     }
     Changes changes;
-    changes.nextOffset = *next;
+    changes.next = {*next, unsignedMember(object, "next_era")};
     changes.more = boolMember(object, "more", false);
     for (const Json::Value &entry : list) {
         std::optional<Change> parsed = change(entry);
@@ -69,7 +76,8 @@
 {
     Json::Value object;
     object["query"] = static_cast<Json::UInt64>(query.number);
-    object["from"] = static_cast<Json::UInt64>(query.fromOffset);
+    object["from"] = static_cast<Json::UInt64>(query.from.offset);
+    addEra(object, "from_era", query.from.era);
     return toText(object);
 }
 
@@ -80,7 +88,9 @@
     object["configuration"] = static_cast<Json::UInt64>(answer.configuration);
     addAge(object, "confirmed_ms", answer.confirmedAge);
     addAge(object, "list_ms", answer.listAge);
-    object["next"] = static_cast<Json::UInt64>(answer.changes.nextOffset);
+    addEra(object, "era", answer.era);
+    object["next"] = static_cast<Json::UInt64>(answer.changes.next.offset);
+    addEra(object, "next_era", answer.changes.next.era);
     object["more"] = answer.changes.more;
     Json::Value &list = object["changes"];
     list = Json::Value(Json::arrayValue);
@@ -101,7 +111,7 @@
     const std::optional<Json::Value> object = parsedObject(datagram);
     const std::optional<std::uint64_t> number = object ? unsignedMember(*object, "query") : std::nullopt;
     const std::optional<std::uint64_t> from = object ? unsignedMember(*object, "from") : std::nullopt;
-    return number && from ? std::optional(Query{*number, *from}) : std::nullopt;
+    return number && from ? std::optional(Query{*number, {*from, unsignedMember(*object, "from_era")}}) : std::nullopt;
 }
 
 std::optional<Answer> decodedAnswer(std::string_view datagram)
@@ -116,7 +126,8 @@
     if (!number || !configuration || !changes) {
         return std::nullopt;
     }
-    return Answer{*number, *configuration, ageMember(*object, "confirmed_ms"), ageMember(*object, "list_ms"), std::move(*changes)};
+    return Answer{
+        *number, *configuration, ageMember(*object, "confirmed_ms"), ageMember(*object, "list_ms"), std::move(*changes), unsignedMember(*object, "era")};
 }
 
 }
--- a/src/relay/relaymessages.h
+++ b/src/relay/relaymessages.h
@@ -12,8 +12,8 @@
 
 /// Asks another host what the platform's log holds.
 struct Query {
-    std::uint64_t number = 0;     ///< Identifies the query; repeated in its answer.
-    std::uint64_t fromOffset = 0; ///< Offset of the list of upstreams from which changes are asked for.
+    std::uint64_t number = 0; ///< Identifies the query; repeated in its answer.
+    ports::LogPosition from;  ///< Position in the list of upstreams from which changes are asked for. No era: earlier software versions do not state it.
 
     bool operator==(const Query &) const = default;
 };
@@ -26,6 +26,7 @@
     std::optional<std::chrono::milliseconds> confirmedAge; ///< Since that was known to be the newest configuration; nothing when it never was.
     std::optional<std::chrono::milliseconds> listAge;      ///< Since the list was read; nothing when the changes asked for cannot be told.
     Changes changes;
+    ports::LogEra era = std::nullopt; ///< Latest era of the log that the host knows; not stated by earlier software versions.
 };
 
 /// Encodes a query as one datagram. Thread-safe.
--- a/src/relay/tests/relaytests.cpp
+++ b/src/relay/tests/relaytests.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 
+using namespace rosemaryshift;
 using namespace rosemaryshift::relay;
 
 namespace {
@@ -81,33 +82,44 @@
 TEST_CASE("A reader tells the changes of the list that it has read, and only what it knows for certain")
 {
     ChangeLog log;
-    CHECK(!log.from(0));
-    log.reset(100);
+    CHECK(!log.from({0}));
+    log.reset({100});
     log.note({"i-1", "ready", 104});
     log.note({"i-2", std::nullopt, 109});
-    log.advance(120);
+    log.advance({120});
 
     SECTION("from the offset that is asked for")
     {
-        const std::optional<Changes> changes = log.from(105);
+        const std::optional<Changes> changes = log.from({105});
         REQUIRE(changes);
         REQUIRE(changes->changes.size() == 1);
         CHECK(changes->changes.front() == Change{"i-2", std::nullopt, 109});
-        CHECK(changes->nextOffset == 120);
+        CHECK(changes->next == ports::LogPosition{120});
         CHECK(!changes->more);
-        CHECK(log.from(120)->changes.empty());
+        CHECK(log.from({120})->changes.empty());
     }
     SECTION("nothing from before it began to read, or after what it has read")
     {
-        CHECK(!log.from(99));
-        CHECK(!log.from(121));
+        CHECK(!log.from({99}));
+        CHECK(!log.from({121}));
     }
     SECTION("nothing of a log that was restored from an earlier copy, whose offsets are given out again")
     {
-        log.advance(60);
-        CHECK(!log.from(105));
-        CHECK(log.from(60));
-        CHECK(log.from(60)->changes.empty());
+        log.advance({60});
+        CHECK(!log.from({105}));
+        CHECK(log.from({60}));
+        CHECK(log.from({60})->changes.empty());
+    }
+    SECTION("nothing of a restored log that has grown beyond the offset which is asked for, as only the era tells")
+    {
+        log.reset({100, 1});
+        log.advance({120, 1});
+        CHECK(log.from({105, 1}));
+        log.advance({130, 2});
+        CHECK(!log.from({105, 1}));
+        CHECK(!log.from({130, 1}));
+        CHECK(log.from({130, 2}));
+        CHECK(log.from({130})); // A host of an earlier software version asks.
     }
     SECTION("in parts that fit into a datagram")
     {
@@ -115,8 +127,8 @@
         for (std::uint64_t offset = 120; offset < 130; ++offset) {
             log.note({"i-3", value, offset});
         }
-        log.advance(130);
-        std::uint64_t next = 120;
+        log.advance({130});
+        ports::LogPosition next{120};
         std::size_t changes = 0;
         bool more = true;
         while (more) {
@@ -127,11 +139,11 @@
             answer.changes = *part;
             CHECK(encoded(answer).size() < 20'000);
             changes += part->changes.size();
-            next = part->nextOffset;
+            next = part->next;
             more = part->more;
         }
         CHECK(changes == 10);
-        CHECK(next == 130);
+        CHECK(next == ports::LogPosition{130});
     }
     SECTION("what no longer fits into its memory is not known any more")
     {
@@ -139,21 +151,22 @@
         for (std::uint64_t offset = 120; offset < 140; ++offset) {
             log.note({"i-3", value, offset});
         }
-        log.advance(140);
-        CHECK(!log.from(120));
-        CHECK(log.from(139));
+        log.advance({140});
+        CHECK(!log.from({120}));
+        CHECK(log.from({139}));
     }
 }
 
 TEST_CASE("What hosts ask each other about the log is read as it was written")
 {
-    const Query query{7, 1'000};
+    const Query query{7, {1'000, 2}};
     Answer answer;
     answer.number = 7;
     answer.configuration = 12;
     answer.confirmedAge = std::chrono::milliseconds(800);
     answer.listAge = std::chrono::milliseconds(300);
-    answer.changes = {{{"i-1", "{\"state\":\"ready\"}", 1'001}, {"i-2", std::nullopt, 1'003}}, 1'010, true};
+    answer.changes = {{{"i-1", "{\"state\":\"ready\"}", 1'001}, {"i-2", std::nullopt, 1'003}}, {1'010, 2}, true};
+    answer.era = 3;
 
     SECTION("a query and its answer are told apart")
     {
@@ -167,9 +180,20 @@
         CHECK(decoded->confirmedAge == answer.confirmedAge);
         CHECK(decoded->listAge == answer.listAge);
         CHECK(decoded->changes.changes == answer.changes.changes);
-        CHECK(decoded->changes.nextOffset == 1'010);
+        CHECK((decoded->changes.next == ports::LogPosition{1'010, 2}));
+        CHECK(decoded->era == 3);
         CHECK(decoded->changes.more);
     }
+    SECTION("hosts of earlier software versions state no era")
+    {
+        const std::optional<Query> earlierQuery = decodedQuery(R"({"query":7,"from":1000})");
+        REQUIRE(earlierQuery);
+        CHECK(earlierQuery->from == ports::LogPosition{1'000});
+        const std::optional<Answer> earlierAnswer = decodedAnswer(R"({"answer":7,"configuration":12,"next":3,"changes":[]})");
+        REQUIRE(earlierAnswer);
+        CHECK(!earlierAnswer->era);
+        CHECK(earlierAnswer->changes.next == ports::LogPosition{3});
+    }
     SECTION("an answer of a host that cannot tell states no ages")
     {
         const std::optional<Answer> decoded = decodedAnswer(encoded(Answer{}));
