Claim the duties anew, with a higher fencing token, in each era of the platform's log

Cause: the token was the end of the lease's topic, which goes back when the log is restored from a copy; claims that were lost were forgotten.

--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -2,6 +2,7 @@
 
 #include "base/types.h"
 #include "ports/idutyclient.h"
+#include "ports/iplatformlog.h"
 
 #include <cstdint>
 #include <optional>
@@ -18,6 +19,8 @@
     std::uint64_t fence = 0;                 ///< Fencing token; grows with each claim.
     std::uint64_t renewal = 0;               ///< Grows with each renewal, so that every record differs from the previous one.
     std::vector<ports::UsageReport> decided; ///< Final counts of the most recent usage windows.
+    ports::LogEra era
+        = std::nullopt; ///< Era of the log in which the lease was claimed; nothing when the log states none, or in records of earlier software versions.
 
     bool operator==(const DutyRecord &) const = default;
 };
@@ -30,22 +33,29 @@
 /// Lease on the singleton duties, acquired and renewed by conditional appends to the log. The holder acts only for a fraction of the lease
 /// duration, counted from the beginning of its last successful renewal. Another host claims the duties once it has seen the record unchanged for
 /// longer than the lease duration. Two hosts therefore never act at the same time, even when their clocks disagree, provided that the clock
-/// behind TimePoint keeps running while the machine is suspended. Not thread-safe.
+/// behind TimePoint keeps running while the machine is suspended.
+///
+/// A log that was restored from a copy may have lost claims. In each era of the log the lease is claimed anew: by the host that held it until then
+/// at once, by others when the lost holder cannot act any more. The fencing token has the era in its upper half, so that it rises where nobody
+/// remembers the lost claims. Not thread-safe.
 class DutyLease
 {
 public:
-    DutyLease(std::string host, std::string start, Duration lease);
+    /// @p start: identifies this run of the process. @p firstStart: the whole system starts for the first time, so that a log without a record has never had
+    /// one.
+    DutyLease(std::string host, std::string start, Duration lease, bool firstStart = false);
 
-    /// Stores the record and the end offset of the log, as returned by a read that began at @p began. No @p record means that the log has none
+    /// Stores the record and the end of the log, as returned by a read that began at @p began. No @p record means that the log has none
     /// or that it is unreadable.
-    void observe(std::optional<DutyRecord> record, std::uint64_t end, TimePoint began);
-    /// The record to append at end() in order to claim or renew the lease; nothing while neither is due. A renewal makes the
+    void observe(std::optional<DutyRecord> record, ports::LogPosition end, TimePoint began);
+    /// The record to append at the offset of end() in order to claim or renew the lease; nothing while neither is due. A renewal makes the
     /// usage counts @p decided final; a claim keeps those of the existing record.
     [[nodiscard]] std::optional<DutyRecord> proposal(TimePoint now, const std::vector<ports::UsageReport> &decided) const;
-    /// The record to append at end() in order to release the lease; nothing when this host does not hold it.
+    /// The record to append at the offset of end() in order to release the lease; nothing when this host does not hold it.
     [[nodiscard]] std::optional<DutyRecord> release(TimePoint now) const;
-    /// Notes that the proposed record was appended at end() by a call that began at @p began.
-    void noteAppended(const DutyRecord &record, TimePoint began);
+    /// Notes that the proposed record was appended at the offset of end() by a call that began at @p began, and that the log stated @p era with its
+    /// answer. In another era than that of end() the record gives no lease, and the log must be read.
+    void noteAppended(const DutyRecord &record, TimePoint began, ports::LogEra era);
     /// Requires a read of the log before the next proposal: another record was appended first, or the outcome of the append is unknown.
     void requireRead();
 
@@ -58,18 +68,28 @@
     [[nodiscard]] std::uint64_t fence() const;
     /// The duty record as last read or appended; nothing when there is none.
     [[nodiscard]] const std::optional<DutyRecord> &record() const;
-    /// End offset of the log as last read or after the last append.
-    [[nodiscard]] std::uint64_t end() const;
+    /// End of the log as last read or after the last append.
+    [[nodiscard]] ports::LogPosition end() const;
 
 private:
     /// Whether the last known record names this run of this host's process as the holder.
     [[nodiscard]] bool isOwnRecord() const;
+    /// Whether the last known record was written in the present era of the log, so that it names the latest claim.
+    [[nodiscard]] bool isRecordCurrent() const;
+    /// Whether the time in which this host may act after its last renewal has not passed.
+    [[nodiscard]] bool mayAct(TimePoint now) const;
+    [[nodiscard]] std::optional<DutyRecord> renewal(TimePoint now, const std::vector<ports::UsageReport> &decided) const;
+    [[nodiscard]] std::optional<DutyRecord> claim(TimePoint now) const;
+    /// The fencing token of a claim that is appended at end().
+    [[nodiscard]] std::uint64_t nextFence() const;
 
     const std::string m_host;
     const std::string m_start;
     const Duration m_lease;
+    const bool m_firstStart;
     std::optional<DutyRecord> m_record;
-    std::uint64_t m_end = 0;
+    ports::LogPosition m_end;
+    bool m_restored = false;                 ///< The era of the log has risen since this process first read it.
     std::optional<TimePoint> m_changedAt;    ///< When the current record and log end were first seen.
     std::optional<TimePoint> m_renewalBegan; ///< When the last successful claim or renewal began.
     std::optional<TimePoint> m_lastReadBegan;
--- a/src/duties/internal/dutyrecords.cpp
+++ b/src/duties/internal/dutyrecords.cpp
@@ -29,6 +29,9 @@
     value["start"] = record.start;
     value["fence"] = record.fence;
     value["renewal"] = record.renewal;
+    if (record.era) {
+        value["era"] = static_cast<Json::UInt64>(*record.era);
+    }
     value["decided"] = Json::Value(Json::arrayValue);
     for (const ports::UsageReport &report : record.decided) {
         Json::Value entry;
@@ -53,7 +56,7 @@
         reason = "a field of the duty record is missing or malformed";
         return std::nullopt;
     }
-    DutyRecord record{*holder, *start, *fence, *renewal, {}};
+    DutyRecord record{*holder, *start, *fence, *renewal, {}, unsignedMember(*value, "era")};
     for (const Json::Value &entry : (*value)["decided"]) {
         std::optional<ports::UsageReport> report = decodedReport(entry);
         if (!report) {
--- a/src/duties/tests/dutyleasetests.cpp
+++ b/src/duties/tests/dutyleasetests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <random>
 
 using namespace rosemaryshift;
@@ -15,17 +16,25 @@
 /// Log with a single record, which an append replaces only when it expects the current end offset.
 struct FakeLog {
     std::optional<DutyRecord> record;
-    std::uint64_t end = 0;
+    ports::LogPosition end;
 
-    bool append(const DutyRecord &next, std::uint64_t expectedEnd)
+    bool append(const DutyRecord &next, ports::LogPosition expectedEnd)
     {
-        if (expectedEnd != end) {
+        if (expectedEnd.offset != end.offset) {
             return false;
         }
         record = next;
-        ++end;
+        ++end.offset;
         return true;
     }
+
+    /// Goes on from @p copy in the next era.
+    void restore(const FakeLog &copy)
+    {
+        const std::uint64_t era = end.era.value_or(0) + 1;
+        *this = copy;
+        end.era = era;
+    }
 };
 
 /// One round of a host: reads the log when needed and appends the proposed record, if there is one.
@@ -40,12 +49,24 @@
         return;
     }
     if (log.append(*next, lease.end())) {
-        lease.noteAppended(*next, now);
+        lease.noteAppended(*next, now, log.end.era);
     } else {
         lease.requireRead();
     }
 }
 
+/// Has @p lease take part until it holds the duties. Returns when that is.
+TimePoint stepUntilHeld(DutyLease &lease, FakeLog &log, TimePoint now)
+{
+    constexpr int MaxTicks = 100;
+    for (int tick = 0; tick < MaxTicks && !lease.holds(now); ++tick) {
+        now += std::chrono::milliseconds(100);
+        step(lease, log, now);
+    }
+    REQUIRE(lease.holds(now));
+    return now;
+}
+
 }
 
 TEST_CASE("The first host acquires the duties, and another host takes over when it is gone")
@@ -95,7 +116,7 @@
         const std::optional<DutyRecord> last = first.release(Start);
         REQUIRE(last);
         REQUIRE(log.append(*last, first.end()));
-        first.noteAppended(*last, Start);
+        first.noteAppended(*last, Start, std::nullopt);
         CHECK(!first.holds(Start));
         const TimePoint next = Start + std::chrono::milliseconds(1'300);
         step(second, log, next);
@@ -116,7 +137,7 @@
         const std::optional<DutyRecord> next = first.proposal(Start, {report});
         REQUIRE(next);
         REQUIRE(log.append(*next, first.end()));
-        first.noteAppended(*next, Start);
+        first.noteAppended(*next, Start, std::nullopt);
         TimePoint now = Start;
         while (!second.holds(now)) {
             now += std::chrono::milliseconds(100);
@@ -179,11 +200,207 @@
     }
 }
 
+// Guards against a fencing token that is lower than an earlier one, or that two hosts send, after the log went on from a copy that lacks a claim (review/1).
+TEST_CASE("After the log was restored from a copy, the duties are claimed anew with a higher fencing token than any before")
+{
+    FakeLog log;
+    log.end = {0, GENERATE(0, 1, 9)};
+    const FakeLog empty = log;
+    DutyLease first("entry-1", "a", Lease);
+    DutyLease second("entry-2", "a", Lease);
+    TimePoint now = stepUntilHeld(first, log, Start);
+    const std::uint64_t firstFence = first.fence();
+    const FakeLog copy = log;
+
+    SECTION("the holder, when the log has lost its last renewals")
+    {
+        now += std::chrono::milliseconds(800);
+        step(first, log, now);
+        REQUIRE(log.end.offset == copy.end.offset + 1);
+        log.restore(copy);
+        first.requireRead();
+        step(first, log, now);
+
+        SECTION("goes on at once with a higher token")
+        {
+            CHECK(first.holds(now));
+            CHECK(first.fence() > firstFence);
+            CHECK(log.record->era == log.end.era);
+        }
+        SECTION("and again after a second restore")
+        {
+            const std::uint64_t fence = first.fence();
+            log.restore(empty);
+            first.requireRead();
+            step(first, log, now);
+            CHECK(first.holds(now));
+            CHECK(first.fence() > fence);
+        }
+    }
+    SECTION("the holder that does not know of the restore, though the log ends at the same offset")
+    {
+        log.restore(copy);
+        now += std::chrono::milliseconds(800);
+        step(first, log, now); // The log accepts this renewal, in its new era.
+        CHECK(log.end.offset == copy.end.offset + 1);
+        step(first, log, now);
+        CHECK(first.holds(now));
+        CHECK(first.fence() > firstFence);
+        CHECK(log.record->era == log.end.era);
+    }
+    SECTION("a host whose claim is lost")
+    {
+        const std::optional<DutyRecord> released = first.release(now);
+        REQUIRE(released);
+        REQUIRE(log.append(*released, first.end()));
+        const TimePoint claimed = stepUntilHeld(second, log, now);
+        const std::uint64_t secondFence = second.fence();
+        REQUIRE(secondFence > firstFence);
+        const bool toBeforeFirstClaim = GENERATE(false, true);
+        log.restore(toBeforeFirstClaim ? empty : copy);
+
+        SECTION("goes on at once, though the log names the earlier holder or none")
+        {
+            second.requireRead();
+            step(second, log, claimed);
+            CHECK(second.holds(claimed));
+            CHECK(second.fence() > secondFence);
+        }
+        SECTION("another host, which has just started and has no peer to ask, claims the duties when the lost holder cannot act any more")
+        {
+            DutyLease restarted("entry-1", "b", Lease);
+            step(restarted, log, claimed);
+            CHECK(!restarted.holds(claimed));
+            const TimePoint taken = stepUntilHeld(restarted, log, claimed);
+            CHECK(!second.holds(taken));
+            CHECK(taken - claimed >= Lease);
+            CHECK(taken - claimed < 2 * Lease);
+            CHECK(restarted.fence() > secondFence);
+
+            SECTION("and the lost holder does not take them back when it sees the restored log")
+            {
+                second.requireRead();
+                step(second, log, taken);
+                CHECK(!second.holds(taken));
+            }
+        }
+    }
+    SECTION("a claim that was computed from the log before and is accepted by the restored one gives no lease")
+    {
+        second.observe(log.record, log.end, now);
+        now += 2 * Lease;
+        const std::optional<DutyRecord> late = second.proposal(now, {});
+        REQUIRE(late);
+        log.restore(copy);
+        REQUIRE(log.append(*late, second.end()));
+        second.noteAppended(*late, now, log.end.era);
+        CHECK(!second.holds(now));
+        const TimePoint taken = stepUntilHeld(second, log, now);
+        CHECK(second.fence() > late->fence);
+        CHECK(taken - now >= Lease);
+    }
+}
+
+TEST_CASE("A log without a record that states its era")
+{
+    FakeLog log;
+    log.end.era = 4;
+
+    SECTION("is claimed at once when the whole system starts for the first time")
+    {
+        DutyLease lease("entry-1", "a", Lease, true);
+        step(lease, log, Start);
+        CHECK(lease.holds(Start));
+    }
+    SECTION("is claimed at any other start only after a holder whose claim is lost could not act any more")
+    {
+        DutyLease lease("entry-1", "a", Lease);
+        step(lease, log, Start);
+        CHECK(stepUntilHeld(lease, log, Start) - Start >= Lease);
+    }
+}
+
+TEST_CASE("Where the log was never restored, hosts of earlier software versions claim higher fencing tokens than this one")
+{
+    FakeLog log;
+    log.end = {40, 1};
+    log.record = DutyRecord{"entry-1", "a", 12, 3, {}}; // As an earlier version writes it, without an era.
+    DutyLease lease("entry-2", "a", Lease);
+    step(lease, log, Start);
+    const TimePoint now = stepUntilHeld(lease, log, Start + Lease);
+    const std::uint64_t fenceOfEarlierVersion = log.end.offset + 1;
+    CHECK(lease.fence() > 12);
+    CHECK(lease.fence() < fenceOfEarlierVersion);
+
+    SECTION("which this one exceeds in turn")
+    {
+        log.record = DutyRecord{"entry-1", "b", fenceOfEarlierVersion, 0, {}};
+        ++log.end.offset;
+        DutyLease next("entry-3", "a", Lease);
+        step(next, log, now);
+        stepUntilHeld(next, log, now + Lease);
+        CHECK(next.fence() > fenceOfEarlierVersion);
+    }
+}
+
+TEST_CASE("Two hosts never hold the duties at the same time, and tokens only rise, while the log is restored again and again")
+{
+    const std::uint64_t seed = GENERATE(range(1, 61));
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    FakeLog log;
+    log.end.era = 1;
+    std::vector<FakeLog> copies{log};
+    std::vector<std::unique_ptr<DutyLease>> hosts;
+    std::vector<ports::LogEra> known(3, log.end.era);
+    for (const char *const name : {"entry-1", "entry-2", "entry-3"}) {
+        hosts.push_back(std::make_unique<DutyLease>(name, "0", Lease));
+    }
+    std::uint64_t highestFence = 0;
+    std::string lastHolder;
+    int starts = 0;
+    for (int tick = 0; tick < 900; ++tick) {
+        const TimePoint now = Start + std::chrono::milliseconds(100) * tick;
+        copies.push_back(log);
+        if (random() % 60 == 0) {
+            constexpr std::size_t MaxCopyAge = 50;
+            log.restore(copies[copies.size() - 1 - random() % std::min(copies.size(), MaxCopyAge)]);
+        }
+        int holders = 0;
+        for (std::size_t host = 0; host < hosts.size(); ++host) {
+            const std::string name = "entry-" + std::to_string(host + 1);
+            if (random() % 150 == 0) {
+                hosts[host] = std::make_unique<DutyLease>(name, std::to_string(++starts), Lease);
+                known[host].reset();
+            }
+            DutyLease &lease = *hosts[host];
+            if (random() % 3 == 0) { // The host learns of the era by another call.
+                known[host] = log.end.era;
+            }
+            if (known[host] > lease.end().era) {
+                lease.requireRead();
+            }
+            step(lease, log, now);
+            if (lease.holds(now)) {
+                ++holders;
+                CHECK(lease.fence() >= highestFence);
+                CHECK((lease.fence() > highestFence || lastHolder == name));
+                highestFence = std::max(highestFence, lease.fence());
+                lastHolder = name;
+            }
+        }
+        CHECK(holders <= 1);
+    }
+    CHECK(highestFence > 0);
+}
+
 TEST_CASE("A duty record is unchanged after encoding and decoding, and malformed text is rejected")
 {
     DutyRecord record{"entry-1", "a", 7, 3, {{12, {{"yard", 5}, {"office", 0}}}}};
     std::string reason;
     CHECK(decodedDutyRecord(encoded(record), reason) == record);
+    record.era = 0;
+    CHECK(decodedDutyRecord(encoded(record), reason) == record);
     CHECK(!decodedDutyRecord("{}", reason));
     CHECK(!decodedDutyRecord("no JSON", reason));
     CHECK(!decodedDutyRecord(R"({"holder":"a","start":"b","fence":-1,"renewal":1,"decided":[]})", reason));
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -29,6 +29,7 @@
     std::vector<std::string> seeds;                ///< Peer listeners of other gateways, as address:port; may be out of date.
 
     http::Endpoint platformLog;                ///< Server of the platform log.
+    bool firstStart = false;                   ///< The whole system starts for the first time, so that the log has no records of its own yet.
     std::optional<http::Endpoint> dutyService; ///< Takes usage reports and scaling requests; nothing when the platform has none.
 
     std::chrono::milliseconds renewalInterval{1'200};       ///< Interval at which upstreams renew their directory entries.
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -30,7 +30,7 @@
     : m_context(context)
     , m_gossip(gossip)
     , m_usageCollector(usageCollector)
-    , m_lease(context.settings.name, context.startId, context.settings.leaseDuration)
+    , m_lease(context.settings.name, context.startId, context.settings.leaseDuration, context.settings.firstStart)
     , m_firstWindow(context.usageLedger.windowAt(context.wallClock.sinceEpoch(hostNow())))
 {
 }
@@ -64,6 +64,9 @@
 net::awaitable<void> DutyRunner::claimOrRenewLease()
 {
     const TimePoint now = hostNow();
+    if (m_context.logEra.current() > m_lease.end().era) {
+        m_lease.requireRead();
+    }
     if (m_lease.needsRead(now, m_gossip.peerHoldsDuties(now))) {
         co_await readRecord();
     }
@@ -94,9 +97,9 @@
     record.value = encoded(next);
     ports::LogFailure failure;
     const std::optional<ports::AppendResult> result
-        = co_await m_context.ports.platformLog->append(ports::Topic::Duties, std::move(record), m_lease.end(), LogCallTimeout, failure);
+        = co_await m_context.ports.platformLog->append(ports::Topic::Duties, std::move(record), m_lease.end().offset, LogCallTimeout, failure);
     if (result && result->outcome == ports::AppendOutcome::Appended) {
-        m_lease.noteAppended(next, startedAt);
+        m_lease.noteAppended(next, startedAt, result->era);
         co_return;
     }
     m_lease.requireRead();
@@ -122,7 +125,7 @@
             m_context.eventLog.write("lease_unreadable", eventlog::Importance::StateChange, {{"reason", reason}});
         }
     }
-    m_lease.observe(std::move(record), newest->end.offset, startedAt);
+    m_lease.observe(std::move(record), newest->end, startedAt);
 }
 
 void DutyRunner::updateHolding()
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -57,6 +57,7 @@
     if (!duties.empty()) {
         settings.dutyService = endpointSetting(*platform, "duties");
     }
+    settings.firstStart = platform->flag("first_start", settings.firstStart);
     platform->rejectUnknownKeys();
 }
 
