Leave out usage windows that a holder with lost records may have reported

Cause: which windows were decided stands in the lease's record alone. When the platform's log goes on from a copy of before the decision, the next holder decides the window anew, from what the processes of then have counted. Change: a claim by a host that did not hold the lease across the restore decides nothing up to the window in progress, and says so in the record for the holders after it. The holder that goes on keeps its decisions. Usage of about two windows is missing after such a claim.

--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -19,8 +19,9 @@
     std::uint64_t fence = 0;                 ///< Fencing token; grows with each claim.
     std::uint64_t renewal = 0;               ///< Grows with each renewal, so that every record differs from the previous one.
     std::vector<ports::UsageReport> decided; ///< Final counts of the most recent usage windows.
-    ports::LogEra era
-        = std::nullopt; ///< Era of the log in which the lease was claimed; nothing when the log states none, or in records of earlier software versions.
+    /// Era of the log in which the lease was claimed; nothing when the log states none, or in records of earlier software versions.
+    ports::LogEra era = std::nullopt;
+    std::uint64_t firstWindow = 0; ///< Usage windows before this one may have been reported by a holder whose records are lost; they are not decided.
 
     bool operator==(const DutyRecord &) const = default;
 };
@@ -49,8 +50,9 @@
     /// or that it is unreadable.
     void observe(std::optional<DutyRecord> record, ports::LogPosition end, TimePoint began);
     /// The record to append at the offset of end() in order to claim or renew the lease; nothing while neither is due. A renewal makes the
-    /// usage counts @p decided final; a claim keeps those of the existing record.
-    [[nodiscard]] std::optional<DutyRecord> proposal(TimePoint now, const std::vector<ports::UsageReport> &decided) const;
+    /// usage counts @p decided final; a claim keeps those of the existing record, or, in a log that has lost records, leaves out all windows up to
+    /// @p currentWindow.
+    [[nodiscard]] std::optional<DutyRecord> proposal(TimePoint now, const std::vector<ports::UsageReport> &decided, std::uint64_t currentWindow) const;
     /// The record to append at the offset of end() in order to release the lease; nothing when this host does not hold it.
     [[nodiscard]] std::optional<DutyRecord> release(TimePoint now) const;
     /// Notes that the proposed record was appended at the offset of end() by a call that began at @p began, and that the log stated @p era with its
@@ -79,7 +81,7 @@
     /// Whether the time in which this host may act after its last renewal has not passed.
     [[nodiscard]] bool mayAct(TimePoint now) const;
     [[nodiscard]] std::optional<DutyRecord> renewal(TimePoint now, const std::vector<ports::UsageReport> &decided) const;
-    [[nodiscard]] std::optional<DutyRecord> claim(TimePoint now) const;
+    [[nodiscard]] std::optional<DutyRecord> claim(TimePoint now, std::uint64_t currentWindow) const;
     /// The fencing token of a claim that is appended at end().
     [[nodiscard]] std::uint64_t nextFence() const;
 
@@ -88,6 +90,7 @@
     const Duration m_lease;
     const bool m_firstStart;
     std::optional<DutyRecord> m_record;
+    std::optional<DutyRecord> m_lastAppended; ///< By this process.
     ports::LogPosition m_end;
     bool m_restored = false;                 ///< The era of the log has risen since this process first read it.
     std::optional<TimePoint> m_changedAt;    ///< When the current record and log end were first seen.
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -50,12 +50,12 @@
     }
 }
 
-std::optional<DutyRecord> DutyLease::proposal(TimePoint now, const std::vector<ports::UsageReport> &decided) const
+std::optional<DutyRecord> DutyLease::proposal(TimePoint now, const std::vector<ports::UsageReport> &decided, std::uint64_t currentWindow) const
 {
     if (m_readRequired || !m_changedAt) {
         return std::nullopt;
     }
-    return isOwnRecord() && isRecordCurrent() ? renewal(now, decided) : claim(now);
+    return isOwnRecord() && isRecordCurrent() ? renewal(now, decided) : claim(now, currentWindow);
 }
 
 std::optional<DutyRecord> DutyLease::renewal(TimePoint now, const std::vector<ports::UsageReport> &decided) const
@@ -70,7 +70,7 @@
     return next;
 }
 
-std::optional<DutyRecord> DutyLease::claim(TimePoint now) const
+std::optional<DutyRecord> DutyLease::claim(TimePoint now, std::uint64_t currentWindow) const
 {
     // An earlier run of this host's process has ended, so that its lease can be taken over at once.
     const bool isFree = isRecordCurrent() ? !m_record || m_record->holder == m_host || m_record->holder.empty() : mayAct(now);
@@ -82,8 +82,13 @@
     next.start = m_start;
     next.fence = nextFence();
     next.era = m_end.era;
-    if (m_record) {
-        next.decided = m_record->decided;
+    // Only the host that held the duties until the log was restored knows what was decided; the restored record may lack it.
+    const std::optional<DutyRecord> &before = isRecordCurrent() ? m_record : m_lastAppended;
+    if (before && (isRecordCurrent() || mayAct(now))) {
+        next.decided = before->decided;
+        next.firstWindow = before->firstWindow;
+    } else if (!isRecordCurrent()) {
+        next.firstWindow = currentWindow + 1; // The present one, too, since the clocks of hosts differ.
     }
     return next;
 }
@@ -115,6 +120,7 @@
         return;
     }
     m_record = record;
+    m_lastAppended = record;
     ++m_end.offset;
     m_changedAt = began;
     m_renewalBegan = began;
--- a/src/duties/internal/dutyrecords.cpp
+++ b/src/duties/internal/dutyrecords.cpp
@@ -32,6 +32,9 @@
     if (record.era) {
         value["era"] = static_cast<Json::UInt64>(*record.era);
     }
+    if (record.firstWindow > 0) {
+        value["first_window"] = static_cast<Json::UInt64>(record.firstWindow);
+    }
     value["decided"] = Json::Value(Json::arrayValue);
     for (const ports::UsageReport &report : record.decided) {
         Json::Value entry;
@@ -56,7 +59,7 @@
         reason = "a field of the duty record is missing or malformed";
         return std::nullopt;
     }
-    DutyRecord record{*holder, *start, *fence, *renewal, {}, unsignedMember(*value, "era")};
+    DutyRecord record{*holder, *start, *fence, *renewal, {}, unsignedMember(*value, "era"), unsignedMember(*value, "first_window").value_or(0)};
     for (const Json::Value &entry : (*value)["decided"]) {
         std::optional<ports::UsageReport> report = decodedReport(entry);
         if (!report) {
--- a/src/duties/tests/dutyleasetests.cpp
+++ b/src/duties/tests/dutyleasetests.cpp
@@ -44,7 +44,7 @@
         lease.observe(log.record, log.end, now);
     }
     const std::vector<ports::UsageReport> decided = lease.record() ? lease.record()->decided : std::vector<ports::UsageReport>();
-    const std::optional<DutyRecord> next = lease.proposal(now, decided);
+    const std::optional<DutyRecord> next = lease.proposal(now, decided, 0);
     if (!next) {
         return;
     }
@@ -134,7 +134,7 @@
     SECTION("the next holder keeps the usage counts that the previous holder made final")
     {
         const ports::UsageReport report{7, {{"yard", 5}}};
-        const std::optional<DutyRecord> next = first.proposal(Start, {report});
+        const std::optional<DutyRecord> next = first.proposal(Start, {report}, 7);
         REQUIRE(next);
         REQUIRE(log.append(*next, first.end()));
         first.noteAppended(*next, Start, std::nullopt);
@@ -170,7 +170,7 @@
                     awake[host] = now + std::chrono::milliseconds(random() % 8'000);
                 } else if (random() % 10 == 0 && !lease.needsRead(now, false)) {
                     // The append succeeds, but its response is lost.
-                    const std::optional<DutyRecord> next = lease.proposal(now, {});
+                    const std::optional<DutyRecord> next = lease.proposal(now, {}, 0);
                     if (next) {
                         log.append(*next, lease.end());
                         lease.requireRead();
@@ -289,7 +289,7 @@
     {
         second.observe(log.record, log.end, now);
         now += 2 * Lease;
-        const std::optional<DutyRecord> late = second.proposal(now, {});
+        const std::optional<DutyRecord> late = second.proposal(now, {}, 0);
         REQUIRE(late);
         log.restore(copy);
         REQUIRE(log.append(*late, second.end()));
@@ -301,6 +301,63 @@
     }
 }
 
+// Guards against a usage window that is reported twice with different counts, after the log lost the record that it was decided (review/5).
+TEST_CASE("After the log was restored, only the host that decided usage windows goes on with them")
+{
+    constexpr std::uint64_t CurrentWindow = 9;
+    const ports::UsageReport report{7, {{"yard", 5}}};
+    FakeLog log;
+    log.end.era = 1;
+    DutyLease first("entry-1", "a", Lease);
+    const TimePoint now = stepUntilHeld(first, log, Start);
+    const std::uint64_t firstWindow = first.record()->firstWindow;
+    const FakeLog copy = log;
+    const std::optional<DutyRecord> decided = first.proposal(now, {report}, CurrentWindow);
+    REQUIRE(decided);
+    REQUIRE(log.append(*decided, first.end()));
+    first.noteAppended(*decided, now, log.end.era);
+    log.restore(copy);
+
+    SECTION("the holder that goes on keeps what it decided")
+    {
+        first.observe(log.record, log.end, now);
+        const std::optional<DutyRecord> claim = first.proposal(now, {}, CurrentWindow);
+        REQUIRE(claim);
+        CHECK(claim->decided == std::vector<ports::UsageReport>{report});
+        CHECK(claim->firstWindow == firstWindow);
+    }
+    SECTION("another host leaves out what may have been decided, up to the window in progress")
+    {
+        DutyLease second("entry-2", "a", Lease);
+        second.observe(log.record, log.end, now);
+        const std::optional<DutyRecord> claim = second.proposal(now + 2 * Lease, {}, CurrentWindow);
+        REQUIRE(claim);
+        CHECK(claim->decided.empty());
+        CHECK(claim->firstWindow == CurrentWindow + 1);
+
+        SECTION("and so do the holders after it in the same era")
+        {
+            REQUIRE(log.append(*claim, second.end()));
+            DutyLease third("entry-3", "a", Lease);
+            third.observe(log.record, log.end, now + 2 * Lease);
+            const std::optional<DutyRecord> next = third.proposal(now + 4 * Lease, {}, CurrentWindow + 2);
+            REQUIRE(next);
+            CHECK(next->firstWindow == CurrentWindow + 1);
+        }
+    }
+    SECTION("counts that the copy holds are not reported again by another host, as a late record of the era before may have replaced others")
+    {
+        FakeLog withCounts = copy;
+        withCounts.record = decided;
+        log.restore(withCounts);
+        DutyLease second("entry-2", "a", Lease);
+        second.observe(log.record, log.end, now);
+        const std::optional<DutyRecord> claim = second.proposal(now + 2 * Lease, {}, CurrentWindow);
+        REQUIRE(claim);
+        CHECK(claim->decided.empty());
+    }
+}
+
 TEST_CASE("A log without a record that states its era")
 {
     FakeLog log;
@@ -400,6 +457,7 @@
     std::string reason;
     CHECK(decodedDutyRecord(encoded(record), reason) == record);
     record.era = 0;
+    record.firstWindow = 13;
     CHECK(decodedDutyRecord(encoded(record), reason) == record);
     CHECK(!decodedDutyRecord("{}", reason));
     CHECK(!decodedDutyRecord("no JSON", reason));
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -74,7 +74,8 @@
         co_return;
     }
     const TimePoint startedAt = hostNow();
-    const std::optional<duties::DutyRecord> next = m_lease.proposal(startedAt, decidedWindows(startedAt));
+    const std::uint64_t currentWindow = m_context.usageLedger.windowAt(m_context.wallClock.sinceEpoch(startedAt));
+    const std::optional<duties::DutyRecord> next = m_lease.proposal(startedAt, decidedWindows(startedAt), currentWindow);
     if (!next) {
         co_return;
     }
@@ -155,8 +156,8 @@
         return windows;
     }
     const std::uint64_t current = m_context.usageLedger.windowAt(m_context.wallClock.sinceEpoch(now));
-    // Windows up to the last decided one, and those that are overdue, are skipped.
-    std::uint64_t next = windows.empty() ? m_firstWindow : windows.back().window + 1;
+    // Windows up to the last decided one, those that a holder with lost records may have reported, and those that are overdue, are skipped.
+    std::uint64_t next = std::max(windows.empty() ? m_firstWindow : windows.back().window + 1, m_lease.record()->firstWindow);
     while (next < current && m_context.wallClock.sinceEpoch(now) > m_context.usageLedger.endOf(next) + m_context.settings.usageReportDelay) {
         ++next;
     }
