Record streams and software versions anew when the platform's log was restored

Cause: which version began a stream is recorded once; nobody wrote it again after the record was lost, and peers are told only of streams that are not recorded. The new sections of the test of software versions failed without the change. Change: when the era rises, a host records the streams that it has passed on again, and the versions that the log lacks, at a random time within its write interval.

--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -61,6 +61,10 @@
 net::awaitable<void> StreamRegistry::run()
 {
     while (true) {
+        if (noteRestoredLog()) {
+            // All hosts notice it within the same moment.
+            co_await pause(std::chrono::duration_cast<std::chrono::milliseconds>(writeInterval() * m_context.randomFraction()));
+        }
         const TimePoint now = hostNow();
         m_context.streamOrigins.expire(now);
         for (streams::ServiceVersion &version : m_context.softwareVersions.expire(now)) {
@@ -87,7 +91,18 @@
 
 bool StreamRegistry::versionsRead() const
 {
-    return m_upstreamFollower.listRead() && m_versionsReadAfter == m_upstreamFollower.newestReads();
+    return m_upstreamFollower.listRead() && m_versionsReadAfter == m_upstreamFollower.newestReads() && m_versionsReadRises == m_context.logEra.rises();
+}
+
+bool StreamRegistry::noteRestoredLog()
+{
+    if (m_notedRises == m_context.logEra.rises()) {
+        return false;
+    }
+    m_notedRises = m_context.logEra.rises();
+    m_context.streamOrigins.noteRecordsLost();
+    m_context.softwareVersions.noteRecordsLost();
+    return true;
 }
 
 net::awaitable<bool> StreamRegistry::readVersions()
@@ -102,12 +117,14 @@
         m_context.eventLog.write("versions_not_read", eventlog::Importance::Failure, {{"reason", failure.detail}});
         co_return false;
     }
+    noteRestoredLog(); // Before the records of the restored log are noted.
     for (const ports::Record &record : newest->records) {
         if (const std::optional<streams::ServiceVersion> version = recordedVersion(record)) {
             m_context.softwareVersions.noteRecorded(*version, hostNow());
         }
     }
     m_versionsReadAfter = newestReads;
+    m_versionsReadRises = m_context.logEra.rises();
     co_return true;
 }
 
--- a/src/gateway/internal/streamregistry.h
+++ b/src/gateway/internal/streamregistry.h
@@ -28,8 +28,10 @@
     boost::asio::awaitable<std::optional<streams::Origin>> find(std::optional<streams::StreamKey> key, std::set<std::string> services);
 
 private:
-    /// Whether the recorded versions were read since the list of upstreams last showed its newest entries only.
+    /// Whether the recorded versions were read since the list of upstreams last showed its newest entries only, and since the log was last restored.
     [[nodiscard]] bool versionsRead() const;
+    /// Has what this host knows recorded anew if the log was restored from a copy since the last call. Returns whether it was.
+    bool noteRestoredLog();
     boost::asio::awaitable<bool> readVersions();
     boost::asio::awaitable<bool> readOrigins();
     boost::asio::awaitable<bool> recordVersions();
@@ -47,6 +49,8 @@
     SharedRead m_originsReader;
     ports::LogPosition m_originsPosition;  ///< Position of the next read of origins.
     std::uint64_t m_versionsReadAfter = 0; ///< UpstreamFollower::newestReads() at the last read of the recorded versions.
+    std::uint64_t m_versionsReadRises = 0; ///< LogEraTracker::rises() at that read.
+    std::uint64_t m_notedRises = 0;        ///< LogEraTracker::rises() at the last noteRestoredLog().
     std::set<std::string> m_splitServices; ///< Services of resumable routes that have several, in the configuration with m_configurationVersion.
     std::uint64_t m_configurationVersion = 0;
     std::vector<streams::ServiceVersion> m_retired; ///< Versions whose records are to be removed.
--- a/src/streams/internal/streamorigins.cpp
+++ b/src/streams/internal/streamorigins.cpp
@@ -150,6 +150,16 @@
     }
 }
 
+void StreamOrigins::noteRecordsLost()
+{
+    for (const auto &[time, key] : m_expiry) {
+        const auto found = m_streams.find(key);
+        if (found != m_streams.end() && !found->second.instance.empty()) {
+            queueForRecording(key, found->second);
+        }
+    }
+}
+
 std::size_t StreamOrigins::size() const
 {
     return m_streams.size();
--- a/src/streams/internal/versionhistory.cpp
+++ b/src/streams/internal/versionhistory.cpp
@@ -44,6 +44,15 @@
     add(version, now).recorded = true;
 }
 
+void VersionHistory::noteRecordsLost()
+{
+    for (auto &[service, presences] : m_services) {
+        for (auto &[version, presence] : presences) {
+            presence.recorded = false;
+        }
+    }
+}
+
 void VersionHistory::apply(const VersionReport &report, TimePoint now)
 {
     constexpr std::uint64_t MaxAgeMs = std::chrono::milliseconds(RetiredLifetime).count();
--- a/src/streams/streamorigins.h
+++ b/src/streams/streamorigins.h
@@ -37,6 +37,8 @@
     [[nodiscard]] OriginReport unrecorded(const std::set<std::string> &services, std::size_t most) const;
     /// Notes that @p report is recorded where the other hosts find it.
     void noteRecorded(const OriginReport &report);
+    /// Notes that records may be lost: the streams that this host has passed on are recorded anew.
+    void noteRecordsLost();
     /// Number of known streams.
     [[nodiscard]] std::size_t size() const;
 
--- a/src/streams/tests/streamoriginstests.cpp
+++ b/src/streams/tests/streamoriginstests.cpp
@@ -141,3 +141,40 @@
         CHECK(!originReport(Json::Value("text")));
     }
 }
+
+// Guards against streams whose records the platform's log has lost, and that nobody records again (review/3).
+TEST_CASE("After records were lost, a host records the streams that it has passed on anew")
+{
+    StreamOrigins origins;
+    origins.noteBegan(1, First, "model-a", Start);
+    origins.noteBegan(2, Second, "model-b", Start + 1s);
+    OriginReport ofOthers;
+    ofOthers.add(3, First);
+    origins.apply(ofOthers, Start + 1s);
+    origins.noteRecorded(origins.unrecorded(Models, NoLimit));
+    REQUIRE(origins.unrecorded(Models, NoLimit).size() == 0);
+
+    SECTION("once, and without those of other hosts")
+    {
+        origins.noteRecordsLost();
+        origins.noteRecordsLost();
+        OriginReport expected;
+        expected.add(1, First);
+        expected.add(2, Second);
+        CHECK(origins.unrecorded(Models, NoLimit) == expected);
+        origins.noteRecorded(expected);
+        CHECK(!origins.hasUnrecorded("models"));
+    }
+    SECTION("and those that are still to be recorded stay so")
+    {
+        origins.noteBegan(4, First, "model-a", Start + 2s);
+        origins.noteRecordsLost();
+        CHECK(origins.unrecorded(Models, NoLimit).size() == 3);
+    }
+    SECTION("but not those that callers no longer resume")
+    {
+        origins.expire(Start + 121s);
+        origins.noteRecordsLost();
+        CHECK(origins.unrecorded(Models, NoLimit).size() == 0);
+    }
+}
--- a/src/streams/tests/versionhistorytests.cpp
+++ b/src/streams/tests/versionhistorytests.cpp
@@ -105,3 +105,17 @@
     history.expire(Start + 111s);
     CHECK(history.versions("models") == std::set<std::string>{"v1"});
 }
+
+TEST_CASE("After records were lost, versions are recorded anew unless another host has done so")
+{
+    VersionHistory history;
+    history.noteListed(First, Start);
+    history.noteListed(Second, Start);
+    history.noteRecorded(First, Start);
+    history.noteRecorded(Second, Start);
+    REQUIRE(history.unrecorded().empty());
+    history.noteRecordsLost();
+    CHECK(history.unrecorded().size() == 2);
+    history.noteRecorded(First, Start + 1s);
+    CHECK(history.unrecorded() == std::vector<ServiceVersion>{Second});
+}
--- a/src/streams/versionhistory.h
+++ b/src/streams/versionhistory.h
@@ -44,6 +44,8 @@
     /// Notes that @p version is recorded, by this host or by another one. When it is not known here it counts as listed until now, since the record
     /// does not tell how long ago its last upstream left.
     void noteRecorded(const ServiceVersion &version, TimePoint now);
+    /// Notes that records may be lost: all versions count as not recorded.
+    void noteRecordsLost();
     /// Applies the report of another host.
     void apply(const VersionReport &report, TimePoint now);
     /// Forgets the versions whose streams can no longer be resumed. Returns those of them that are recorded, for the records to be removed.
