Bound what is held of an upstream's answer before it can be parsed

Cause: the size line of a chunk and the trailer are collected in the connection's buffer before they are parsed, and the buffer had no largest size. Change: 16 KiB; an answer that needs more is malformed.

--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -9,6 +9,10 @@
 
 namespace rosemaryshift::http {
 
+/// Largest number of bytes of an answer that are held before they can be parsed: a head, the line with the size of a chunk, or a trailer. A faulty server
+/// may send one without end.
+inline constexpr std::size_t MaxUnparsedBytes = 16 * 1024;
+
 /// A client connection to a server.
 struct ClientConnection {
     explicit ClientConnection(const boost::asio::any_io_executor &executor);
@@ -19,8 +23,8 @@
     [[nodiscard]] std::size_t unreadBytes();
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer; ///< Bytes read but not yet parsed.
-    std::uint64_t exchanges = 0;      ///< Number of exchanges that have sent a request on the connection.
+    boost::beast::flat_buffer buffer{MaxUnparsedBytes}; ///< Bytes read but not yet parsed.
+    std::uint64_t exchanges = 0;                        ///< Number of exchanges that have sent a request on the connection.
     /// Until when the server keeps the connection open without a request, with a margin; nothing before it was in a pool.
     std::optional<std::chrono::steady_clock::time_point> idleUntil;
 };
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -308,6 +308,9 @@
             }
             return {ClientError::TimedOut, "nothing came within the timeout"};
         }
+        if (error == bhttp::error::buffer_overflow || error == bhttp::error::header_limit) {
+            return {ClientError::Malformed, "a head, the size line of a chunk or a trailer is too long"};
+        }
         const bool closed = error == bhttp::error::end_of_stream || error == bhttp::error::partial_message;
         if (!closed && error.category() == make_error_code(bhttp::error::bad_method).category()) {
             return {ClientError::Malformed, error.message()};
