Bound what is held of a caller's request before it can be parsed

Cause: the connection kept what the parser could not use yet without a bound; the configured limits cover the header and the content of the body. Change: such a part may be as long as a header; beyond that the request is refused with 431.

--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -70,7 +70,7 @@
 
 /// Limits on requests; they bound the memory and the time that one caller can take up on a server.
 struct ServerLimits {
-    std::uint32_t headerBytes = 16 * 1024;
+    std::uint32_t headerBytes = 16 * 1024; ///< Of the header, and again of the size line of each chunk and of the trailer.
     std::uint64_t bodyBytes = 8 * 1024 * 1024;
     std::chrono::milliseconds headerTimeout{10'000}; ///< For receiving the rest of a header after its first bytes.
     std::chrono::milliseconds bodyTimeout{30'000};   ///< For receiving the whole body.
--- a/src/http/internal/requestfaults.cpp
+++ b/src/http/internal/requestfaults.cpp
@@ -13,6 +13,9 @@
     if (error == bhttp::error::header_limit) {
         return {431, "header_too_large", "the header is larger than this server accepts"};
     }
+    if (error == bhttp::error::buffer_overflow) {
+        return {431, "framing_too_large", "the size line of a chunk or the trailer is larger than this server accepts"};
+    }
     if (error == bhttp::error::body_limit) {
         return {413, "body_too_large", "the body is larger than this server accepts"};
     }
--- a/src/http/internal/requestreading.cpp
+++ b/src/http/internal/requestreading.cpp
@@ -96,6 +96,9 @@
         if (m_buffer.size() > 0) {
             m_buffer.consume(parser.put(m_buffer.data(), error));
         }
+        if (error == bhttp::error::need_more && m_buffer.size() >= m_limits.headerBytes) {
+            error = bhttp::error::buffer_overflow; // The size line of a chunk or the trailer has no end, as the parser bounds the header itself.
+        }
         if (error == bhttp::error::need_more) {
             error = co_await readSome();
         }
