Bound the answers that are read whole from the platform and from peers

Cause: fetch() held whatever came, up to 64 MiB with a length and without a bound until the end of the connection; the pages of the newest records were not bounded in sum.

--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -58,10 +58,10 @@
 /// destructor returns the connection if the answer was read to its end. Precondition: the pool is used from that executor only.
 std::shared_ptr<IExchange> makeExchange(const boost::asio::any_io_executor &executor, std::shared_ptr<ConnectionPool> pool = nullptr);
 
-/// Sends @p request and reads the complete answer on the current executor; nothing, with @p failure set, when any step fails.
+/// Sends @p request and reads the complete answer, of 8 MiB at most, on the current executor; nothing, with @p failure set, when any step fails.
 boost::asio::awaitable<std::optional<Response>> fetch(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure);
-/// Sends @p request on a connection of @p pool and reads the complete answer; nothing, with @p failure set, when any step fails. Precondition: the pool is used
-/// from the current executor only.
+/// Sends @p request on a connection of @p pool and reads the complete answer, of 8 MiB at most; nothing, with @p failure set, when any step fails.
+/// Precondition: the pool is used from the current executor only.
 boost::asio::awaitable<std::optional<Response>>
 fetch(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure, std::shared_ptr<ConnectionPool> pool);
 
--- a/src/http/internal/fetch.cpp
+++ b/src/http/internal/fetch.cpp
@@ -6,6 +6,13 @@
 
 namespace net = boost::asio;
 
+namespace {
+
+/// Largest accepted body of an answer that is read completely.
+constexpr std::size_t MaxFetchedBytes = 8 * 1024 * 1024;
+
+}
+
 net::awaitable<std::optional<Response>> IExchange::open(const Endpoint &endpoint, Request request, ClientTimeouts timeouts, ClientFailure &failure)
 {
     RequestSource source = [request = std::move(request)]() mutable { return std::optional<Request>(std::move(request)); };
@@ -37,6 +44,11 @@
         if (piece->empty()) {
             co_return response;
         }
+        if (response->body.size() + piece->size() > MaxFetchedBytes) {
+            failure = {ClientError::Malformed, "the answer is too large"};
+            exchange->cancel();
+            co_return std::nullopt;
+        }
         response->body += *piece;
     }
 }
