Bound what all requests and answers that are held at the same time take up together

Cause: each part had a bound, the sum had none. Change: MemoryBudget, a quarter of the memory limit that the platform states. A request beyond it is refused as not run, with a time to come back; an answer beyond it is broken off.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -81,23 +81,25 @@
     bool listen(std::string &reason)
     {
         const GatewaySettings &settings = m_context.settings;
+        http::ServerLimits limits;
+        limits.memory = m_context.heldBytes;
         m_callerServer = http::makeHttpServer(
             m_io,
             settings.callerListener,
-            {},
+            limits,
             [this](http::Request request, http::IResponseWriter &writer) { return serve(std::move(request), writer, false); },
             reason,
             std::make_shared<ConnectionObserver>(m_context, "caller"));
         m_readinessServer = http::makeHttpServer(
             m_io,
             settings.readinessListener,
-            {},
+            limits,
             [this](http::Request, http::IResponseWriter &writer) { return sendResponse(writer, textResponse(ready() ? 200 : 503, {})); },
             reason);
         m_peerServer = http::makeHttpServer(
             m_io,
             settings.peerListener,
-            {},
+            limits,
             [this](http::Request request, http::IResponseWriter &writer) { return servePeer(std::move(request), writer); },
             reason,
             std::make_shared<ConnectionObserver>(m_context, "peer"));
@@ -108,7 +110,7 @@
             m_metricsServer = http::makeHttpServer(
                 m_io,
                 *settings.metricsListener,
-                {},
+                limits,
                 [this](http::Request, http::IResponseWriter &writer) { return sendResponse(writer, textResponse(200, metricsText())); },
                 reason);
         }
@@ -185,6 +187,7 @@
         const routing::Configuration &configuration = m_context.configuration.table()->configuration();
         m_context.quotas.configure(configuration.workspaces, hostNow());
         http::ServerLimits limits;
+        limits.memory = m_context.heldBytes;
         limits.headerBytes = configuration.limits.headerBytes;
         limits.bodyBytes = configuration.limits.bodyBytes;
         limits.headerTimeout = configuration.limits.headerTimeout;
@@ -300,6 +303,7 @@
         metrics.set("rosemaryshift_configuration_version", "", static_cast<double>(m_context.configuration.version()));
         metrics.set(
             "rosemaryshift_configuration_age_seconds", "", std::chrono::duration<double>(m_context.configuration.age(now).value_or(Duration::max())).count());
+        metrics.set("rosemaryshift_held_bytes", "", static_cast<double>(m_context.heldBytes->used()));
         metrics.set("rosemaryshift_peers", "", static_cast<double>(m_gossip.registry().peers().size()));
         metrics.set("rosemaryshift_upstreams", "", static_cast<double>(m_context.directory.all().size()));
         metrics.set("rosemaryshift_log_lines_dropped", "", static_cast<double>(m_context.eventLog.dropped()));
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -83,6 +83,7 @@
         eventLog.write("software_versions", eventlog::Importance::StateChange, {{"service", service}, {"versions", commaSeparated(versions)}});
     })
     , usageLedger(settings.usageWindow)
+    , heldBytes(std::make_shared<http::MemoryBudget>(settings.heldBytes))
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
     , peerConnections(std::make_shared<http::ConnectionPool>())
     , forwardingToken(randomId())
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -18,6 +18,7 @@
 #include "gateway/internal/wallclockestimator.h"
 #include "gossip/peerregistry.h"
 #include "http/connectionpool.h"
+#include "http/memorybudget.h"
 #include "limits/retrybudget.h"
 #include "limits/upstreamlimits.h"
 #include "limits/upstreampauses.h"
@@ -62,6 +63,7 @@
     streams::StreamOrigins streamOrigins;
     duties::UsageLedger usageLedger;
     WallClockEstimator wallClock;
+    const std::shared_ptr<http::MemoryBudget> heldBytes; ///< Of requests and answers that are held at the same time.
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
     std::shared_ptr<http::ConnectionPool> peerConnections;
     const std::string forwardingToken;           ///< Random; peers present it with the requests that they forward to this process.
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -13,6 +13,11 @@
 /// Highest accepted limit on the lines, and on the bytes, that the event log writes per second.
 constexpr std::uint64_t MaxLogRate = 1U << 30U;
 constexpr std::uint64_t MaxPort = 65'535;
+/// Largest accepted memory limit of the process, in MiB.
+constexpr std::uint64_t MaxMemoryMib = 1U << 20U;
+constexpr std::size_t BytesPerMib = 1U << 20U;
+/// Part of the memory limit that requests and answers may take up together; the rest is for the state of the fleet, connections and copies.
+constexpr std::size_t HeldMemoryDivisor = 4;
 
 std::chrono::milliseconds milliseconds(SettingsTable &table, std::string_view key, std::chrono::milliseconds fallback)
 {
@@ -105,6 +110,13 @@
         settings.longestPause = std::chrono::milliseconds(upstreams->number("longest_pause_ms", {0, MaxMilliseconds}, fallback));
         upstreams->rejectUnknownKeys();
     }
+    if (std::optional<SettingsTable> process = root.table("process")) {
+        const std::uint64_t memoryMib = process->number("memory_mb", {0, MaxMemoryMib}, 0);
+        if (memoryMib > 0) {
+            settings.heldBytes = memoryMib * BytesPerMib / HeldMemoryDivisor;
+        }
+        process->rejectUnknownKeys();
+    }
     if (std::optional<SettingsTable> peers = root.table("peers")) {
         settings.seeds = peers->texts("seeds");
         peers->rejectUnknownKeys();
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -29,6 +29,9 @@
 /// Largest body of an answer that is held until it is complete; a faulty upstream may send bytes without end.
 constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
 
+/// Reason of a failure when the answers that are held would take up too much memory together.
+constexpr std::string_view HeldBytesExceeded = "the answers that are held take up too much memory";
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -179,12 +182,16 @@
     while (true) {
         std::optional<std::string> chunk = co_await m_exchange->readSome(failure);
         m_partialEventBytes = m_eventSplitter.partialEvent().size();
+        const bool fits = m_heldAnswer.resize(m_partialEventBytes);
         if (chunk && chunk->empty() && isTruncatedStream(receivedEvent)) {
             failure = {http::ClientError::Closed, "it ended before the end of an event"};
             chunk.reset();
         } else if (m_eventSplitter.overflowed()) {
             failure = {http::ClientError::Malformed, "an event is too large"};
             chunk.reset();
+        } else if (!fits) {
+            failure = {http::ClientError::Cancelled, std::string(HeldBytesExceeded)};
+            chunk.reset();
         }
         if (!chunk) {
             m_reason = "stream broke: " + failure.detail;
@@ -276,6 +283,7 @@
 net::awaitable<std::optional<std::string>> RequestSession::readBody(http::ClientFailure &failure)
 {
     std::string body;
+    m_heldAnswer.release();
     while (true) {
         const std::optional<std::string> chunk = co_await m_exchange->readSome(failure);
         if (!chunk) {
@@ -286,8 +294,10 @@
         if (chunk->empty()) {
             co_return body;
         }
-        if (body.size() + chunk->size() > MaxAnswerBytes) {
-            failure = {http::ClientError::Malformed, "the answer is too large"};
+        const bool tooLarge = body.size() + chunk->size() > MaxAnswerBytes;
+        if (tooLarge || !m_heldAnswer.resize(body.size() + chunk->size())) {
+            failure = tooLarge ? http::ClientFailure{http::ClientError::Malformed, "the answer is too large"}
+                               : http::ClientFailure{http::ClientError::Cancelled, std::string(HeldBytesExceeded)};
             m_reason = "answer broke: " + failure.detail;
             m_exchange->cancel();
             co_return std::nullopt;
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -38,6 +38,7 @@
     , m_handledAt(hostNow())
     , m_arrivedAt(m_handledAt - m_context.loopDelay.estimate(m_handledAt))
     , m_deadline(m_arrivedAt + DefaultTimeout)
+    , m_heldAnswer(context.heldBytes)
 {
 }
 
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -180,6 +180,7 @@
     int m_rejectionStatus = 0;
     std::string m_reason; ///< Why the request was rejected, or the last dispatch failed.
 
+    http::MemoryShare m_heldAnswer;               ///< Bytes of the answer that are held before they are passed on.
     std::shared_ptr<http::IExchange> m_exchange;  ///< Exchange with the upstream of the current dispatch.
     std::optional<balancing::Choice> m_successor; ///< Takes over from the upstream of the current dispatch, in the same turn of the event loop.
     std::uint64_t m_balancerAttempt = 0;          ///< Number of the current dispatch at the balancer.
--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -68,10 +69,13 @@
     bool operator==(const Endpoint &) const = default;
 };
 
+class MemoryBudget;
+
 /// Limits on requests; they bound the memory and the time that one caller can take up on a server.
 struct ServerLimits {
     std::uint32_t headerBytes = 16 * 1024; ///< Of the header, and again of the size line of each chunk and of the trailer.
     std::uint64_t bodyBytes = 8 * 1024 * 1024;
+    std::shared_ptr<MemoryBudget> memory;            ///< Bound on the bytes of all requests that are read or handled at the same time; null for none.
     std::chrono::milliseconds headerTimeout{10'000}; ///< For receiving the rest of a header after its first bytes.
     std::chrono::milliseconds bodyTimeout{30'000};   ///< For receiving the whole body.
     std::chrono::milliseconds writeTimeout{30'000};  ///< For each write to the caller.
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -25,6 +25,7 @@
     : m_socket(std::move(socket))
     , m_deadline(m_socket.get_executor())
     , m_limits(limits)
+    , m_memory(limits.memory)
     , m_handler(handler)
     , m_state(state)
     , m_progress(std::move(observer))
@@ -69,6 +70,7 @@
     }
     m_progress.noteReceived();
     co_await serve(std::move(*request));
+    m_memory.release();
     co_return true;
 }
 
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -2,6 +2,7 @@
 
 #include "http/ihttpserver.h"
 #include "http/internal/requestprogress.h"
+#include "http/memorybudget.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -93,6 +94,7 @@
     boost::asio::steady_timer m_deadline;
     boost::beast::flat_buffer m_buffer;
     const ServerLimits &m_limits;
+    MemoryShare m_memory; ///< Bytes of the request that is read or handled.
     const RequestHandler &m_handler;
     const ServerState &m_state;
     RequestProgress m_progress;
--- a/src/http/internal/requestfaults.cpp
+++ b/src/http/internal/requestfaults.cpp
@@ -19,6 +19,9 @@
     if (error == bhttp::error::body_limit) {
         return {413, "body_too_large", "the body is larger than this server accepts"};
     }
+    if (error == boost::system::errc::not_enough_memory) {
+        return {503, "out_of_memory", "this server holds as many bytes of requests and answers as it may"};
+    }
     if (error == beast::error::timeout) {
         return {408, "request_timeout", "the request did not arrive in time"};
     }
@@ -27,7 +30,7 @@
 
 bool needsAnswer(beast::error_code error)
 {
-    return error == beast::error::timeout
+    return error == beast::error::timeout || error == boost::system::errc::not_enough_memory
         || (error.category() == make_error_code(bhttp::error::bad_method).category() && error != bhttp::error::end_of_stream
             && error != bhttp::error::partial_message);
 }
--- a/src/http/internal/requestreading.cpp
+++ b/src/http/internal/requestreading.cpp
@@ -16,6 +16,9 @@
 /// Bounds on discarding a refused request's remaining bytes.
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
 constexpr std::chrono::milliseconds DiscardTimeout{500};
+constexpr int ServiceUnavailable = 503;
+/// When a caller may return whose request did not fit into the memory; others are answered meanwhile.
+constexpr std::string_view RetryAfterSeconds = "0.5";
 /// Maximum number of bytes of one read.
 constexpr std::size_t ReadBytes = 4096;
 /// Time within which a connection must send its first request once the server stops.
@@ -102,6 +105,9 @@
         if (error == bhttp::error::need_more) {
             error = co_await readSome();
         }
+        if (!m_memory.resize(m_buffer.size() + parser.get().body().size())) {
+            error = make_error_code(boost::system::errc::not_enough_memory);
+        }
         if (error == net::error::eof && parser.got_some()) {
             parser.put_eof(error);
         } else if (error == net::error::eof) {
@@ -146,6 +152,9 @@
     response.status = fault.status;
     response.headers.add("Content-Type", "application/json");
     response.headers.add("Rosemaryshift-Run", name(RunState::NotRun));
+    if (fault.status == ServiceUnavailable) {
+        response.headers.add("Retry-After", RetryAfterSeconds);
+    }
     response.body
         = R"({"error":{"message":")" + std::string(fault.message) + R"(","type":"invalid_request_error","code":")" + std::string(fault.code) + R"("}})";
     co_await respond(std::move(response));
