Hold signals back during the start, and serve on without a reader of the log

What callers saw: a process that gets SIGHUP, or SIGTERM, while it starts is ended by it (FAULT); so is one whose output has no reader any more, at its next log line. Cause: the default action of the signals, until the handlers are set up after the settings, codecs and listeners; SIGPIPE was never handled. Change: main() of the gateway and of the entry host begins by blocking the signals, and unblocks them when the handlers stand. SIGPIPE is ignored.

--- a/programs/entry/main.cpp
+++ b/programs/entry/main.cpp
@@ -35,6 +35,7 @@
                  host.operatorEndpoint().text());
     boost::asio::io_context signals;
     const program::SignalWatch watch(signals, [&host] { host.stop(); });
+    program::admitSignals();
     std::thread signalThread([&signals] { signals.run(); });
     host.run();
     signals.stop();
@@ -45,6 +46,7 @@
 
 int main(int argc, char **argv)
 {
+    program::holdSignals();
     const program::Arguments arguments(Usage, std::span(argv, static_cast<std::size_t>(argc)), Name);
     const std::string file = arguments.text("--settings");
     const std::optional<std::string> text = program::readSettings(file);
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -67,6 +67,7 @@
 
 int main(int argc, char **argv)
 {
+    program::holdSignals();
     const program::Arguments arguments(Usage, std::span(argv, static_cast<std::size_t>(argc)), Name);
     const std::string path = settingsPath(arguments);
     const std::optional<gateway::GatewaySettings> settings = readSettings(path);
@@ -83,6 +84,7 @@
         std::fputs((reason + "\n").c_str(), stderr);
         return program::Failed;
     }
+    program::admitSignals();
     host->run();
     return program::Success;
 }
--- a/src/program/internal/program.cpp
+++ b/src/program/internal/program.cpp
@@ -17,6 +17,28 @@
 constexpr std::size_t MaxSettingsBytes = 1024 * 1024;
 constexpr std::size_t MaxTokenBytes = 4096;
 
+/// Blocks or unblocks, by @p how, the signals that programs handle by themselves.
+void changeSignalMask(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&signals, number);
+    }
+    pthread_sigmask(how, &signals, nullptr);
+}
+
+}
+
+void holdSignals()
+{
+    changeSignalMask(SIG_BLOCK);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void admitSignals()
+{
+    changeSignalMask(SIG_UNBLOCK);
 }
 
 struct Arguments::Parsed {
--- a/src/program/program.h
+++ b/src/program/program.h
@@ -20,6 +20,13 @@
     BadUsage = 2, ///< The command line or the settings are wrong.
 };
 
+/// Holds the signals that stop a process or have it read its settings again back until admitSignals(), so that one which comes during the start does not end
+/// the process. Ignores the signal for output whose reader has gone; writing it fails then. Precondition: called first in main(), before other threads start.
+void holdSignals();
+/// Admits the signals that were held back, and delivers those that have come. Precondition: their handlers are set up; called by the thread that called
+/// holdSignals().
+void admitSignals();
+
 /// Command line of a program, parsed according to its docopt usage text.
 class Arguments
 {
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -74,6 +74,9 @@
         }
         m_changed.notify_all();
         m_changed.wait(lock, [this] { return !m_paused; });
+        if (m_closing) {
+            break;
+        }
     }
     ::close(descriptor);
     const std::lock_guard lock(m_mutex);
@@ -139,6 +142,12 @@
     m_paused = true;
 }
 
+void Process::closeOutput()
+{
+    const std::lock_guard lock(m_mutex);
+    m_closing = true;
+}
+
 void Process::resumeReading()
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -34,6 +34,8 @@
     /// still completes.
     void pauseReading();
     void resumeReading();
+    /// Closes the reading end of the output once the next output has come, as when the reader of a log ends.
+    void closeOutput();
     /// Waits until the process ends and returns its exit code, or the negated number of the signal that ended it.
     int awaitExit();
     [[nodiscard]] pid_t pid() const;
@@ -51,6 +53,7 @@
     std::vector<std::string> m_lines;
     bool m_closed = false;
     bool m_paused = false;
+    bool m_closing = false; ///< closeOutput() was called.
     std::thread m_reader;
 };
 
