Drop counts of usage that can no longer be reported on every host

Cause: only the holder of the duties dropped old windows, when it decided new ones. Change: each host drops windows whose report is long overdue, and shows how many it keeps.

--- a/src/duties/internal/usageledger.cpp
+++ b/src/duties/internal/usageledger.cpp
@@ -34,6 +34,11 @@
     return m_windowLength * static_cast<Duration::rep>(window + 1);
 }
 
+std::uint64_t UsageLedger::earliestDue(Duration sinceEpoch, Duration reportDelay) const
+{
+    return windowAt(sinceEpoch - 2 * reportDelay);
+}
+
 const std::map<std::uint64_t, UsageCounts> &UsageLedger::windows() const
 {
     return m_windows;
@@ -75,4 +80,9 @@
     m_windows.erase(m_windows.begin(), m_windows.lower_bound(window));
 }
 
+std::size_t UsageCollector::windows() const
+{
+    return m_windows.size();
+}
+
 }
--- a/src/duties/tests/usageledgertests.cpp
+++ b/src/duties/tests/usageledgertests.cpp
@@ -34,3 +34,12 @@
         CHECK(collector.total(7).empty());
     }
 }
+
+TEST_CASE("A window is needed until its report is long overdue")
+{
+    const UsageLedger ledger(std::chrono::seconds(5));
+    constexpr std::chrono::seconds ReportDelay{10};
+    CHECK(ledger.earliestDue(std::chrono::seconds(104), ReportDelay) == 16);
+    CHECK(ledger.earliestDue(std::chrono::seconds(105), ReportDelay) == 17);
+    CHECK(ledger.earliestDue(std::chrono::seconds(3), ReportDelay) == 0);
+}
--- a/src/duties/usageledger.h
+++ b/src/duties/usageledger.h
@@ -2,6 +2,7 @@
 
 #include "base/types.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -24,6 +25,9 @@
     [[nodiscard]] std::uint64_t windowAt(Duration sinceEpoch) const;
     /// End of @p window, as time since the Unix epoch.
     [[nodiscard]] Duration endOf(std::uint64_t window) const;
+    /// The earliest window whose report is not long overdue at @p sinceEpoch, when reports are due @p reportDelay after the end of their window. As late again
+    /// counts as long, since the wall clock may jump by seconds.
+    [[nodiscard]] std::uint64_t earliestDue(Duration sinceEpoch, Duration reportDelay) const;
     /// Counts of the most recent windows, by window number; older windows are removed.
     [[nodiscard]] const std::map<std::uint64_t, UsageCounts> &windows() const;
 
@@ -45,6 +49,8 @@
     [[nodiscard]] const std::map<std::string, UsageCounts> &countsByProcess(std::uint64_t window) const;
     /// Removes the windows before @p window.
     void dropBefore(std::uint64_t window);
+    /// Number of windows of which counts are known.
+    [[nodiscard]] std::size_t windows() const;
 
 private:
     std::map<std::uint64_t, std::map<std::string, UsageCounts>> m_windows; ///< By window number and host process.
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -167,7 +167,6 @@
     if (windows.size() > MaxDecidedWindows) {
         windows.erase(windows.begin(), windows.end() - MaxDecidedWindows);
     }
-    m_usageCollector.dropBefore(windows.empty() ? 0 : windows.front().window);
     return windows;
 }
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -204,6 +204,7 @@
             m_context.eventLog.flush();
             m_context.upstreamConnections->closeExpired();
             m_context.peerConnections->closeExpired();
+            m_usageCollector.dropBefore(m_context.usageLedger.earliestDue(m_context.wallClock.sinceEpoch(hostNow()), m_context.settings.usageReportDelay));
             if (hostNow() - reloadedAt > SettingsReloadInterval) {
                 reloadedAt = hostNow();
                 reload("interval");
@@ -303,6 +304,7 @@
         metrics.set("rosemaryshift_configuration_version", "", static_cast<double>(m_context.configuration.version()));
         metrics.set(
             "rosemaryshift_configuration_age_seconds", "", std::chrono::duration<double>(m_context.configuration.age(now).value_or(Duration::max())).count());
+        metrics.set("rosemaryshift_usage_windows", "", static_cast<double>(m_usageCollector.windows()));
         metrics.set("rosemaryshift_held_bytes", "", static_cast<double>(m_context.heldBytes->used()));
         metrics.set("rosemaryshift_peers", "", static_cast<double>(m_gossip.registry().peers().size()));
         metrics.set("rosemaryshift_upstreams", "", static_cast<double>(m_context.directory.all().size()));
