Remove the headers of a caller's connection before the system's own are added

Cause: hop-by-hop headers were removed after the system's own were added, for upstreams and for peers alike. Change: the request is reduced when it arrives; headers that the platform defines stay.

--- a/src/gateway/internal/endtoendheaders.cpp
+++ b/src/gateway/internal/endtoendheaders.cpp
@@ -33,24 +33,29 @@
 }
 
 /// Whether @p field concerns a single connection only; @p connection is the value of the Connection header.
-bool isHopByHop(const http::Header &field, std::string_view connection)
+bool isHopByHop(const http::Header &field, std::string_view connection, const EndToEndPredicate &isEndToEnd)
 {
     for (const std::string_view name : HopByHopFields) {
         if (equalIgnoringCase(field.name, name)) {
             return true;
         }
     }
-    return listContains(connection, field.name);
+    return listContains(connection, field.name) && !isEndToEnd(field.name);
 }
 
 }
 
 http::Headers endToEndHeaders(const http::Headers &headers)
+{
+    return endToEndHeaders(headers, [](std::string_view) { return false; });
+}
+
+http::Headers endToEndHeaders(const http::Headers &headers, const EndToEndPredicate &isEndToEnd)
 {
     http::Headers forwarded;
     const std::string_view connection = headers.find("Connection").value_or("");
     for (const http::Header &field : headers.all()) {
-        if (!isHopByHop(field, connection) && !equalIgnoringCase(field.name, "Expect")) {
+        if (!isHopByHop(field, connection, isEndToEnd) && !equalIgnoringCase(field.name, "Expect")) {
             forwarded.add(field.name, field.value);
         }
     }
--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -1,4 +1,3 @@
-#include "gateway/internal/endtoendheaders.h"
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/peerheaders.h"
 #include "gateway/internal/requestsession.h"
@@ -71,7 +70,7 @@
     http::Request request;
     request.method = m_request.method;
     request.target = m_request.target;
-    request.headers = endToEndHeaders(m_context.ports.messageCodec->dispatchHeaders(m_request, dispatch));
+    request.headers = m_context.ports.messageCodec->dispatchHeaders(m_request, dispatch);
     request.body = m_request.body;
     return request;
 }
@@ -88,7 +87,7 @@
     http::Request request;
     request.method = m_request.method;
     request.target = m_request.target;
-    request.headers = withoutHeader(endToEndHeaders(m_context.ports.messageCodec->forwardedHeaders(m_request, timeLeft)), PeerTokenHeader);
+    request.headers = withoutHeader(m_context.ports.messageCodec->forwardedHeaders(m_request, timeLeft), PeerTokenHeader);
     request.headers.add(PeerTokenHeader, token);
     request.body = m_request.body;
     return request;
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -26,12 +26,19 @@
 /// Retry-After is randomized by up to this part, to spread the retries: in both directions, or upwards when an earlier retry would be in vain.
 constexpr double RetryJitter = 0.5;
 
+/// Removes the headers that concern the caller's connection only, before this host adds its own, which a caller must not remove.
+http::Request endToEndRequest(http::Request request, const ports::IMessageCodec &codec)
+{
+    request.headers = endToEndHeaders(request.headers, [&codec](std::string_view name) { return codec.isEndToEnd(name); });
+    return request;
+}
+
 }
 
 RequestSession::RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer, bool fromPeer)
     : m_context(context)
     , m_streamRegistry(streamRegistry)
-    , m_request(std::move(request))
+    , m_request(endToEndRequest(std::move(request), *context.ports.messageCodec))
     , m_writer(writer)
     , m_admission(context.admission)
     , m_fromPeer(fromPeer)
--- a/src/ports/imessagecodec.h
+++ b/src/ports/imessagecodec.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace rosemaryshift::ports {
 
@@ -16,6 +17,8 @@
 
     /// Parses the headers of a caller's @p request. Returns nothing, and sets @p reason, when a header that affects its handling is malformed.
     [[nodiscard]] virtual std::optional<CallerRequest> callerRequest(const http::Request &request, std::string &reason) const = 0;
+    /// Whether the platform defines @p header between callers and upstreams, so that a caller cannot declare it to concern one connection only.
+    [[nodiscard]] virtual bool isEndToEnd(std::string_view header) const = 0;
     /// The headers to send to an upstream: those of the caller's @p request, without its API key and the headers that only the gateway may set, and
     /// those for @p dispatch.
     [[nodiscard]] virtual http::Headers dispatchHeaders(const http::Request &request, const Dispatch &dispatch) const = 0;
