--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -76,6 +76,9 @@
     if (m_viaPeer) {
         return;
     }
+    if (failure.error == http::ClientError::Malformed) {
+        m_context.metrics.count("rosemaryshift_malformed_answers_total", R"(service=")" + m_service + R"(")");
+    }
     const bool broken = failure.error == http::ClientError::Closed || failure.error == http::ClientError::SendFailed;
     if (failure.error == http::ClientError::ConnectFailed || (broken && !m_context.upstreamConnections->hasOpen(m_upstream.endpoint))) {
         m_context.runContinuity.noteConnectionsLost(m_instance, hostNow());
