--- a/src/http/memorybudget.h
+++ b/src/http/memorybudget.h
@@ -10,6 +10,7 @@
 class MemoryBudget
 {
 public:
+    /// @p limit: in bytes.
     explicit MemoryBudget(std::size_t limit);
 
     /// Number of bytes that are taken.
