Keep released duties from returning to a host within one lease duration

Cause: a released lease was claimed at once by whoever read it first, also by the host that had held it shortly before. A restarted process does not know when its host last acted, and the record did not say it. Change: the record lists the hosts that may have acted within the last lease duration. A listed host claims a released lease at once only if it acted last, and waits otherwise as for an abandoned lease; all others claim at once as before. The holder empties the list when its claim is older than a lease duration.

--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -22,6 +22,8 @@
     /// Era of the log in which the lease was claimed; nothing when the log states none, or in records of earlier software versions.
     ports::LogEra era = std::nullopt;
     std::uint64_t firstWindow = 0; ///< Usage windows before this one may have been reported by a holder whose records are lost; they are not decided.
+    /// Hosts that may have acted within the last lease duration, in the order in which they last acted, without the holder.
+    std::vector<std::string> recentHolders = {};
 
     bool operator==(const DutyRecord &) const = default;
 };
@@ -36,6 +38,9 @@
 /// longer than the lease duration. Two hosts therefore never act at the same time, even when their clocks disagree, provided that the clock
 /// behind TimePoint keeps running while the machine is suspended.
 ///
+/// A released lease is claimed at once, but for hosts that held it shortly before the host that released it: the duties must not return to a host
+/// within one lease duration after another one acted.
+///
 /// A log that was restored from a copy may have lost claims. In each era of the log the lease is claimed anew: by the host that held it until then
 /// at once, by others when the lost holder cannot act any more. The fencing token has the era in its upper half, so that it rises where nobody
 /// remembers the lost claims. Not thread-safe.
@@ -82,6 +87,14 @@
     [[nodiscard]] bool mayAct(TimePoint now) const;
     [[nodiscard]] std::optional<DutyRecord> renewal(TimePoint now, const std::vector<ports::UsageReport> &decided) const;
     [[nodiscard]] std::optional<DutyRecord> claim(TimePoint now, std::uint64_t currentWindow) const;
+    /// Whether this host may claim the lease without waiting until it counts as abandoned.
+    [[nodiscard]] bool isFree(TimePoint now) const;
+    /// The hosts that may have acted within one lease duration before a claim of this host. @p abandoned: it claims an abandoned lease.
+    [[nodiscard]] std::vector<std::string> holdersBeforeClaim(bool abandoned) const;
+    /// The recent holders of this host's own record, without those that last acted more than a lease duration before @p now.
+    [[nodiscard]] std::vector<std::string> recentHolders(TimePoint now) const;
+    /// Notes when this host has claimed the lease, if the present record is its own and not known yet.
+    void noteOwnClaim(TimePoint began);
     /// The fencing token of a claim that is appended at end().
     [[nodiscard]] std::uint64_t nextFence() const;
 
@@ -95,6 +108,8 @@
     bool m_restored = false;                 ///< The era of the log has risen since this process first read it.
     std::optional<TimePoint> m_changedAt;    ///< When the current record and log end were first seen.
     std::optional<TimePoint> m_renewalBegan; ///< When the last successful claim or renewal began.
+    std::uint64_t m_claimedFence = 0;        ///< Fencing token of this host's latest claim.
+    TimePoint m_claimBegan;                  ///< When that claim began, or later.
     std::optional<TimePoint> m_lastReadBegan;
     bool m_readRequired = true;
 };
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -48,6 +48,7 @@
     if (!isOwnRecord() && !eraRose) {
         m_renewalBegan.reset();
     }
+    noteOwnClaim(began);
 }
 
 std::optional<DutyRecord> DutyLease::proposal(TimePoint now, const std::vector<ports::UsageReport> &decided, std::uint64_t currentWindow) const
@@ -66,15 +67,15 @@
     }
     DutyRecord next = *m_record;
     next.decided = decided;
+    next.recentHolders = recentHolders(now);
     ++next.renewal;
     return next;
 }
 
 std::optional<DutyRecord> DutyLease::claim(TimePoint now, std::uint64_t currentWindow) const
 {
-    // An earlier run of this host's process has ended, so that its lease can be taken over at once.
-    const bool isFree = isRecordCurrent() ? !m_record || m_record->holder == m_host || m_record->holder.empty() : mayAct(now);
-    if (!isFree && now - *m_changedAt < scaled(m_lease, AbandonedFactor)) {
+    const bool abandoned = now - *m_changedAt >= scaled(m_lease, AbandonedFactor);
+    if (!abandoned && !isFree(now)) {
         return std::nullopt;
     }
     DutyRecord next;
@@ -82,6 +83,7 @@
     next.start = m_start;
     next.fence = nextFence();
     next.era = m_end.era;
+    next.recentHolders = holdersBeforeClaim(abandoned);
     // Only the host that held the duties until the log was restored knows what was decided; the restored record may lack it.
     const std::optional<DutyRecord> &before = isRecordCurrent() ? m_record : m_lastAppended;
     if (before && (isRecordCurrent() || mayAct(now))) {
@@ -93,6 +95,48 @@
     return next;
 }
 
+bool DutyLease::isFree(TimePoint now) const
+{
+    if (!isRecordCurrent()) {
+        return mayAct(now);
+    }
+    // An earlier run of this host's process has ended, so that its lease can be taken over.
+    if (!m_record || m_record->holder == m_host) {
+        return true;
+    }
+    const std::vector<std::string> &recent = m_record->recentHolders;
+    return m_record->holder.empty() && (recent.empty() || recent.back() == m_host || std::ranges::find(recent, m_host) == recent.end());
+}
+
+std::vector<std::string> DutyLease::holdersBeforeClaim(bool abandoned) const
+{
+    const std::optional<DutyRecord> &before = isRecordCurrent() || abandoned ? m_record : m_lastAppended;
+    if (!before) {
+        return {};
+    }
+    // The holder of an abandoned lease may have acted after its last renewal, less than a lease duration ago; those before it acted earlier than that renewal.
+    std::vector<std::string> holders = abandoned ? std::vector<std::string>() : before->recentHolders;
+    if (!before->holder.empty()) {
+        holders.push_back(before->holder);
+    }
+    std::erase(holders, m_host);
+    return holders;
+}
+
+std::vector<std::string> DutyLease::recentHolders(TimePoint now) const
+{
+    // No other host has acted since this one's claim.
+    return now - m_claimBegan < m_lease ? m_record->recentHolders : std::vector<std::string>();
+}
+
+void DutyLease::noteOwnClaim(TimePoint began)
+{
+    if (isOwnRecord() && m_record->fence != m_claimedFence) {
+        m_claimedFence = m_record->fence;
+        m_claimBegan = began;
+    }
+}
+
 std::uint64_t DutyLease::nextFence() const
 {
     // The append succeeds only at this end offset, so that no other claim of the same era can use the same token. As long as the log was never restored,
@@ -109,6 +153,8 @@
     }
     DutyRecord next = *m_record;
     next.holder.clear();
+    next.recentHolders = recentHolders(now);
+    next.recentHolders.push_back(m_host);
     ++next.renewal;
     return next;
 }
@@ -124,6 +170,7 @@
     ++m_end.offset;
     m_changedAt = began;
     m_renewalBegan = began;
+    noteOwnClaim(began);
 }
 
 void DutyLease::requireRead()
--- a/src/duties/internal/dutyrecords.cpp
+++ b/src/duties/internal/dutyrecords.cpp
@@ -35,6 +35,9 @@
     if (record.firstWindow > 0) {
         value["first_window"] = static_cast<Json::UInt64>(record.firstWindow);
     }
+    for (const std::string &host : record.recentHolders) {
+        value["recent_holders"].append(host);
+    }
     value["decided"] = Json::Value(Json::arrayValue);
     for (const ports::UsageReport &report : record.decided) {
         Json::Value entry;
@@ -60,6 +63,13 @@
         return std::nullopt;
     }
     DutyRecord record{*holder, *start, *fence, *renewal, {}, unsignedMember(*value, "era"), unsignedMember(*value, "first_window").value_or(0)};
+    for (const Json::Value &host : (*value)["recent_holders"]) {
+        if (!host.isString()) {
+            reason = "an entry of \"recent_holders\" is malformed";
+            return std::nullopt;
+        }
+        record.recentHolders.push_back(host.asString());
+    }
     for (const Json::Value &entry : (*value)["decided"]) {
         std::optional<ports::UsageReport> report = decodedReport(entry);
         if (!report) {
--- a/src/duties/tests/dutyleasetests.cpp
+++ b/src/duties/tests/dutyleasetests.cpp
@@ -146,9 +146,11 @@
     CHECK(decodedDutyRecord(encoded(record), reason) == record);
     record.era = 0;
     record.firstWindow = 13;
+    record.recentHolders = {"entry-2", "entry-3"};
     CHECK(decodedDutyRecord(encoded(record), reason) == record);
     CHECK(!decodedDutyRecord("{}", reason));
     CHECK(!decodedDutyRecord("no JSON", reason));
     CHECK(!decodedDutyRecord(R"({"holder":"a","start":"b","fence":-1,"renewal":1,"decided":[]})", reason));
     CHECK(!decodedDutyRecord(R"({"holder":"a","start":"b","fence":1,"renewal":1,"decided":[7]})", reason));
+    CHECK(!decodedDutyRecord(R"({"holder":"a","start":"b","fence":1,"renewal":1,"decided":[],"recent_holders":[7]})", reason));
 }
--- a/src/duties/tests/leasehosts.h
+++ b/src/duties/tests/leasehosts.h
@@ -51,6 +51,20 @@
     }
 }
 
+/// The host gives up the lease, if it holds it.
+inline void release(DutyLease &lease, FakeLog &log, TimePoint now)
+{
+    const std::optional<DutyRecord> next = lease.release(now);
+    if (!next) {
+        return;
+    }
+    if (log.append(*next, lease.end())) {
+        lease.noteAppended(*next, now, log.end.era);
+    } else {
+        lease.requireRead();
+    }
+}
+
 /// Has @p lease take part until it holds the duties. Returns when that is.
 inline TimePoint stepUntilHeld(DutyLease &lease, FakeLog &log, TimePoint now)
 {
