End the right to act where a host begins to release the duties

Cause: a host that stops went on holding the lease until its release was acknowledged. Change: a host does not act from the moment at which it begins to release the lease, and repeats the append at the same offset while it could have acted.

--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -58,8 +58,9 @@
     /// usage counts @p decided final; a claim keeps those of the existing record, or, in a log that has lost records, leaves out all windows up to
     /// @p currentWindow.
     [[nodiscard]] std::optional<DutyRecord> proposal(TimePoint now, const std::vector<ports::UsageReport> &decided, std::uint64_t currentWindow) const;
-    /// The record to append at the offset of end() in order to release the lease; nothing when this host does not hold it.
-    [[nodiscard]] std::optional<DutyRecord> release(TimePoint now) const;
+    /// Gives up the lease for good. Returns the record to append at the offset of end(); nothing when this host does not hold the lease. It does not act from
+    /// now on, since it may never learn that the record was appended; until then it may call this again.
+    [[nodiscard]] std::optional<DutyRecord> release(TimePoint now);
     /// Notes that the proposed record was appended at the offset of end() by a call that began at @p began, and that the log stated @p era with its
     /// answer. In another era than that of end() the record gives no lease, and the log must be read.
     void noteAppended(const DutyRecord &record, TimePoint began, ports::LogEra era);
@@ -112,6 +113,7 @@
     TimePoint m_claimBegan;                  ///< When that claim began, or later.
     std::optional<TimePoint> m_lastReadBegan;
     bool m_readRequired = true;
+    bool m_releasing = false; ///< This host has begun to release the lease.
 };
 
 }
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -146,11 +146,12 @@
     return m_record ? std::max(fence, m_record->fence + 1) : fence;
 }
 
-std::optional<DutyRecord> DutyLease::release(TimePoint now) const
+std::optional<DutyRecord> DutyLease::release(TimePoint now)
 {
-    if (!holds(now)) {
+    if (!isOwnRecord() || !isRecordCurrent() || !mayAct(now)) {
         return std::nullopt;
     }
+    m_releasing = true;
     DutyRecord next = *m_record;
     next.holder.clear();
     next.recentHolders = recentHolders(now);
@@ -186,7 +187,7 @@
 
 bool DutyLease::holds(TimePoint now) const
 {
-    return isOwnRecord() && isRecordCurrent() && mayAct(now);
+    return isOwnRecord() && isRecordCurrent() && mayAct(now) && !m_releasing;
 }
 
 std::uint64_t DutyLease::fence() const
--- a/src/duties/tests/releasedleasetests.cpp
+++ b/src/duties/tests/releasedleasetests.cpp
@@ -125,3 +125,30 @@
     }
     CHECK(holdings > 5);
 }
+
+// Guards against a host that still acts while the next holder does, since it doesn't know that its release was written.
+TEST_CASE("A host that has begun to release the lease does not act, though the answer to the append is lost")
+{
+    FakeLog log;
+    DutyLease lease("entry-1", "a", Lease);
+    step(lease, log, Start);
+    const std::optional<DutyRecord> next = lease.release(Start);
+    REQUIRE(next);
+
+    SECTION("when the record was appended")
+    {
+        REQUIRE(log.append(*next, lease.end()));
+        lease.requireRead();
+        CHECK(!lease.holds(Start));
+        const std::optional<DutyRecord> again = lease.release(Start);
+        REQUIRE(again);
+        CHECK(!log.append(*again, lease.end()));
+    }
+    SECTION("when it was not, until a later append succeeds")
+    {
+        lease.requireRead();
+        CHECK(!lease.holds(Start));
+        release(lease, log, Start);
+        CHECK(log.record->holder.empty());
+    }
+}
