Tell callers that a request without memory for it is not at fault

Cause: the 503 of a host that holds as many bytes as it may was typed invalid_request_error, as all refusals of requests that can't be read; client libraries don't repeat those. Change: refusals with a status of 500 or more are typed server_error. Result: the test failed before (1 of 5 assertions) and passes with the others of the module.

--- a/src/http/internal/requestreading.cpp
+++ b/src/http/internal/requestreading.cpp
@@ -16,6 +16,7 @@
 /// Bounds on discarding a refused request's remaining bytes.
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024;
 constexpr std::chrono::milliseconds DiscardTimeout{500};
+constexpr int FirstServerError = 500;
 constexpr int ServiceUnavailable = 503;
 /// When a caller may return whose request did not fit into the memory; others are answered meanwhile.
 constexpr std::string_view RetryAfterSeconds = "0.5";
@@ -155,8 +156,8 @@
     if (fault.status == ServiceUnavailable) {
         response.headers.add("Retry-After", RetryAfterSeconds);
     }
-    response.body
-        = R"({"error":{"message":")" + std::string(fault.message) + R"(","type":"invalid_request_error","code":")" + std::string(fault.code) + R"("}})";
+    const std::string type = fault.status < FirstServerError ? "invalid_request_error" : "server_error";
+    response.body = R"({"error":{"message":")" + std::string(fault.message) + R"(","type":")" + type + R"(","code":")" + std::string(fault.code) + R"("}})";
     co_await respond(std::move(response));
     co_await discardInput();
 }
--- a/src/http/tests/memorybudgettests.cpp
+++ b/src/http/tests/memorybudgettests.cpp
@@ -1,8 +1,13 @@
 #include "http/memorybudget.h"
 
+#include "http/tests/polledserver.h"
+
+#include <boost/asio/awaitable.hpp>
+
 #include <catch2/catch.hpp>
 
 using namespace rosemaryshift::http;
+using namespace rosemaryshift::http::testing;
 
 TEST_CASE("Requests and answers together take no more than their budget")
 {
@@ -44,3 +49,18 @@
         CHECK(unbounded.resize(1'000'000));
     }
 }
+
+// Guards against callers that are told that their request is wrong when the server lacks memory for it.
+TEST_CASE("A request that does not fit into the memory is refused as one that may be sent again")
+{
+    ServerLimits limits;
+    limits.memory = std::make_shared<MemoryBudget>(1'000);
+    PolledServer server(limits, [](Request, IResponseWriter &) -> boost::asio::awaitable<void> { co_return; });
+    boost::asio::ip::tcp::socket caller = server.connect();
+    send(caller, "POST /booking HTTP/1.1\r\nHost: yard.example\r\nContent-Length: 2000\r\n\r\n" + std::string(2'000, 'b'));
+    const std::string answer = server.receive(caller, "out_of_memory");
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 503 "));
+    CHECK_THAT(answer, Catch::Contains("\r\nRetry-After: "));
+    CHECK_THAT(answer, Catch::Contains("\r\nRosemaryshift-Run: not-run\r\n"));
+    CHECK_THAT(answer, Catch::Contains(R"("type":"server_error")"));
+}
