--- a/src/duties/dutylease.h
+++ b/src/duties/dutylease.h
@@ -92,9 +92,9 @@
     [[nodiscard]] bool isFree(TimePoint now) const;
     /// The hosts that may have acted within one lease duration before a claim of this host. @p abandoned: it claims an abandoned lease.
     [[nodiscard]] std::vector<std::string> holdersBeforeClaim(bool abandoned) const;
-    /// The recent holders of this host's own record, without those that last acted more than a lease duration before @p now.
+    /// The recent holders in this host's own record; none once its claim is older than a lease duration, since no other host has acted after it.
     [[nodiscard]] std::vector<std::string> recentHolders(TimePoint now) const;
-    /// Notes when this host has claimed the lease, if the present record is its own and not known yet.
+    /// Notes @p began as the time of this host's claim when the present record is the first one known of that claim.
     void noteOwnClaim(TimePoint began);
     /// The fencing token of a claim that is appended at end().
     [[nodiscard]] std::uint64_t nextFence() const;
--- a/src/duties/internal/dutylease.cpp
+++ b/src/duties/internal/dutylease.cpp
@@ -125,7 +125,6 @@
 
 std::vector<std::string> DutyLease::recentHolders(TimePoint now) const
 {
-    // No other host has acted since this one's claim.
     return now - m_claimBegan < m_lease ? m_record->recentHolders : std::vector<std::string>();
 }
 
