Serve requests that arrived before the host began to stop

Cause: the decision core handles all events of a turn before it admits the requests that arrived, and admission went by whether the host is stopping, not by whether it was when the request arrived. Change: a request notes at its arrival whether the host is stopping. The gateway is not concerned.

--- a/src/decisions/internal/decisioncore.cpp
+++ b/src/decisions/internal/decisioncore.cpp
@@ -134,6 +134,7 @@
 {
     RequestRow row;
     row.spec = event;
+    row.arrivedWhileStopping = m_tables.stopping;
     const auto [entry, made] = m_tables.requests.emplace(event.request, std::move(row));
     if (made) {
         m_tables.setTimer(entry->second, event.deadline);
--- a/src/decisions/internal/systems.cpp
+++ b/src/decisions/internal/systems.cpp
@@ -86,7 +86,7 @@
 
 std::optional<RefusalCode> AdmissionSystem::admissionRefusal(Tables &tables, const RequestRow &row) const
 {
-    if (tables.stopping) {
+    if (row.arrivedWhileStopping) {
         return RefusalCode::HostStopping;
     }
     if (tables.target(row.spec.target).live.empty()) {
--- a/src/decisions/tables.h
+++ b/src/decisions/tables.h
@@ -102,6 +102,7 @@
     std::uint32_t attempts = 0;            ///< Started attempts, without hedges and reconnects.
     std::uint32_t failures = 0;            ///< Attempts that reached an upstream and failed.
     bool admitted = false;                 ///< Whether the request counts towards the workspace's maxInFlight.
+    bool arrivedWhileStopping = false;     ///< Whether the host was shutting down when the request arrived.
     RunState run = RunState::NotRun;       ///< Whether the request may have run.
     std::set<UpstreamId> avoided;          ///< Upstreams that get another attempt only when no other can take it.
     std::optional<AttemptId> running;      ///< The running attempt.
--- a/src/decisions/tests/decisioncoretests.cpp
+++ b/src/decisions/tests/decisioncoretests.cpp
@@ -150,3 +150,44 @@
         }
     }
 }
+
+// Guards against requests that a host has accepted and refuses with host_stopping, since it began to stop before it had looked at them.
+SCENARIO("A host that stops serves the requests that arrived before")
+{
+    const std::unique_ptr<IDecisionCore> core = makeDecisionCore({}, 1);
+    core->post(WorkspaceLimitsChanged{Workspace, 1, 2});
+    core->post(engine(0));
+    core->tick(at(0));
+
+    GIVEN("two requests, one of which has to wait, and a stop that is handled in the same turn")
+    {
+        core->post(arrival(1));
+        core->post(arrival(2));
+        core->post(HostStopping{});
+        const std::span<const Action> actions = core->tick(at(1));
+        CHECK(only<RefuseRequest>(actions).empty());
+        const std::vector<StartAttempt> started = only<StartAttempt>(actions);
+        REQUIRE(started.size() == 1);
+
+        THEN("the one that waits is started when the other is completed")
+        {
+            core->post(AttemptEnded{started[0].attempt, AttemptOutcome::Completed});
+            CHECK(only<StartAttempt>(core->tick(at(2))).size() == 1);
+        }
+        THEN("a request that arrives later is refused")
+        {
+            core->post(arrival(3));
+            const std::vector<RefuseRequest> refused = only<RefuseRequest>(core->tick(at(2)));
+            REQUIRE(refused.size() == 1);
+            CHECK(refused[0].code == RefusalCode::HostStopping);
+        }
+    }
+    GIVEN("a request that arrives after the stop in the same turn")
+    {
+        core->post(HostStopping{});
+        core->post(arrival(1));
+        const std::vector<RefuseRequest> refused = only<RefuseRequest>(core->tick(at(1)));
+        REQUIRE(refused.size() == 1);
+        CHECK(refused[0].code == RefusalCode::HostStopping);
+    }
+}
--- a/tests/promises/stoptests.cpp
+++ b/tests/promises/stoptests.cpp
@@ -1,3 +1,4 @@
+#include "base/json.h"
 #include "support/answers.h"
 #include "support/fleet.h"
 
@@ -54,10 +55,22 @@
     for (int i = 0; i < Bookings; ++i) {
         bookings.push_back(std::make_unique<PendingExchange>(host.callers, booking(i)));
     }
-    awaitCondition("the services to receive all bookings", [&] {
-        return Fleet::standinCounters(fleet.service(0).endpoint)["calls"].asInt() + Fleet::standinCounters(fleet.service(1).endpoint)["calls"].asInt()
-            == Bookings;
-    });
+    awaitCondition(
+        "the services to receive all bookings",
+        [&] {
+            return Fleet::standinCounters(fleet.service(0).endpoint)["calls"].asInt() + Fleet::standinCounters(fleet.service(1).endpoint)["calls"].asInt()
+                == Bookings;
+        },
+        [&] {
+            std::string state = toText(Fleet::standinCounters(fleet.service(0).endpoint)) + toText(Fleet::standinCounters(fleet.service(1).endpoint));
+            for (const std::unique_ptr<PendingExchange> &pending : bookings) {
+                state += "\nanswer: " + pending->bodySoFar();
+            }
+            for (const timeline::TimelineEvent &event : fleet.events(0)) {
+                state += "\n" + std::string(timeline::name(event.kind)) + " " + event.fields.detail;
+            }
+            return state;
+        });
     std::vector<std::unique_ptr<PendingExchange>> streams;
     for (int i = 0; i < Streams; ++i) {
         streams.push_back(std::make_unique<PendingExchange>(host.callers, plan));
--- a/tests/support/wire.cpp
+++ b/tests/support/wire.cpp
@@ -137,12 +137,14 @@
     return m_state->broken ? std::nullopt : m_state->response;
 }
 
-void awaitCondition(const std::string &what, const std::function<bool()> &condition)
+void awaitCondition(const std::string &what, const std::function<bool()> &condition, const std::function<std::string()> &state)
 {
     const std::chrono::steady_clock::time_point giveUp = std::chrono::steady_clock::now() + WaitLimit;
     while (!condition()) {
         INFO("waiting for: " << what);
-        REQUIRE(std::chrono::steady_clock::now() < giveUp);
+        const bool late = std::chrono::steady_clock::now() >= giveUp;
+        INFO((late && state ? state() : std::string()));
+        REQUIRE(!late);
         std::this_thread::sleep_for(ConditionPoll);
     }
 }
--- a/tests/support/wire.h
+++ b/tests/support/wire.h
@@ -40,7 +40,7 @@
 };
 
 /// Polls @p condition until it is true; fails the test when it is not within WaitLimit. @p what completes "waiting for:" in the
-/// failure message.
-void awaitCondition(const std::string &what, const std::function<bool()> &condition);
+/// failure message, and @p state, if given, ends it.
+void awaitCondition(const std::string &what, const std::function<bool()> &condition, const std::function<std::string()> &state = nullptr);
 
 }
