Give each module a channel of its own in the hosts' statuses

Cause: each new part would add its own fields to PeerStatus and its codecs. Change: a status carries contents by channel, which modules register; earlier hosts ignore the new field, and unreadable content is counted and logged. No module uses a channel yet, so that nothing behaves otherwise. Result: gossip tests pass, a status with channels is read as it was written.

--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -86,6 +86,10 @@
     , heldBytes(std::make_shared<http::MemoryBudget>(settings.heldBytes))
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
     , peerConnections(std::make_shared<http::ConnectionPool>())
+    , statusChannels([this](std::string_view channel, std::string_view hostStart) {
+        metrics.count("rosemaryshift_channel_unreadable_total", R"(channel=")" + std::string(channel) + R"(")");
+        eventLog.write("channel_unreadable", eventlog::Importance::Failure, {{"channel", channel}, {"from", hostStart}});
+    })
     , forwardingToken(randomId())
     , randomEngine(randomSeed())
     , stop(settings.stopTimeout)
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -17,6 +17,7 @@
 #include "gateway/internal/stopschedule.h"
 #include "gateway/internal/wallclockestimator.h"
 #include "gossip/peerregistry.h"
+#include "gossip/statuschannels.h"
 #include "http/connectionpool.h"
 #include "http/memorybudget.h"
 #include "limits/retrybudget.h"
@@ -66,6 +67,7 @@
     const std::shared_ptr<http::MemoryBudget> heldBytes; ///< Of requests and answers that are held at the same time.
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
     std::shared_ptr<http::ConnectionPool> peerConnections;
+    gossip::StatusChannels statusChannels;
     const std::string forwardingToken;           ///< Random; peers present it with the requests that they forward to this process.
     const gossip::PeerRegistry *peers = nullptr; ///< The known peers; set before requests are served.
     std::mt19937_64 randomEngine;
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -44,6 +44,7 @@
                      if (change == "forgotten" || change == "left") {
                          context.balancer.forgetPeer(peer.status.host);
                          context.quotas.forgetPeer(hostStart(peer.status.host, peer.status.start));
+                         context.statusChannels.forget(hostStart(peer.status.host, peer.status.start));
                          context.wallClock.forgetPeer(peer.status.host);
                      }
                  })
@@ -238,6 +239,7 @@
         m_context.softwareVersions.apply(report, now);
     }
     m_context.streamOrigins.apply(status.streams, now);
+    m_context.statusChannels.apply(hostStart(status.host, status.start), status.channels, now);
     m_context.wallClock.notePeer(host, Duration(static_cast<Duration::rep>(status.wallUs)), now);
     if (status.listReachableMs && m_context.listAvailability.notePeer(std::chrono::milliseconds(*status.listReachableMs), now)) {
         m_context.eventLog.write(
--- a/src/gateway/internal/gossipstatus.cpp
+++ b/src/gateway/internal/gossipstatus.cpp
@@ -55,6 +55,7 @@
     status.versions = m_context.softwareVersions.reports(now);
     status.streams = m_context.streamOrigins.unrecorded(m_context.softwareVersions.mixedServices(), MaxSentStreams);
     addUsageTo(status, now);
+    status.channels = m_context.statusChannels.contents(now);
     for (const auto &[host, peer] : m_registry.peers()) {
         if (!peer.silent) {
             status.peers.push_back(peer.status.address);
--- a/src/gossip/internal/compactstatus.cpp
+++ b/src/gossip/internal/compactstatus.cpp
@@ -114,6 +114,7 @@
         const Offset<Vector<Offset<wire::StreamGroup>>> streams = streamsOf(status);
         const Offset<Vector<Offset<String>>> unreached = m_builder.CreateVectorOfStrings(status.unreachedServices);
         const Offset<Vector<std::uint32_t>> peers = withPeers ? m_builder.CreateVector(addressNumbers(status.peers)) : Offset<Vector<std::uint32_t>>();
+        const Offset<Vector<Offset<wire::Channel>>> channels = channelsOf(status);
         const Offset<String> names = m_builder.CreateString(m_names.text());
         const Offset<String> host = m_builder.CreateString(status.host);
         const Offset<String> start = m_builder.CreateString(status.start);
@@ -145,7 +146,8 @@
                                             streams,
                                             token,
                                             unreached,
-                                            peers));
+                                            peers,
+                                            channels));
         return {reinterpret_cast<const char *>(m_builder.GetBufferPointer()), m_builder.GetSize()};
     }
 
@@ -210,6 +212,16 @@
         return m_builder.CreateVector(all);
     }
 
+    Offset<Vector<Offset<wire::Channel>>> channelsOf(const PeerStatus &status)
+    {
+        std::vector<Offset<wire::Channel>> all;
+        for (const ChannelContent &content : status.channels) {
+            const std::uint8_t *const bytes = reinterpret_cast<const std::uint8_t *>(content.bytes.data());
+            all.push_back(wire::CreateChannel(m_builder, content.channel, m_builder.CreateVector(bytes, content.bytes.size())));
+        }
+        return m_builder.CreateVector(all);
+    }
+
     flatbuffers::FlatBufferBuilder m_builder;
     Names m_names;
 };
--- a/src/gossip/internal/compactstatusdecoder.cpp
+++ b/src/gossip/internal/compactstatusdecoder.cpp
@@ -40,6 +40,11 @@
     return value == nullptr ? std::string() : value->str();
 }
 
+std::string bytes(const Vector<std::uint8_t> *value)
+{
+    return value == nullptr ? std::string() : std::string(reinterpret_cast<const char *>(value->data()), value->size());
+}
+
 /// The dotted form of an IPv4 @p address. The system's function takes most of the time that a status with hundreds of peers takes.
 std::string addressText(std::uint32_t address)
 {
@@ -81,6 +86,7 @@
         readNumbers(status);
         readEvidence(status);
         forEach(m_wire.unreached_services(), [&status](const flatbuffers::String *service) { status.unreachedServices.push_back(text(service)); });
+        forEach(m_wire.channels(), [&status](const wire::Channel *channel) { status.channels.push_back({channel->id(), bytes(channel->content())}); });
         status.peersUnchanged = m_wire.peers() == nullptr;
         forEach(m_wire.peers(), [&status](std::uint32_t address) { status.peers.push_back(addressText(address)); });
         return m_valid ? std::optional(std::move(status)) : std::nullopt;
--- a/src/gossip/peerstatus.h
+++ b/src/gossip/peerstatus.h
@@ -27,6 +27,14 @@
 /// interval. Thread-safe.
 std::chrono::milliseconds statusInterval(std::size_t peers, bool withEarlierVersions = false);
 
+/// What one channel tells in a status; see IStatusChannel.
+struct ChannelContent {
+    std::uint8_t channel = 0; ///< A StatusChannelId, or the number of a channel that this software version does not know.
+    std::string bytes;
+
+    bool operator==(const ChannelContent &) const = default;
+};
+
 /// What a gateway reports about itself to each other gateway once per interval, in one datagram.
 struct PeerStatus {
     std::string host;
@@ -58,6 +66,7 @@
     std::vector<std::string> unreachedServices;      ///< Services of which the sender reaches no upstream.
     std::vector<std::string> peers;                  ///< Addresses of the peers from which the sender has recently received a status.
     bool peersUnchanged = false;                     ///< The peers are left out, as the receiver knows them from earlier statuses, nearly.
+    std::vector<ChannelContent> channels;            ///< Only in the compact form.
 
     bool operator==(const PeerStatus &) const = default;
 };
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -71,6 +71,10 @@
     PeerStatus status = fullStatus();
     CHECK(decodedPeerStatus(encoded(status)) == status);
 
+    status.channels = {{1, std::string("a\0b", 3)}, {200, "later"}};
+    CHECK(decodedPeerStatus(compact(status)) == status);
+    status.channels.clear();
+
     CHECK(!decodedPeerStatus(""));
     CHECK(!decodedPeerStatus("[]"));
     CHECK(!decodedPeerStatus("{}"));
