Tell services whose single-attempt streams yield to more urgent ones

Cause: the new parts are to take effect only where a deployment's configuration calls for them. Change: RouteTable answers from its routes whether a service carries streams that may not be repeated and yield to others. Nothing asks yet.

--- a/src/routing/internal/routetable.cpp
+++ b/src/routing/internal/routetable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <span>
 
 namespace rosemaryshift::routing {
 
@@ -14,6 +15,32 @@
     return lower;
 }
 
+/// Names of the services of @p routes with streams that may not be repeated and are less urgent than other streams of the same service.
+std::set<std::string, std::less<>> servicesWithYieldingSingleAttempts(std::span<const Route> routes)
+{
+    std::map<std::string, std::uint32_t> mostUrgent;
+    const auto forEachStream = [&routes](auto visit) {
+        for (const Route &route : routes) {
+            for (const WeightedService &service : route.services) {
+                if (route.kind == RequestKind::Streaming && service.weight > 0) {
+                    visit(route, service.service);
+                }
+            }
+        }
+    };
+    forEachStream([&mostUrgent](const Route &route, const std::string &service) {
+        const auto [known, isNew] = mostUrgent.try_emplace(service, route.priority);
+        known->second = std::min(known->second, route.priority);
+    });
+    std::set<std::string, std::less<>> services;
+    forEachStream([&mostUrgent, &services](const Route &route, const std::string &service) {
+        if (!route.repeatable() && route.priority > mostUrgent.at(service)) {
+            services.insert(service);
+        }
+    });
+    return services;
+}
+
 }
 
 RouteTable::RouteTable(Configuration configuration)
@@ -30,6 +57,7 @@
     for (const Service &service : m_configuration.services) {
         m_services.emplace(service.name, &service);
     }
+    m_yieldingSingleAttempts = servicesWithYieldingSingleAttempts(m_configuration.routes);
 }
 
 const Configuration &RouteTable::configuration() const
@@ -65,6 +93,11 @@
     return found == m_services.end() ? nullptr : found->second;
 }
 
+bool RouteTable::hasYieldingSingleAttempts(std::string_view service) const
+{
+    return m_yieldingSingleAttempts.contains(service);
+}
+
 const WeightedService *RouteTable::chooseService(const Route &route, double choice)
 {
     std::uint64_t total = 0;
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
@@ -25,6 +27,9 @@
     [[nodiscard]] const Workspace *workspaceOfKey(std::string_view key) const;
     /// Returns the service named @p name; null when there is none.
     [[nodiscard]] const Service *service(std::string_view name) const;
+    /// Whether @p service carries streams that may not be repeated and yield to more urgent streams of the service. Such a stream is lost for good when its
+    /// upstream leaves, and waits where others need not, so that decisions which cost the fleet something pay off for it.
+    [[nodiscard]] bool hasYieldingSingleAttempts(std::string_view service) const;
     /// Chooses one of the route's services in proportion to their weights; @p choice is a uniform random number in [0, 1). Null when no service of
     /// the route has a weight above zero.
     [[nodiscard]] static const WeightedService *chooseService(const Route &route, double choice);
@@ -44,6 +49,7 @@
     TextMap<TextMap<const Route *>> m_routes; ///< By host in lower case, then by path prefix.
     TextMap<const Workspace *> m_keys;        ///< By API key.
     TextMap<const Service *> m_services;
+    std::set<std::string, std::less<>> m_yieldingSingleAttempts; ///< See hasYieldingSingleAttempts().
 };
 
 }
--- a/src/routing/tests/routetabletests.cpp
+++ b/src/routing/tests/routetabletests.cpp
@@ -90,3 +90,43 @@
         CHECK(RouteTable::chooseService(route, 0.5) == nullptr);
     }
 }
+
+TEST_CASE("A service has streams with a single attempt that yield to others only where its routes say so")
+{
+    Configuration configuration;
+    Route plan = makeRoute("plan", "yard.example", "/plan/");
+    plan.kind = RequestKind::Streaming;
+    plan.priority = 2;
+    plan.services = {{"engines", 1}};
+    Route question = plan;
+    question.name = "question";
+    question.pathPrefix = "/question/";
+    question.priority = 0;
+    question.resumable = true;
+
+    SECTION("a plan that may not be repeated yields to questions")
+    {
+        configuration.routes = {plan, question};
+        CHECK(RouteTable(configuration).hasYieldingSingleAttempts("engines"));
+        CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("dispatch"));
+    }
+    SECTION("a plan that may be resumed is not at stake")
+    {
+        plan.resumable = true;
+        configuration.routes = {plan, question};
+        CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("engines"));
+    }
+    SECTION("the most urgent streams yield to none")
+    {
+        plan.priority = 0;
+        configuration.routes = {plan, question};
+        CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("engines"));
+    }
+    SECTION("a service without traffic on the route is not concerned")
+    {
+        plan.services = {{"engines", 0}, {"other", 1}};
+        configuration.routes = {plan, question};
+        CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("engines"));
+        CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("other"));
+    }
+}
