Keep headroom while reclaimable upstreams cannot be had

Cause: availability zones are reclaimed one after the other while the platform has no reclaimable upstreams to give. Change: for services whose waiting requests are lost for good, an announced reclaim counts as none to be had, permanent ones alone keep headroom, and those that are starting are kept until reclaimable ones run.

--- a/src/duties/internal/upstreamplanner.cpp
+++ b/src/duties/internal/upstreamplanner.cpp
@@ -13,6 +13,8 @@
 /// Target utilization of a permanent upstream while no reclaimable ones can be obtained. Headroom is expensive then, but only permanent upstreams
 /// can provide it.
 constexpr double PermanentOnlyUtilization = 0.9;
+/// As PermanentOnlyUtilization, for services that keep their headroom: the part of the load above it waits while the next upstreams start.
+constexpr double PermanentHeadroomUtilization = 0.65;
 /// Target utilization of an upstream while all are running, if reclaimable ones cost nothing. A lower utilization shortens the time to the first token.
 /// docs/MEASUREMENTS.md has the figures behind this value and PermanentOnlyUtilization.
 constexpr double FreeReclaimableUtilization = 0.37;
@@ -102,6 +104,10 @@
         if (permanent < current.permanent) {
             permanent = std::min(current.permanent, permanent + reclaimable - std::min(reclaimable, current.reclaimable));
         }
+        // Nor are those that are starting given up for reclaimable ones that may not be to be had.
+        if (load.keepsHeadroom && reclaimable > current.reclaimable) {
+            permanent = std::max(permanent, std::min(lastOrderedReplicas({service.name, zone, false}), permanent + reclaimable - current.reclaimable));
+        }
         if (!scalesDown) {
             permanent = std::max({permanent, current.permanent, lastOrderedReplicas({service.name, zone, false})});
             reclaimable = std::max({reclaimable, current.reclaimable, lastOrderedReplicas({service.name, zone, true})});
@@ -133,6 +139,9 @@
         const std::uint32_t floor = load.measured ? permanentFloors.at(zone) : static_cast<std::uint32_t>(std::ceil(initial * InitialPermanentFraction));
         const std::uint32_t permanent = std::clamp(floor, minimum, total);
         std::uint32_t reclaimable = total - permanent;
+        if (load.keepsHeadroom && load.zones.at(zone).reclaimAnnounced) {
+            m_unavailable[{service.name, zone, true}] = now;
+        }
         const auto unavailable = m_unavailable.find({service.name, zone, true});
         if (unavailable != m_unavailable.end() && now - unavailable->second < UnavailableLifetime) {
             reclaimable = std::min(reclaimable, load.zones.at(zone).reclaimable);
@@ -141,7 +150,8 @@
         obtainableReclaimable += wanted[zone].reclaimable;
     }
     if (reclaimables && load.measured) {
-        const std::map<std::string, std::uint32_t> permanentOnly = spread(std::max(0.0, peak / PermanentOnlyUtilization - obtainableReclaimable), zones);
+        const double utilization = load.keepsHeadroom ? PermanentHeadroomUtilization : PermanentOnlyUtilization;
+        const std::map<std::string, std::uint32_t> permanentOnly = spread(std::max(0.0, peak / utilization - obtainableReclaimable), zones);
         for (auto &[zone, replicas] : wanted) {
             replicas.permanent = std::max(replicas.permanent, std::min(permanentOnly.at(zone), scaling.maxReplicas));
         }
--- a/src/duties/tests/upstreamplannertests.cpp
+++ b/src/duties/tests/upstreamplannertests.cpp
@@ -251,3 +251,58 @@
     CHECK(planner.plan(makeService(std::nullopt), load, Start + std::chrono::seconds(5)).empty());
     CHECK(planner.plan(makeService(std::nullopt), load, Start + std::chrono::seconds(11)).size() == 3);
 }
+
+TEST_CASE("One availability zone is reclaimed after the other while no reclaimable upstreams are to be had, under a load that cannot wait")
+{
+    UpstreamPlanner planner;
+    const routing::Service service = makeService(0.18);
+    ServiceLoad load = makeLoad(9, {6, 0});
+    load.keepsHeadroom = true;
+    runPlanner(planner, service, load, 0, 20);
+    REQUIRE(permanentOf(load) == 9);
+    REQUIRE(reclaimableOf(load) == 11);
+
+    SECTION("permanent upstreams are ordered as soon as the reclaim is announced, without asking for reclaimable ones first")
+    {
+        ZoneReplicas &eger = load.zones.at("eger");
+        eger.reclaimable = 0;
+        eger.reclaimAnnounced = true;
+        const TimePoint now = Start + std::chrono::seconds(20);
+        planner.observe(service, load, now);
+        bool permanentOrdered = false;
+        for (const ports::ScalingTarget &order : planner.plan(service, load, now)) {
+            CHECK_FALSE((order.zone == "eger" && order.reclaimable && order.replicas > 0));
+            permanentOrdered = permanentOrdered || !order.reclaimable;
+        }
+        CHECK(!permanentOrdered); // The others still provide the headroom.
+
+        SECTION("and provide the headroom when the other zones are reclaimed too")
+        {
+            for (auto &[zone, replicas] : load.zones) {
+                replicas.reclaimable = 0;
+                replicas.reclaimAnnounced = true;
+            }
+            runPlanner(planner, service, load, 20, 21, false);
+            CHECK(permanentOf(load) == 14);
+        }
+    }
+    SECTION("upstreams that are starting are not given up each time that reclaimable ones are asked for in vain")
+    {
+        for (auto &[zone, replicas] : load.zones) {
+            replicas.reclaimable = 0;
+        }
+        runPlanner(planner, service, load, 20, 22, false);
+        const std::uint32_t ordered = permanentOf(load);
+        CHECK(ordered == 14);
+        for (int second = 22; second < 35; ++second) {
+            runPlanner(planner, service, load, second, second + 1, false);
+            CHECK(permanentOf(load) == ordered);
+        }
+        SECTION("they are released once reclaimable ones run")
+        {
+            runPlanner(planner, service, load, 35, 60);
+            CHECK(permanentOf(load) == 9);
+            CHECK(reclaimableOf(load) == 11);
+        }
+    }
+}
--- a/src/duties/upstreamplanner.h
+++ b/src/duties/upstreamplanner.h
@@ -16,6 +16,7 @@
 struct ZoneReplicas {
     std::uint32_t permanent = 0;
     std::uint32_t reclaimable = 0; ///< The platform may take these away at short notice.
+    bool reclaimAnnounced = false; ///< The platform has announced that it takes reclaimable ones away. Set in ServiceLoad only.
 };
 
 /// Input for planning the upstreams of one service.
@@ -23,6 +24,7 @@
     std::map<std::string, ZoneReplicas> zones; ///< All availability zones in which the service may run.
     double busyUpstreams = 0;                  ///< Load of all hosts together, as the number of upstreams that it would keep busy without a break.
     bool measured = false;                     ///< Whether busyUpstreams was measured, which takes requests of callers.
+    bool keepsHeadroom = false; ///< Requests of the service that wait too long are lost for good, so that headroom is kept without reclaimable upstreams too.
 };
 
 /// Decides how many upstreams to order for the current load. Permanent upstreams cover the load that must still be served when all reclaimable
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -251,6 +251,8 @@
         duties::ZoneReplicas &replicas = load.zones[upstream.entry.zone];
         if (!upstream.leaving) {
             ++(upstream.entry.reclaimable ? replicas.reclaimable : replicas.permanent);
+        } else if (upstream.entry.reclaimable) {
+            replicas.reclaimAnnounced = replicas.reclaimAnnounced || upstream.entry.leavesIn.has_value();
         }
     }
     if (service.scaling) {
@@ -261,6 +263,8 @@
     const auto found = busy.find(service.name);
     load.busyUpstreams = found == busy.end() ? 0 : found->second;
     load.measured = load.busyUpstreams > 0;
+    const std::shared_ptr<const routing::RouteTable> table = m_context.configuration.table();
+    load.keepsHeadroom = table && table->hasYieldingSingleAttempts(service.name);
     return load;
 }
 
