--- a/src/duties/internal/upstreamplanner.cpp
+++ b/src/duties/internal/upstreamplanner.cpp
@@ -107,6 +107,7 @@
         // Nor are those that are starting given up for reclaimable ones that may not be to be had.
         if (load.keepsHeadroom && reclaimable > current.reclaimable) {
             permanent = std::max(permanent, std::min(lastOrderedReplicas({service.name, zone, false}), permanent + reclaimable - current.reclaimable));
+            reclaimable = std::min(reclaimable, service.scaling->maxReplicas - std::min(permanent, service.scaling->maxReplicas));
         }
         if (!scalesDown) {
             permanent = std::max({permanent, current.permanent, lastOrderedReplicas({service.name, zone, false})});
--- a/src/duties/tests/upstreamplannertests.cpp
+++ b/src/duties/tests/upstreamplannertests.cpp
@@ -298,6 +298,17 @@
             runPlanner(planner, service, load, second, second + 1, false);
             CHECK(permanentOf(load) == ordered);
         }
+        SECTION("nor while both kinds together would exceed the limit of a zone")
+        {
+            load.busyUpstreams = 18;
+            runPlanner(planner, service, load, 35, 37, false);
+            const std::uint32_t more = permanentOf(load);
+            CHECK(more == 28);
+            for (int second = 37; second < 50; ++second) {
+                runPlanner(planner, service, load, second, second + 1, false);
+                CHECK(permanentOf(load) == more);
+            }
+        }
         SECTION("they are released once reclaimable ones run")
         {
             runPlanner(planner, service, load, 35, 60);
