Refuse a part of the yielding requests while prompts wait at all upstreams

Cause: beside a burst the prompts that wait take longer than the goals; all are late, the urgent ones too. Change: a decision from the load that all hosts report, for requests that may not be repeated and yield; independent of size and workspace.

--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -107,6 +107,16 @@
     return best;
 }
 
+Duration UpstreamBalancer::averageWait(std::string_view service, std::span<const Candidate> candidates) const
+{
+    std::uint64_t tokens = 0;
+    for (const Candidate &candidate : candidates) {
+        tokens += total(std::string(candidate.instance), find(candidate.instance)).prefillTokens;
+    }
+    const double average = candidates.empty() ? 0 : static_cast<double>(tokens) / static_cast<double>(candidates.size());
+    return fromMilliseconds(prefillCost(std::string(service)) * average / 1000);
+}
+
 UpstreamBalancer::Scored UpstreamBalancer::score(
     const RequestProfile &profile, const Service &service, const Candidate &candidate, const Upstream *upstream, std::string_view home, TimePoint now) const
 {
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -34,6 +34,9 @@
     /// Returns the best of @p candidates that may be sent one more request; nothing when there is none.
     [[nodiscard]] std::optional<Choice> choose(const RequestProfile &profile, std::span<const Candidate> candidates, TimePoint now);
 
+    /// Returns the time in which an average upstream of @p candidates reads the prompt tokens that all hosts have sent there and that have not led to a first
+    /// event yet. Zero without candidates.
+    [[nodiscard]] Duration averageWait(std::string_view service, std::span<const Candidate> candidates) const;
     /// Records that a request with @p profile was sent to the chosen upstream. Returns a number that identifies the attempt in recordFirstEvent()
     /// and end().
     std::uint64_t begin(const RequestProfile &profile, const Choice &choice, TimePoint now);
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/requestsession.h"
 #include "limits/connectionshare.h"
+#include "overload/yieldingadmission.h"
 
 namespace rosemaryshift::gateway {
 
@@ -33,6 +34,22 @@
     return {m_service, m_fingerprint, m_callerRequest.sharedPromptParts()};
 }
 
+bool RequestSession::admitYielding(std::span<const balancing::Candidate> candidates)
+{
+    if (m_attemptState->dispatches() > 0 || !m_routeTable->yields(*m_route, m_service)) {
+        return true;
+    }
+    const overload::YieldingDemand demand{m_context.balancer.averageWait(m_service, candidates), m_route->latencyGoal};
+    const std::optional<Duration> retryDelay = overload::yieldingRetryDelay(demand, m_context.randomFraction());
+    if (!retryDelay) {
+        return true;
+    }
+    m_reason = "yields";
+    m_retryAfter = *retryDelay;
+    m_context.metrics.count("rosemaryshift_yielding_refused_total", R"(service=")" + m_service + R"(")");
+    return false;
+}
+
 std::optional<balancing::Choice> RequestSession::chooseUpstream(TimePoint now)
 {
     if (m_streamStarted && (!m_continuedVersion || !m_eventSplitter.lastId())) {
@@ -57,6 +74,9 @@
             limitedRate = limitedRate.value_or(0) + m_context.upstreamLimits.perSecond(entry.instance).value_or(0);
         }
     }
+    if (!admitYielding(candidates)) {
+        return std::nullopt;
+    }
     std::optional<balancing::Choice> choice = m_context.balancer.choose(requestProfile(), candidates, now);
     if (!choice) {
         m_retryAfter = UpstreamRetryDelay;
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -134,6 +134,8 @@
     [[nodiscard]] bool streamVersionGone(TimePoint now) const;
     [[nodiscard]] streams::StreamKey streamKey(std::string_view attemptId) const;
 
+    /// Whether the request is sent although more urgent ones wait at @p candidates; sets the reason if not.
+    [[nodiscard]] bool admitYielding(std::span<const balancing::Candidate> candidates);
     [[nodiscard]] std::optional<balancing::Choice> chooseUpstream(TimePoint now);
     /// Whether the request may be sent to an upstream again now; takes one retry from the budget if so and it was sent before.
     [[nodiscard]] bool mayRetry(TimePoint now);
--- a/src/routing/internal/routetable.cpp
+++ b/src/routing/internal/routetable.cpp
@@ -15,30 +15,17 @@
     return lower;
 }
 
-/// Names of the services of @p routes with streams that may not be repeated and are less urgent than other streams of the same service.
-std::set<std::string, std::less<>> servicesWithYieldingSingleAttempts(std::span<const Route> routes)
+/// Calls @p visit with each route of streams and each service that has traffic on it.
+template <typename Visitor>
+void forEachStream(std::span<const Route> routes, Visitor visit)
 {
-    std::map<std::string, std::uint32_t> mostUrgent;
-    const auto forEachStream = [&routes](auto visit) {
-        for (const Route &route : routes) {
-            for (const WeightedService &service : route.services) {
-                if (route.kind == RequestKind::Streaming && service.weight > 0) {
-                    visit(route, service.service);
-                }
+    for (const Route &route : routes) {
+        for (const WeightedService &service : route.services) {
+            if (route.kind == RequestKind::Streaming && service.weight > 0) {
+                visit(route, service.service);
             }
         }
-    };
-    forEachStream([&mostUrgent](const Route &route, const std::string &service) {
-        const auto [known, isNew] = mostUrgent.try_emplace(service, route.priority);
-        known->second = std::min(known->second, route.priority);
-    });
-    std::set<std::string, std::less<>> services;
-    forEachStream([&mostUrgent, &services](const Route &route, const std::string &service) {
-        if (!route.repeatable() && route.priority > mostUrgent.at(service)) {
-            services.insert(service);
-        }
-    });
-    return services;
+    }
 }
 
 }
@@ -57,7 +44,15 @@
     for (const Service &service : m_configuration.services) {
         m_services.emplace(service.name, &service);
     }
-    m_yieldingSingleAttempts = servicesWithYieldingSingleAttempts(m_configuration.routes);
+    forEachStream(m_configuration.routes, [this](const Route &route, const std::string &service) {
+        const auto [known, isNew] = m_mostUrgentStreams.try_emplace(service, route.priority);
+        known->second = std::min(known->second, route.priority);
+    });
+    forEachStream(m_configuration.routes, [this](const Route &route, const std::string &service) {
+        if (yields(route, service)) {
+            m_yieldingSingleAttempts.insert(service);
+        }
+    });
 }
 
 const Configuration &RouteTable::configuration() const
@@ -98,6 +93,12 @@
     return m_yieldingSingleAttempts.contains(service);
 }
 
+bool RouteTable::yields(const Route &route, std::string_view service) const
+{
+    const auto mostUrgent = m_mostUrgentStreams.find(service);
+    return route.kind == RequestKind::Streaming && !route.repeatable() && mostUrgent != m_mostUrgentStreams.end() && route.priority > mostUrgent->second;
+}
+
 const WeightedService *RouteTable::chooseService(const Route &route, double choice)
 {
     std::uint64_t total = 0;
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -30,6 +30,8 @@
     /// Whether @p service carries streams that may not be repeated and yield to more urgent streams of the service. Such a stream is lost for good when its
     /// upstream leaves, and waits where others need not, so that decisions which cost the fleet something pay off for it.
     [[nodiscard]] bool hasYieldingSingleAttempts(std::string_view service) const;
+    /// Whether a request of @p route may not be repeated and yields to more urgent streams of @p service.
+    [[nodiscard]] bool yields(const Route &route, std::string_view service) const;
     /// Chooses one of the route's services in proportion to their weights; @p choice is a uniform random number in [0, 1). Null when no service of
     /// the route has a weight above zero.
     [[nodiscard]] static const WeightedService *chooseService(const Route &route, double choice);
@@ -49,7 +51,8 @@
     TextMap<TextMap<const Route *>> m_routes; ///< By host in lower case, then by path prefix.
     TextMap<const Workspace *> m_keys;        ///< By API key.
     TextMap<const Service *> m_services;
-    std::set<std::string, std::less<>> m_yieldingSingleAttempts; ///< See hasYieldingSingleAttempts().
+    std::map<std::string, std::uint32_t, std::less<>> m_mostUrgentStreams; ///< Priority of the most urgent streams, by service.
+    std::set<std::string, std::less<>> m_yieldingSingleAttempts;           ///< See hasYieldingSingleAttempts().
 };
 
 }
