Race a second try of slow requests that may be repeated, within an operator's share

Cause: a few requests meet an upstream that is slow at that moment and spoil the slowest hundredth. Change: src/secondtries decides when and whether (times seen, pooled over hosts; share; retry budget; room), RacingExchange runs both tries and goes on with the first answer; the session accounts for both. Off unless [second_tries] share is set.

--- a/src/eventlog/eventlog.h
+++ b/src/eventlog/eventlog.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <initializer_list>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -53,6 +54,8 @@
 
     /// Adds a line for @p event, or drops it when the budget or the buffer is exhausted. Field names are those of the schema in docs/OPERATIONS.md.
     void write(std::string_view event, Importance importance, std::initializer_list<Field> fields);
+    /// The same, for fields of which some are left out.
+    void write(std::string_view event, Importance importance, std::span<const Field> fields);
     /// Passes buffered lines to the writer. Precondition: called several times a second.
     void flush();
     /// Number of lines dropped since the process started.
@@ -64,7 +67,7 @@
     [[nodiscard]] bool admits(Importance importance, std::size_t bytes);
     void noteDropped();
     void beginSecond(std::int64_t second);
-    void append(std::string_view event, std::initializer_list<Field> fields);
+    void append(std::string_view event, std::span<const Field> fields);
 
     const std::string m_host;
     const std::string m_start;
--- a/src/eventlog/internal/eventlog.cpp
+++ b/src/eventlog/internal/eventlog.cpp
@@ -80,6 +80,11 @@
 }
 
 void EventLog::write(std::string_view event, Importance importance, std::initializer_list<Field> fields)
+{
+    write(event, importance, std::span<const Field>(fields.begin(), fields.size()));
+}
+
+void EventLog::write(std::string_view event, Importance importance, std::span<const Field> fields)
 {
     beginSecond(steadyMilliseconds() / 1000);
     if (!admits(importance, 0)) { // Formatting costs many times as much as dropping.
@@ -133,12 +138,13 @@
     m_linesInSecond = 0;
     m_bytesInSecond = 0;
     if (m_unreportedDrops > 0 && m_buffer.size() <= MaxBufferedBytes) {
-        append("lines_dropped", {{"lines", static_cast<std::int64_t>(m_unreportedDrops)}});
+        const Field lines{"lines", static_cast<std::int64_t>(m_unreportedDrops)};
+        append("lines_dropped", std::span(&lines, 1));
         m_unreportedDrops = 0;
     }
 }
 
-void EventLog::append(std::string_view event, std::initializer_list<Field> fields)
+void EventLog::append(std::string_view event, std::span<const Field> fields)
 {
     m_buffer += fmt::format(
         R"({{"time_ms":{},"steady_ms":{},"host":"{}","start":"{}","event":"{}")", wallMilliseconds(), steadyMilliseconds(), m_host, m_start, event);
--- a/src/gateway/internal/attemptstate.cpp
+++ b/src/gateway/internal/attemptstate.cpp
@@ -30,18 +30,28 @@
     m_stateBeforeDispatch = m_executionState;
     m_executionState = ExecutionState::Dispatched;
     ++m_dispatches;
+    ++m_mayHaveRun;
 }
 
 void AttemptState::noteNotSent()
 {
-    m_executionState = m_stateBeforeDispatch;
     --m_dispatches;
+    --m_mayHaveRun;
+    m_executionState = stateOfRest(m_dispatches > 0 ? ExecutionState::NotExecuted : ExecutionState::NotDispatched);
 }
 
 void AttemptState::noteNotExecuted()
 {
-    const bool mayHaveRunBefore = m_stateBeforeDispatch == ExecutionState::Dispatched || m_stateBeforeDispatch == ExecutionState::Responding;
-    m_executionState = mayHaveRunBefore ? m_stateBeforeDispatch : ExecutionState::NotExecuted;
+    --m_mayHaveRun;
+    m_executionState = stateOfRest(ExecutionState::NotExecuted);
+}
+
+ExecutionState AttemptState::stateOfRest(ExecutionState noneMayHaveRun) const
+{
+    if (m_mayHaveRun == 0) {
+        return noneMayHaveRun;
+    }
+    return m_stateBeforeDispatch == ExecutionState::Responding ? ExecutionState::Responding : ExecutionState::Dispatched;
 }
 
 void AttemptState::noteResponseStarted()
--- a/src/gateway/internal/attemptstate.h
+++ b/src/gateway/internal/attemptstate.h
@@ -27,9 +27,9 @@
 
     /// Records that the attempt is about to be sent to an upstream. Precondition: mayDispatch().
     void noteDispatched();
-    /// Records that the connection to the upstream failed before anything was sent. Precondition: noteDispatched() was the last call.
+    /// Records that nothing was sent for one of the dispatches, as when the connection to the upstream failed. Precondition: there is one without a result.
     void noteNotSent();
-    /// Records that the upstream stated that it did not execute the attempt.
+    /// Records that an upstream stated that it did not execute the attempt. Precondition: there is a dispatch without a result.
     void noteNotExecuted();
     /// Records that the upstream started its response.
     void noteResponseStarted();
@@ -45,9 +45,13 @@
     [[nodiscard]] std::uint32_t dispatches() const;
 
 private:
+    /// The state that follows from the other dispatches when one has not run. @p noneMayHaveRun: the state if that is true of all of them.
+    [[nodiscard]] ExecutionState stateOfRest(ExecutionState noneMayHaveRun) const;
+
     const bool m_mayRunTwice;
     const std::uint32_t m_maxDispatches;
     std::uint32_t m_dispatches = 0;
+    std::uint32_t m_mayHaveRun = 0; ///< Dispatches that were sent, as far as is known, to upstreams that did not state that they did not execute the attempt.
     ExecutionState m_executionState = ExecutionState::NotDispatched;
     ExecutionState m_stateBeforeDispatch = ExecutionState::NotDispatched;
 };
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -59,6 +59,7 @@
     , balancer(randomSeed())
     , quotas(settings.quotas, randomSeed())
     , retryBudget(settings.retries)
+    , secondTries(settings.secondTries)
     , upstreamLimits([this](const std::string &instance, std::optional<double> perSecond) {
         eventLog.write("upstream_limit",
                        eventlog::Importance::StateChange,
@@ -94,6 +95,9 @@
     , randomEngine(randomSeed())
     , stop(settings.stopTimeout)
 {
+    if (secondTries.enabled()) {
+        statusChannels.add(secondTries.times());
+    }
 }
 
 void GatewayContext::handleUpstreamChange(const directory::Upstream &upstream, std::string_view change)
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -27,6 +27,7 @@
 #include "overload/admissioncontrol.h"
 #include "overload/loopdelay.h"
 #include "quarantine/crashquarantine.h"
+#include "secondtries/secondtrypolicy.h"
 #include "streams/streamorigins.h"
 #include "streams/versionhistory.h"
 
@@ -57,6 +58,7 @@
     balancing::UpstreamBalancer balancer;
     limits::WorkspaceQuotas quotas;
     limits::RetryBudget retryBudget;
+    secondtries::SecondTryPolicy secondTries;
     limits::UpstreamLimits upstreamLimits;
     limits::UpstreamPauses upstreamPauses;
     quarantine::CrashQuarantine quarantine;
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -15,6 +15,10 @@
 constexpr std::uint64_t MaxPort = 65'535;
 /// Largest accepted memory limit of the process, in MiB.
 constexpr std::uint64_t MaxMemoryMib = 1U << 20U;
+/// Largest accepted share of second tries, and the accepted parts of the requests whose answers begin before one is considered.
+constexpr double MaxSecondTryShare = 0.2;
+constexpr double MinSecondTryQuantile = 0.5;
+constexpr double MaxSecondTryQuantile = 0.999;
 constexpr std::size_t BytesPerMib = 1U << 20U;
 /// Part of the memory limit that requests and answers may take up together; the rest is for the state of the fleet, connections and copies.
 constexpr std::size_t HeldMemoryDivisor = 4;
@@ -117,6 +121,11 @@
         }
         process->rejectUnknownKeys();
     }
+    if (std::optional<SettingsTable> secondTries = root.table("second_tries")) {
+        settings.secondTries.share = secondTries->real("share", {0, MaxSecondTryShare}, settings.secondTries.share);
+        settings.secondTries.quantile = secondTries->real("quantile", {MinSecondTryQuantile, MaxSecondTryQuantile}, settings.secondTries.quantile);
+        secondTries->rejectUnknownKeys();
+    }
     if (std::optional<SettingsTable> peers = root.table("peers")) {
         settings.seeds = peers->texts("seeds");
         peers->rejectUnknownKeys();
--- a/src/gateway/internal/requestadmission.cpp
+++ b/src/gateway/internal/requestadmission.cpp
@@ -46,6 +46,9 @@
     }
     m_charged = true;
     m_context.retryBudget.noteRequest(m_service, now);
+    if (m_route->repeatable()) {
+        m_context.secondTries.noteRequest();
+    }
     return true;
 }
 
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -22,21 +22,12 @@
 constexpr int EventGapFactor = 2;
 /// Lower bound of the time after which a resumable stream is continued by another upstream.
 constexpr std::chrono::milliseconds MinEventGapTimeout{2'000};
-/// Retry-After for a caller whose request an upstream did not execute, as when it was full.
-constexpr std::chrono::milliseconds UpstreamFullRetryDelay{150};
-/// Maximum number of responses to earlier requests that are skipped on one connection.
-constexpr int MaxSkippedResponses = 2;
 /// Largest body of an answer that is held until it is complete; a faulty upstream may send bytes without end.
 constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
 
 /// Reason of a failure when the answers that are held would take up too much memory together.
 constexpr std::string_view HeldBytesExceeded = "the answers that are held take up too much memory";
 
-bool isSuccess(int status)
-{
-    return status >= 200 && status < 300;
-}
-
 }
 
 http::ClientTimeouts RequestSession::dispatchTimeouts(const balancing::Choice &choice, TimePoint now) const
@@ -63,8 +54,8 @@
 net::awaitable<RequestSession::DispatchResult> RequestSession::dispatchTo(const balancing::Choice &choice, const directory::UpstreamEntry &upstream)
 {
     const TimePoint now = hostNow();
-    const std::optional<std::string> resumeAfter = m_eventSplitter.lastId();
     m_sent = false;
+    m_secondIsCurrent = false;
     m_viaPeer = false;
     m_instance = upstream.instance;
     m_upstream = upstream;
@@ -73,24 +64,10 @@
     m_triedInstances.insert(m_instance);
     m_attemptState->noteDispatched();
     m_balancerAttempt = m_context.balancer.begin(requestProfile(), choice, now);
-    m_context.eventLog.write("offered",
-                             eventlog::Importance::Ordinary,
-                             {{"request", m_callerRequest.attemptId},
-                              {"route", m_route->name},
-                              {"service", m_service},
-                              {"instance", m_instance},
-                              {"version", upstream.softwareVersion},
-                              {"expected_ms", wholeMilliseconds(choice.expected)},
-                              {"uncached_tokens", static_cast<std::int64_t>(choice.uncachedTokens)},
-                              {"runner_up", choice.runnerUp},
-                              {"runner_up_ms", wholeMilliseconds(choice.runnerUpExpected)},
-                              {"left_ms", wholeMilliseconds(remainingTime(now))},
-                              {"resume_after", resumeAfter ? std::string_view(*resumeAfter) : std::string_view()},
-                              {"caller_resumes", m_callerRequest.resumedAttempt},
-                              {"caller_resume_after", m_callerRequest.lastEventId.value_or("")}});
+    logOffer(choice, upstream);
 
     const net::any_io_executor executor = co_await net::this_coro::executor;
-    m_exchange = http::makeExchange(executor, m_context.upstreamConnections);
+    m_exchange = makeDispatchExchange(executor);
     m_exchange->setSilenceHandler([this] { return leaveSilentUpstream(); });
     http::ClientFailure failure;
     const http::ClientTimeouts limits = dispatchTimeouts(choice, now);
@@ -103,9 +80,7 @@
         if (metadata.attemptId.empty() || metadata.attemptId == m_callerRequest.attemptId) {
             break;
         }
-        m_context.eventLog.write("foreign_answer",
-                                 eventlog::Importance::Failure,
-                                 {{"request", m_callerRequest.attemptId}, {"instance", m_instance}, {"answers", metadata.attemptId}});
+        logForeignAnswer(metadata);
         if (skipped == MaxSkippedResponses) {
             m_exchange->cancel();
             failure = {http::ClientError::Malformed, "too many answers to other requests"};
@@ -114,25 +89,19 @@
         }
         upstreamResponse = co_await m_exchange->openNext(failure);
     }
+    concludeRace(upstreamResponse && isAnswer(*upstreamResponse, metadata),
+                 upstreamResponse ? "status " + std::to_string(upstreamResponse->status) : failure.detail);
     if (!upstreamResponse) {
         if (failure.error == http::ClientError::Withdrawn) {
-            endWithdrawn();
+            noteWithdrawn();
+            endDispatch(balancing::AttemptEnd::Inconclusive);
             co_return DispatchResult::TryAnother;
         }
-        if (!m_sent) {
-            m_attemptState->noteNotSent();
-        }
-        noteBroken(failure);
-        noteUnreached(failure);
-        m_reason = "no_answer: " + failure.detail;
+        noteNoAnswer(failure);
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
-    if (metadata.attemptId.empty() && (skipped > 0 || m_exchange->reused())) {
-        // A repetition of an earlier answer on this connection says nothing about this request.
-        metadata.notExecuted = false;
-        metadata.pause.reset();
-    }
+    metadata = metadataOf(*upstreamResponse, skipped > 0 || m_exchange->reused());
     m_framing = upstreamResponse->framing;
     const DispatchResult result = co_await handleResponse(std::move(*upstreamResponse), metadata);
     co_return result;
@@ -145,17 +114,10 @@
     if (metadata.notExecuted) {
         http::ClientFailure failure;
         const std::optional<std::string> discardedBody = co_await readBody(failure);
-        m_attemptState->noteNotExecuted();
-        m_reason = "not_executed: status " + std::to_string(upstreamResponse.status);
-        m_retryAfter = UpstreamFullRetryDelay;
-        if (upstreamResponse.status == 421) {
-            m_context.directory.noteMisdirected(m_instance, hostNow());
-        }
-        endDispatch(pauses || upstreamResponse.status == 421 ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Rejected);
+        endDispatch(noteNotExecuted(upstreamResponse, pauses));
         co_return DispatchResult::TryAnother;
     }
-    const bool trusted = metadata.attemptId == m_callerRequest.attemptId && (metadata.sealed || !isSuccess(upstreamResponse.status));
-    if (!trusted) {
+    if (!isTrusted(upstreamResponse, metadata)) {
         m_reason = "unsigned answer: status " + std::to_string(upstreamResponse.status);
         m_exchange->cancel();
         endDispatch(balancing::AttemptEnd::Failed);
@@ -210,6 +172,7 @@
         noteFirstByte();
         bool callerConnected = true;
         if (!m_streamStarted) {
+            noteTimeToAnswer();
             m_streamStarted = true;
             // Events are passed on as they come, so that no time has to be reserved for it.
             m_exchange->setEnd(std::chrono::steady_clock::now() + remainingTime(hostNow()));
@@ -252,6 +215,9 @@
 
 net::awaitable<RequestSession::DispatchResult> RequestSession::forwardWhole(http::Response upstreamResponse, const ports::ResponseMetadata &metadata)
 {
+    if (upstreamResponse.status < 500) {
+        noteTimeToAnswer();
+    }
     http::ClientFailure failure;
     std::optional<std::string> body = co_await readBody(failure);
     if (!body) {
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -75,7 +75,8 @@
     http::RequestSource source = [this, &peer] { return requestForPeer(peer.forwardingToken); };
     std::optional<http::Response> answer = co_await m_exchange->open(endpoint, std::move(source), timeouts, failure);
     if (failure.error == http::ClientError::Withdrawn) {
-        endWithdrawn();
+        noteWithdrawn();
+        endDispatch(balancing::AttemptEnd::Inconclusive);
         co_return DispatchResult::TryAnother;
     }
     const bool notRun = answer ? declines(*answer) : !m_sent;
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -22,6 +22,8 @@
 
 /// Maximum number of a prompt's parts that are logged with a failure.
 constexpr std::size_t MaxLoggedParts = 8;
+/// Retry-After for a caller whose request an upstream did not execute, as when it was full.
+constexpr std::chrono::milliseconds UpstreamFullRetryDelay{150};
 
 /// The ids of the first @p parts, in hexadecimal with commas between them, as callers write them.
 std::string promptPartIds(std::span<const ports::PromptPart> parts)
@@ -38,6 +40,51 @@
 
 }
 
+void RequestSession::logOffer(const balancing::Choice &choice, const directory::UpstreamEntry &upstream)
+{
+    const std::optional<std::string> resumeAfter = m_eventSplitter.lastId();
+    m_context.eventLog.write("offered",
+                             eventlog::Importance::Ordinary,
+                             {{"request", m_callerRequest.attemptId},
+                              {"route", m_route->name},
+                              {"service", m_service},
+                              {"instance", m_instance},
+                              {"version", upstream.softwareVersion},
+                              {"expected_ms", wholeMilliseconds(choice.expected)},
+                              {"uncached_tokens", static_cast<std::int64_t>(choice.uncachedTokens)},
+                              {"runner_up", choice.runnerUp},
+                              {"runner_up_ms", wholeMilliseconds(choice.runnerUpExpected)},
+                              {"left_ms", wholeMilliseconds(remainingTime(hostNow()))},
+                              {"resume_after", resumeAfter ? std::string_view(*resumeAfter) : std::string_view()},
+                              {"caller_resumes", m_callerRequest.resumedAttempt},
+                              {"caller_resume_after", m_callerRequest.lastEventId.value_or("")}});
+}
+
+ports::ResponseMetadata RequestSession::metadataOf(const http::Response &response, bool unexpected) const
+{
+    ports::ResponseMetadata metadata = m_context.ports.messageCodec->responseMetadata(response);
+    if (metadata.attemptId.empty() && unexpected) {
+        metadata.notExecuted = false;
+        metadata.pause.reset();
+    }
+    return metadata;
+}
+
+bool RequestSession::isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+bool RequestSession::isTrusted(const http::Response &response, const ports::ResponseMetadata &metadata) const
+{
+    return metadata.attemptId == m_callerRequest.attemptId && (metadata.sealed || !isSuccess(response.status));
+}
+
+bool RequestSession::isAnswer(const http::Response &response, const ports::ResponseMetadata &metadata) const
+{
+    return isTrusted(response, metadata) && !metadata.notExecuted && response.status < 500;
+}
+
 void RequestSession::noteStatements(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata)
 {
     // An answer to another request, or of another instance at the same address, says nothing about this instance.
@@ -105,10 +152,42 @@
     }
 }
 
+balancing::AttemptEnd RequestSession::noteNotExecuted(const http::Response &response, bool pauses)
+{
+    m_attemptState->noteNotExecuted();
+    m_reason = "not_executed: status " + std::to_string(response.status);
+    m_retryAfter = UpstreamFullRetryDelay;
+    if (response.status == 421) {
+        m_context.directory.noteMisdirected(m_instance, hostNow());
+    }
+    return pauses || response.status == 421 ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Rejected;
+}
+
+void RequestSession::noteNoAnswer(const http::ClientFailure &failure)
+{
+    if (!m_sent) {
+        m_attemptState->noteNotSent();
+    }
+    noteBroken(failure);
+    noteUnreached(failure);
+    m_reason = "no_answer: " + failure.detail;
+}
+
+void RequestSession::logForeignAnswer(const ports::ResponseMetadata &metadata)
+{
+    m_context.eventLog.write(
+        "foreign_answer", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}, {"answers", metadata.attemptId}});
+}
+
 void RequestSession::endDispatch(balancing::AttemptEnd how)
 {
-    m_context.balancer.end(m_balancerAttempt, how, hostNow());
     m_exchange.reset();
+    endTry(how);
+}
+
+void RequestSession::endTry(balancing::AttemptEnd how)
+{
+    m_context.balancer.end(m_balancerAttempt, how, hostNow());
     if (how != balancing::AttemptEnd::Succeeded && how != balancing::AttemptEnd::Inconclusive) {
         m_context.eventLog.write("offer_failed",
                                  eventlog::Importance::Failure,
@@ -137,28 +216,30 @@
     if (good) {
         noteAnswerTime(now);
     }
-    m_context.eventLog.write("request_ended",
-                             good ? eventlog::Importance::Ordinary : eventlog::Importance::Failure,
-                             {{"request", m_callerRequest.attemptId},
-                              {"kind", kind},
-                              {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
-                              {"workspace", m_workspace != nullptr ? std::string_view(m_workspace->name) : std::string_view()},
-                              {"configuration", static_cast<std::int64_t>(m_routeTable ? m_routeTable->configuration().version : 0)},
-                              {"configuration_age_ms", wholeMilliseconds(m_context.configuration.age(now).value_or(Duration::zero()))},
-                              {"outcome", outcome},
-                              {"status", static_cast<std::int64_t>(status)},
-                              {"reason", reason},
-                              {"run", m_attemptState ? name(m_attemptState->executionState()) : std::string_view("not_offered")},
-                              {"offers", static_cast<std::int64_t>(m_attemptState ? m_attemptState->dispatches() : 0)},
-                              {"instance", m_instance},
-                              {"framing", m_framing ? http::name(*m_framing) : std::string_view()},
-                              {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
-                              {"passed_on_bytes", static_cast<std::int64_t>(m_passedOnBytes)},
-                              {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
-                              {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
-                              {"waited_ms", wholeMilliseconds(m_handledAt - m_arrivedAt)},
-                              {"took_ms", wholeMilliseconds(now - m_arrivedAt)},
-                              {"left_ms", wholeMilliseconds(remainingTime(now))}});
+    std::vector<eventlog::Field> fields{{"request", m_callerRequest.attemptId},
+                                        {"kind", kind},
+                                        {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
+                                        {"workspace", m_workspace != nullptr ? std::string_view(m_workspace->name) : std::string_view()},
+                                        {"configuration", static_cast<std::int64_t>(m_routeTable ? m_routeTable->configuration().version : 0)},
+                                        {"configuration_age_ms", wholeMilliseconds(m_context.configuration.age(now).value_or(Duration::zero()))},
+                                        {"outcome", outcome},
+                                        {"status", static_cast<std::int64_t>(status)},
+                                        {"reason", reason},
+                                        {"run", m_attemptState ? name(m_attemptState->executionState()) : std::string_view("not_offered")},
+                                        {"offers", static_cast<std::int64_t>(m_attemptState ? m_attemptState->dispatches() : 0)},
+                                        {"instance", m_instance},
+                                        {"framing", m_framing ? http::name(*m_framing) : std::string_view()},
+                                        {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
+                                        {"passed_on_bytes", static_cast<std::int64_t>(m_passedOnBytes)},
+                                        {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
+                                        {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
+                                        {"waited_ms", wholeMilliseconds(m_handledAt - m_arrivedAt)},
+                                        {"took_ms", wholeMilliseconds(now - m_arrivedAt)},
+                                        {"left_ms", wholeMilliseconds(remainingTime(now))}};
+    if (!m_secondTryResult.empty()) {
+        fields.push_back({"second_try", m_secondTryResult});
+    }
+    m_context.eventLog.write("request_ended", good ? eventlog::Importance::Ordinary : eventlog::Importance::Failure, std::span<const eventlog::Field>(fields));
 }
 
 }
--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -93,14 +93,13 @@
     return request;
 }
 
-void RequestSession::endWithdrawn()
+void RequestSession::noteWithdrawn()
 {
     m_attemptState->noteNotSent();
     m_triedInstances.erase(m_instance);
     m_viaPeer = false;
     m_context.eventLog.write(
         "withdrawn", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}, {"reason", m_reason}});
-    endDispatch(balancing::AttemptEnd::Inconclusive);
 }
 
 }
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -6,6 +6,7 @@
 #include "gateway/internal/streamregistry.h"
 #include "http/ihttpclient.h"
 #include "http/ihttpserver.h"
+#include "secondtries/racingexchange.h"
 
 #include <memory>
 #include <set>
@@ -13,13 +14,13 @@
 namespace rosemaryshift::gateway {
 
 /// Handles one attempt of a caller, from its arrival to the final response. Used from the coroutine of the caller's connection.
-class RequestSession : public std::enable_shared_from_this<RequestSession>
+class RequestSession : public std::enable_shared_from_this<RequestSession>, private secondtries::IRaceDecisions
 {
 public:
     /// @p fromPeer: a peer that reaches no upstream has forwarded the request.
     RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer, bool fromPeer);
 
-    ~RequestSession();
+    ~RequestSession() override;
     RequestSession(const RequestSession &) = delete;
     RequestSession &operator=(const RequestSession &) = delete;
 
@@ -29,6 +30,9 @@
     void endByStop();
 
 private:
+    /// Maximum number of responses to earlier requests that are skipped on one connection.
+    static constexpr int MaxSkippedResponses = 2;
+
     /// Time before the deadline that is reserved for sending the response back to the caller, until a stream has started.
     static constexpr std::chrono::milliseconds ResponseMargin{20};
 
@@ -93,8 +97,8 @@
     std::optional<http::Request> requestForUpstream();
     /// The same for a peer that accepts forwarded requests with this @p token.
     std::optional<http::Request> requestForPeer(std::string_view token);
-    /// Ends a dispatch that was withdrawn before its request was sent.
-    void endWithdrawn();
+    /// Records that the current dispatch was withdrawn before its request was sent.
+    void noteWithdrawn();
     /// Notes that the upstream of the last dispatch was not reached, if that is what @p failure says.
     void noteUnreached(const http::ClientFailure &failure);
     /// Sends the request to @p upstream and forwards its response.
@@ -108,6 +112,35 @@
     boost::asio::awaitable<bool> findSuccessor();
     /// Opens a connection to an upstream for the next dispatch.
     boost::asio::awaitable<bool> connectTo(const balancing::Choice &choice);
+    /// Logs that @p upstream is sent the request.
+    void logOffer(const balancing::Choice &choice, const directory::UpstreamEntry &upstream);
+    /// The exchange for a dispatch that is about to be sent, which may send a second try beside it.
+    std::shared_ptr<http::IExchange> makeDispatchExchange(const boost::asio::any_io_executor &executor);
+    std::optional<secondtries::TryRequest> startSecondTry() override;
+    secondtries::HeadVerdict judge(secondtries::TryNumber number, const http::Response &head, bool unexpected) override;
+    void noteTryEnded(secondtries::TryNumber number, const secondtries::TryEnd &end) override;
+    /// Records how the current try ended, which the race goes on without.
+    void endCurrentTry(const secondtries::TryEnd &end);
+    /// Chooses the upstream of a second try and takes what it costs. Nothing, with @p reason set, when none is to be sent.
+    std::optional<balancing::Choice> chooseSecondUpstream(secondtries::NotSentReason &reason, TimePoint now);
+    /// Counts a second try that is not sent.
+    void noteSecondTryNotSent(secondtries::NotSentReason reason);
+    /// Makes the other try the current one, and the other way round. Precondition: both exist.
+    void swapTries();
+    /// Records what became of the second try, which is the current one. @p reason: why it has failed; empty if it has not.
+    void endSecondTry(std::string_view result, std::string_view reason);
+    /// The same, when the race has ended with the second try as the current one. @p reason: why it would count as failed if not @p answered.
+    void concludeRace(bool answered, std::string_view reason);
+    /// What an upstream's answer states. @p unexpected: it may repeat the answer to an earlier request, and then says nothing about this one.
+    [[nodiscard]] ports::ResponseMetadata metadataOf(const http::Response &response, bool unexpected) const;
+    /// Whether @p response is an answer that the caller should get, even if another try may bring one.
+    [[nodiscard]] bool isAnswer(const http::Response &response, const ports::ResponseMetadata &metadata) const;
+    /// Records the time that the answer of the current dispatch took to begin.
+    void noteTimeToAnswer();
+    [[nodiscard]] secondtries::RequestClass requestClass() const;
+    [[nodiscard]] static bool isSuccess(int status);
+    /// Whether @p response proves to answer this request.
+    [[nodiscard]] bool isTrusted(const http::Response &response, const ports::ResponseMetadata &metadata) const;
     boost::asio::awaitable<DispatchResult> handleResponse(http::Response upstreamResponse, const ports::ResponseMetadata &metadata);
     boost::asio::awaitable<DispatchResult> forwardStream(http::Response upstreamResponse);
     /// Whether a stream whose body has just ended was broken off by its upstream. @p receivedEvent: a whole event came before the end.
@@ -150,9 +183,27 @@
     bool notePause(const ports::ResponseMetadata &metadata);
     /// Records that the upstream broke off the request before or during its answer, when @p failure says so.
     void noteBroken(const http::ClientFailure &failure);
+    /// Records that the upstream of the current dispatch stated that it did not run the request. Returns what that says of the upstream.
+    balancing::AttemptEnd noteNotExecuted(const http::Response &response, bool pauses);
+    /// Records that no answer came from the upstream of the current dispatch.
+    void noteNoAnswer(const http::ClientFailure &failure);
+    /// Logs the answer to another request than this one.
+    void logForeignAnswer(const ports::ResponseMetadata &metadata);
     void endDispatch(balancing::AttemptEnd how);
+    /// The same, while the exchange goes on with another try.
+    void endTry(balancing::AttemptEnd how);
     void logOutcome(std::string_view outcome, int status, std::string_view reason);
 
+    /// What the members of the same names hold of the current dispatch, for the try that runs beside it.
+    struct OtherTry {
+        std::string instance;
+        directory::UpstreamEntry upstream;
+        std::uint64_t balancerAttempt = 0;
+        TimePoint dispatchedAt;
+        std::string reason;
+        bool sent = false;
+    };
+
     GatewayContext &m_context;
     StreamRegistry &m_streamRegistry;
     const http::Request m_request;
@@ -184,6 +235,10 @@
     std::shared_ptr<http::IExchange> m_exchange;  ///< Exchange with the upstream of the current dispatch.
     std::optional<balancing::Choice> m_successor; ///< Takes over from the upstream of the current dispatch, in the same turn of the event loop.
     std::uint64_t m_balancerAttempt = 0;          ///< Number of the current dispatch at the balancer.
+    std::optional<OtherTry> m_otherTry;           ///< Runs beside the current dispatch; after the race, what is known of it.
+    bool m_secondIsCurrent = false;               ///< The current dispatch is the second try.
+    Duration m_secondExpected{0};                 ///< Estimated time to the answer of the second try.
+    std::string m_secondTryResult;                ///< What became of the second try; empty while none has ended.
     std::set<std::string> m_triedInstances;
     std::set<std::string> m_triedPeers;
     int m_connectFailures = 0;                     ///< Upstreams to which no connection could be opened.
--- a/src/gateway/tests/attemptstatetests.cpp
+++ b/src/gateway/tests/attemptstatetests.cpp
@@ -67,6 +67,36 @@
             CHECK(!state.mayRejectAsNotRun());
         }
     }
+    SECTION("with two dispatches at a time, it may be rejected as not run only when both upstreams stated that they did not execute it")
+    {
+        state.noteDispatched();
+        CHECK(!state.mayDispatch());
+        state.noteNotExecuted();
+        CHECK(!state.mayRejectAsNotRun());
+        CHECK(state.executionState() == ExecutionState::Dispatched);
+
+        SECTION("both did")
+        {
+            state.noteNotExecuted();
+            CHECK(state.mayRejectAsNotRun());
+            CHECK(state.dispatches() == 2);
+        }
+        SECTION("nothing was sent to the other one")
+        {
+            state.noteNotSent();
+            CHECK(state.mayRejectAsNotRun());
+            CHECK(state.executionState() == ExecutionState::NotExecuted);
+            CHECK(state.dispatches() == 1);
+        }
+    }
+    SECTION("while an upstream has responded, another one that did not execute it changes nothing")
+    {
+        state.noteResponseStarted();
+        state.noteDispatched();
+        state.noteNotExecuted();
+        CHECK(state.executionState() == ExecutionState::Responding);
+        CHECK(!state.mayRejectAsNotRun());
+    }
     SECTION("once completed, it may be neither dispatched again nor rejected as not run")
     {
         state.noteResponseStarted();
--- a/src/limits/internal/retrybudget.cpp
+++ b/src/limits/internal/retrybudget.cpp
@@ -8,6 +8,8 @@
 
 /// Fraction of the allowance that is used. The rest covers upstreams that count over windows which start at other times than this host's.
 constexpr double UsableFraction = 0.8;
+/// Fraction of that which requests may use that have not failed.
+constexpr double SpareFraction = 0.5;
 
 }
 
@@ -30,11 +32,20 @@
 
 bool RetryBudget::allows(const std::string &service, TimePoint now)
 {
-    Usage &usage = m_usage[service];
+    return remaining(m_usage[service], now, UsableFraction) >= 1;
+}
+
+bool RetryBudget::hasSpare(const std::string &service, TimePoint now)
+{
+    return remaining(m_usage[service], now, UsableFraction * SpareFraction) >= 1;
+}
+
+double RetryBudget::remaining(Usage &usage, TimePoint now, double usablePart) const
+{
     expire(usage.requests, now);
     expire(usage.retries, now);
-    const double allowed = UsableFraction * (m_allowance.ratio * static_cast<double>(usage.requests.size()) + m_allowance.slack / static_cast<double>(m_hosts));
-    return static_cast<double>(usage.retries.size()) + 1 <= allowed;
+    const double allowed = usablePart * (m_allowance.ratio * static_cast<double>(usage.requests.size()) + m_allowance.slack / static_cast<double>(m_hosts));
+    return allowed - static_cast<double>(usage.retries.size());
 }
 
 bool RetryBudget::take(const std::string &service, TimePoint now)
--- a/src/limits/retrybudget.h
+++ b/src/limits/retrybudget.h
@@ -30,6 +30,8 @@
     [[nodiscard]] bool allows(const std::string &service, TimePoint now);
     /// Takes one retry from the budget of @p service; false when the budget is exhausted.
     bool take(const std::string &service, TimePoint now);
+    /// Whether take() would succeed and leave a part of the budget to requests that have failed.
+    [[nodiscard]] bool hasSpare(const std::string &service, TimePoint now);
 
 private:
     struct Usage {
@@ -37,6 +39,8 @@
         std::deque<TimePoint> retries;
     };
 
+    /// Number of further retries that @p usablePart of the allowance has room for.
+    [[nodiscard]] double remaining(Usage &usage, TimePoint now, double usablePart) const;
     void expire(std::deque<TimePoint> &times, TimePoint now) const;
 
     const RetryAllowance m_allowance;
--- a/src/limits/tests/limitstests.cpp
+++ b/src/limits/tests/limitstests.cpp
@@ -160,6 +160,15 @@
         CHECK(!budget.take("engines", Start + std::chrono::seconds(9)));
         CHECK(budget.take("engines", Start + std::chrono::seconds(11)));
     }
+    SECTION("requests that have not failed leave half of the retries to others")
+    {
+        int taken = 0;
+        while (taken < 100 && budget.hasSpare("engines", Start) && budget.take("engines", Start)) {
+            ++taken;
+        }
+        CHECK(taken == 2);
+        CHECK(budget.take("engines", Start));
+    }
 }
 
 TEST_CASE("Hosts that report their usage to each other admit a workspace's bursts even if most requests reach one host")
