--- a/src/gateway/internal/requestsecondtry.cpp
+++ b/src/gateway/internal/requestsecondtry.cpp
@@ -23,7 +23,7 @@
     }
     const std::optional<Duration> delay = m_context.secondTries.delay(requestClass(), hostNow());
     if (!delay) {
-        noteSecondTryNotSent(NotSentReason::NoDistribution);
+        m_secondNotSent = NotSentReason::NoDistribution;
         return first;
     }
     const secondtries::RaceSettings race{*delay, m_route->kind == routing::RequestKind::Streaming, MaxSkippedResponses};
@@ -34,12 +34,11 @@
 std::optional<TryRequest> RequestSession::startSecondTry()
 {
     const TimePoint now = hostNow();
-    NotSentReason reason = NotSentReason::NoUpstream;
-    const std::optional<balancing::Choice> choice = chooseSecondUpstream(reason, now);
+    const std::optional<balancing::Choice> choice = chooseSecondUpstream(now);
     if (!choice) {
-        noteSecondTryNotSent(reason);
         return std::nullopt;
     }
+    m_secondNotSent.reset();
     const directory::UpstreamEntry upstream = m_context.directory.find(choice->instance)->entry;
     m_context.secondTries.noteSecondTry();
     m_triedInstances.insert(choice->instance);
@@ -66,7 +65,7 @@
     return second;
 }
 
-std::optional<balancing::Choice> RequestSession::chooseSecondUpstream(NotSentReason &reason, TimePoint now)
+std::optional<balancing::Choice> RequestSession::chooseSecondUpstream(TimePoint now)
 {
     // What speaks against a second try is no reason for a rejection, as the first one may still be answered.
     std::string rejectionReason = std::move(m_reason);
@@ -91,7 +90,7 @@
     m_retryInVain = retryInVain;
     m_retryNotEarlier = retryNotEarlier;
     if (refusal || !m_context.retryBudget.take(m_service, now)) {
-        reason = refusal.value_or(NotSentReason::NoRetryBudget);
+        m_secondNotSent = refusal.value_or(NotSentReason::NoRetryBudget);
         return std::nullopt;
     }
     return choice;
@@ -126,6 +125,8 @@
     const TimePoint now = hostNow();
     if (end.cancelled) {
         m_context.secondTries.noteLeft(requestClass(), now - m_dispatchedAt, now);
+        // The answer would have taken at least as long; without this, an upstream that second tries always outrun would never count as slow.
+        m_context.balancer.recordFirstEvent(m_balancerAttempt, now);
     }
     endCurrentTry(end);
     swapTries();
@@ -171,6 +172,9 @@
 
 void RequestSession::concludeRace(bool answered, std::string_view reason)
 {
+    if (const std::optional<NotSentReason> notSent = std::exchange(m_secondNotSent, std::nullopt)) {
+        m_context.metrics.count("rosemaryshift_second_tries_not_sent_total", R"(reason=")" + std::string(secondtries::name(*notSent)) + R"(")");
+    }
     if (m_secondIsCurrent && m_secondTryResult.empty()) {
         endSecondTry(answered ? "won" : "failed", answered ? std::string_view() : reason);
     }
@@ -193,11 +197,6 @@
                               {"expected_ms", wholeMilliseconds(m_secondExpected)}});
 }
 
-void RequestSession::noteSecondTryNotSent(NotSentReason reason)
-{
-    m_context.metrics.count("rosemaryshift_second_tries_not_sent_total", R"(reason=")" + std::string(secondtries::name(reason)) + R"(")");
-}
-
 void RequestSession::noteTimeToAnswer()
 {
     // The time of a second try that has won tells nothing of the first one's, which counts as left.
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -7,6 +7,7 @@
 #include "http/ihttpclient.h"
 #include "http/ihttpserver.h"
 #include "secondtries/racingexchange.h"
+#include "secondtries/secondtrypolicy.h"
 
 #include <memory>
 #include <set>
@@ -121,15 +122,13 @@
     void noteTryEnded(secondtries::TryNumber number, const secondtries::TryEnd &end) override;
     /// Records how the current try ended, which the race goes on without.
     void endCurrentTry(const secondtries::TryEnd &end);
-    /// Chooses the upstream of a second try and takes what it costs. Nothing, with @p reason set, when none is to be sent.
-    std::optional<balancing::Choice> chooseSecondUpstream(secondtries::NotSentReason &reason, TimePoint now);
-    /// Counts a second try that is not sent.
-    void noteSecondTryNotSent(secondtries::NotSentReason reason);
+    /// Chooses the upstream of a second try and takes what it costs. Nothing, with m_secondNotSent set, when none is to be sent now.
+    std::optional<balancing::Choice> chooseSecondUpstream(TimePoint now);
     /// Makes the other try the current one, and the other way round. Precondition: both exist.
     void swapTries();
     /// Records what became of the second try, which is the current one. @p reason: why it has failed; empty if it has not.
     void endSecondTry(std::string_view result, std::string_view reason);
-    /// The same, when the race has ended with the second try as the current one. @p reason: why it would count as failed if not @p answered.
+    /// Records how a race ended: the same if the second try is the current one, or why none was sent. @p reason: why it has failed if not @p answered.
     void concludeRace(bool answered, std::string_view reason);
     /// What an upstream's answer states. @p unexpected: it may repeat the answer to an earlier request, and then says nothing about this one.
     [[nodiscard]] ports::ResponseMetadata metadataOf(const http::Response &response, bool unexpected) const;
@@ -231,14 +230,15 @@
     int m_rejectionStatus = 0;
     std::string m_reason; ///< Why the request was rejected, or the last dispatch failed.
 
-    http::MemoryShare m_heldAnswer;               ///< Bytes of the answer that are held before they are passed on.
-    std::shared_ptr<http::IExchange> m_exchange;  ///< Exchange with the upstream of the current dispatch.
-    std::optional<balancing::Choice> m_successor; ///< Takes over from the upstream of the current dispatch, in the same turn of the event loop.
-    std::uint64_t m_balancerAttempt = 0;          ///< Number of the current dispatch at the balancer.
-    std::optional<OtherTry> m_otherTry;           ///< Runs beside the current dispatch; after the race, what is known of it.
-    bool m_secondIsCurrent = false;               ///< The current dispatch is the second try.
-    Duration m_secondExpected{0};                 ///< Estimated time to the answer of the second try.
-    std::string m_secondTryResult;                ///< What became of the second try; empty while none has ended.
+    http::MemoryShare m_heldAnswer;                            ///< Bytes of the answer that are held before they are passed on.
+    std::shared_ptr<http::IExchange> m_exchange;               ///< Exchange with the upstream of the current dispatch.
+    std::optional<balancing::Choice> m_successor;              ///< Takes over from the upstream of the current dispatch, in the same turn of the event loop.
+    std::uint64_t m_balancerAttempt = 0;                       ///< Number of the current dispatch at the balancer.
+    std::optional<OtherTry> m_otherTry;                        ///< Runs beside the current dispatch; after the race, what is known of it.
+    bool m_secondIsCurrent = false;                            ///< The current dispatch is the second try.
+    Duration m_secondExpected{0};                              ///< Estimated time to the answer of the second try.
+    std::optional<secondtries::NotSentReason> m_secondNotSent; ///< Why the second try of the current dispatch was not sent when it was last considered.
+    std::string m_secondTryResult;                             ///< What became of the second try; empty while none has ended.
     std::set<std::string> m_triedInstances;
     std::set<std::string> m_triedPeers;
     int m_connectFailures = 0;                     ///< Upstreams to which no connection could be opened.
--- a/src/secondtries/internal/racingexchange.cpp
+++ b/src/secondtries/internal/racingexchange.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace rosemaryshift::secondtries {
@@ -14,6 +15,9 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
+/// Shortest time until a second try that was not sent is considered again.
+constexpr std::chrono::milliseconds MinReconsideration{10};
+
 TryNumber other(TryNumber number)
 {
     return number == TryNumber::First ? TryNumber::Second : TryNumber::First;
@@ -56,7 +60,8 @@
     {
         std::optional<http::Request> request = decisions != nullptr ? source() : std::nullopt;
         if (request && number == TryNumber::First) {
-            secondDue = std::chrono::steady_clock::now() + settings.delay;
+            sentAt = std::chrono::steady_clock::now();
+            secondDue = sentAt + settings.delay;
             notify();
         }
         return request;
@@ -128,7 +133,8 @@
     http::SilenceHandler silenceHandler;
     std::array<Try, 2> tries;
     std::optional<net::steady_timer> changed; ///< Cancelled when something has changed; expires when the second try is due.
-    std::optional<SteadyTime> secondDue;      ///< Set while the second try was not considered.
+    SteadyTime sentAt;                        ///< When the first try was sent.
+    std::optional<SteadyTime> secondDue;      ///< When the second try is considered next; set from the sending of the first one until that of the second.
     std::optional<TryNumber> winner;          ///< The first try that was answered.
     bool askingHandler = false;
     bool closed = false; ///< The exchange was destroyed.
@@ -205,13 +211,17 @@
 
 void RacingExchange::considerSecond(const net::any_io_executor &executor)
 {
-    if (!m_race->secondDue || m_race->askingHandler || m_cancelled || std::chrono::steady_clock::now() < *m_race->secondDue) {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (!m_race->secondDue || m_race->askingHandler || m_cancelled || now < *m_race->secondDue) {
         return;
     }
-    m_race->secondDue.reset();
-    if (std::optional<TryRequest> second = m_race->decisions->startSecondTry()) {
-        start(executor, TryNumber::Second, std::move(*second));
+    std::optional<TryRequest> second = m_race->decisions->startSecondTry();
+    if (!second) {
+        m_race->secondDue = now + std::max<SteadyTime::duration>(now - m_race->sentAt, MinReconsideration);
+        return;
     }
+    m_race->secondDue.reset();
+    start(executor, TryNumber::Second, std::move(*second));
 }
 
 std::optional<TryNumber> RacingExchange::decide()
--- a/src/secondtries/racingexchange.h
+++ b/src/secondtries/racingexchange.h
@@ -38,7 +38,8 @@
 public:
     virtual ~IRaceDecisions() = default;
 
-    /// Called at most once, when the first try has brought no answer within the delay. Returns the second try; nothing when none is to be sent.
+    /// Called when the first try has brought no answer within the delay, and again after each doubling of its time. Returns the second try, after which it is
+    /// not called any more; nothing when none is to be sent now.
     virtual std::optional<TryRequest> startSecondTry() = 0;
     /// Judges the @p head of an answer. @p unexpected: bytes of earlier exchanges preceded it on its connection, or may have.
     virtual HeadVerdict judge(TryNumber number, const http::Response &head, bool unexpected) = 0;
--- a/src/secondtries/tests/racingexchangetests.cpp
+++ b/src/secondtries/tests/racingexchangetests.cpp
@@ -103,8 +103,10 @@
 class Race : public IRaceDecisions
 {
 public:
-    explicit Race(RaceSettings settings)
+    /// @p refusals: how often no second try is sent when it is considered.
+    explicit Race(RaceSettings settings, int refusals = 0)
         : exchange(first, second, settings, *this)
+        , m_refusals(refusals)
     {
         net::co_spawn(context, run(), net::detached);
         context.poll();
@@ -112,6 +114,10 @@
 
     std::optional<TryRequest> startSecondTry() override
     {
+        if (m_refusals-- > 0) {
+            events += "not ";
+            return std::nullopt;
+        }
         events += "start ";
         return TryRequest{{"upstream-2", 1}, [] { return std::optional<http::Request>(http::Request()); }, {}};
     }
@@ -163,6 +169,8 @@
         }
         ended = true;
     }
+
+    int m_refusals;
 };
 
 }
@@ -287,3 +295,13 @@
     CHECK(!race.second->sent);
     CHECK(race.events.empty());
 }
+
+TEST_CASE("A second try that is not sent when it is due is considered again as long as the first one brings no answer")
+{
+    Race race({std::chrono::seconds(0), false, 2}, 3);
+    race.context.restart();
+    while (!race.second->sent) {
+        race.context.run_one();
+    }
+    CHECK(race.events == "not not not start ");
+}
--- a/src/secondtries/tests/tailtests.cpp
+++ b/src/secondtries/tests/tailtests.cpp
@@ -141,6 +141,8 @@
             host.noteSecondTry();
             ++m_played.secondTries;
             send(request, 1, upstream);
+        } else {
+            at(m_now + std::max<Duration>(m_now - request->sent, std::chrono::milliseconds(10)), [this, request] { considerSecond(request); });
         }
     }
 
