--- a/src/secondtries/tests/tailtests.cpp
+++ b/src/secondtries/tests/tailtests.cpp
@@ -157,7 +157,8 @@
     {
         Upstream &upstream = m_upstreams[index];
         while (upstream.running < SlotCount && !upstream.waiting.empty()) {
-            const auto [request, number] = upstream.waiting.front();
+            const RequestPtr request = upstream.waiting.front().first;
+            const std::size_t number = upstream.waiting.front().second;
             upstream.waiting.pop_front();
             ++upstream.running;
             request->began.at(number) = m_now;
