--- a/src/duties/internal/upstreamplanner.cpp
+++ b/src/duties/internal/upstreamplanner.cpp
@@ -14,7 +14,7 @@
 /// can provide it.
 constexpr double PermanentOnlyUtilization = 0.9;
 /// As PermanentOnlyUtilization, for services that keep their headroom: the part of the load above it waits while the next upstreams start.
-constexpr double PermanentHeadroomUtilization = 0.65;
+constexpr double PermanentHeadroomUtilization = 0.8;
 /// Target utilization of an upstream while all are running, if reclaimable ones cost nothing. A lower utilization shortens the time to the first token.
 /// docs/MEASUREMENTS.md has the figures behind this value and PermanentOnlyUtilization.
 constexpr double FreeReclaimableUtilization = 0.37;
