Let streams that may not be repeated go on elsewhere when their upstream leaves

A reclaimable upstream leaves shortly after its notice, and its streams that may not be repeated were cut. On the notice, the host that passes a stream on has the memory of its run copied to another upstream, stops it, and sends the same request there with the handle and the last event's id. It counts neither against the route's attempts nor against the retry budget. Only services whose engines move memory and that carry yielding single attempts are affected.

--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -57,6 +57,7 @@
     ports.platformCodec = adapter::makePlatformCodec();
     ports.configurationLog = adapter::makePlatformLog(settings.platformLog);
     ports.platformLog = adapter::makePlatformLog(settings.platformLog);
+    ports.streamMover = adapter::makeStreamMover();
     if (settings.dutyService) {
         ports.dutyClient = adapter::makeDutyClient(*settings.dutyService);
     }
--- a/src/directory/internal/upstreamdirectory.cpp
+++ b/src/directory/internal/upstreamdirectory.cpp
@@ -43,10 +43,14 @@
         Upstream &upstream = m_upstreams[entry.instance];
         upstream = Upstream{entry, now, leaves || leftBefore, std::nullopt, std::nullopt};
         report(upstream, upstream.leaving ? "leaving" : "listed");
+        if (leaves && entry.leavesIn) {
+            report(upstream, "notice");
+        }
         return;
     }
     Upstream &upstream = found->second;
     const bool startsLeaving = leaves && !upstream.leaving;
+    const bool noticed = leaves && entry.leavesIn && !(upstream.entry.state == UpstreamState::Leaving && upstream.entry.leavesIn);
     const bool returned = upstream.lapsedAt.has_value();
     upstream.entry = entry;
     upstream.leaving = upstream.leaving || leaves;
@@ -54,6 +58,9 @@
     if (startsLeaving || returned) {
         report(upstream, startsLeaving ? "leaving" : "listed again");
     }
+    if (noticed) {
+        report(upstream, "notice");
+    }
 }
 
 void UpstreamDirectory::remove(std::string_view instance, TimePoint now, bool listUnsettled)
--- a/src/directory/upstreamdirectory.h
+++ b/src/directory/upstreamdirectory.h
@@ -29,7 +29,8 @@
 class UpstreamDirectory
 {
 public:
-    /// Called with an upstream and its @p change: "listed", "leaving", "lapsed", "listed again", "misdirected" or "removed".
+    /// Called with an upstream and its @p change: "listed", "leaving", "notice" (the time until it leaves is known), "lapsed", "listed again", "misdirected"
+    /// or "removed".
     using Listener = std::function<void(const Upstream &upstream, std::string_view change)>;
 
     explicit UpstreamDirectory(Listener listener = {});
--- a/src/gateway/igateway.h
+++ b/src/gateway/igateway.h
@@ -5,6 +5,7 @@
 #include "ports/imessagecodec.h"
 #include "ports/iplatformcodec.h"
 #include "ports/iplatformlog.h"
+#include "ports/istreammover.h"
 
 #include <functional>
 #include <memory>
@@ -20,6 +21,7 @@
     std::unique_ptr<ports::IPlatformLog> configurationLog; ///< Its reads wait long for new records, so it has its own connections.
     std::unique_ptr<ports::IPlatformLog> platformLog;
     std::unique_ptr<ports::IDutyClient> dutyClient; ///< Null when no duty service is configured.
+    std::unique_ptr<ports::IStreamMover> streamMover;
 };
 
 /// An entry host that forwards the requests of callers to upstreams. Runs on one thread.
--- a/src/gateway/internal/attemptstate.cpp
+++ b/src/gateway/internal/attemptstate.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/attemptstate.h"
 
+#include <utility>
+
 namespace rosemaryshift::gateway {
 
 std::string_view name(ExecutionState state)
@@ -29,13 +31,14 @@
 {
     m_stateBeforeDispatch = m_executionState;
     m_executionState = ExecutionState::Dispatched;
-    ++m_dispatches;
+    m_lastContinuesRun = std::exchange(m_moved, false);
+    m_dispatches += m_lastContinuesRun ? 0 : 1;
 }
 
 void AttemptState::noteNotSent()
 {
     m_executionState = m_stateBeforeDispatch;
-    --m_dispatches;
+    m_dispatches -= m_lastContinuesRun ? 0 : 1;
 }
 
 void AttemptState::noteNotExecuted()
@@ -49,6 +52,11 @@
     m_executionState = ExecutionState::Responding;
 }
 
+void AttemptState::noteMoved()
+{
+    m_moved = true;
+}
+
 void AttemptState::noteCompleted()
 {
     m_executionState = ExecutionState::Completed;
@@ -66,7 +74,10 @@
 
 bool AttemptState::mayDispatch() const
 {
-    return m_executionState != ExecutionState::Completed && m_dispatches < m_maxDispatches && (m_mayRunTwice || mayRejectAsNotRun());
+    if (m_executionState == ExecutionState::Completed) {
+        return false;
+    }
+    return m_moved || (m_dispatches < m_maxDispatches && (m_mayRunTwice || mayRejectAsNotRun()));
 }
 
 std::uint32_t AttemptState::dispatches() const
--- a/src/gateway/internal/attemptstate.h
+++ b/src/gateway/internal/attemptstate.h
@@ -33,6 +33,9 @@
     void noteNotExecuted();
     /// Records that the upstream started its response.
     void noteResponseStarted();
+    /// Records that the run has stopped at its upstream and goes on at another one that holds its memory. The next dispatch belongs to the same run: it is
+    /// allowed although the request may not run twice, and does not count. Precondition: the upstream has started its response.
+    void noteMoved();
     /// Records that the caller got its final response.
     void noteCompleted();
 
@@ -41,13 +44,15 @@
     [[nodiscard]] bool mayRejectAsNotRun() const;
     /// Whether the attempt may be sent to another upstream.
     [[nodiscard]] bool mayDispatch() const;
-    /// Number of upstreams that the attempt was sent to.
+    /// Number of upstreams that the attempt was sent to, without those at which a run went on that had begun elsewhere.
     [[nodiscard]] std::uint32_t dispatches() const;
 
 private:
     const bool m_mayRunTwice;
     const std::uint32_t m_maxDispatches;
     std::uint32_t m_dispatches = 0;
+    bool m_moved = false;            ///< The run goes on with the next dispatch.
+    bool m_lastContinuesRun = false; ///< The last dispatch went on with a run.
     ExecutionState m_executionState = ExecutionState::NotDispatched;
     ExecutionState m_stateBeforeDispatch = ExecutionState::NotDispatched;
 };
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway/internal/peerheaders.h"
 #include "gateway/internal/reachprober.h"
 #include "gateway/internal/requestsession.h"
+#include "gateway/internal/streammoves.h"
 #include "gateway/internal/streamregistry.h"
 #include "gateway/internal/upstreamfollower.h"
 
@@ -72,9 +73,11 @@
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
         , m_reachProber(m_context)
         , m_loopSampler(m_context)
+        , m_streamMoves(m_context, m_io.get_executor())
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
         m_context.peers = &m_gossip.registry();
+        m_context.streamMoves = &m_streamMoves;
         m_gossip.setSeeds(seedAddresses(settings.seeds));
     }
 
@@ -325,6 +328,7 @@
     DutyRunner m_dutyRunner;
     ReachProber m_reachProber;
     LoopSampler m_loopSampler;
+    StreamMoves m_streamMoves;
     net::signal_set m_signals;
     std::unique_ptr<http::IHttpServer> m_callerServer;
     std::unique_ptr<http::IHttpServer> m_readinessServer;
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -3,6 +3,7 @@
 #include "base/text.h"
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/measuredlog.h"
+#include "gateway/internal/streammoves.h"
 
 namespace rosemaryshift::gateway {
 
@@ -102,6 +103,9 @@
     eventLog.write("upstream",
                    eventlog::Importance::StateChange,
                    {{"instance", entry.instance}, {"service", entry.service}, {"change", change}, {"zone", entry.zone}, {"version", entry.softwareVersion}});
+    if (change == "notice" && streamMoves != nullptr) {
+        streamMoves->noteNotice(upstream);
+    }
     if (change == "removed") {
         balancer.forgetUpstream(entry.instance);
         runContinuity.forget(entry.instance);
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -128,6 +128,9 @@
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
+    if (m_continuation && upstreamResponse->status == 503) {
+        metadata.notExecuted = true; // So an upstream refuses a handle that it does not know, or that was used.
+    }
     if (metadata.attemptId.empty() && (skipped > 0 || m_exchange->reused())) {
         // A repetition of an earlier answer on this connection says nothing about this request.
         metadata.notExecuted = false;
@@ -179,11 +182,16 @@
 {
     http::ClientFailure failure;
     bool receivedEvent = false;
+    followRun();
     while (true) {
         std::optional<std::string> chunk = co_await m_exchange->readSome(failure);
+        bool stopped = false;
+        if (chunk && chunk->empty() && endMayBeStop()) {
+            stopped = co_await awaitStop();
+        }
         m_partialEventBytes = m_eventSplitter.partialEvent().size();
         const bool fits = m_heldAnswer.resize(m_partialEventBytes);
-        if (chunk && chunk->empty() && isTruncatedStream(receivedEvent)) {
+        if (chunk && chunk->empty() && (stopped || isTruncatedStream(receivedEvent))) {
             failure = {http::ClientError::Closed, "it ended before the end of an event"};
             chunk.reset();
         } else if (m_eventSplitter.overflowed()) {
@@ -195,10 +203,13 @@
         }
         if (!chunk) {
             m_reason = "stream broke: " + failure.detail;
-            noteBroken(failure);
+            const bool moved = co_await awaitMove();
+            if (!moved) {
+                noteBroken(failure);
+            }
             m_exchange->cancel();
             m_eventSplitter.discardPartialEvent();
-            endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
+            endDispatch(moved || m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
             co_return DispatchResult::TryAnother;
         }
         const bool end = chunk->empty();
@@ -223,7 +234,10 @@
         }
         if (callerConnected) {
             callerConnected = co_await m_writer.write(events);
-            m_passedOnBytes += callerConnected ? events.size() : 0;
+            notePassedOn(callerConnected ? std::string_view(events) : std::string_view());
+        }
+        if (end || !callerConnected) {
+            endRun();
         }
         if (callerConnected && end) {
             co_await m_writer.end();
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -57,6 +57,14 @@
     m_context.upstreamLimits.noteAnswer(m_instance, metadata.requestLimit, m_dispatchedAt, hostNow());
 }
 
+void RequestSession::noteEstimate()
+{
+    if (m_callerRequest.expectedOutputMalformed) {
+        m_context.metrics.count("rosemaryshift_unreadable_estimates_total", {});
+        m_context.eventLog.write("estimate_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}});
+    }
+}
+
 bool RequestSession::notePause(const ports::ResponseMetadata &metadata)
 {
     // A refusal may lack the id of the request, but then it is the first answer on its connection.
@@ -94,8 +102,10 @@
     const TimePoint now = hostNow();
     noteAnswering();
     m_attemptState->noteResponseStarted();
-    // The time for which the event has waited for this host is not the upstream's.
-    m_context.balancer.recordFirstEvent(m_balancerAttempt, std::max(now - m_context.loopDelay.estimate(now), m_dispatchedAt));
+    if (m_moves == 0) { // The first event of a run that went on elsewhere says nothing about how prompts are read there.
+        // The time for which the event has waited for this host is not the upstream's.
+        m_context.balancer.recordFirstEvent(m_balancerAttempt, std::max(now - m_context.loopDelay.estimate(now), m_dispatchedAt));
+    }
     if (!m_firstByteLatency) {
         m_firstByteLatency = now - m_arrivedAt;
     }
@@ -133,6 +143,9 @@
     if (outcome == "caller_gone") {
         countCallerGone();
     }
+    if (m_moves > 0) {
+        m_context.metrics.count("rosemaryshift_moved_streams_total", R"(outcome=")" + std::string(outcome) + R"(")");
+    }
     const bool good = outcome == "answered";
     if (good) {
         noteAnswerTime(now);
@@ -153,6 +166,7 @@
                               {"instance", m_instance},
                               {"framing", m_framing ? http::name(*m_framing) : std::string_view()},
                               {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
+                              {"moves", static_cast<std::int64_t>(m_moves)},
                               {"passed_on_bytes", static_cast<std::int64_t>(m_passedOnBytes)},
                               {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
                               {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -23,6 +23,9 @@
     balancing::RequestProfile profile;
     profile.service = m_service;
     profile.zone = m_context.settings.zone;
+    if (m_continuation) {
+        return profile; // The prompt is not read again.
+    }
     profile.promptParts = m_callerRequest.promptParts;
     profile.promptTokens = m_callerRequest.promptTokens.value_or(0);
     return profile;
--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -37,6 +37,10 @@
         m_reason = "upstream_gone";
         return false;
     }
+    if (m_continuation && !mayBeContinuedBy(*upstream, m_continuation->softwareVersion)) {
+        m_reason = "upstream_of_other_version";
+        return false;
+    }
     if (m_context.upstreamPauses.remaining(m_instance, now)) {
         m_reason = "upstream_paused";
         return false;
@@ -66,6 +70,9 @@
         dispatch.priority = upstreamPriority();
     }
     dispatch.resumeAfter = m_eventSplitter.lastId();
+    if (m_continuation) {
+        dispatch.memory = m_continuation->memory;
+    }
 
     http::Request request;
     request.method = m_request.method;
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -100,6 +100,9 @@
             const directory::UpstreamEntry upstream = m_context.directory.find(choice->instance)->entry;
             result = co_await dispatchTo(*choice, upstream);
         }
+        while (m_continuation && result != DispatchResult::Done) {
+            result = co_await dispatchContinuation();
+        }
         if (result == DispatchResult::Done) {
             co_return;
         }
@@ -137,6 +140,7 @@
         m_retryAfter = ConfigurationRetryDelay;
         return false;
     }
+    noteEstimate();
     m_deadline = m_arrivedAt + m_callerRequest.timeLeft.value_or(DefaultTimeout);
     if (!admitByLoad()) {
         return false;
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -3,6 +3,7 @@
 #include "gateway/internal/attemptstate.h"
 #include "gateway/internal/eventsplitter.h"
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/streammoves.h"
 #include "gateway/internal/streamregistry.h"
 #include "http/ihttpclient.h"
 #include "http/ihttpserver.h"
@@ -13,13 +14,13 @@
 namespace rosemaryshift::gateway {
 
 /// Handles one attempt of a caller, from its arrival to the final response. Used from the coroutine of the caller's connection.
-class RequestSession : public std::enable_shared_from_this<RequestSession>
+class RequestSession : public IMovableStream, public std::enable_shared_from_this<RequestSession>
 {
 public:
     /// @p fromPeer: a peer that reaches no upstream has forwarded the request.
     RequestSession(GatewayContext &context, StreamRegistry &streamRegistry, http::Request request, http::IResponseWriter &writer, bool fromPeer);
 
-    ~RequestSession();
+    ~RequestSession() override;
     RequestSession(const RequestSession &) = delete;
     RequestSession &operator=(const RequestSession &) = delete;
 
@@ -28,6 +29,10 @@
     /// Has run() give the caller an answer now, since the process is about to exit. Called from the gateway's thread.
     void endByStop();
 
+    [[nodiscard]] moves::StreamProgress progress(TimePoint now) const override;
+    [[nodiscard]] std::optional<balancing::Choice> chooseDestination(const std::set<std::string> &excluded, TimePoint now) override;
+    void stopReading() override;
+
 private:
     /// Time before the deadline that is reserved for sending the response back to the caller, until a stream has started.
     static constexpr std::chrono::milliseconds ResponseMargin{20};
@@ -110,6 +115,20 @@
     boost::asio::awaitable<bool> connectTo(const balancing::Choice &choice);
     boost::asio::awaitable<DispatchResult> handleResponse(http::Response upstreamResponse, const ports::ResponseMetadata &metadata);
     boost::asio::awaitable<DispatchResult> forwardStream(http::Response upstreamResponse);
+    /// Records that the stream comes from the upstream of the current dispatch from now on, so that it may be moved from there.
+    void followRun();
+    /// Records that the caller was sent @p events.
+    void notePassedOn(std::string_view events);
+    /// Releases what is held for a move; the stream is not moved any more.
+    void endRun();
+    /// Waits for the move of the stream, which has ended without its end. Returns whether it goes on elsewhere; m_continuation is set then.
+    boost::asio::awaitable<bool> awaitMove();
+    /// Whether the end of the connection, which is also the end of a stream without framing, may come from the stop of a run that is moved.
+    [[nodiscard]] bool endMayBeStop() const;
+    /// Waits as awaitMove(). Returns whether the run may have been stopped, so that its stream is not complete.
+    boost::asio::awaitable<bool> awaitStop();
+    /// Sends the request to the upstream at which its run goes on. Precondition: m_continuation is set.
+    boost::asio::awaitable<DispatchResult> dispatchContinuation();
     /// Whether a stream whose body has just ended was broken off by its upstream. @p receivedEvent: a whole event came before the end.
     [[nodiscard]] bool isTruncatedStream(bool receivedEvent) const;
     boost::asio::awaitable<DispatchResult> forwardWhole(http::Response upstreamResponse, const ports::ResponseMetadata &metadata);
@@ -143,6 +162,8 @@
     [[nodiscard]] balancing::RequestProfile requestProfile() const;
     [[nodiscard]] quarantine::RequestTraits requestTraits() const;
     [[nodiscard]] ports::UpstreamPriority upstreamPriority() const;
+    /// Records that the caller's estimate of the answer's length cannot be read, if that is so.
+    void noteEstimate();
     void noteFirstByte();
     /// Records what an upstream's answer states about the upstream: that it leaves, and its limit on requests, if it has one.
     void noteStatements(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata);
@@ -200,9 +221,13 @@
     bool m_waitsForAnswer = false;              ///< The request was admitted, and its answer has not begun.
     bool m_silenceNoted = false;                ///< The silence of the upstream of the current dispatch was recorded.
     bool m_usageCounted = false;
-    std::size_t m_passedOnBytes = 0; ///< Bytes of a stream's events that were written to the caller.
-    StreamFormat m_streamFormat;     ///< Of the answer that started the stream.
-    bool m_streamStarted = false;    ///< The headers of a streamed response were sent to the caller.
+    std::size_t m_passedOnBytes = 0;            ///< Bytes of a stream's events that were written to the caller.
+    StreamFormat m_streamFormat;                ///< Of the answer that started the stream.
+    std::shared_ptr<MovableRun> m_run;          ///< The run that the stream comes from; null when it is not moved.
+    std::optional<Continuation> m_continuation; ///< Where the run goes on, until it does.
+    std::uint64_t m_passedOnEvents = 0;         ///< Events of a stream that may be moved that were written to the caller.
+    int m_moves = 0;                            ///< Number of times that the run went on at another upstream.
+    bool m_streamStarted = false;               ///< The headers of a streamed response were sent to the caller.
 };
 
 }
--- a/src/gateway/tests/attemptstatetests.cpp
+++ b/src/gateway/tests/attemptstatetests.cpp
@@ -75,3 +75,48 @@
         CHECK(!state.mayRejectAsNotRun());
     }
 }
+
+TEST_CASE("AttemptState of a run that goes on at another upstream")
+{
+    AttemptState state(false, 1);
+    state.noteDispatched();
+    state.noteResponseStarted();
+    REQUIRE(!state.mayDispatch());
+    state.noteMoved();
+    REQUIRE(state.mayDispatch());
+    CHECK(!state.mayRejectAsNotRun());
+    state.noteDispatched();
+
+    SECTION("its dispatch does not count, and there is no further one")
+    {
+        CHECK(state.dispatches() == 1);
+        CHECK(!state.mayDispatch());
+        CHECK(!state.mayRejectAsNotRun());
+    }
+    SECTION("it may be moved again from there")
+    {
+        state.noteResponseStarted();
+        state.noteMoved();
+        CHECK(state.mayDispatch());
+        state.noteDispatched();
+        CHECK(state.dispatches() == 1);
+    }
+    SECTION("when the upstream was not reached or did not execute it, the run is still begun and may only be moved")
+    {
+        if (GENERATE(true, false)) {
+            state.noteNotSent();
+        } else {
+            state.noteNotExecuted();
+        }
+        CHECK(state.executionState() == ExecutionState::Responding);
+        CHECK(state.dispatches() == 1);
+        CHECK(!state.mayRejectAsNotRun());
+        CHECK(!state.mayDispatch());
+    }
+    SECTION("a complete answer ends it")
+    {
+        state.noteMoved();
+        state.noteCompleted();
+        CHECK(!state.mayDispatch());
+    }
+}
--- a/src/ports/messages.h
+++ b/src/ports/messages.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ports/istreammover.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -27,7 +29,9 @@
     std::string model;                                 ///< Empty for services that run no language model.
     std::optional<std::uint64_t> promptTokens;
     std::uint64_t maxOutputTokens = 0;
-    std::vector<PromptPart> promptParts; ///< In the order of the prompt; the last one is unique to the request.
+    std::optional<std::uint64_t> expectedOutputTokens; ///< The caller's estimate; nothing when it sent none or it cannot be read.
+    bool expectedOutputMalformed = false;              ///< The caller's estimate cannot be read.
+    std::vector<PromptPart> promptParts;               ///< In the order of the prompt; the last one is unique to the request.
 
     /// The parts that other requests may have in common with this one. The view is valid as long as promptParts is unchanged.
     [[nodiscard]] std::span<const PromptPart> sharedPromptParts() const
@@ -46,6 +50,7 @@
     std::string workspace; ///< Empty when the route needs no key.
     std::optional<UpstreamPriority> priority;
     std::optional<std::string> resumeAfter; ///< Id of the last event that the caller has received, when another upstream resumes a stream.
+    std::optional<RunMemory> memory;        ///< Where the upstream finds the memory of the run, when it goes on from there.
 };
 
 /// What the headers of an upstream's response say.
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -48,9 +48,13 @@
 
 /// Properties of the inference engines of a service.
 struct EngineSpec {
-    std::uint32_t slots = 0;          ///< Requests that an engine processes in one batch.
-    std::uint64_t cacheTokens = 0;    ///< Capacity of an engine's KV cache, in tokens.
-    std::uint32_t tokensPerEvent = 1; ///< Tokens in one event of a stream.
+    std::uint32_t slots = 0;                     ///< Requests that an engine processes in one batch.
+    std::uint64_t cacheTokens = 0;               ///< Capacity of an engine's KV cache, in tokens.
+    std::uint32_t tokensPerEvent = 1;            ///< Tokens in one event of a stream.
+    bool movesMemory = false;                    ///< The memory of a running request can be copied to another engine, where it goes on.
+    std::uint64_t bytesPerToken = 0;             ///< Size of a token's memory.
+    double linkBitsPerSecond = 0;                ///< What the link of an engine carries; 0 when not known.
+    std::chrono::milliseconds handleLifetime{0}; ///< How long copied memory that is not used is kept.
 };
 
 /// Bounds on the autoscaling of a service. The replica counts apply to each availability zone.
