--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -102,7 +102,12 @@
     const directory::UpstreamEntry &entry = upstream.entry;
     eventLog.write("upstream",
                    eventlog::Importance::StateChange,
-                   {{"instance", entry.instance}, {"service", entry.service}, {"change", change}, {"zone", entry.zone}, {"version", entry.softwareVersion}});
+                   {{"instance", entry.instance},
+                    {"service", entry.service},
+                    {"change", change},
+                    {"zone", entry.zone},
+                    {"version", entry.softwareVersion},
+                    {"leaves_in_ms", entry.leavesIn ? static_cast<std::int64_t>(entry.leavesIn->count()) : std::int64_t{-1}}});
     if (change == "notice" && streamMoves != nullptr) {
         streamMoves->noteNotice(upstream);
     }
