--- a/src/gateway/internal/attemptstate.cpp
+++ b/src/gateway/internal/attemptstate.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/attemptstate.h"
 
+#include <utility>
+
 namespace rosemaryshift::gateway {
 
 std::string_view name(ExecutionState state)
@@ -29,12 +31,19 @@
 {
     m_stateBeforeDispatch = m_executionState;
     m_executionState = ExecutionState::Dispatched;
-    ++m_dispatches;
-    ++m_mayHaveRun;
+    m_lastContinuesRun = std::exchange(m_moved, false);
+    if (!m_lastContinuesRun) {
+        ++m_dispatches;
+        ++m_mayHaveRun;
+    }
 }
 
 void AttemptState::noteNotSent()
 {
+    if (m_lastContinuesRun) {
+        m_executionState = m_stateBeforeDispatch;
+        return;
+    }
     --m_dispatches;
     --m_mayHaveRun;
     m_executionState = stateOfRest(m_dispatches > 0 ? ExecutionState::NotExecuted : ExecutionState::NotDispatched);
@@ -42,6 +51,10 @@
 
 void AttemptState::noteNotExecuted()
 {
+    if (m_lastContinuesRun) {
+        m_executionState = m_stateBeforeDispatch;
+        return;
+    }
     --m_mayHaveRun;
     m_executionState = stateOfRest(ExecutionState::NotExecuted);
 }
@@ -59,6 +72,11 @@
     m_executionState = ExecutionState::Responding;
 }
 
+void AttemptState::noteMoved()
+{
+    m_moved = true;
+}
+
 void AttemptState::noteCompleted()
 {
     m_executionState = ExecutionState::Completed;
@@ -76,7 +94,10 @@
 
 bool AttemptState::mayDispatch() const
 {
-    return m_executionState != ExecutionState::Completed && m_dispatches < m_maxDispatches && (m_mayRunTwice || mayRejectAsNotRun());
+    if (m_executionState == ExecutionState::Completed) {
+        return false;
+    }
+    return m_moved || (m_dispatches < m_maxDispatches && (m_mayRunTwice || mayRejectAsNotRun()));
 }
 
 std::uint32_t AttemptState::dispatches() const
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -3,6 +3,7 @@
 #include "base/text.h"
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/measuredlog.h"
+#include "gateway/internal/streammoves.h"
 
 namespace rosemaryshift::gateway {
 
@@ -105,7 +106,15 @@
     const directory::UpstreamEntry &entry = upstream.entry;
     eventLog.write("upstream",
                    eventlog::Importance::StateChange,
-                   {{"instance", entry.instance}, {"service", entry.service}, {"change", change}, {"zone", entry.zone}, {"version", entry.softwareVersion}});
+                   {{"instance", entry.instance},
+                    {"service", entry.service},
+                    {"change", change},
+                    {"zone", entry.zone},
+                    {"version", entry.softwareVersion},
+                    {"leaves_in_ms", entry.leavesIn ? static_cast<std::int64_t>(entry.leavesIn->count()) : std::int64_t{-1}}});
+    if (change == "notice" && streamMoves != nullptr) {
+        streamMoves->noteNotice(upstream);
+    }
     if (change == "removed") {
         balancer.forgetUpstream(entry.instance);
         runContinuity.forget(entry.instance);
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -101,7 +101,11 @@
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
-    metadata = metadataOf(*upstreamResponse, skipped > 0 || m_exchange->reused());
+    const bool unexpected = skipped > 0 || m_exchange->reused();
+    metadata = metadataOf(*upstreamResponse, unexpected);
+    if (m_continuation && upstreamResponse->status == 503 && !(unexpected && metadata.attemptId.empty())) {
+        metadata.notExecuted = true; // So an upstream refuses a handle that it does not know, or that was used.
+    }
     m_framing = upstreamResponse->framing;
     const DispatchResult result = co_await handleResponse(std::move(*upstreamResponse), metadata);
     co_return result;
@@ -141,11 +145,16 @@
 {
     http::ClientFailure failure;
     bool receivedEvent = false;
+    followRun();
     while (true) {
         std::optional<std::string> chunk = co_await m_exchange->readSome(failure);
+        bool stopped = false;
+        if (chunk && chunk->empty() && endMayBeStop()) {
+            stopped = co_await awaitStop();
+        }
         m_partialEventBytes = m_eventSplitter.partialEvent().size();
         const bool fits = m_heldAnswer.resize(m_partialEventBytes);
-        if (chunk && chunk->empty() && isTruncatedStream(receivedEvent)) {
+        if (chunk && chunk->empty() && (stopped || isTruncatedStream(receivedEvent))) {
             failure = {http::ClientError::Closed, "it ended before the end of an event"};
             chunk.reset();
         } else if (m_eventSplitter.overflowed()) {
@@ -157,10 +166,13 @@
         }
         if (!chunk) {
             m_reason = "stream broke: " + failure.detail;
-            noteBroken(failure);
+            const bool moved = co_await awaitMove();
+            if (!moved) {
+                noteBroken(failure);
+            }
             m_exchange->cancel();
             m_eventSplitter.discardPartialEvent();
-            endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
+            endDispatch(moved || m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
             co_return DispatchResult::TryAnother;
         }
         const bool end = chunk->empty();
@@ -186,7 +198,10 @@
         }
         if (callerConnected) {
             callerConnected = co_await m_writer.write(events);
-            m_passedOnBytes += callerConnected ? events.size() : 0;
+            notePassedOn(callerConnected ? std::string_view(events) : std::string_view());
+        }
+        if (end || !callerConnected) {
+            endRun();
         }
         if (callerConnected && end) {
             co_await m_writer.end();
