Build the times of second tries with full optimization

Cause: GCC 12 warns wrongly of an overlap where a string is appended to a literal, at -O3 only, so that the deploy file's build fails. Change: appends one by one.

--- a/src/secondtries/internal/timesseen.cpp
+++ b/src/secondtries/internal/timesseen.cpp
@@ -57,8 +57,14 @@
         if (bucket == TimeCounts::Bucket{}) {
             continue;
         }
-        text += (text.empty() ? "" : ",") + std::to_string(i) + "=" + std::to_string(bucket.answered);
-        text += bucket.left > 0 ? "+" + std::to_string(bucket.left) : "";
+        text += text.empty() ? "" : ",";
+        text += std::to_string(i);
+        text += '=';
+        text += std::to_string(bucket.answered);
+        if (bucket.left > 0) {
+            text += '+';
+            text += std::to_string(bucket.left);
+        }
     }
     return text;
 }
@@ -121,7 +127,10 @@
     classes.resize(std::min(classes.size(), MaxClasses));
     std::string text;
     for (const auto &[total, key] : classes) {
-        text += (text.empty() ? "" : ";") + hexadecimal(key) + ":" + formatCounts(counts.at(key));
+        text += text.empty() ? "" : ";";
+        text += hexadecimal(key);
+        text += ':';
+        text += formatCounts(counts.at(key));
     }
     return text;
 }
