Decide how requests move to a version that is rolled out

An operator's order asks that a service move to upstreams of another software version, some of which are bad: they fail or are slow, at once, later, under load or on one route. No code answered to it.

RolloutController decides at the holder of the duties.

--- /dev/null
+++ b/src/rollouts/internal/rolloutcontroller.cpp
@@ -0,0 +1,60 @@
+#include "rollouts/rolloutcontroller.h"
+
+namespace rosemaryshift::rollouts {
+
+namespace {
+
+/// A roll-out without a decision is rolled back after this multiple of its duration.
+constexpr double LongestUndecided = 1.5;
+/// Usable slots of the version that are needed to complete, as a part of those of the others.
+constexpr double SlotsPart = 0.5;
+/// Answers of the version that are needed to complete, as a part of the requests, and the largest number needed.
+constexpr double AnswersPart = 0.004;
+constexpr double MaxAnswersNeeded = 20;
+
+}
+
+RolloutController::RolloutController(const ExposureBounds &bounds)
+    : m_bounds(bounds)
+{
+}
+
+Decision RolloutController::decide(const Rollout &rollout, TimePoint now) const
+{
+    if (isFinal(rollout.state())) {
+        return {rollout.state(), "final"};
+    }
+    if (rollout.isStopped()) {
+        return {State::RolledBack, "bad_answers"};
+    }
+    const std::optional<Duration> age = rollout.age(now);
+    if (!age) {
+        return {State::Running, "age_unknown"};
+    }
+    // What is left of the bound after the decision is for the time until the order ends, in which all requests go to the version.
+    const double decidedPart = 1 - ExposureLimit::CompletedPart * m_bounds.share;
+    const Duration duration = rollout.order().duration;
+    if (*age < std::chrono::duration_cast<Duration>(duration * decidedPart)) {
+        return {State::Running, "in_time"};
+    }
+    return decideAtEnd(rollout, *age >= std::chrono::duration_cast<Duration>(duration * LongestUndecided));
+}
+
+Decision RolloutController::decideAtEnd(const Rollout &rollout, bool overdue) const
+{
+    const Decision undecided{overdue ? State::RolledBack : State::Running, overdue ? "undecided" : "in_doubt"};
+    if (rollout.slots() == 0) {
+        return {State::RolledBack, "no_upstreams"};
+    }
+    if (static_cast<double>(rollout.slots()) < static_cast<double>(rollout.otherSlots()) * SlotsPart) {
+        return undecided;
+    }
+    const Evidence evidence = rollout.pooled();
+    const double needed = std::min(MaxAnswersNeeded, static_cast<double>(evidence.requests) * AnswersPart);
+    if (!rollout.returns() && (static_cast<double>(evidence.answers()) < needed || rollout.verdict() != Verdict::Sound)) {
+        return undecided;
+    }
+    return {State::Complete, "sound"};
+}
+
+}
