Decode orders to roll out versions, and write their states for operators

The operators' topic holds orders beside the configuration; a state is written to the status topic. Besides the state and the version, a state record names the order that it answers to and the end of its time, so that a host that starts in the middle, and one that reads the order again, know which outcome is meant. An order that is malformed or out of range is rejected with a reason.

--- a/src/ports/iplatformcodec.h
+++ b/src/ports/iplatformcodec.h
@@ -2,6 +2,7 @@
 
 #include "directory/directorytypes.h"
 #include "ports/iplatformlog.h"
+#include "rollouts/rollouttypes.h"
 #include "routing/routingtypes.h"
 
 #include <optional>
@@ -23,6 +24,14 @@
     /// Parses the directory entry of an upstream. Returns nothing, and sets @p reason, when a field is missing or malformed. Precondition: the
     /// record has a value.
     [[nodiscard]] virtual std::optional<directory::UpstreamEntry> upstreamEntry(const Record &record, std::string &reason) const = 0;
+    /// Whether a record of the configuration topic holds an order to roll out a version, or removes one, as its key tells.
+    [[nodiscard]] virtual bool isRolloutOrder(const Record &record) const = 0;
+    /// Parses an order to roll out a version. Returns nothing, and sets @p reason, when a field is missing or malformed. Precondition: the record has a value.
+    [[nodiscard]] virtual std::optional<rollouts::Order> rolloutOrder(const Record &record, std::string &reason) const = 0;
+    /// The record that tells operators of the state of a roll-out.
+    [[nodiscard]] virtual Record rolloutStateRecord(const rollouts::StateRecord &state) const = 0;
+    /// Parses a record of rolloutStateRecord(). Returns nothing, and sets @p reason, when it is another record, or malformed.
+    [[nodiscard]] virtual std::optional<rollouts::StateRecord> rolloutState(const Record &record, std::string &reason) const = 0;
 };
 
 }
--- a/src/ports/iplatformlog.h
+++ b/src/ports/iplatformlog.h
@@ -19,6 +19,7 @@
     Duties,           ///< Lease on the singleton duties, written by gateways.
     SoftwareVersions, ///< Software versions of services whose streams may still be resumed, written by gateways.
     StreamOrigins,    ///< Software versions that began streams, written by gateways. Its records are not kept by key and expire.
+    RolloutStates,    ///< What has come of operators' orders to roll out a version, written by gateways for the operators.
 };
 
 /// The era of the log: rises by one each time that the log goes on from an earlier copy of itself and loses what it has accepted since. Nothing when
