Let gateways follow orders to roll out versions

Where exposure_share is above 0, a gateway reads the orders of the operators' topic, asks the version gate for each choice of an upstream and tells it how answers begin and end. The holder of the duties records states in the status topic under the condition that the topic has not changed since it was read, so that of two holders one decides. With exposure_share = 0, the default, nothing changes: no order is read, no version is held back and nothing is told.

--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -4,6 +4,7 @@
 #include "http/httptypes.h"
 #include "limits/retrybudget.h"
 #include "limits/workspacequotas.h"
+#include "rollouts/rollouttypes.h"
 #include "settings/settingsdocument.h"
 
 #include <chrono>
@@ -45,6 +46,7 @@
     std::chrono::milliseconds longestPause{30'000}; ///< Longest time that an upstream which asks for a pause is left without requests.
     limits::RetryAllowance retries;
     limits::QuotaTolerance quotas;
+    rollouts::ExposureBounds exposure; ///< Of versions that are rolled out.
 };
 
 /// Reads the settings; errors are recorded in @p document.
--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -11,6 +11,8 @@
 
 /// Timeout of a read, beyond the time for which the read asks the log to wait for new records.
 constexpr std::chrono::milliseconds ResponseTimeout{700};
+/// Longest pause between two reads after which the records of the second one count as just written.
+constexpr std::chrono::milliseconds FreshRecordTime{250};
 /// Delay before a failed read is repeated.
 constexpr std::chrono::milliseconds RetryDelay{200};
 /// The longest wait of a read is the bound on the revocation of API keys divided by this number. A read confirms the configuration as of its start,
@@ -87,7 +89,8 @@
     if (!newest) {
         co_return false;
     }
-    applyRecords(newest->records, startedAt);
+    applyRecords(newest->records, startedAt, newest->end.era, std::nullopt);
+    m_readEndedAt = startedAt;
     m_position = newest->end;
     m_context.configuration.confirm(m_newestVersion, startedAt);
     co_return true;
@@ -96,6 +99,8 @@
 net::awaitable<bool> ConfigurationFollower::readNext(ports::LogFailure &failure)
 {
     const TimePoint startedAt = hostNow();
+    // What a read returns that continues the one before without a pause has been written since that one ended.
+    const bool continues = m_readEndedAt && startedAt - *m_readEndedAt < FreshRecordTime;
     m_readAt = startedAt;
     // After an outage, read without waiting, to learn soon whether anything changed.
     std::chrono::milliseconds wait = m_reachable ? m_context.settings.maxRevocationDelay / ReadsPerRevocationDelay : std::chrono::milliseconds::zero();
@@ -115,19 +120,39 @@
         m_position.reset();
         co_return true;
     }
-    applyRecords(batch->records, startedAt);
+    m_readEndedAt = hostNow();
+    const std::optional<Duration> age = continues ? std::optional<Duration>(Duration::zero()) : std::nullopt;
+    applyRecords(batch->records, startedAt, batch->next.era, age);
     m_position = batch->next;
     m_context.configuration.confirm(m_newestVersion, startedAt);
     co_return true;
 }
 
-void ConfigurationFollower::applyRecords(std::span<const ports::Record> records, TimePoint readAt)
+void ConfigurationFollower::applyRecords(std::span<const ports::Record> records, TimePoint readAt, ports::LogEra era, std::optional<Duration> age)
 {
     for (const ports::Record &record : records) {
         if (m_context.ports.platformCodec->isConfiguration(record) && record.value) {
             m_newestVersion = std::max(m_newestVersion, applyText(*record.value, "log", readAt));
+        } else if (m_context.versionGate.enabled() && m_context.ports.platformCodec->isRolloutOrder(record)) {
+            applyRolloutOrder(record, era, age);
         }
     }
+    m_context.versionGate.noteOrdersRead(readAt);
+}
+
+void ConfigurationFollower::applyRolloutOrder(const ports::Record &record, ports::LogEra era, std::optional<Duration> age)
+{
+    std::string reason = "no value";
+    std::optional<rollouts::Order> order;
+    if (record.value) {
+        order = m_context.ports.platformCodec->rolloutOrder(record, reason);
+    }
+    if (!order) {
+        m_context.metrics.count("rosemaryshift_rollout_orders_unreadable_total", "");
+        m_context.eventLog.write("rollout_order_unreadable", eventlog::Importance::Failure, {{"key", record.key}, {"reason", reason}});
+        return;
+    }
+    m_context.versionGate.applyOrder(rollouts::orderId(era.value_or(0), record.offset), *order, age, hostNow());
 }
 
 std::uint64_t ConfigurationFollower::applyText(const std::string &text, std::string_view source, TimePoint readAt)
--- a/src/gateway/internal/configurationfollower.h
+++ b/src/gateway/internal/configurationfollower.h
@@ -25,7 +25,9 @@
 private:
     boost::asio::awaitable<bool> readNewest(ports::LogFailure &failure);
     boost::asio::awaitable<bool> readNext(ports::LogFailure &failure);
-    void applyRecords(std::span<const ports::Record> records, TimePoint readAt);
+    /// @p era: of the log that holds the records. @p age: how old they are at most; nothing when that is not known.
+    void applyRecords(std::span<const ports::Record> records, TimePoint readAt, ports::LogEra era, std::optional<Duration> age);
+    void applyRolloutOrder(const ports::Record &record, ports::LogEra era, std::optional<Duration> age);
     void updateReachable(bool reachable, std::string_view reason);
 
     /// Waits while other hosts confirm the configuration in force, and this one need not read the log for it.
@@ -36,6 +38,7 @@
     const std::function<void()> m_onConfigurationChanged;
     std::optional<ports::LogPosition> m_position; ///< Position of the next read; nothing when the newest records must be read first.
     std::optional<TimePoint> m_readAt;            ///< Beginning of the last read of new records.
+    std::optional<TimePoint> m_readEndedAt;       ///< When that read, if it succeeded, was answered.
     std::uint64_t m_newestVersion = 0;            ///< Newest version read from the log.
     bool m_reachable = true;
 };
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -40,6 +40,11 @@
     return m_lease.holds(hostNow());
 }
 
+std::uint64_t DutyRunner::fence() const
+{
+    return m_lease.fence();
+}
+
 net::awaitable<void> DutyRunner::run()
 {
     while (true) {
--- a/src/gateway/internal/dutyrunner.h
+++ b/src/gateway/internal/dutyrunner.h
@@ -22,6 +22,8 @@
     boost::asio::awaitable<void> run();
     /// Whether this host holds the lease now.
     [[nodiscard]] bool holds() const;
+    /// Fencing token of the lease that this host holds, or has held last.
+    [[nodiscard]] std::uint64_t fence() const;
 
 private:
     boost::asio::awaitable<void> claimOrRenewLease();
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway/internal/peerheaders.h"
 #include "gateway/internal/reachprober.h"
 #include "gateway/internal/requestsession.h"
+#include "gateway/internal/rolloutrunner.h"
 #include "gateway/internal/streamregistry.h"
 #include "gateway/internal/upstreamfollower.h"
 
@@ -70,6 +71,7 @@
         , m_streamRegistry(m_context, m_upstreamFollower)
         , m_gossip(m_context, m_configurationFollower, m_usageCollector)
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
+        , m_rolloutRunner(m_context, m_dutyRunner)
         , m_reachProber(m_context)
         , m_loopSampler(m_context)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
@@ -136,6 +138,9 @@
         if (m_context.ports.dutyClient) {
             startTask(m_io.get_executor(), m_dutyRunner.run());
         }
+        if (m_context.versionGate.enabled()) {
+            startTask(m_io.get_executor(), m_rolloutRunner.run());
+        }
         waitForSignal();
         m_io.run();
         m_context.eventLog.write("stopped", eventlog::Importance::StateChange, {});
@@ -323,6 +328,7 @@
     StreamRegistry m_streamRegistry;
     GossipEndpoint m_gossip;
     DutyRunner m_dutyRunner;
+    RolloutRunner m_rolloutRunner;
     ReachProber m_reachProber;
     LoopSampler m_loopSampler;
     net::signal_set m_signals;
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -82,6 +82,10 @@
     , softwareVersions([this](const std::string &service, const std::set<std::string> &versions) {
         eventLog.write("software_versions", eventlog::Importance::StateChange, {{"service", service}, {"versions", commaSeparated(versions)}});
     })
+    , versionGate(settings.exposure,
+                  settings.maxConfigurationDelay,
+                  static_cast<double>(randomSeed() >> 11U) * 0x1p-53,
+                  [this](const rollouts::Rollout &rollout, std::string_view change) { handleRolloutChange(rollout, change); })
     , usageLedger(settings.usageWindow)
     , heldBytes(std::make_shared<http::MemoryBudget>(settings.heldBytes))
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
@@ -94,6 +98,7 @@
     , randomEngine(randomSeed())
     , stop(settings.stopTimeout)
 {
+    statusChannels.add(versionGate);
 }
 
 void GatewayContext::handleUpstreamChange(const directory::Upstream &upstream, std::string_view change)
@@ -102,6 +107,11 @@
     eventLog.write("upstream",
                    eventlog::Importance::StateChange,
                    {{"instance", entry.instance}, {"service", entry.service}, {"change", change}, {"zone", entry.zone}, {"version", entry.softwareVersion}});
+    if (change == "removed") {
+        versionGate.noteRemoved(entry.instance);
+    } else {
+        versionGate.noteListed(entry.instance, entry.service, entry.softwareVersion, hostNow());
+    }
     if (change == "removed") {
         balancer.forgetUpstream(entry.instance);
         runContinuity.forget(entry.instance);
@@ -112,6 +122,24 @@
     }
 }
 
+void GatewayContext::handleRolloutChange(const rollouts::Rollout &rollout, std::string_view change)
+{
+    const rollouts::Evidence seen = rollout.pooled();
+    const TimePoint now = hostNow();
+    metrics.count("rosemaryshift_rollout_changes_total", R"(change=")" + std::string(change) + R"(")");
+    eventLog.write("rollout",
+                   eventlog::Importance::StateChange,
+                   {{"service", rollout.order().service},
+                    {"version", rollout.order().version},
+                    {"change", change},
+                    {"order", static_cast<std::int64_t>(rollout.id())},
+                    {"age_ms", wholeMilliseconds(rollout.age(now).value_or(std::chrono::milliseconds(-1)))},
+                    {"requests", static_cast<std::int64_t>(seen.requests)},
+                    {"exposed", static_cast<std::int64_t>(seen.exposed)},
+                    {"answers", static_cast<std::int64_t>(seen.answers())},
+                    {"failures", static_cast<std::int64_t>(seen.failures())}});
+}
+
 double GatewayContext::randomFraction()
 {
     return std::uniform_real_distribution<double>(0, 1)(randomEngine);
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -27,6 +27,7 @@
 #include "overload/admissioncontrol.h"
 #include "overload/loopdelay.h"
 #include "quarantine/crashquarantine.h"
+#include "rollouts/versiongate.h"
 #include "streams/streamorigins.h"
 #include "streams/versionhistory.h"
 
@@ -61,6 +62,7 @@
     limits::UpstreamPauses upstreamPauses;
     quarantine::CrashQuarantine quarantine;
     streams::VersionHistory softwareVersions;
+    rollouts::VersionGate versionGate;
     streams::StreamOrigins streamOrigins;
     duties::UsageLedger usageLedger;
     WallClockEstimator wallClock;
@@ -83,6 +85,8 @@
 private:
     /// Passes a change of the list of upstreams to the components that depend on it.
     void handleUpstreamChange(const directory::Upstream &upstream, std::string_view change);
+    /// Logs and counts a change of a roll-out.
+    void handleRolloutChange(const rollouts::Rollout &rollout, std::string_view change);
 };
 
 }
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -85,6 +85,9 @@
     settings.retries.slack = promises->real("retry_slack", {}, settings.retries.slack);
     settings.quotas.excess = promises->real("quota_excess", {0, 1}, settings.quotas.excess);
     settings.quotas.slack = promises->real("quota_slack", {}, settings.quotas.slack);
+    settings.exposure.share = promises->real("exposure_share", {0, 1}, settings.exposure.share);
+    settings.exposure.slack = promises->real("exposure_slack", {}, settings.exposure.slack);
+    settings.exposure.maxRollbackDelay = milliseconds(*promises, "rollback_ms", settings.exposure.maxRollbackDelay);
     promises->rejectUnknownKeys();
 }
 
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -70,6 +70,7 @@
     m_upstream = upstream;
     m_framing.reset();
     m_silenceNoted = false;
+    m_answerNoted = false;
     m_triedInstances.insert(m_instance);
     m_attemptState->noteDispatched();
     m_balancerAttempt = m_context.balancer.begin(requestProfile(), choice, now);
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -93,6 +93,7 @@
 {
     const TimePoint now = hostNow();
     noteAnswering();
+    noteRolloutAnswer(now);
     m_attemptState->noteResponseStarted();
     // The time for which the event has waited for this host is not the upstream's.
     m_context.balancer.recordFirstEvent(m_balancerAttempt, std::max(now - m_context.loopDelay.estimate(now), m_dispatchedAt));
@@ -105,9 +106,38 @@
     }
 }
 
+rollouts::Rollout *RequestSession::rollout() const
+{
+    return m_viaPeer ? nullptr : m_context.versionGate.find(m_service);
+}
+
+void RequestSession::noteRolloutAnswer(TimePoint now)
+{
+    rollouts::Rollout *const rolledOut = rollout();
+    if (rolledOut == nullptr || m_answerNoted) {
+        return;
+    }
+    m_answerNoted = true;
+    rolledOut->noteAnswer(m_upstream.softwareVersion, m_instance, m_route->name, now - m_dispatchedAt);
+}
+
+void RequestSession::noteRolloutEnd(balancing::AttemptEnd how)
+{
+    rollouts::Rollout *const rolledOut = rollout();
+    if (rolledOut == nullptr || !m_sent) {
+        return;
+    }
+    if (how == balancing::AttemptEnd::Failed) {
+        rolledOut->noteFailure(m_upstream.softwareVersion, m_instance, m_route->name);
+    } else if (how == balancing::AttemptEnd::Inconclusive && m_writer.callerGone()) {
+        noteRolloutAnswer(hostNow()); // It would have taken at least this long.
+    }
+}
+
 void RequestSession::endDispatch(balancing::AttemptEnd how)
 {
     m_context.balancer.end(m_balancerAttempt, how, hostNow());
+    noteRolloutEnd(how);
     m_exchange.reset();
     if (how != balancing::AttemptEnd::Succeeded && how != balancing::AttemptEnd::Inconclusive) {
         m_context.eventLog.write("offer_failed",
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -33,7 +33,30 @@
     return {m_service, m_fingerprint, m_callerRequest.sharedPromptParts()};
 }
 
+rollouts::RequestTraits RequestSession::rolloutTraits() const
+{
+    rollouts::RequestTraits traits;
+    traits.lostWithUpstream = m_route->kind == routing::RequestKind::Streaming && !m_route->repeatable();
+    if (m_continuedVersion) {
+        traits.continuedVersion = *m_continuedVersion;
+    }
+    return traits;
+}
+
 std::optional<balancing::Choice> RequestSession::chooseUpstream(TimePoint now)
+{
+    const rollouts::VersionFilter versions = m_context.versionGate.filter(m_service, rolloutTraits(), true, now);
+    std::optional<balancing::Choice> choice = chooseAmong(versions, now);
+    if (choice && versions.exposes) {
+        m_context.versionGate.find(m_service)->noteExposed();
+    }
+    if (!choice && versions.optional) {
+        choice = chooseAmong(m_context.versionGate.filter(m_service, rolloutTraits(), false, now), now);
+    }
+    return choice;
+}
+
+std::optional<balancing::Choice> RequestSession::chooseAmong(const rollouts::VersionFilter &versions, TimePoint now)
 {
     if (m_streamStarted && (!m_continuedVersion || !m_eventSplitter.lastId())) {
         return std::nullopt; // No upstream can be told where, or by which version, the stream was broken off.
@@ -48,6 +71,9 @@
         if (m_triedInstances.contains(entry.instance) || (m_continuedVersion && !mayBeContinuedBy(*upstream, *m_continuedVersion))) {
             continue;
         }
+        if (!versions.admits(entry.softwareVersion, entry.instance)) {
+            continue;
+        }
         if (const std::optional<Duration> pause = m_context.upstreamPauses.remaining(entry.instance, now)) {
             earliestPause = std::min(earliestPause.value_or(*pause), *pause);
         } else if (m_context.upstreamLimits.maySend(entry.instance, now)) {
--- a/src/gateway/internal/requestsending.cpp
+++ b/src/gateway/internal/requestsending.cpp
@@ -37,6 +37,11 @@
         m_reason = "upstream_gone";
         return false;
     }
+    const rollouts::Rollout *const rollout = m_context.versionGate.find(m_service);
+    if (rollout != nullptr && !rollout->maySend(m_upstream.softwareVersion, now)) {
+        m_reason = "version_stopped";
+        return false;
+    }
     if (m_context.upstreamPauses.remaining(m_instance, now)) {
         m_reason = "upstream_paused";
         return false;
@@ -58,6 +63,9 @@
     m_sent = true;
     m_retryTaken = false;
     m_context.upstreamLimits.noteSent(m_instance, now);
+    if (rollouts::Rollout *const rollout = m_context.versionGate.find(m_service)) {
+        rollout->noteRequest();
+    }
     ports::Dispatch dispatch;
     dispatch.timeLeft = atLeastOneMillisecond(remainingTime(now));
     dispatch.instance = m_instance;
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -135,6 +135,15 @@
     [[nodiscard]] streams::StreamKey streamKey(std::string_view attemptId) const;
 
     [[nodiscard]] std::optional<balancing::Choice> chooseUpstream(TimePoint now);
+    /// Chooses among the upstreams whose software version may run the request.
+    [[nodiscard]] std::optional<balancing::Choice> chooseAmong(const rollouts::VersionFilter &versions, TimePoint now);
+    [[nodiscard]] rollouts::RequestTraits rolloutTraits() const;
+    /// The roll-out of the service, if it has one and the request is not at a peer; null otherwise.
+    [[nodiscard]] rollouts::Rollout *rollout() const;
+    /// Tells the roll-out of the service that the answer of the current dispatch has begun.
+    void noteRolloutAnswer(TimePoint now);
+    /// Tells it how the current dispatch has ended.
+    void noteRolloutEnd(balancing::AttemptEnd how);
     /// Whether the request may be sent to an upstream again now; takes one retry from the budget if so and it was sent before.
     [[nodiscard]] bool mayRetry(TimePoint now);
     [[nodiscard]] http::ClientTimeouts dispatchTimeouts(const balancing::Choice &choice, TimePoint now) const;
@@ -187,6 +196,7 @@
     std::set<std::string> m_triedInstances;
     std::set<std::string> m_triedPeers;
     int m_connectFailures = 0;                     ///< Upstreams to which no connection could be opened.
+    bool m_answerNoted = false;                    ///< Of the last dispatch, by the roll-out of the service.
     bool m_sent = false;                           ///< The request of the last dispatch was passed to an open connection.
     bool m_viaPeer = false;                        ///< The last dispatch went to a peer; it accounts for the request.
     TimePoint m_dispatchedAt;                      ///< Time at which the last dispatch was sent.
