--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -138,9 +138,7 @@
         if (m_context.ports.dutyClient) {
             startTask(m_io.get_executor(), m_dutyRunner.run());
         }
-        if (m_context.versionGate.enabled()) {
-            startTask(m_io.get_executor(), m_rolloutRunner.run());
-        }
+        startTask(m_io.get_executor(), m_rolloutRunner.run());
         waitForSignal();
         m_io.run();
         m_context.eventLog.write("stopped", eventlog::Importance::StateChange, {});
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -118,7 +118,7 @@
         return;
     }
     m_answerNoted = true;
-    rolledOut->noteAnswer(m_upstream.softwareVersion, m_instance, m_route->name, now - m_dispatchedAt);
+    rolledOut->noteAnswer(m_upstream.softwareVersion, m_route->name, now - m_dispatchedAt);
 }
 
 void RequestSession::noteRolloutEnd(balancing::AttemptEnd how)
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -51,6 +51,8 @@
         m_context.versionGate.find(m_service)->noteExposed();
     }
     if (!choice && versions.optional) {
+        m_retryInVain = false;
+        m_retryNotEarlier = false;
         choice = chooseAmong(m_context.versionGate.filter(m_service, rolloutTraits(), false, now), now);
     }
     return choice;
@@ -95,7 +97,7 @@
             m_reason = "upstreams_paused";
             m_retryAfter = *earliestPause;
             m_retryNotEarlier = true;
-        } else if (m_continuedVersion && streamVersionGone(now)) {
+        } else if (m_continuedVersion && (streamVersionGone(now) || !versions.admits(*m_continuedVersion, {}))) {
             m_reason = "stream_version_gone";
             m_retryInVain = true;
         } else {
--- a/src/gateway/internal/rolloutrunner.cpp
+++ b/src/gateway/internal/rolloutrunner.cpp
@@ -27,7 +27,7 @@
 
 net::awaitable<void> RolloutRunner::run()
 {
-    while (true) {
+    while (m_context.versionGate.enabled()) {
         update(hostNow());
         if (m_context.versionGate.rollouts().empty()) {
             m_written.clear();
@@ -55,17 +55,24 @@
 {
     rollouts::VersionGate &gate = m_context.versionGate;
     gate.setHostCount(m_context.hostCount);
-    gate.setHolderToken(m_duties.holds() ? m_duties.fence() : 0, now);
+    // The first token may be 0, which stands for no holder here.
+    gate.setHolderToken(m_duties.holds() ? m_duties.fence() + 1 : 0, now);
     std::vector<rollouts::ListedUpstream> upstreams;
     if (!gate.rollouts().empty()) {
         for (const auto &[instance, upstream] : m_context.directory.all()) {
             const directory::UpstreamEntry &entry = upstream.entry;
             const bool warmingUp = now < upstream.firstSeen + entry.warmUp;
-            const bool usable = m_context.directory.usableRun(entry, now) != nullptr && !warmingUp;
-            upstreams.push_back({entry.service, entry.softwareVersion, entry.instance, entry.slots, usable});
+            const bool usable = m_context.directory.usableRun(entry, now) != nullptr;
+            upstreams.push_back({entry.service, entry.softwareVersion, entry.instance, entry.slots, usable, warmingUp});
         }
     }
     gate.update(upstreams, now);
+    m_context.metrics.set("rosemaryshift_rollouts", "", static_cast<double>(gate.rollouts().size()));
+    for (const auto &[service, rollout] : gate.rollouts()) {
+        const rollouts::Report own = rollout.report(0, now);
+        m_context.metrics.set("rosemaryshift_rollout_requests", R"(service=")" + service + R"(")", static_cast<double>(own.evidence.requests));
+        m_context.metrics.set("rosemaryshift_rollout_exposed", R"(service=")" + service + R"(")", static_cast<double>(own.evidence.exposed));
+    }
 }
 
 net::awaitable<void> RolloutRunner::readUnknown()
@@ -121,7 +128,7 @@
     if (rollout == nullptr) {
         co_return;
     }
-    const rollouts::Decision decision = m_controller.decide(*rollout, hostNow());
+    const rollouts::Decision decision = m_controller.decide(*rollout, m_context.hostCount, hostNow());
     if (decision.state != rollouts::State::Complete) {
         m_context.versionGate.applyState(service, rollout->id(), decision.state, false, hostNow());
     }
@@ -146,7 +153,7 @@
     }
     const rollouts::OrderId id = rollout->id();
     // The records that were read may have brought an outcome, and the hosts may have seen more meanwhile.
-    const bool stands = m_controller.decide(*rollout, hostNow()).state == state;
+    const bool stands = m_controller.decide(*rollout, m_context.hostCount, hostNow()).state == state;
     std::optional<ports::AppendResult> result;
     if (newest && stands) {
         ports::Record next = m_context.ports.platformCodec->rolloutStateRecord(stateRecord(*rollout, state));
--- a/src/gateway/internal/rolloutrunner.h
+++ b/src/gateway/internal/rolloutrunner.h
@@ -15,7 +15,7 @@
 public:
     RolloutRunner(GatewayContext &context, const DutyRunner &duties);
 
-    /// Runs until the process ends; never returns.
+    /// Runs until the process ends; returns at once when orders are not followed.
     boost::asio::awaitable<void> run();
 
 private:
@@ -28,7 +28,7 @@
         bool operator==(const Written &) const = default;
     };
 
-    /// Tells the roll-outs which upstreams are listed.
+    /// Tells the roll-outs which upstreams are listed, and sets the metrics.
     void update(TimePoint now);
     /// Reads how far roll-outs have come that this host found at its start.
     boost::asio::awaitable<void> readUnknown();
--- a/src/rollouts/evidence.h
+++ b/src/rollouts/evidence.h
@@ -47,7 +47,7 @@
 struct Evidence {
     std::uint64_t requests = 0;        ///< Requests sent to the service.
     std::uint64_t exposed = 0;         ///< Of those, to the version that is rolled out.
-    std::uint32_t failedUpstreams = 0; ///< Bits of the upstreams of that version that gave bad answers.
+    std::uint32_t failedUpstreams = 0; ///< Bits of the upstreams of that version whose answers failed.
     std::map<std::uint32_t, RouteCounts> routes;
 
     bool operator==(const Evidence &) const = default;
@@ -67,8 +67,8 @@
     Bad,
 };
 
-/// Compares the version that is rolled out with the versions before, by failures and by times, on each route and on all of them. A single upstream with
-/// bad answers does not make a version bad unless there are many of them, or the version has no other. @p upstreams: number of upstreams of the version.
+/// Compares the version that is rolled out with the versions before, by failures and by times, on each route and on all of them. A single upstream
+/// that fails does not make a version bad unless there are many of them, or the version has no other. @p upstreams: number of upstreams of the version.
 /// Thread-safe.
 Verdict verdict(const Evidence &evidence, std::size_t upstreams);
 
--- a/src/rollouts/internal/evidence.cpp
+++ b/src/rollouts/internal/evidence.cpp
@@ -62,7 +62,7 @@
     for (std::size_t first = slowClass(counts.before); first + 1 < TimeClasses; ++first) {
         const double slowPart = std::max(part(counts.before.atLeast(first), timedBefore), UsualSlowPart);
         const double slow = static_cast<double>(counts.rolledOut.atLeast(first + 1));
-        worst = std::max(worst, compared(slow, static_cast<double>(timed) * slowPart, severalUpstreams));
+        worst = std::max(worst, compared(slow, static_cast<double>(timed) * slowPart, true));
     }
     return worst;
 }
--- a/src/rollouts/internal/rollout.cpp
+++ b/src/rollouts/internal/rollout.cpp
@@ -109,6 +109,7 @@
     m_slots = 0;
     m_otherSlots = 0;
     std::vector<std::pair<std::uint32_t, std::string>> ranked;
+    std::vector<std::pair<std::uint32_t, std::string>> warmingUp;
     for (const ListedUpstream &upstream : upstreams) {
         const bool isVersion = upstream.version == m_order.version;
         (isVersion ? m_versionListed : m_othersListed) = true;
@@ -117,9 +118,12 @@
         }
         (isVersion ? m_slots : m_otherSlots) += upstream.slots;
         if (isVersion) {
-            ranked.emplace_back(routeNumber(upstream.instance), upstream.instance);
+            (upstream.warmingUp ? warmingUp : ranked).emplace_back(routeNumber(upstream.instance), upstream.instance);
         }
     }
+    if (ranked.empty()) {
+        ranked = std::move(warmingUp);
+    }
     std::ranges::sort(ranked);
     m_instances.clear();
     for (auto &[rank, instance] : ranked) {
@@ -127,15 +131,15 @@
     }
 }
 
-void Rollout::applyEvidence(std::string_view hostStart, const Evidence &evidence)
+void Rollout::applyEvidence(std::string_view hostStart, const Evidence &evidence, TimePoint now)
 {
     const auto known = m_others.find(hostStart);
     if (known == m_others.end()) {
         if (m_others.size() < MaxHostStarts) {
-            m_others.emplace(hostStart, evidence);
+            m_others.emplace(hostStart, HeardEvidence{evidence, now});
         }
-    } else if (evidence.requests >= known->second.requests && evidence.answers() >= known->second.answers()) {
-        known->second = evidence; // Otherwise the status is older than the known one.
+    } else if (evidence.requests >= known->second.evidence.requests && evidence.answers() >= known->second.evidence.answers()) {
+        known->second = {evidence, now}; // Otherwise the status is older than the known one.
     }
 }
 
@@ -227,23 +231,9 @@
     return version == m_order.version ? both.rolledOut : both.before;
 }
 
-void Rollout::noteAnswer(std::string_view version, std::string_view instance, std::string_view route, Duration time)
+void Rollout::noteAnswer(std::string_view version, std::string_view route, Duration time)
 {
-    const std::size_t number = timeClass(time);
-    ++counts(version, route).times[number];
-    if (version != m_order.version) {
-        return;
-    }
-    AnswerCounts before = m_own.routes[routeNumber(route)].before;
-    for (const auto &[host, evidence] : m_others) {
-        const auto found = evidence.routes.find(routeNumber(route));
-        if (found != evidence.routes.end()) {
-            before.add(found->second.before);
-        }
-    }
-    if (number > slowClass(before)) {
-        m_own.failedUpstreams |= instanceBit(instance);
-    }
+    ++counts(version, route).times[timeClass(time)];
 }
 
 void Rollout::noteFailure(std::string_view version, std::string_view instance, std::string_view route)
@@ -276,12 +266,18 @@
     Evidence sum = m_own;
     sum.requests = m_limit.requests();
     sum.exposed = m_limit.exposed();
-    for (const auto &[host, evidence] : m_others) {
-        sum.add(evidence);
+    for (const auto &[host, heard] : m_others) {
+        sum.add(heard.evidence);
     }
     return sum;
 }
 
+std::size_t Rollout::heardHosts(TimePoint now) const
+{
+    const Duration longest = scaled(m_bounds.maxRollbackDelay, HolderSilencePart);
+    return static_cast<std::size_t>(std::ranges::count_if(m_others, [&](const auto &entry) { return now - entry.second.heardAt <= longest; }));
+}
+
 Verdict Rollout::verdict() const
 {
     return rollouts::verdict(pooled(), m_instances.size());
--- a/src/rollouts/internal/rolloutcontroller.cpp
+++ b/src/rollouts/internal/rolloutcontroller.cpp
@@ -19,7 +19,7 @@
 {
 }
 
-Decision RolloutController::decide(const Rollout &rollout, TimePoint now) const
+Decision RolloutController::decide(const Rollout &rollout, std::size_t hosts, TimePoint now) const
 {
     if (isFinal(rollout.state())) {
         return {rollout.state(), "final"};
@@ -37,16 +37,17 @@
     if (*age < std::chrono::duration_cast<Duration>(duration * decidedPart)) {
         return {State::Running, "in_time"};
     }
-    return decideAtEnd(rollout, *age >= std::chrono::duration_cast<Duration>(duration * LongestUndecided));
+    const bool mostHeard = (rollout.heardHosts(now) + 1) * 2 > hosts;
+    return decideAtEnd(rollout, mostHeard, *age >= std::chrono::duration_cast<Duration>(duration * LongestUndecided));
 }
 
-Decision RolloutController::decideAtEnd(const Rollout &rollout, bool overdue) const
+Decision RolloutController::decideAtEnd(const Rollout &rollout, bool mostHeard, bool overdue) const
 {
     const Decision undecided{overdue ? State::RolledBack : State::Running, overdue ? "undecided" : "in_doubt"};
     if (rollout.slots() == 0) {
         return {State::RolledBack, "no_upstreams"};
     }
-    if (static_cast<double>(rollout.slots()) < static_cast<double>(rollout.otherSlots()) * SlotsPart) {
+    if (!mostHeard || static_cast<double>(rollout.slots()) < static_cast<double>(rollout.otherSlots()) * SlotsPart) {
         return undecided;
     }
     const Evidence evidence = rollout.pooled();
--- a/src/rollouts/internal/versiongate.cpp
+++ b/src/rollouts/internal/versiongate.cpp
@@ -13,6 +13,12 @@
 /// A version that was listed for this multiple of the time in which orders arrive served before an order for it.
 constexpr int ServedBeforeFactor = 3;
 
+/// The lowest id in the era of the log in which @p id was given.
+OrderId firstOfEra(OrderId id)
+{
+    return id & ~orderId(0, ~OrderId{0});
+}
+
 }
 
 VersionGate::VersionGate(const ExposureBounds &bounds, Duration orderDelay, double random, Listener listener)
@@ -35,7 +41,7 @@
 
 bool VersionGate::isNewOrder(OrderId id, const Order &order)
 {
-    const OrderId era = id & ~orderId(0, ~OrderId{0});
+    const OrderId era = firstOfEra(id);
     const auto settled = m_settled.find(order.service);
     if (settled != m_settled.end()) {
         const bool isRewritten = settled->second.order == order && settled->second.id < era;
@@ -87,11 +93,15 @@
 void VersionGate::applyRecord(const StateRecord &record, Duration sinceEpoch, TimePoint now)
 {
     Rollout *const rollout = find(record.service);
-    if (rollout == nullptr || rollout->id() != record.order || rollout->order().version != record.version) {
+    if (rollout == nullptr || rollout->order().version != record.version || record.order == 0) {
+        return;
+    }
+    // Orders of an earlier era have new ids after the log was restored.
+    if (rollout->id() != record.order && record.order >= firstOfEra(rollout->id())) {
         return;
     }
     if (isFinal(record.state)) {
-        applyState(record.service, record.order, record.state, true, now);
+        applyState(record.service, rollout->id(), record.state, true, now);
     } else if (record.deadlineMs > 0 && !rollout->age(now)) {
         const Duration left = std::chrono::milliseconds(record.deadlineMs) - sinceEpoch;
         rollout->noteAge(std::max(rollout->order().duration - left, Duration::zero()), now);
@@ -181,8 +191,9 @@
             ++entry;
         }
     }
-    for (auto &[service, versions] : m_abandoned) {
-        std::erase_if(versions, [&](const std::string &version) { return !isListed(service, version); });
+    for (auto &entry : m_abandoned) {
+        const std::string &service = entry.first;
+        std::erase_if(entry.second, [this, &service](const std::string &version) { return !isListed(service, version); });
     }
     std::erase_if(m_abandoned, [](const auto &entry) { return entry.second.empty(); });
 }
@@ -190,9 +201,11 @@
 void VersionGate::update(std::span<const ListedUpstream> upstreams, TimePoint now)
 {
     release(now);
-    for (auto &[service, rollout] : m_rollouts) {
+    for (auto &entry : m_rollouts) {
+        const std::string &service = entry.first;
+        Rollout &rollout = entry.second;
         std::vector<ListedUpstream> own;
-        std::ranges::copy_if(upstreams, std::back_inserter(own), [&](const ListedUpstream &upstream) { return upstream.service == service; });
+        std::ranges::copy_if(upstreams, std::back_inserter(own), [&service](const ListedUpstream &upstream) { return upstream.service == service; });
         rollout.observe(own);
         if (m_holderToken > 0) {
             rollout.noteHolder(m_holderToken, now);
@@ -287,7 +300,7 @@
     if (rollout == nullptr || rollout->id() != report.id || rollout->order() != report.order) {
         return true; // It tells of an earlier order.
     }
-    rollout->applyEvidence(hostStart, report.evidence);
+    rollout->applyEvidence(hostStart, report.evidence, now);
     applyState(report.order.service, report.id, report.state, report.recorded, now);
     if (report.holderToken > 0) {
         rollout->noteHolder(report.holderToken, now);
--- a/src/rollouts/rollout.h
+++ b/src/rollouts/rollout.h
@@ -43,7 +43,7 @@
     /// Notes the upstreams of the service that the platform lists.
     void observe(std::span<const ListedUpstream> upstreams);
     /// Notes what another host has seen. @p hostStart: one start of its process.
-    void applyEvidence(std::string_view hostStart, const Evidence &evidence);
+    void applyEvidence(std::string_view hostStart, const Evidence &evidence, TimePoint now);
     /// Compares the versions. Returns true when the version has just shown to be bad: nothing more is sent to it from then on.
     bool evaluate();
 
@@ -56,7 +56,7 @@
     /// Counts a request that was sent to the service.
     void noteRequest();
     /// Counts an answer that began @p time after the request was sent.
-    void noteAnswer(std::string_view version, std::string_view instance, std::string_view route, Duration time);
+    void noteAnswer(std::string_view version, std::string_view route, Duration time);
     /// Counts an answer that failed.
     void noteFailure(std::string_view version, std::string_view instance, std::string_view route);
 
@@ -64,6 +64,8 @@
     [[nodiscard]] Report report(std::uint64_t holderToken, TimePoint now) const;
     /// What all hosts have seen.
     [[nodiscard]] Evidence pooled() const;
+    /// Number of other hosts whose evidence was heard a short time ago.
+    [[nodiscard]] std::size_t heardHosts(TimePoint now) const;
     /// What that says about the version.
     [[nodiscard]] Verdict verdict() const;
     /// Whether the version has shown to be bad.
@@ -77,6 +79,11 @@
     [[nodiscard]] bool isSettled(TimePoint now) const;
 
 private:
+    struct HeardEvidence {
+        Evidence evidence;
+        TimePoint heardAt;
+    };
+
     /// Whether the time in which the holder decides has not ended; false when the age of the order is not known.
     [[nodiscard]] bool isUndecided(TimePoint now) const;
     [[nodiscard]] bool mayExpose(bool lostWithUpstream, TimePoint now) const;
@@ -104,7 +111,7 @@
     std::uint64_t m_slots = 0;
     std::uint64_t m_otherSlots = 0;
     Evidence m_own;
-    std::map<std::string, Evidence, std::less<>> m_others; ///< By start of a host; kept when the host is gone, as its answers have been given.
+    std::map<std::string, HeardEvidence, std::less<>> m_others; ///< By start of a host; kept when the host is gone, as its answers have been given.
 };
 
 }
--- a/src/rollouts/rollouttypes.h
+++ b/src/rollouts/rollouttypes.h
@@ -108,7 +108,8 @@
     std::string_view version;
     std::string_view instance;
     std::uint32_t slots = 0;
-    bool usable = false; ///< It is ready and not warming up.
+    bool usable = false;
+    bool warmingUp = false; ///< It has just started and is still slow.
 };
 
 }
--- a/src/rollouts/tests/rollouttests.cpp
+++ b/src/rollouts/tests/rollouttests.cpp
@@ -39,7 +39,7 @@
 void answer(Rollout &rollout, std::string_view version, int count, Duration time = 100ms)
 {
     for (int number = 0; number < count; ++number) {
-        rollout.noteAnswer(version, number % 2 == 0 ? "c" : "d", "plan", time);
+        rollout.noteAnswer(version, "plan", time);
     }
 }
 
@@ -109,7 +109,7 @@
         Evidence seen;
         seen.routes[1].rolledOut.failures = 6;
         seen.failedUpstreams = 3;
-        rollout.applyEvidence("other", seen);
+        rollout.applyEvidence("other", seen, Start);
         CHECK(rollout.evaluate());
         CHECK(!rollout.evaluate());
         CHECK(!send(rollout, {}, Start + 1s));
@@ -154,8 +154,8 @@
     }
     answer(rollout, "v1", 1'000);
     answer(rollout, "v2", 40);
-    CHECK(controller.decide(rollout, Start + 11s).state == State::Running);
-    CHECK(controller.decide(rollout, Start + 11'700ms).state == State::Complete);
+    CHECK(controller.decide(rollout, 1, Start + 11s).state == State::Running);
+    CHECK(controller.decide(rollout, 1, Start + 11'700ms).state == State::Complete);
 
     SECTION("a bad version is rolled back at once")
     {
@@ -163,15 +163,15 @@
             rollout.noteFailure("v2", number % 2 == 0 ? "c" : "d", "plan");
         }
         CHECK(rollout.evaluate());
-        CHECK(controller.decide(rollout, Start + 4s).state == State::RolledBack);
+        CHECK(controller.decide(rollout, 1, Start + 4s).state == State::RolledBack);
     }
     SECTION("in doubt the order runs out")
     {
         rollout.noteFailure("v2", "c", "plan");
         rollout.noteFailure("v2", "d", "plan");
         rollout.noteFailure("v2", "d", "plan");
-        CHECK(controller.decide(rollout, Start + 11'700ms).state == State::Running);
-        CHECK(controller.decide(rollout, Start + 18s).state == State::RolledBack);
+        CHECK(controller.decide(rollout, 1, Start + 11'700ms).state == State::Running);
+        CHECK(controller.decide(rollout, 1, Start + 18s).state == State::RolledBack);
     }
     SECTION("a version that was hardly tried is not completed")
     {
@@ -179,16 +179,24 @@
         for (int number = 0; number < 4'000; ++number) {
             untried.noteRequest();
         }
-        CHECK(controller.decide(untried, Start + 11'700ms).state == State::Running);
+        CHECK(controller.decide(untried, 1, Start + 11'700ms).state == State::Running);
+    }
+    SECTION("a holder that is cut off from most hosts does not know what they have seen, and does not complete")
+    {
+        CHECK(controller.decide(rollout, 4, Start + 11'700ms).state == State::Running);
+        rollout.applyEvidence("second", {}, Start + 11'000ms);
+        rollout.applyEvidence("third", {}, Start + 11'000ms);
+        CHECK(controller.decide(rollout, 4, Start + 11'700ms).state == State::Complete);
+        CHECK(controller.decide(rollout, 4, Start + 17s).state == State::Running);
     }
     SECTION("a version that never starts is rolled back")
     {
         rollout.observe(std::span(BothVersions).first(2));
-        CHECK(controller.decide(rollout, Start + 11'700ms).state == State::RolledBack);
+        CHECK(controller.decide(rollout, 1, Start + 11'700ms).state == State::RolledBack);
     }
     SECTION("a new holder that does not know the age of the order waits")
     {
         const Rollout unknown(Id, {"models", "v2", 12s}, Bounds, ExposureLimit(Bounds.share, 0, 0), false);
-        CHECK(controller.decide(unknown, Start + 100s).state == State::Running);
+        CHECK(controller.decide(unknown, 1, Start + 100s).state == State::Running);
     }
 }
