Tell all hosts at once of a completed roll-out, and keep a part of the bound for those that have not heard it

Old upstreams stop when a completion is written, but a host in a fleet of 89 hears of it up to 0.7 s later: until then its requests would have found all their upstreams gone. The holder now sends a status at once when a state changes. A host that has not heard of it may use the part of the bound that is left for the end of the order for requests whose upstreams could not be connected to, once the outcome is due.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -71,7 +71,7 @@
         , m_streamRegistry(m_context, m_upstreamFollower)
         , m_gossip(m_context, m_configurationFollower, m_usageCollector)
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
-        , m_rolloutRunner(m_context, m_dutyRunner)
+        , m_rolloutRunner(m_context, m_dutyRunner, m_gossip)
         , m_reachProber(m_context)
         , m_loopSampler(m_context)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -37,6 +37,7 @@
 {
     rollouts::RequestTraits traits;
     traits.lostWithUpstream = m_route->kind == routing::RequestKind::Streaming && !m_route->repeatable();
+    traits.othersUnreached = m_connectFailures > 0;
     if (m_continuedVersion) {
         traits.continuedVersion = *m_continuedVersion;
     }
--- a/src/gateway/internal/rolloutrunner.cpp
+++ b/src/gateway/internal/rolloutrunner.cpp
@@ -18,10 +18,10 @@
 
 }
 
-RolloutRunner::RolloutRunner(GatewayContext &context, const DutyRunner &duties)
+RolloutRunner::RolloutRunner(GatewayContext &context, const DutyRunner &duties, GossipEndpoint &gossip)
     : m_context(context)
     , m_duties(duties)
-    , m_controller(context.settings.exposure)
+    , m_gossip(gossip)
 {
 }
 
@@ -31,6 +31,7 @@
         update(hostNow());
         if (m_context.versionGate.rollouts().empty()) {
             m_written.clear();
+            m_announced.clear();
             co_await pause(IdleInterval);
             continue;
         }
@@ -47,6 +48,7 @@
                 co_await advance(service);
             }
         }
+        announce();
         co_await pause(RunInterval);
     }
 }
@@ -75,6 +77,20 @@
     }
 }
 
+void RolloutRunner::announce()
+{
+    bool changed = false;
+    for (const auto &[service, rollout] : m_context.versionGate.rollouts()) {
+        const std::pair<rollouts::OrderId, rollouts::State> state(rollout.id(), rollout.state());
+        const auto announced = m_announced.find(service);
+        changed = changed || announced == m_announced.end() || announced->second != state;
+        m_announced.insert_or_assign(service, state);
+    }
+    if (changed && m_duties.holds()) {
+        m_gossip.sendNow();
+    }
+}
+
 net::awaitable<void> RolloutRunner::readUnknown()
 {
     const TimePoint now = hostNow();
@@ -128,7 +144,7 @@
     if (rollout == nullptr) {
         co_return;
     }
-    const rollouts::Decision decision = m_controller.decide(*rollout, m_context.hostCount, hostNow());
+    const rollouts::Decision decision = rollouts::RolloutController::decide(*rollout, m_context.hostCount, hostNow());
     if (decision.state != rollouts::State::Complete) {
         m_context.versionGate.applyState(service, rollout->id(), decision.state, false, hostNow());
     }
@@ -153,7 +169,7 @@
     }
     const rollouts::OrderId id = rollout->id();
     // The records that were read may have brought an outcome, and the hosts may have seen more meanwhile.
-    const bool stands = m_controller.decide(*rollout, m_context.hostCount, hostNow()).state == state;
+    const bool stands = rollouts::RolloutController::decide(*rollout, m_context.hostCount, hostNow()).state == state;
     std::optional<ports::AppendResult> result;
     if (newest && stands) {
         ports::Record next = m_context.ports.platformCodec->rolloutStateRecord(stateRecord(*rollout, state));
--- a/src/gateway/internal/rolloutrunner.h
+++ b/src/gateway/internal/rolloutrunner.h
@@ -13,7 +13,7 @@
 class RolloutRunner
 {
 public:
-    RolloutRunner(GatewayContext &context, const DutyRunner &duties);
+    RolloutRunner(GatewayContext &context, const DutyRunner &duties, GossipEndpoint &gossip);
 
     /// Runs until the process ends; returns at once when orders are not followed.
     boost::asio::awaitable<void> run();
@@ -30,6 +30,8 @@
 
     /// Tells the roll-outs which upstreams are listed, and sets the metrics.
     void update(TimePoint now);
+    /// Tells the other hosts at once of states that this host has decided.
+    void announce();
     /// Reads how far roll-outs have come that this host found at its start.
     boost::asio::awaitable<void> readUnknown();
     /// Applies the records of roll-outs in the log.
@@ -42,9 +44,10 @@
 
     GatewayContext &m_context;
     const DutyRunner &m_duties;
-    const rollouts::RolloutController m_controller;
-    std::map<std::string, Written> m_written; ///< By service.
-    std::optional<TimePoint> m_retryAt;       ///< When the log may be called again after a failure.
+    GossipEndpoint &m_gossip;
+    std::map<std::string, Written> m_written;                                         ///< By service.
+    std::map<std::string, std::pair<rollouts::OrderId, rollouts::State>> m_announced; ///< By service.
+    std::optional<TimePoint> m_retryAt;                                               ///< When the log may be called again after a failure.
 };
 
 }
--- a/src/rollouts/exposurelimit.h
+++ b/src/rollouts/exposurelimit.h
@@ -4,6 +4,13 @@
 
 namespace rosemaryshift::rollouts {
 
+/// Which part of the bound a request may use.
+enum class ExposureUse : std::uint8_t {
+    Trickle,    ///< Any request.
+    Moving,     ///< A stream that would be lost with its upstream, shortly before the outcome.
+    Completing, ///< A request whose other upstreams are gone when the outcome is due, which this host may not have heard yet.
+};
+
 /// This host's part of the bound on the exposure of a version: a share of the requests that it has sent to the service itself, and a part of the slack.
 /// The sum over all hosts keeps the bound whatever the hosts hear of each other. What the hosts expose before the outcome is little more than half of the
 /// share; the rest is for the time between the outcome and the end of the order. Not thread-safe.
@@ -25,8 +32,8 @@
     void noteRequest();
     /// Counts a request that is sent to the version.
     void noteExposed();
-    /// Whether one more request may be sent to the version. @p reserved: it may use what is held back from ordinary requests.
-    [[nodiscard]] bool allows(bool reserved) const;
+    /// Whether one more request may be sent to the version.
+    [[nodiscard]] bool allows(ExposureUse use) const;
     [[nodiscard]] std::uint64_t requests() const;
     [[nodiscard]] std::uint64_t exposed() const;
 
--- a/src/rollouts/internal/exposurelimit.cpp
+++ b/src/rollouts/internal/exposurelimit.cpp
@@ -19,14 +19,15 @@
     ++m_exposed;
 }
 
-bool ExposureLimit::allows(bool reserved) const
+bool ExposureLimit::allows(ExposureUse use) const
 {
     const double next = static_cast<double>(m_exposed) + 1;
     const double requests = static_cast<double>(m_requests);
-    if (next > m_share * UndecidedPart * requests + m_slackPart) {
+    const double part = use == ExposureUse::Completing ? UndecidedPart + CompletedPart : UndecidedPart;
+    if (next > m_share * part * requests + m_slackPart) {
         return false;
     }
-    return reserved || next <= m_share * TricklePart * requests + m_start;
+    return use != ExposureUse::Trickle || next <= m_share * TricklePart * requests + m_start;
 }
 
 std::uint64_t ExposureLimit::requests() const
--- a/src/rollouts/internal/rollout.cpp
+++ b/src/rollouts/internal/rollout.cpp
@@ -158,15 +158,28 @@
     return since && *since <= scaled(m_order.duration, LongestUndecided);
 }
 
-bool Rollout::mayExpose(bool lostWithUpstream, TimePoint now) const
+Duration Rollout::decisionTime() const
+{
+    return scaled(m_order.duration, 1 - ExposureLimit::CompletedPart * m_bounds.share);
+}
+
+ExposureUse Rollout::use(const RequestTraits &traits, TimePoint now) const
+{
+    const Duration since = age(now).value_or(Duration::zero());
+    if (traits.othersUnreached && since >= decisionTime()) {
+        return ExposureUse::Completing;
+    }
+    const Duration moveTime = std::min<Duration>(scaled(m_order.duration, MovePart), LongestMoveTime);
+    return traits.lostWithUpstream && since >= m_order.duration - moveTime ? ExposureUse::Moving : ExposureUse::Trickle;
+}
+
+bool Rollout::mayExpose(const RequestTraits &traits, TimePoint now) const
 {
-    const std::optional<Duration> since = age(now);
     const bool holderHeard = m_holderHeard && now - *m_holderHeard <= scaled(m_bounds.maxRollbackDelay, HolderSilencePart);
-    if (m_state != State::Running || m_stopped || m_instances.empty() || !since || !holderHeard || !isUndecided(now)) {
+    if (m_state != State::Running || m_stopped || m_instances.empty() || !holderHeard || !isUndecided(now)) {
         return false;
     }
-    const Duration moveTime = std::min<Duration>(scaled(m_order.duration, MovePart), LongestMoveTime);
-    return m_limit.allows(lostWithUpstream && *since >= m_order.duration - moveTime);
+    return m_limit.allows(use(traits, now));
 }
 
 std::span<const std::string> Rollout::exposedUpstreams(TimePoint now) const
@@ -197,7 +210,7 @@
     if (m_observed && !m_othersListed && !m_stopped && !isUndecided(now)) {
         return {};
     }
-    if (!exposing || (traits.continuedVersion && *traits.continuedVersion != m_order.version) || !mayExpose(traits.lostWithUpstream, now)) {
+    if (!exposing || (traits.continuedVersion && *traits.continuedVersion != m_order.version) || !mayExpose(traits, now)) {
         return others;
     }
     version.exposes = true;
--- a/src/rollouts/internal/rolloutcontroller.cpp
+++ b/src/rollouts/internal/rolloutcontroller.cpp
@@ -14,12 +14,7 @@
 
 }
 
-RolloutController::RolloutController(const ExposureBounds &bounds)
-    : m_bounds(bounds)
-{
-}
-
-Decision RolloutController::decide(const Rollout &rollout, std::size_t hosts, TimePoint now) const
+Decision RolloutController::decide(const Rollout &rollout, std::size_t hosts, TimePoint now)
 {
     if (isFinal(rollout.state())) {
         return {rollout.state(), "final"};
@@ -31,17 +26,15 @@
     if (!age) {
         return {State::Running, "age_unknown"};
     }
-    // What is left of the bound after the decision is for the time until the order ends, in which all requests go to the version.
-    const double decidedPart = 1 - ExposureLimit::CompletedPart * m_bounds.share;
     const Duration duration = rollout.order().duration;
-    if (*age < std::chrono::duration_cast<Duration>(duration * decidedPart)) {
+    if (*age < rollout.decisionTime()) {
         return {State::Running, "in_time"};
     }
     const bool mostHeard = (rollout.heardHosts(now) + 1) * 2 > hosts;
     return decideAtEnd(rollout, mostHeard, *age >= std::chrono::duration_cast<Duration>(duration * LongestUndecided));
 }
 
-Decision RolloutController::decideAtEnd(const Rollout &rollout, bool mostHeard, bool overdue) const
+Decision RolloutController::decideAtEnd(const Rollout &rollout, bool mostHeard, bool overdue)
 {
     const Decision undecided{overdue ? State::RolledBack : State::Running, overdue ? "undecided" : "in_doubt"};
     if (rollout.slots() == 0) {
--- a/src/rollouts/rollout.h
+++ b/src/rollouts/rollout.h
@@ -78,6 +78,10 @@
     /// Whether the roll-out needs no more attention: the upstreams that it ends have left.
     [[nodiscard]] bool isSettled(TimePoint now) const;
 
+    /// Time from the order on at which its outcome is due. What is left of the bound then is for the rest of the order's time, in which all requests go to the
+    /// version after a completion.
+    [[nodiscard]] Duration decisionTime() const;
+
 private:
     struct HeardEvidence {
         Evidence evidence;
@@ -86,7 +90,9 @@
 
     /// Whether the time in which the holder decides has not ended; false when the age of the order is not known.
     [[nodiscard]] bool isUndecided(TimePoint now) const;
-    [[nodiscard]] bool mayExpose(bool lostWithUpstream, TimePoint now) const;
+    /// The part of the bound that a request may use; precondition: the age of the order is known.
+    [[nodiscard]] ExposureUse use(const RequestTraits &traits, TimePoint now) const;
+    [[nodiscard]] bool mayExpose(const RequestTraits &traits, TimePoint now) const;
     /// The upstreams that requests are exposed to at @p now; any if empty.
     [[nodiscard]] std::span<const std::string> exposedUpstreams(TimePoint now) const;
     /// The answers counted for @p version.
--- a/src/rollouts/rolloutcontroller.h
+++ b/src/rollouts/rolloutcontroller.h
@@ -17,16 +17,12 @@
 class RolloutController
 {
 public:
-    explicit RolloutController(const ExposureBounds &bounds);
-
     /// The state of @p rollout at @p now. A final state stays. @p hosts: number of hosts, this one included; a roll-out is completed only while most of them
     /// are heard.
-    [[nodiscard]] Decision decide(const Rollout &rollout, std::size_t hosts, TimePoint now) const;
+    [[nodiscard]] static Decision decide(const Rollout &rollout, std::size_t hosts, TimePoint now);
 
 private:
-    [[nodiscard]] Decision decideAtEnd(const Rollout &rollout, bool mostHeard, bool overdue) const;
-
-    const ExposureBounds m_bounds;
+    [[nodiscard]] static Decision decideAtEnd(const Rollout &rollout, bool mostHeard, bool overdue);
 };
 
 }
--- a/src/rollouts/rollouttypes.h
+++ b/src/rollouts/rollouttypes.h
@@ -83,6 +83,7 @@
 /// What the choice of a version depends on.
 struct RequestTraits {
     bool lostWithUpstream = false;                      ///< A stream that no other upstream can go on with, so that it ends with its upstream.
+    bool othersUnreached = false;                       ///< Upstreams that were chosen for the request could not be connected to.
     std::optional<std::string_view> continuedVersion{}; ///< The only version that may run the request.
 };
 
--- a/src/rollouts/tests/rollouttests.cpp
+++ b/src/rollouts/tests/rollouttests.cpp
@@ -48,7 +48,7 @@
 TEST_CASE("All hosts together expose a version within the bound, also when they hear nothing of each other's counts")
 {
     constexpr std::size_t Hosts = 89;
-    const bool lost = GENERATE(false, true);
+    const RequestTraits traits = GENERATE(RequestTraits{}, RequestTraits{.lostWithUpstream = true}, RequestTraits{.othersUnreached = true});
     std::vector<Rollout> hosts;
     for (std::size_t host = 0; host < Hosts; ++host) {
         hosts.push_back(orderedRollout(0.8 * Bounds.slack / Hosts, static_cast<double>(host) / Hosts));
@@ -60,7 +60,7 @@
         Rollout &host = hosts[(requests * 7) % Hosts];
         host.noteHolder(1, now);
         const bool completed = now >= Start + 12s * (1 - ExposureLimit::CompletedPart * Bounds.share);
-        exposed += send(host, {.lostWithUpstream = lost}, now) || completed ? 1 : 0;
+        exposed += send(host, traits, now) || completed ? 1 : 0;
         ++requests;
     }
     CHECK(static_cast<double>(exposed) <= Bounds.share * static_cast<double>(requests) + Bounds.slack);
@@ -94,6 +94,13 @@
         CHECK(!send(rollout, {}, Start + 9s));
         CHECK(send(rollout, {.lostWithUpstream = true}, Start + 9s));
     }
+    SECTION("may be a request whose other upstreams are gone when the outcome is due, as it may have been decided")
+    {
+        send(rollout, {}, Start + 1s);
+        rollout.noteHolder(3, Start + 11'600ms);
+        CHECK(!send(rollout, {.othersUnreached = true}, Start + 11s));
+        CHECK(send(rollout, {.othersUnreached = true}, Start + 11'600ms));
+    }
     SECTION("is nothing when the holder has not been heard for half of the time to roll back, or only one that was replaced")
     {
         rollout.noteHolder(2, Start + 4s);
@@ -147,15 +154,14 @@
 
 TEST_CASE("The holder of the duties decides at the end of the order, or at once when the version is bad")
 {
-    const RolloutController controller(Bounds);
     Rollout rollout = orderedRollout();
     for (int number = 0; number < 4'000; ++number) {
         rollout.noteRequest();
     }
     answer(rollout, "v1", 1'000);
     answer(rollout, "v2", 40);
-    CHECK(controller.decide(rollout, 1, Start + 11s).state == State::Running);
-    CHECK(controller.decide(rollout, 1, Start + 11'700ms).state == State::Complete);
+    CHECK(RolloutController::decide(rollout, 1, Start + 11s).state == State::Running);
+    CHECK(RolloutController::decide(rollout, 1, Start + 11'700ms).state == State::Complete);
 
     SECTION("a bad version is rolled back at once")
     {
@@ -163,15 +169,15 @@
             rollout.noteFailure("v2", number % 2 == 0 ? "c" : "d", "plan");
         }
         CHECK(rollout.evaluate());
-        CHECK(controller.decide(rollout, 1, Start + 4s).state == State::RolledBack);
+        CHECK(RolloutController::decide(rollout, 1, Start + 4s).state == State::RolledBack);
     }
     SECTION("in doubt the order runs out")
     {
         rollout.noteFailure("v2", "c", "plan");
         rollout.noteFailure("v2", "d", "plan");
         rollout.noteFailure("v2", "d", "plan");
-        CHECK(controller.decide(rollout, 1, Start + 11'700ms).state == State::Running);
-        CHECK(controller.decide(rollout, 1, Start + 18s).state == State::RolledBack);
+        CHECK(RolloutController::decide(rollout, 1, Start + 11'700ms).state == State::Running);
+        CHECK(RolloutController::decide(rollout, 1, Start + 18s).state == State::RolledBack);
     }
     SECTION("a version that was hardly tried is not completed")
     {
@@ -179,24 +185,24 @@
         for (int number = 0; number < 4'000; ++number) {
             untried.noteRequest();
         }
-        CHECK(controller.decide(untried, 1, Start + 11'700ms).state == State::Running);
+        CHECK(RolloutController::decide(untried, 1, Start + 11'700ms).state == State::Running);
     }
     SECTION("a holder that is cut off from most hosts does not know what they have seen, and does not complete")
     {
-        CHECK(controller.decide(rollout, 4, Start + 11'700ms).state == State::Running);
+        CHECK(RolloutController::decide(rollout, 4, Start + 11'700ms).state == State::Running);
         rollout.applyEvidence("second", {}, Start + 11'000ms);
         rollout.applyEvidence("third", {}, Start + 11'000ms);
-        CHECK(controller.decide(rollout, 4, Start + 11'700ms).state == State::Complete);
-        CHECK(controller.decide(rollout, 4, Start + 17s).state == State::Running);
+        CHECK(RolloutController::decide(rollout, 4, Start + 11'700ms).state == State::Complete);
+        CHECK(RolloutController::decide(rollout, 4, Start + 17s).state == State::Running);
     }
     SECTION("a version that never starts is rolled back")
     {
         rollout.observe(std::span(BothVersions).first(2));
-        CHECK(controller.decide(rollout, 1, Start + 11'700ms).state == State::RolledBack);
+        CHECK(RolloutController::decide(rollout, 1, Start + 11'700ms).state == State::RolledBack);
     }
     SECTION("a new holder that does not know the age of the order waits")
     {
         const Rollout unknown(Id, {"models", "v2", 12s}, Bounds, ExposureLimit(Bounds.share, 0, 0), false);
-        CHECK(controller.decide(unknown, 1, Start + 100s).state == State::Running);
+        CHECK(RolloutController::decide(unknown, 1, Start + 100s).state == State::Running);
     }
 }
