--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -4,6 +4,7 @@
 #include "http/httptypes.h"
 #include "limits/retrybudget.h"
 #include "limits/workspacequotas.h"
+#include "rollouts/rollouttypes.h"
 #include "secondtries/secondtrysettings.h"
 #include "settings/settingsdocument.h"
 
@@ -47,6 +48,7 @@
     limits::RetryAllowance retries;
     limits::QuotaTolerance quotas;
     secondtries::SecondTrySettings secondTries;
+    rollouts::ExposureBounds exposure; ///< Of versions that are rolled out.
 };
 
 /// Reads the settings; errors are recorded in @p document.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway/internal/peerheaders.h"
 #include "gateway/internal/reachprober.h"
 #include "gateway/internal/requestsession.h"
+#include "gateway/internal/rolloutrunner.h"
 #include "gateway/internal/streammoves.h"
 #include "gateway/internal/streamregistry.h"
 #include "gateway/internal/upstreamfollower.h"
@@ -71,6 +72,7 @@
         , m_streamRegistry(m_context, m_upstreamFollower)
         , m_gossip(m_context, m_configurationFollower, m_usageCollector)
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
+        , m_rolloutRunner(m_context, m_dutyRunner, m_gossip)
         , m_reachProber(m_context)
         , m_loopSampler(m_context)
         , m_streamMoves(m_context, m_io.get_executor())
@@ -139,6 +141,7 @@
         if (m_context.ports.dutyClient) {
             startTask(m_io.get_executor(), m_dutyRunner.run());
         }
+        startTask(m_io.get_executor(), m_rolloutRunner.run());
         waitForSignal();
         m_io.run();
         m_context.eventLog.write("stopped", eventlog::Importance::StateChange, {});
@@ -326,6 +329,7 @@
     StreamRegistry m_streamRegistry;
     GossipEndpoint m_gossip;
     DutyRunner m_dutyRunner;
+    RolloutRunner m_rolloutRunner;
     ReachProber m_reachProber;
     LoopSampler m_loopSampler;
     StreamMoves m_streamMoves;
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -148,6 +148,7 @@
 {
     const TimePoint now = hostNow();
     noteAnswering();
+    noteRolloutAnswer(now);
     m_attemptState->noteResponseStarted();
     if (m_moves == 0) { // The first event of a run that went on elsewhere says nothing about how prompts are read there.
         // The time for which the event has waited for this host is not the upstream's.
@@ -189,6 +190,34 @@
         "foreign_answer", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}, {"answers", metadata.attemptId}});
 }
 
+rollouts::Rollout *RequestSession::rollout() const
+{
+    return m_viaPeer ? nullptr : m_context.versionGate.find(m_service);
+}
+
+void RequestSession::noteRolloutAnswer(TimePoint now)
+{
+    rollouts::Rollout *const rolledOut = rollout();
+    if (rolledOut == nullptr || m_answerNoted) {
+        return;
+    }
+    m_answerNoted = true;
+    rolledOut->noteAnswer(m_upstream.softwareVersion, m_route->name, now - m_dispatchedAt);
+}
+
+void RequestSession::noteRolloutEnd(balancing::AttemptEnd how)
+{
+    rollouts::Rollout *const rolledOut = rollout();
+    if (rolledOut == nullptr || !m_sent) {
+        return;
+    }
+    if (how == balancing::AttemptEnd::Failed) {
+        rolledOut->noteFailure(m_upstream.softwareVersion, m_instance, m_route->name);
+    } else if (how == balancing::AttemptEnd::Inconclusive && m_writer.callerGone()) {
+        noteRolloutAnswer(hostNow()); // It would have taken at least this long.
+    }
+}
+
 void RequestSession::endDispatch(balancing::AttemptEnd how)
 {
     m_exchange.reset();
@@ -198,6 +227,7 @@
 void RequestSession::endTry(balancing::AttemptEnd how)
 {
     m_context.balancer.end(m_balancerAttempt, how, hostNow());
+    noteRolloutEnd(how);
     if (how != balancing::AttemptEnd::Succeeded && how != balancing::AttemptEnd::Inconclusive) {
         m_context.eventLog.write("offer_failed",
                                  eventlog::Importance::Failure,
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -53,7 +53,33 @@
     return false;
 }
 
+rollouts::RequestTraits RequestSession::rolloutTraits() const
+{
+    rollouts::RequestTraits traits;
+    traits.lostWithUpstream = m_route->kind == routing::RequestKind::Streaming && !m_route->repeatable();
+    traits.othersUnreached = m_connectFailures > 0;
+    if (m_continuedVersion) {
+        traits.continuedVersion = *m_continuedVersion;
+    }
+    return traits;
+}
+
 std::optional<balancing::Choice> RequestSession::chooseUpstream(TimePoint now)
+{
+    const rollouts::VersionFilter versions = m_context.versionGate.filter(m_service, rolloutTraits(), true, now);
+    std::optional<balancing::Choice> choice = chooseAmong(versions, now);
+    if (choice && versions.exposes) {
+        m_context.versionGate.find(m_service)->noteExposed();
+    }
+    if (!choice && versions.optional) {
+        m_retryInVain = false;
+        m_retryNotEarlier = false;
+        choice = chooseAmong(m_context.versionGate.filter(m_service, rolloutTraits(), false, now), now);
+    }
+    return choice;
+}
+
+std::optional<balancing::Choice> RequestSession::chooseAmong(const rollouts::VersionFilter &versions, TimePoint now)
 {
     if (m_streamStarted && (!m_continuedVersion || !m_eventSplitter.lastId())) {
         return std::nullopt; // No upstream can be told where, or by which version, the stream was broken off.
@@ -68,6 +94,9 @@
         if (m_triedInstances.contains(entry.instance) || (m_continuedVersion && !mayBeContinuedBy(*upstream, *m_continuedVersion))) {
             continue;
         }
+        if (!versions.admits(entry.softwareVersion, entry.instance)) {
+            continue;
+        }
         if (const std::optional<Duration> pause = m_context.upstreamPauses.remaining(entry.instance, now)) {
             earliestPause = std::min(earliestPause.value_or(*pause), *pause);
         } else if (m_context.upstreamLimits.maySend(entry.instance, now)) {
@@ -92,7 +121,7 @@
             m_reason = "upstreams_paused";
             m_retryAfter = *earliestPause;
             m_retryNotEarlier = true;
-        } else if (m_continuedVersion && streamVersionGone(now)) {
+        } else if (m_continuedVersion && (streamVersionGone(now) || !versions.admits(*m_continuedVersion, {}))) {
             m_reason = "stream_version_gone";
             m_retryInVain = true;
         } else {
