--- a/src/ports/messages.h
+++ b/src/ports/messages.h
@@ -48,6 +48,16 @@
     std::optional<std::string> resumeAfter; ///< Id of the last event that the caller has received, when another upstream resumes a stream.
 };
 
+/// What an upstream states about its load at the moment of a response.
+struct StatedLoad {
+    std::uint32_t running = 0; ///< Requests that it processes.
+    std::uint32_t waiting = 0; ///< Requests in its queue.
+    std::uint32_t slots = 0;   ///< Requests that it processes concurrently at most.
+    double slowness = 1;       ///< How long work takes on its machine over what is usual there.
+
+    bool operator==(const StatedLoad &) const = default;
+};
+
 /// What the headers of an upstream's response say.
 struct ResponseMetadata {
     std::string attemptId;    ///< Attempt that the response belongs to; empty when not stated.
@@ -60,6 +70,8 @@
     /// Time for which the upstream wants no requests from this host; set only with a refusal by status 503.
     std::optional<std::chrono::milliseconds> pause;
     bool pauseMalformed = false; ///< The refusal states a time that cannot be read.
+    std::optional<StatedLoad> load;
+    bool loadMalformed = false; ///< The response states a load that cannot be read or is out of range.
 };
 
 }
