Measure upstreams by all hosts together, and expect first events from it

Change: hosts pool their samples through a channel of their statuses; an upstream's slowness is the mean of the hosts' samples and a prior. The time to a first event of an average upstream is fitted by least squares (tokens, attention, tokens ahead, running requests) and taken times the slowness. A cost for places at fast upstreams, found by feedback, keeps requests in proportion to the speeds; small requests yield such places first. Only for services with yielding single attempts; without the flag no number changes.

--- a/src/balancing/balancingtypes.h
+++ b/src/balancing/balancingtypes.h
@@ -17,6 +17,7 @@
     std::string_view zone;                          ///< This host's availability zone; empty when unknown.
     std::span<const ports::PromptPart> promptParts; ///< In the order of the prompt; empty for services that are not engines.
     std::uint64_t promptTokens = 0;                 ///< Zero for services that are not engines.
+    bool pooledSpeeds = false;                      ///< Whether the hosts measure the service's engines together, see UpstreamSpeeds.
 };
 
 /// An upstream that a request may be sent to.
@@ -35,6 +36,8 @@
     std::uint64_t uncachedTokens = 0; ///< Estimated prompt tokens that the upstream has to process because they are not in its cache.
     std::string runnerUp;             ///< Instance with the second-best ranking; empty when there was only one candidate.
     Duration runnerUpExpected{0};     ///< As expected, at the runner-up.
+    bool queued = false;              ///< Whether the request is expected to wait until another one has ended.
+    double comparedSpeed = 0;         ///< Mean speed of the upstreams that were compared, see UpstreamSpeeds; 0 when speeds are not pooled.
 };
 
 /// The load that one host has placed on one upstream.
--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -1,5 +1,6 @@
 #include "balancing/upstreambalancer.h"
 
+#include "balancing/internal/latencypredictor.h"
 #include "balancing/internal/peerload.h"
 #include "balancing/internal/upstreamrecords.h"
 
@@ -55,14 +56,9 @@
 
 }
 
-struct UpstreamBalancer::Scored {
-    double expected = 0; ///< Estimated time to the first event, in milliseconds.
-    double ranking = 0;  ///< Expected time with all penalties, in milliseconds; the lowest is chosen.
-    std::uint64_t uncached = 0;
-};
-
 UpstreamBalancer::UpstreamBalancer(std::uint64_t seed)
     : m_peerLoad(std::make_unique<PeerLoad>())
+    , m_predictor(std::make_unique<LatencyPredictor>())
     , m_random(seed)
 {
 }
@@ -83,6 +79,8 @@
     const std::optional<std::uint64_t> shared = sharedPart(profile.promptParts);
     const std::string_view home = shared ? rendezvousHome(*shared, candidates) : std::string_view();
     std::optional<Choice> best;
+    double speeds = 0;
+    std::size_t scoredCandidates = 0;
     double bestRanking = 0;
     double secondRanking = 0;
     for (const Candidate *const considered : compared(candidates, home, now)) {
@@ -92,18 +90,23 @@
             continue;
         }
         const Scored scored = score(profile, service, candidate, upstream, home, now);
+        speeds += scored.speed;
+        ++scoredCandidates;
         if (!best || scored.ranking < bestRanking) {
             const std::string before = best ? best->instance : std::string();
             const Duration beforeExpected = best ? best->expected : Duration(0);
             secondRanking = bestRanking;
             bestRanking = scored.ranking;
-            best = Choice{std::string(candidate.instance), fromMilliseconds(scored.expected), scored.uncached, before, beforeExpected};
+            best = Choice{std::string(candidate.instance), fromMilliseconds(scored.expected), scored.uncached, before, beforeExpected, scored.queued, 0};
         } else if (best->runnerUp.empty() || scored.ranking < secondRanking) {
             secondRanking = scored.ranking;
             best->runnerUp = candidate.instance;
             best->runnerUpExpected = fromMilliseconds(scored.expected);
         }
     }
+    if (best) {
+        best->comparedSpeed = speeds / static_cast<double>(scoredCandidates);
+    }
     return best;
 }
 
@@ -134,6 +137,9 @@
         queueDelay = QueueDelayWeight * cost * static_cast<double>(scored.uncached);
         scored.expected = (base + cost * static_cast<double>(load.prefillTokens + scored.uncached)) * (1 + BatchCostPerRequest * load.running);
         scored.expected += waiting * milliseconds(std::chrono::seconds(1));
+        if (profile.pooledSpeeds) {
+            queueDelay = QueueDelayWeight * predict(scored, profile, candidate, upstream, now);
+        }
     } else {
         scored.expected = base * (1 + waiting + static_cast<double>(load.running) / (4.0 * slots));
     }
@@ -176,6 +182,12 @@
     const Outstanding ahead = total(choice.instance, &upstream);
     attempt.aheadTokens = ahead.prefillTokens;
     attempt.nearlyIdle = ahead.prefillTokens == 0 && ahead.running <= NearlyIdleRunning;
+    attempt.pooled = attempt.engine && profile.pooledSpeeds;
+    if (attempt.pooled) {
+        attempt.queued = choice.queued;
+        attempt.work = prefillWork(profile, choice.instance, &upstream, choice.uncachedTokens, now);
+        m_predictor->noteChoice(attempt.service, choice.instance, choice.comparedSpeed, now);
+    }
     ++upstream.own.running;
     if (attempt.engine) {
         attempt.prefillTokens = choice.uncachedTokens;
@@ -199,8 +211,10 @@
     }
     Attempt &attempt = found->second;
     attempt.firstEvent = true;
+    attempt.firstEventAt = now;
     m_upstreams[attempt.instance].own.prefillTokens -= attempt.prefillTokens;
     updateEstimates(attempt, now);
+    recordPooledSample(attempt, now);
 }
 
 void UpstreamBalancer::updateEstimates(Attempt &attempt, TimePoint now)
@@ -251,6 +265,9 @@
         return;
     }
     const bool good = result == AttemptEnd::Succeeded;
+    if (good && attempt.pooled && attempt.firstEvent) {
+        m_predictor->addRemainder(attempt.service, milliseconds(now - attempt.firstEventAt));
+    }
     updateAverage(upstream.failureRate, good ? 0 : 1);
     updateAverage(m_services[attempt.service].failureRate, good ? 0 : 1);
     upstream.consecutiveFailures = good ? 0 : upstream.consecutiveFailures + 1;
@@ -283,8 +300,9 @@
     m_peerLoad->forget(host);
 }
 
-void UpstreamBalancer::forgetUpstream(const std::string &instance)
+void UpstreamBalancer::forgetUpstream(const std::string &instance, TimePoint now)
 {
+    m_predictor->forgetUpstream(instance, now);
     const auto found = m_upstreams.find(instance);
     if (found != m_upstreams.end() && found->second.own.running == 0) {
         m_upstreams.erase(found);
--- a/src/balancing/internal/upstreamrecords.h
+++ b/src/balancing/internal/upstreamrecords.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancing/internal/cachehistory.h"
+#include "balancing/internal/latencymodel.h"
 #include "balancing/upstreambalancer.h"
 
 namespace rosemaryshift::balancing {
@@ -37,6 +38,18 @@
     bool engine = false;             ///< Whether the upstream is an engine.
     bool nearlyIdle = false;         ///< Whether the upstream was nearly idle when the attempt began.
     bool firstEvent = false;         ///< Whether the first event was received.
+    bool pooled = false;             ///< Whether its times are samples of a pooled speed.
+    bool queued = false;             ///< See Choice::queued.
+    PrefillWork work;                ///< What its first event depends on; set when pooled.
+    TimePoint firstEventAt;          ///< Set when firstEvent.
+};
+
+struct UpstreamBalancer::Scored {
+    double expected = 0; ///< Estimated time to the first event, in milliseconds.
+    double ranking = 0;  ///< Expected time with all penalties, in milliseconds; the lowest is chosen.
+    std::uint64_t uncached = 0;
+    bool queued = false; ///< See Choice::queued.
+    double speed = 0;    ///< Of the upstream, see UpstreamSpeeds; 0 when speeds are not pooled.
 };
 
 }
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -11,7 +11,10 @@
 
 namespace rosemaryshift::balancing {
 
+class LatencyPredictor;
 class PeerLoad;
+class UpstreamSpeeds;
+struct PrefillWork;
 
 /// Chooses the upstream with the earliest expected first event, estimated from the requests of all hosts at each upstream, the prompt tokens that
 /// are not in its cache and its measured speed. Requests whose prompts begin alike go to the same upstream while it has capacity; all hosts
@@ -42,14 +45,23 @@
     /// Records that the attempt ended; later calls with its number have no effect.
     void end(std::uint64_t attempt, AttemptEnd result, TimePoint now);
 
+    /// Records that @p gaps pauses between the events of the attempt's stream took @p total together.
+    void recordGaps(std::uint64_t attempt, std::uint32_t gaps, Duration total, TimePoint now);
+    /// Records what an upstream states of its load. Use is made of it for services whose speeds are pooled.
+    void recordStatement(std::string_view instance, const ports::StatedLoad &load, TimePoint now);
+    /// What the hosts have measured of the upstreams together. Valid as long as this object.
+    [[nodiscard]] UpstreamSpeeds &speeds();
+    /// Returns how fast an upstream of @p service is, in units of the upstream that serves the average request of this host; 1 when nothing is known.
+    [[nodiscard]] double speed(std::string_view service, std::string_view instance, TimePoint now) const;
+
     /// Returns this host's load on each upstream, to be sent to the other hosts.
     [[nodiscard]] std::map<std::string, Outstanding> outstanding() const;
     /// Sets another host's load on each upstream, as that host reported it at @p now. The report is used for @p lifetime.
     void setPeerOutstanding(const std::string &host, std::map<std::string, Outstanding> outstanding, TimePoint now, Duration lifetime);
     /// Drops the load of a host that is gone.
     void forgetPeer(const std::string &host);
-    /// Drops what was measured of an upstream that is gone, unless requests of this host still run there.
-    void forgetUpstream(const std::string &instance);
+    /// Drops what was measured of an upstream that is gone at @p now, its load unless requests of this host still run there.
+    void forgetUpstream(const std::string &instance, TimePoint now);
 
     /// Returns the uncached prompt tokens per second that this host sent to @p service, averaged over the last seconds.
     [[nodiscard]] double prefillRate(const std::string &service, TimePoint now) const;
@@ -75,6 +87,13 @@
     [[nodiscard]] const Upstream *find(std::string_view instance) const;
     /// The load of all hosts on @p instance. @p upstream: what this host knows of it; null when it knows nothing.
     [[nodiscard]] Outstanding total(const std::string &instance, const Upstream *upstream) const;
+    /// What the first event of a request depends on at @p instance, if @p uncached of its tokens are not in the cache there.
+    [[nodiscard]] PrefillWork
+    prefillWork(const RequestProfile &profile, std::string_view instance, const Upstream *upstream, std::uint64_t uncached, TimePoint now) const;
+    /// Replaces the estimates of @p scored that depend on speed by those from pooled speeds. Returns the cost to other requests, in milliseconds.
+    double predict(Scored &scored, const RequestProfile &profile, const Candidate &candidate, const Upstream *upstream, TimePoint now) const;
+    /// Updates the estimates that pooled speeds rest on.
+    void recordPooledSample(const Attempt &attempt, TimePoint now);
     [[nodiscard]] double failurePenalty(const Upstream *upstream, const Service &service, TimePoint now) const;
     void updateEstimates(Attempt &attempt, TimePoint now);
 
@@ -82,6 +101,7 @@
     std::map<std::string, Service, std::less<>> m_services;
     std::unordered_map<std::uint64_t, Attempt> m_attempts;
     const std::unique_ptr<PeerLoad> m_peerLoad;
+    const std::unique_ptr<LatencyPredictor> m_predictor;
     std::uint64_t m_nextAttempt = 1;
     Duration m_reportInterval{0};
     std::mt19937_64 m_random;
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -86,6 +86,7 @@
     , heldBytes(std::make_shared<http::MemoryBudget>(settings.heldBytes))
     , upstreamConnections(std::make_shared<http::ConnectionPool>())
     , peerConnections(std::make_shared<http::ConnectionPool>())
+    , upstreamSamples(balancer.speeds())
     , statusChannels([this](std::string_view channel, std::string_view hostStart) {
         metrics.count("rosemaryshift_channel_unreadable_total", R"(channel=")" + std::string(channel) + R"(")");
         eventLog.write("channel_unreadable", eventlog::Importance::Failure, {{"channel", channel}, {"from", hostStart}});
@@ -94,6 +95,7 @@
     , randomEngine(randomSeed())
     , stop(settings.stopTimeout)
 {
+    statusChannels.add(upstreamSamples);
 }
 
 void GatewayContext::handleUpstreamChange(const directory::Upstream &upstream, std::string_view change)
@@ -103,9 +105,11 @@
                    eventlog::Importance::StateChange,
                    {{"instance", entry.instance}, {"service", entry.service}, {"change", change}, {"zone", entry.zone}, {"version", entry.softwareVersion}});
     if (change == "removed") {
-        balancer.forgetUpstream(entry.instance);
+        balancer.forgetUpstream(entry.instance, hostNow());
         runContinuity.forget(entry.instance);
     } else if (change == "listed") {
+        // An earlier run with the same id says nothing about this one.
+        balancer.speeds().forgetUpstream(entry.instance, hostNow());
         // The run may have begun at any time since the list was last read.
         const TimePoint lastRead = listAvailability.outageBegan().value_or(upstream.firstSeen);
         streamOrigins.noteRun(entry.instance, entry.softwareVersion, lastRead - settings.renewalInterval * ListingRenewals);
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -15,6 +15,7 @@
 #include "gateway/internal/logeratracker.h"
 #include "gateway/internal/openrequests.h"
 #include "gateway/internal/stopschedule.h"
+#include "gateway/internal/upstreamsampleschannel.h"
 #include "gateway/internal/wallclockestimator.h"
 #include "gossip/peerregistry.h"
 #include "gossip/statuschannels.h"
@@ -67,6 +68,7 @@
     const std::shared_ptr<http::MemoryBudget> heldBytes; ///< Of requests and answers that are held at the same time.
     std::shared_ptr<http::ConnectionPool> upstreamConnections;
     std::shared_ptr<http::ConnectionPool> peerConnections;
+    UpstreamSamplesChannel upstreamSamples;
     gossip::StatusChannels statusChannels;
     const std::string forwardingToken;           ///< Random; peers present it with the requests that they forward to this process.
     const gossip::PeerRegistry *peers = nullptr; ///< The known peers; set before requests are served.
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -25,6 +25,7 @@
     profile.zone = m_context.settings.zone;
     profile.promptParts = m_callerRequest.promptParts;
     profile.promptTokens = m_callerRequest.promptTokens.value_or(0);
+    profile.pooledSpeeds = m_routeTable && m_routeTable->hasYieldingSingleAttempts(m_service);
     return profile;
 }
 
