Tell the longest pause of each stream, and the first event over the expected one

Cause: most late streams are suspected to be late by a pause between two events, and estimates of first events to be poor; no log line or metric shows either. Change: request_ended has expected_ms, upstream_first_ms and longest_gap_ms; histograms of both by service; a counter of streams with a pause over the route's goal. Mean gaps and statements of load become samples of an upstream's speed.

--- a/src/gateway/internal/gatewaymetrics.cpp
+++ b/src/gateway/internal/gatewaymetrics.cpp
@@ -39,11 +39,24 @@
 void GatewayMetrics::observe(std::string_view name, std::string_view labels, Duration latency)
 {
     Histogram &histogram = seriesOf<Histogram>(m_histograms, name, labels);
-    for (std::size_t bucket = 0; bucket < BucketBounds.size(); ++bucket) {
-        histogram.buckets[bucket] += latency <= std::chrono::milliseconds(BucketBounds[bucket]) ? 1 : 0;
+    histogram.bounds = LatencyBounds;
+    histogram.add(std::chrono::duration<double>(latency).count());
+}
+
+void GatewayMetrics::observeRatio(std::string_view name, std::string_view labels, double ratio)
+{
+    Histogram &histogram = seriesOf<Histogram>(m_histograms, name, labels);
+    histogram.bounds = RatioBounds;
+    histogram.add(ratio);
+}
+
+void GatewayMetrics::Histogram::add(double value)
+{
+    for (std::size_t bucket = 0; bucket < bounds.size(); ++bucket) {
+        buckets[bucket] += value <= bounds[bucket] ? 1 : 0;
     }
-    ++histogram.count;
-    histogram.sumSeconds += std::chrono::duration<double>(latency).count();
+    ++count;
+    sum += value;
 }
 
 void GatewayMetrics::set(std::string_view name, std::string_view labels, double value)
@@ -70,11 +83,11 @@
         text += fmt::format("# TYPE {} histogram\n", name);
         for (const auto &[labels, histogram] : series) {
             const std::string prefix = labels.empty() ? std::string() : labels + ",";
-            for (std::size_t bucket = 0; bucket < BucketBounds.size(); ++bucket) {
-                text += fmt::format("{}_bucket{{{}le=\"{}\"}} {}\n", name, prefix, BucketBounds[bucket] / 1000.0, histogram.buckets[bucket]);
+            for (std::size_t bucket = 0; bucket < histogram.bounds.size(); ++bucket) {
+                text += fmt::format("{}_bucket{{{}le=\"{}\"}} {}\n", name, prefix, histogram.bounds[bucket], histogram.buckets[bucket]);
             }
             text += fmt::format("{}_bucket{{{}le=\"+Inf\"}} {}\n", name, prefix, histogram.count);
-            text += fmt::format("{}_sum{} {:.6f}\n{}_count{} {}\n", name, inBraces(labels), histogram.sumSeconds, name, inBraces(labels), histogram.count);
+            text += fmt::format("{}_sum{} {:.6f}\n{}_count{} {}\n", name, inBraces(labels), histogram.sum, name, inBraces(labels), histogram.count);
         }
     }
     return text;
--- a/src/gateway/internal/gatewaymetrics.h
+++ b/src/gateway/internal/gatewaymetrics.h
@@ -18,19 +18,25 @@
     void count(std::string_view name, std::string_view labels, std::uint64_t amount = 1);
     /// Adds @p latency to the histogram @p name, whose unit is the second.
     void observe(std::string_view name, std::string_view labels, Duration latency);
+    /// Adds @p ratio to the histogram @p name, whose values have no unit.
+    void observeRatio(std::string_view name, std::string_view labels, double ratio);
     /// Sets the gauge @p name.
     void set(std::string_view name, std::string_view labels, double value);
     /// All series in Prometheus' text format 0.0.4.
     [[nodiscard]] std::string text() const;
 
 private:
-    /// Upper bounds of the histogram buckets in milliseconds.
-    static constexpr std::array<std::uint32_t, 12> BucketBounds{5, 10, 25, 50, 100, 250, 500, 1'000, 2'500, 5'000, 10'000, 20'000};
+    /// Upper bounds of the buckets of latencies, in seconds, and of ratios.
+    static constexpr std::array<double, 12> LatencyBounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20};
+    static constexpr std::array<double, 12> RatioBounds{0.1, 0.25, 0.4, 0.55, 0.7, 0.85, 1, 1.2, 1.4, 2, 2.5, 6};
 
     struct Histogram {
-        std::array<std::uint64_t, BucketBounds.size()> buckets{};
+        std::array<double, LatencyBounds.size()> bounds{};
+        std::array<std::uint64_t, LatencyBounds.size()> buckets{};
         std::uint64_t count = 0;
-        double sumSeconds = 0;
+        double sum = 0;
+
+        void add(double value);
     };
     template <typename Value>
     using Series = std::map<std::string, std::map<std::string, Value, std::less<>>, std::less<>>;
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -72,6 +72,10 @@
     m_silenceNoted = false;
     m_triedInstances.insert(m_instance);
     m_attemptState->noteDispatched();
+    m_offeredAt = now;
+    m_expected = choice.expected;
+    m_upstreamFirst.reset();
+    m_pauses.changeUpstream();
     m_balancerAttempt = m_context.balancer.begin(requestProfile(), choice, now);
     m_context.eventLog.write("offered",
                              eventlog::Importance::Ordinary,
@@ -208,6 +212,9 @@
         }
         receivedEvent = true;
         noteFirstByte();
+        if (!events.empty()) {
+            noteEvents();
+        }
         bool callerConnected = true;
         if (!m_streamStarted) {
             m_streamStarted = true;
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -46,6 +46,7 @@
     }
     m_context.runContinuity.noteAnswer(m_instance, hostNow());
     m_context.upstreamReach.noteReached(m_service);
+    noteLoad(metadata);
     if (metadata.leaving) {
         m_context.directory.noteLeaving(m_instance);
     }
@@ -57,6 +58,17 @@
     m_context.upstreamLimits.noteAnswer(m_instance, metadata.requestLimit, m_dispatchedAt, hostNow());
 }
 
+void RequestSession::noteLoad(const ports::ResponseMetadata &metadata)
+{
+    if (metadata.loadMalformed) {
+        m_context.metrics.count("rosemaryshift_upstream_load_unreadable_total", R"(service=")" + m_service + R"(")");
+        m_context.eventLog.write("upstream_load_unreadable", eventlog::Importance::Failure, {{"request", m_callerRequest.attemptId}, {"instance", m_instance}});
+    }
+    if (metadata.load && requestProfile().pooledSpeeds) {
+        m_context.balancer.recordStatement(m_instance, *metadata.load, hostNow());
+    }
+}
+
 bool RequestSession::notePause(const ports::ResponseMetadata &metadata)
 {
     // A refusal may lack the id of the request, but then it is the first answer on its connection.
@@ -95,7 +107,14 @@
     noteAnswering();
     m_attemptState->noteResponseStarted();
     // The time for which the event has waited for this host is not the upstream's.
-    m_context.balancer.recordFirstEvent(m_balancerAttempt, std::max(now - m_context.loopDelay.estimate(now), m_dispatchedAt));
+    const TimePoint arrivedAt = std::max(now - m_context.loopDelay.estimate(now), m_dispatchedAt);
+    m_context.balancer.recordFirstEvent(m_balancerAttempt, arrivedAt);
+    if (!m_upstreamFirst && !m_viaPeer) {
+        m_upstreamFirst = arrivedAt - m_offeredAt;
+        const double expected = std::max(1.0, static_cast<double>(m_expected.count()));
+        m_context.metrics.observeRatio(
+            "rosemaryshift_first_event_over_expected", R"(service=")" + m_service + R"(")", static_cast<double>(m_upstreamFirst->count()) / expected);
+    }
     if (!m_firstByteLatency) {
         m_firstByteLatency = now - m_arrivedAt;
     }
@@ -105,8 +124,26 @@
     }
 }
 
+void RequestSession::noteEvents()
+{
+    m_pauses.noteEvents(hostNow());
+}
+
+void RequestSession::countPauses()
+{
+    const std::optional<Duration> longest = m_pauses.longest();
+    if (!longest || m_route == nullptr) {
+        return;
+    }
+    m_context.metrics.observe("rosemaryshift_stream_gap_seconds", R"(service=")" + m_service + R"(")", *longest);
+    if (m_route->gapGoal > std::chrono::milliseconds::zero() && *longest > m_route->gapGoal) {
+        m_context.metrics.count("rosemaryshift_streams_over_gap_goal_total", R"(route=")" + m_route->name + R"(")");
+    }
+}
+
 void RequestSession::endDispatch(balancing::AttemptEnd how)
 {
+    m_context.balancer.recordGaps(m_balancerAttempt, m_pauses.upstreamGaps(), m_pauses.upstreamTotal(), hostNow());
     m_context.balancer.end(m_balancerAttempt, how, hostNow());
     m_exchange.reset();
     if (how != balancing::AttemptEnd::Succeeded && how != balancing::AttemptEnd::Inconclusive) {
@@ -130,6 +167,7 @@
     if (m_firstByteLatency) {
         m_context.metrics.observe("rosemaryshift_first_byte_seconds", R"(kind=")" + std::string(kind) + R"(")", *m_firstByteLatency);
     }
+    countPauses();
     if (outcome == "caller_gone") {
         countCallerGone();
     }
@@ -155,6 +193,9 @@
                               {"partial_event_bytes", static_cast<std::int64_t>(m_partialEventBytes)},
                               {"passed_on_bytes", static_cast<std::int64_t>(m_passedOnBytes)},
                               {"first_ms", m_firstByteLatency ? wholeMilliseconds(*m_firstByteLatency) : std::int64_t{-1}},
+                              {"expected_ms", m_upstreamFirst ? wholeMilliseconds(m_expected) : std::int64_t{-1}},
+                              {"upstream_first_ms", m_upstreamFirst ? wholeMilliseconds(*m_upstreamFirst) : std::int64_t{-1}},
+                              {"longest_gap_ms", m_pauses.longest() ? wholeMilliseconds(*m_pauses.longest()) : std::int64_t{-1}},
                               {"retry_after_ms", outcome == "refused" && m_retryAfter ? wholeMilliseconds(*m_retryAfter) : std::int64_t{-1}},
                               {"waited_ms", wholeMilliseconds(m_handledAt - m_arrivedAt)},
                               {"took_ms", wholeMilliseconds(now - m_arrivedAt)},
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -3,6 +3,7 @@
 #include "gateway/internal/attemptstate.h"
 #include "gateway/internal/eventsplitter.h"
 #include "gateway/internal/gatewaycontext.h"
+#include "gateway/internal/streampauses.h"
 #include "gateway/internal/streamregistry.h"
 #include "http/ihttpclient.h"
 #include "http/ihttpserver.h"
@@ -144,8 +145,14 @@
     [[nodiscard]] quarantine::RequestTraits requestTraits() const;
     [[nodiscard]] ports::UpstreamPriority upstreamPriority() const;
     void noteFirstByte();
+    /// Records that events of a stream arrived.
+    void noteEvents();
+    /// Records the pauses of a stream that has ended.
+    void countPauses();
     /// Records what an upstream's answer states about the upstream: that it leaves, and its limit on requests, if it has one.
     void noteStatements(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata);
+    /// Records what the upstream states of its load, if it does.
+    void noteLoad(const ports::ResponseMetadata &metadata);
     /// Records that the upstream asked for a pause, if it did. Returns whether its refusal is no sign of a failure because of that.
     bool notePause(const ports::ResponseMetadata &metadata);
     /// Records that the upstream broke off the request before or during its answer, when @p failure says so.
@@ -197,8 +204,12 @@
     EventSplitter m_eventSplitter;
     std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
-    bool m_waitsForAnswer = false;              ///< The request was admitted, and its answer has not begun.
-    bool m_silenceNoted = false;                ///< The silence of the upstream of the current dispatch was recorded.
+    TimePoint m_offeredAt;                      ///< Time at which the upstream of the last dispatch was chosen.
+    Duration m_expected{0};                     ///< Expected time from then to the first part of its response.
+    std::optional<Duration> m_upstreamFirst;    ///< That time as measured.
+    StreamPauses m_pauses;
+    bool m_waitsForAnswer = false; ///< The request was admitted, and its answer has not begun.
+    bool m_silenceNoted = false;   ///< The silence of the upstream of the current dispatch was recorded.
     bool m_usageCounted = false;
     std::size_t m_passedOnBytes = 0; ///< Bytes of a stream's events that were written to the caller.
     StreamFormat m_streamFormat;     ///< Of the answer that started the stream.
