Order upstreams by what they do, not by heads

Cause: an upstream of speed 1.7 and one of 0.7 counted alike. Change: for services whose upstreams the hosts measure together, the load is divided by the mean speed of those that run, within 0.5 and 2, before orders are planned; a gauge shows it. Result: compiled; its effect on orders is not measured yet.

--- a/src/gateway/internal/busyupstreams.cpp
+++ b/src/gateway/internal/busyupstreams.cpp
@@ -4,6 +4,14 @@
 
 namespace rosemaryshift::gateway {
 
+namespace {
+
+/// Range of a mean speed of which use is made; few samples may give any.
+constexpr double MinMeanSpeed = 0.5;
+constexpr double MaxMeanSpeed = 2;
+
+}
+
 std::map<std::string, double> localBusyUpstreams(const GatewayContext &context, TimePoint now)
 {
     std::map<std::string, double> busy;
@@ -28,4 +36,21 @@
     return busy;
 }
 
+double meanUpstreamSpeed(const GatewayContext &context, std::string_view service, TimePoint now)
+{
+    const std::shared_ptr<const routing::RouteTable> &table = context.configuration.table();
+    if (!table || !table->hasYieldingSingleAttempts(service)) {
+        return 1;
+    }
+    double sum = 0;
+    std::size_t count = 0;
+    for (const auto &[instance, upstream] : context.directory.all()) {
+        if (upstream.entry.service == service && !upstream.leaving) {
+            sum += context.balancer.speed(service, instance, now);
+            ++count;
+        }
+    }
+    return count == 0 ? 1 : std::clamp(sum / static_cast<double>(count), MinMeanSpeed, MaxMeanSpeed);
+}
+
 }
--- a/src/gateway/internal/busyupstreams.h
+++ b/src/gateway/internal/busyupstreams.h
@@ -11,4 +11,8 @@
 /// plus the part of the batch slots in use. Only for services with an engine. Used from the gateway's thread.
 std::map<std::string, double> localBusyUpstreams(const GatewayContext &context, TimePoint now);
 
+/// Mean speed of the upstreams of @p service that do not leave, in units of the upstream that serves the average request of this host; 1 when the hosts do
+/// not measure them together. A load in such units takes that many times fewer upstreams. Used from the gateway's thread.
+double meanUpstreamSpeed(const GatewayContext &context, std::string_view service, TimePoint now);
+
 }
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/dutyrunner.h"
 
 #include "gateway/internal/backgroundtask.h"
+#include "gateway/internal/busyupstreams.h"
 #include "gateway/internal/hostclock.h"
 
 namespace rosemaryshift::gateway {
@@ -259,7 +260,9 @@
         }
     }
     const auto found = busy.find(service.name);
-    load.busyUpstreams = found == busy.end() ? 0 : found->second;
+    const double speed = meanUpstreamSpeed(m_context, service.name, hostNow());
+    m_context.metrics.set("rosemaryshift_mean_upstream_speed", R"(service=")" + service.name + R"(")", speed);
+    load.busyUpstreams = found == busy.end() ? 0 : found->second / speed;
     load.measured = load.busyUpstreams > 0;
     return load;
 }
