--- a/src/balancing/internal/speedreport.cpp
+++ b/src/balancing/internal/speedreport.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t EntryBytes = 9;
 /// Entries of one report. The content goes to each host with each status.
 constexpr std::size_t MaxEntries = 32;
+/// Entries up to which a report is read.
+constexpr std::size_t MaxReadEntries = 256;
 /// Steps of the encoded values.
 constexpr double LogRatioStep = 0.02;
 constexpr double WeightStep = 0.1;
@@ -58,7 +60,7 @@
 {
     const auto number = [content](std::size_t position) { return static_cast<unsigned int>(static_cast<unsigned char>(content[position])); };
     const std::size_t size = content.empty() ? 0 : number(0);
-    if (size < EntryBytes || (content.size() - 1) % size != 0) {
+    if (size < EntryBytes || (content.size() - 1) % size != 0 || content.size() / size > MaxReadEntries) {
         return std::nullopt;
     }
     std::vector<SpeedEntry> entries;
