Tell peers only of upstreams that were sampled lately, and learn no speed from errors

Cause: a report repeated each sample in six statuses, to each peer; a faulty upstream that fails at once would look fast to all hosts. Change: a report has the upstreams sampled within 2 s, and receivers keep what they were told of the others until it is too old; only events of streams are samples.

--- a/src/balancing/internal/upstreambalancer.cpp
+++ b/src/balancing/internal/upstreambalancer.cpp
@@ -203,7 +203,7 @@
     return number;
 }
 
-void UpstreamBalancer::recordFirstEvent(std::uint64_t number, TimePoint now)
+void UpstreamBalancer::recordFirstEvent(std::uint64_t number, TimePoint now, bool isEvent)
 {
     const auto found = m_attempts.find(number);
     if (found == m_attempts.end() || found->second.firstEvent) {
@@ -214,6 +214,7 @@
     attempt.firstEventAt = now;
     m_upstreams[attempt.instance].own.prefillTokens -= attempt.prefillTokens;
     updateEstimates(attempt, now);
+    attempt.pooled = attempt.pooled && isEvent;
     recordPooledSample(attempt, now);
 }
 
--- a/src/balancing/internal/upstreamspeeds.cpp
+++ b/src/balancing/internal/upstreamspeeds.cpp
@@ -13,6 +13,8 @@
 
 /// Age up to which a sample is used.
 constexpr std::chrono::milliseconds SampleLifetime{4'000};
+/// Age of an upstream's newest sample up to which its samples are told to other hosts: for two statuses or more.
+constexpr std::chrono::milliseconds ToldFor{2'000};
 /// Age at which a sample counts for half.
 constexpr std::chrono::milliseconds SampleHalfLife{2'000};
 /// Age up to which what an upstream states of the moment is used.
@@ -188,6 +190,10 @@
             own = m_own.erase(own);
             continue;
         }
+        if (!view->stated && (own->second.samples.empty() || now - own->second.samples.back().at > ToldFor)) {
+            ++own;
+            continue;
+        }
         SpeedEntry entry{own->first, view->logRatio, view->weight, now - view->at, std::nullopt, Duration(0)};
         if (view->stated) {
             entry.statedSlowness = view->stated->slowness;
@@ -205,9 +211,12 @@
     if (!entries) {
         return false;
     }
-    forgetHost(hostStart);
     std::vector<Key> &keys = m_keysOfHost[std::string(hostStart)];
+    std::erase_if(keys, [this, hostStart, now](Key key) { return dropView(hostStart, key, true, now); });
     for (const SpeedEntry &entry : *entries) {
+        if (dropView(hostStart, entry.upstream, false, now)) {
+            std::erase(keys, entry.upstream);
+        }
         const auto ignored = m_ignoredUntil.find(entry.upstream);
         if (ignored != m_ignoredUntil.end() && now < ignored->second) {
             continue;
@@ -229,16 +238,34 @@
         return;
     }
     for (const Key key : known->second) {
-        const auto views = m_peers.find(key);
-        if (views == m_peers.end()) {
-            continue;
-        }
-        std::erase_if(views->second, [hostStart](const View &view) { return view.host == hostStart; });
-        if (views->second.empty()) {
-            m_peers.erase(views);
-        }
+        dropView(hostStart, key, false, TimePoint());
     }
     m_keysOfHost.erase(known);
 }
 
+bool UpstreamSpeeds::expired(const View &view, TimePoint now)
+{
+    return now - view.at > SampleLifetime && (!view.stated || now - view.stated->at > StatementLifetime);
+}
+
+bool UpstreamSpeeds::dropView(std::string_view hostStart, Key key, bool onlyExpired, TimePoint now)
+{
+    const auto views = m_peers.find(key);
+    if (views == m_peers.end()) {
+        return true;
+    }
+    const auto view = std::ranges::find(views->second, hostStart, &View::host);
+    if (view == views->second.end()) {
+        return true;
+    }
+    if (onlyExpired && !expired(*view, now)) {
+        return false;
+    }
+    views->second.erase(view);
+    if (views->second.empty()) {
+        m_peers.erase(views);
+    }
+    return true;
+}
+
 }
--- a/src/balancing/tests/unequalupstreamstests.cpp
+++ b/src/balancing/tests/unequalupstreamstests.cpp
@@ -82,3 +82,20 @@
     const double together = pooled.play(demand).inTime();
     CHECK(together >= SimulatedFleet(77, 74, false).play(demand).inTime());
 }
+
+// Guards against a faulty upstream that fails at once, is taken for a fast one by all hosts and gets ever more requests.
+TEST_CASE("An error that comes fast does not make an upstream look fast")
+{
+    const bool isEvent = GENERATE(true, false);
+    const std::vector<Candidate> candidates{{"i-1", "zone", Slots, 0, false}};
+    const std::vector<ports::PromptPart> parts{{1, 6'000}};
+    const RequestProfile profile{"engines", "zone", parts, 6'000, true};
+    UpstreamBalancer balancer;
+    for (int request = 0; request < 10; ++request) {
+        const std::optional<Choice> choice = balancer.choose(profile, candidates, at(request));
+        const std::uint64_t attempt = balancer.begin(profile, *choice, at(request));
+        balancer.recordFirstEvent(attempt, at(request + 0.001), isEvent);
+        balancer.end(attempt, isEvent ? AttemptEnd::Succeeded : AttemptEnd::Failed, at(request + 0.002));
+    }
+    CHECK((balancer.speeds().slowness("i-1", at(10)) < 1) == isEvent);
+}
--- a/src/balancing/upstreambalancer.h
+++ b/src/balancing/upstreambalancer.h
@@ -40,8 +40,9 @@
     /// Records that a request with @p profile was sent to the chosen upstream. Returns a number that identifies the attempt in recordFirstEvent()
     /// and end().
     std::uint64_t begin(const RequestProfile &profile, const Choice &choice, TimePoint now);
-    /// Records that the first event, or the header of the answer, was received.
-    void recordFirstEvent(std::uint64_t attempt, TimePoint now);
+    /// Records that the first event, or the header of the answer, was received. @p isEvent: an event of a stream, which is a sample of the upstream's pooled
+    /// speed; an error or a whole answer is not.
+    void recordFirstEvent(std::uint64_t attempt, TimePoint now, bool isEvent = true);
     /// Records that the attempt ended; later calls with its number have no effect.
     void end(std::uint64_t attempt, AttemptEnd result, TimePoint now);
 
--- a/src/balancing/upstreamspeeds.h
+++ b/src/balancing/upstreamspeeds.h
@@ -32,9 +32,9 @@
     /// Drops what is known of an upstream that is gone or has restarted. What other hosts state of it is ignored until they have learnt of it too.
     void forgetUpstream(std::string_view instance, TimePoint now);
 
-    /// This host's samples of the last seconds, for the other hosts; empty when there are none.
+    /// This host's samples of the last seconds of each upstream that it has sampled lately, for the other hosts; empty when there are none.
     [[nodiscard]] std::string content(TimePoint now);
-    /// Replaces what the host with this start has stated by @p content. Returns false, without an effect, when it is malformed.
+    /// Replaces what the host with this start has stated of the upstreams in @p content. Returns false, without an effect, when it is malformed.
     bool apply(std::string_view hostStart, std::string_view content, TimePoint now);
     /// Drops what a host that is gone has stated.
     void forgetHost(std::string_view hostStart);
@@ -71,7 +71,10 @@
 
     [[nodiscard]] static Key keyOf(std::string_view instance);
     [[nodiscard]] static std::optional<View> summary(const Own &own, TimePoint now);
+    [[nodiscard]] static bool expired(const View &view, TimePoint now);
     [[nodiscard]] double pooled(Key key, TimePoint now) const;
+    /// Drops what a host has stated of one upstream; if @p onlyExpired, only when it is too old. Returns whether nothing is left of it.
+    bool dropView(std::string_view hostStart, Key key, bool onlyExpired, TimePoint now);
 
     std::unordered_map<Key, Own> m_own;
     std::unordered_map<Key, std::vector<View>> m_peers;
--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -211,7 +211,7 @@
             continue;
         }
         receivedEvent = true;
-        noteFirstByte();
+        noteFirstByte(!events.empty());
         if (!events.empty()) {
             noteEvents();
         }
@@ -266,7 +266,7 @@
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
-    noteFirstByte();
+    noteFirstByte(false);
     m_context.quarantine.noteCompleted(requestTraits(), hostNow());
     const bool failed = upstreamResponse.status >= 500;
     if (metadata.pause) {
--- a/src/gateway/internal/requestforwarding.cpp
+++ b/src/gateway/internal/requestforwarding.cpp
@@ -113,7 +113,7 @@
         co_await endForwarding();
         co_return;
     }
-    noteFirstByte();
+    noteFirstByte(false);
     endDispatch(balancing::AttemptEnd::Inconclusive);
     logOutcome(success ? "answered" : "relayed", answer.status, {});
     http::Response response;
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -101,14 +101,14 @@
     }
 }
 
-void RequestSession::noteFirstByte()
+void RequestSession::noteFirstByte(bool isEvent)
 {
     const TimePoint now = hostNow();
     noteAnswering();
     m_attemptState->noteResponseStarted();
     // The time for which the event has waited for this host is not the upstream's.
     const TimePoint arrivedAt = std::max(now - m_context.loopDelay.estimate(now), m_dispatchedAt);
-    m_context.balancer.recordFirstEvent(m_balancerAttempt, arrivedAt);
+    m_context.balancer.recordFirstEvent(m_balancerAttempt, arrivedAt, isEvent);
     if (!m_upstreamFirst && !m_viaPeer) {
         m_upstreamFirst = arrivedAt - m_offeredAt;
         const double expected = std::max(1.0, static_cast<double>(m_expected.count()));
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -144,7 +144,8 @@
     [[nodiscard]] balancing::RequestProfile requestProfile() const;
     [[nodiscard]] quarantine::RequestTraits requestTraits() const;
     [[nodiscard]] ports::UpstreamPriority upstreamPriority() const;
-    void noteFirstByte();
+    /// Records that a part of the upstream's answer arrived. @p isEvent: it is an event of a stream.
+    void noteFirstByte(bool isEvent);
     /// Records that events of a stream arrived.
     void noteEvents();
     /// Records the pauses of a stream that has ended.
