--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -64,6 +64,10 @@
     m_answerNoted = false;
     m_triedInstances.insert(m_instance);
     m_attemptState->noteDispatched();
+    m_offeredAt = now;
+    m_expected = choice.expected;
+    m_upstreamFirst.reset();
+    m_pauses.changeUpstream();
     m_balancerAttempt = m_context.balancer.begin(requestProfile(), choice, now);
     logOffer(choice, upstream);
 
@@ -182,7 +186,10 @@
             continue;
         }
         receivedEvent = true;
-        noteFirstByte();
+        noteFirstByte(!events.empty());
+        if (!events.empty()) {
+            noteEvents();
+        }
         bool callerConnected = true;
         if (!m_streamStarted) {
             noteTimeToAnswer();
@@ -241,7 +248,7 @@
         endDispatch(m_writer.callerGone() ? balancing::AttemptEnd::Inconclusive : balancing::AttemptEnd::Failed);
         co_return DispatchResult::TryAnother;
     }
-    noteFirstByte();
+    noteFirstByte(false);
     m_context.quarantine.noteCompleted(requestTraits(), hostNow());
     const bool failed = upstreamResponse.status >= 500;
     if (metadata.pause) {
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -29,6 +29,7 @@
     }
     profile.promptParts = m_callerRequest.promptParts;
     profile.promptTokens = m_callerRequest.promptTokens.value_or(0);
+    profile.pooledSpeeds = m_routeTable && m_routeTable->hasYieldingSingleAttempts(m_service);
     return profile;
 }
 
--- a/src/gateway/internal/requestsecondtry.cpp
+++ b/src/gateway/internal/requestsecondtry.cpp
@@ -44,7 +44,7 @@
     m_triedInstances.insert(choice->instance);
     m_attemptState->noteDispatched();
     m_secondExpected = choice->expected;
-    m_otherTry = OtherTry{choice->instance, upstream, m_context.balancer.begin(requestProfile(), *choice, now), now, {}, false};
+    m_otherTry = OtherTry{choice->instance, upstream, m_context.balancer.begin(requestProfile(), *choice, now), now, {}, false, now, choice->expected};
     swapTries();
     logOffer(*choice, upstream);
     swapTries();
@@ -168,6 +168,8 @@
     std::swap(m_dispatchedAt, m_otherTry->dispatchedAt);
     std::swap(m_reason, m_otherTry->reason);
     std::swap(m_sent, m_otherTry->sent);
+    std::swap(m_offeredAt, m_otherTry->offeredAt);
+    std::swap(m_expected, m_otherTry->expected);
 }
 
 void RequestSession::concludeRace(bool answered, std::string_view reason)
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -4,6 +4,7 @@
 #include "gateway/internal/eventsplitter.h"
 #include "gateway/internal/gatewaycontext.h"
 #include "gateway/internal/streammoves.h"
+#include "gateway/internal/streampauses.h"
 #include "gateway/internal/streamregistry.h"
 #include "http/ihttpclient.h"
 #include "http/ihttpserver.h"
@@ -207,9 +208,16 @@
     [[nodiscard]] ports::UpstreamPriority upstreamPriority() const;
     /// Records that the caller's estimate of the answer's length cannot be read, if that is so.
     void noteEstimate();
-    void noteFirstByte();
+    /// Records that a part of the upstream's answer arrived. @p isEvent: it is an event of a stream.
+    void noteFirstByte(bool isEvent);
+    /// Records that events of a stream arrived.
+    void noteEvents();
+    /// Records the pauses of a stream that has ended.
+    void countPauses();
     /// Records what an upstream's answer states about the upstream: that it leaves, and its limit on requests, if it has one.
     void noteStatements(const http::Response &upstreamResponse, const ports::ResponseMetadata &metadata);
+    /// Records what the upstream states of its load, if it does.
+    void noteLoad(const ports::ResponseMetadata &metadata);
     /// Records that the upstream asked for a pause, if it did. Returns whether its refusal is no sign of a failure because of that.
     bool notePause(const ports::ResponseMetadata &metadata);
     /// Records that the upstream broke off the request before or during its answer, when @p failure says so.
@@ -233,6 +241,8 @@
         TimePoint dispatchedAt;
         std::string reason;
         bool sent = false;
+        TimePoint offeredAt;
+        Duration expected{0};
     };
 
     GatewayContext &m_context;
@@ -285,8 +295,12 @@
     EventSplitter m_eventSplitter;
     std::size_t m_partialEventBytes = 0;        ///< Bytes after the last complete event when the last upstream's stream ended.
     std::optional<Duration> m_firstByteLatency; ///< Time from the arrival to the first part of an upstream's response.
-    bool m_waitsForAnswer = false;              ///< The request was admitted, and its answer has not begun.
-    bool m_silenceNoted = false;                ///< The silence of the upstream of the current dispatch was recorded.
+    TimePoint m_offeredAt;                      ///< Time at which the upstream of the last dispatch was chosen.
+    Duration m_expected{0};                     ///< Expected time from then to the first part of its response.
+    std::optional<Duration> m_upstreamFirst;    ///< That time as measured.
+    StreamPauses m_pauses;
+    bool m_waitsForAnswer = false; ///< The request was admitted, and its answer has not begun.
+    bool m_silenceNoted = false;   ///< The silence of the upstream of the current dispatch was recorded.
     bool m_usageCounted = false;
     std::size_t m_passedOnBytes = 0;            ///< Bytes of a stream's events that were written to the caller.
     StreamFormat m_streamFormat;                ///< Of the answer that started the stream.
