Move streams also where a reclaimable upstream leaves without stating a time

Change: two seconds are assumed for reclaimable ones; the planner of upstreams counts such an entry as an announced reclaim.

--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -258,7 +258,7 @@
         if (!upstream.leaving) {
             ++(upstream.entry.reclaimable ? replicas.reclaimable : replicas.permanent);
         } else if (upstream.entry.reclaimable) {
-            replicas.reclaimAnnounced = replicas.reclaimAnnounced || upstream.entry.leavesIn.has_value();
+            replicas.reclaimAnnounced = true;
         }
     }
     if (service.scaling) {
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -119,7 +119,8 @@
                     {"zone", entry.zone},
                     {"version", entry.softwareVersion},
                     {"leaves_in_ms", entry.leavesIn ? static_cast<std::int64_t>(entry.leavesIn->count()) : std::int64_t{-1}}});
-    if (change == "notice" && streamMoves != nullptr) {
+    const bool unstated = change == "leaving" && entry.reclaimable && !entry.leavesIn;
+    if ((change == "notice" || unstated) && streamMoves != nullptr) {
         streamMoves->noteNotice(upstream);
     }
     if (change == "removed") {
--- a/src/gateway/internal/streammoves.cpp
+++ b/src/gateway/internal/streammoves.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds PlanInterval{100};
 /// Least time that is assumed to be left while the upstream has not left.
 constexpr std::chrono::milliseconds LeastTimeLeft{100};
+/// Time that a reclaimable upstream is assumed to have left when it leaves and does not state the time.
+constexpr std::chrono::milliseconds UnstatedNotice{2'000};
 /// A time that an upstream states beyond this one is cut to it.
 constexpr std::chrono::minutes LongestNotice{10};
 
@@ -66,9 +68,11 @@
 
 void StreamMoves::noteNotice(const directory::Upstream &upstream)
 {
-    if (m_context.ports.streamMover && upstream.entry.leavesIn) {
-        startTask(m_executor, watch(upstream.entry, hostNow() + std::min<Duration>(*upstream.entry.leavesIn, LongestNotice)));
+    if (!m_context.ports.streamMover || !(upstream.entry.leavesIn || upstream.entry.reclaimable)) {
+        return;
     }
+    const Duration notice = upstream.entry.leavesIn.value_or(UnstatedNotice);
+    startTask(m_executor, watch(upstream.entry, hostNow() + std::min<Duration>(notice, LongestNotice)));
 }
 
 net::awaitable<void> StreamMoves::watch(directory::UpstreamEntry upstream, TimePoint leavesAt)
