--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/requestsession.h"
 #include "limits/connectionshare.h"
+#include "overload/yieldingadmission.h"
 
 namespace rosemaryshift::gateway {
 
@@ -8,6 +9,9 @@
 /// Longest Retry-After for a caller whose request no upstream may take because of the limits that the upstreams state.
 constexpr std::chrono::milliseconds LongestLimitRetryDelay{10'000};
 
+/// Reason of a refusal for the sake of more urgent requests.
+constexpr std::string_view YieldingReason = "yields";
+
 /// Time in which upstreams that together accept @p perSecond requests per second accept one more.
 Duration limitRetryDelay(double perSecond)
 {
@@ -44,6 +48,22 @@
     return traits;
 }
 
+bool RequestSession::admitYielding(std::span<const balancing::Candidate> candidates)
+{
+    if (m_attemptState->dispatches() > 0 || !m_routeTable->yields(*m_route, m_service)) {
+        return true;
+    }
+    const overload::YieldingDemand demand{m_context.balancer.averageWait(m_service, candidates), m_route->latencyGoal};
+    const std::optional<Duration> retryDelay = overload::yieldingRetryDelay(demand, m_context.randomFraction());
+    if (!retryDelay) {
+        return true;
+    }
+    m_reason = YieldingReason;
+    m_retryAfter = *retryDelay;
+    m_context.metrics.count("rosemaryshift_yielding_refused_total", R"(service=")" + m_service + R"(")");
+    return false;
+}
+
 std::optional<balancing::Choice> RequestSession::chooseUpstream(TimePoint now)
 {
     const rollouts::VersionFilter versions = m_context.versionGate.filter(m_service, rolloutTraits(), true, now);
@@ -51,7 +71,8 @@
     if (choice && versions.exposes) {
         m_context.versionGate.find(m_service)->noteExposed();
     }
-    if (!choice && versions.optional) {
+    const bool yields = !choice && m_reason == YieldingReason;
+    if (!choice && versions.optional && !yields) {
         m_retryInVain = false;
         m_retryNotEarlier = false;
         choice = chooseAmong(m_context.versionGate.filter(m_service, rolloutTraits(), false, now), now);
@@ -86,6 +107,9 @@
             limitedRate = limitedRate.value_or(0) + m_context.upstreamLimits.perSecond(entry.instance).value_or(0);
         }
     }
+    if (!admitYielding(candidates)) {
+        return std::nullopt;
+    }
     std::optional<balancing::Choice> choice = m_context.balancer.choose(requestProfile(), candidates, now);
     if (!choice) {
         m_retryAfter = UpstreamRetryDelay;
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -134,6 +134,8 @@
     [[nodiscard]] bool streamVersionGone(TimePoint now) const;
     [[nodiscard]] streams::StreamKey streamKey(std::string_view attemptId) const;
 
+    /// Whether the request is sent although more urgent ones wait at @p candidates; sets the reason if not.
+    [[nodiscard]] bool admitYielding(std::span<const balancing::Candidate> candidates);
     [[nodiscard]] std::optional<balancing::Choice> chooseUpstream(TimePoint now);
     /// Chooses among the upstreams whose software version may run the request.
     [[nodiscard]] std::optional<balancing::Choice> chooseAmong(const rollouts::VersionFilter &versions, TimePoint now);
