Judge versions more strictly, and roll back in doubt at the end of the order

A version in doubt was exposed, and could give bad answers, for half of the order's time beyond its end. It is now rolled back at the end, and nothing is exposed after it.

--- a/src/rollouts/internal/evidence.cpp
+++ b/src/rollouts/internal/evidence.cpp
@@ -11,7 +11,7 @@
 /// Times below this one are in the first class.
 constexpr double FirstClassMs = 4;
 /// Largest part of the earlier versions' answers that may lie above the time from which answers are compared.
-constexpr double SlowPart = 0.1;
+constexpr double SlowPart = 0.25;
 /// Answers of the earlier versions that are needed before times are compared.
 constexpr std::uint64_t MinTimedBefore = 20;
 /// Failures of a sound version, as part of its answers, when the earlier versions fail less often than this.
@@ -22,8 +22,8 @@
 constexpr double MinBadAnswers = 5;
 constexpr double MinDoubtfulAnswers = 3;
 /// A version is bad, or doubtful, when its bad answers exceed the expected number by this number of standard deviations.
-constexpr double BadDeviations = 4;
-constexpr double DoubtfulDeviations = 2;
+constexpr double BadDeviations = 3.5;
+constexpr double DoubtfulDeviations = 2.5;
 /// From this number of bad answers on they count also when a single upstream gave them.
 constexpr double MinOfOneUpstream = 25;
 constexpr std::uint32_t BitsOfInstances = 32;
@@ -37,14 +37,32 @@
     return hash;
 }
 
-/// What @p bad answers say where a sound version has @p expected ones.
-Verdict compared(double bad, double expected, bool severalUpstreams)
+/// Whether @p bad answers are @p deviations standard deviations more than the @p expected ones.
+bool exceeds(double bad, double expected, double deviations)
 {
-    const double deviation = std::sqrt(expected + 0.25);
-    if (bad >= (severalUpstreams ? MinBadAnswers : MinOfOneUpstream) && bad > expected + BadDeviations * deviation) {
+    return bad > expected + deviations * std::sqrt(expected + 0.25);
+}
+
+bool raisesDoubt(double bad, double expected)
+{
+    return bad >= MinDoubtfulAnswers && exceeds(bad, expected, DoubtfulDeviations);
+}
+
+Verdict verdictOnFailures(double failures, double expected, bool severalUpstreams)
+{
+    if (failures >= (severalUpstreams ? MinBadAnswers : MinOfOneUpstream) && exceeds(failures, expected, BadDeviations)) {
+        return Verdict::Bad;
+    }
+    return raisesDoubt(failures, expected) ? Verdict::Doubtful : Verdict::Sound;
+}
+
+/// @p slow: answers that are slow. @p muchSlower: those that are slow although a class is added to the time from which answers count as slow.
+Verdict verdictOnTimes(double slow, double muchSlower, double expected)
+{
+    if (muchSlower >= MinBadAnswers && exceeds(muchSlower, expected, BadDeviations)) {
         return Verdict::Bad;
     }
-    return bad >= MinDoubtfulAnswers && bad > expected + DoubtfulDeviations * deviation ? Verdict::Doubtful : Verdict::Sound;
+    return raisesDoubt(slow, expected) ? Verdict::Doubtful : Verdict::Sound;
 }
 
 double part(std::uint64_t count, std::uint64_t of)
@@ -58,11 +76,12 @@
     const std::uint64_t timedBefore = counts.before.timed();
     const double failurePart = part(counts.before.failures, counts.before.failures + timedBefore);
     const double answers = static_cast<double>(timed + counts.rolledOut.failures);
-    Verdict worst = compared(counts.rolledOut.failures, answers * std::max(failurePart, UsualFailurePart), severalUpstreams);
+    Verdict worst = verdictOnFailures(counts.rolledOut.failures, answers * std::max(failurePart, UsualFailurePart), severalUpstreams);
     for (std::size_t first = slowClass(counts.before); first + 1 < TimeClasses; ++first) {
         const double slowPart = std::max(part(counts.before.atLeast(first), timedBefore), UsualSlowPart);
-        const double slow = static_cast<double>(counts.rolledOut.atLeast(first + 1));
-        worst = std::max(worst, compared(slow, static_cast<double>(timed) * slowPart, true));
+        const double slow = static_cast<double>(counts.rolledOut.atLeast(first));
+        const double muchSlower = static_cast<double>(counts.rolledOut.atLeast(first + 1));
+        worst = std::max(worst, verdictOnTimes(slow, muchSlower, static_cast<double>(timed) * slowPart));
     }
     return worst;
 }
--- a/src/rollouts/internal/rollout.cpp
+++ b/src/rollouts/internal/rollout.cpp
@@ -12,7 +12,7 @@
 /// Part of the order's duration after which few upstreams of the version get all requests that are exposed, so that they are loaded as usual.
 constexpr double LoadTestPart = 0.33;
 constexpr std::size_t MinExposedUpstreams = 2;
-/// A roll-out that is not decided gets no more requests after this multiple of its duration.
+/// The holder decides within this multiple of the duration.
 constexpr double LongestUndecided = 1.5;
 /// The holder must have been heard within this part of the time in which a bad version has to be left.
 constexpr double HolderSilencePart = 0.5;
@@ -175,8 +175,10 @@
 
 bool Rollout::mayExpose(const RequestTraits &traits, TimePoint now) const
 {
+    const std::optional<Duration> since = age(now);
+    const bool inTime = since && *since <= m_order.duration;
     const bool holderHeard = m_holderHeard && now - *m_holderHeard <= scaled(m_bounds.maxRollbackDelay, HolderSilencePart);
-    if (m_state != State::Running || m_stopped || m_instances.empty() || !holderHeard || !isUndecided(now)) {
+    if (m_state != State::Running || m_stopped || m_instances.empty() || !holderHeard || !inTime) {
         return false;
     }
     return m_limit.allows(use(traits, now));
--- a/src/rollouts/internal/rolloutcontroller.cpp
+++ b/src/rollouts/internal/rolloutcontroller.cpp
@@ -12,6 +12,17 @@
 constexpr double AnswersPart = 0.004;
 constexpr double MaxAnswersNeeded = 20;
 
+/// Whether the version has not shown to be sound.
+bool isInDoubt(const Rollout &rollout)
+{
+    if (rollout.returns()) {
+        return false;
+    }
+    const Evidence evidence = rollout.pooled();
+    const double needed = std::min(MaxAnswersNeeded, static_cast<double>(evidence.requests) * AnswersPart);
+    return static_cast<double>(evidence.answers()) < needed || rollout.verdict() != Verdict::Sound;
+}
+
 }
 
 Decision RolloutController::decide(const Rollout &rollout, std::size_t hosts, TimePoint now)
@@ -31,24 +42,22 @@
         return {State::Running, "in_time"};
     }
     const bool mostHeard = (rollout.heardHosts(now) + 1) * 2 > hosts;
+    if (*age >= duration && isInDoubt(rollout)) {
+        return {State::RolledBack, "in_doubt"};
+    }
     return decideAtEnd(rollout, mostHeard, *age >= std::chrono::duration_cast<Duration>(duration * LongestUndecided));
 }
 
 Decision RolloutController::decideAtEnd(const Rollout &rollout, bool mostHeard, bool overdue)
 {
-    const Decision undecided{overdue ? State::RolledBack : State::Running, overdue ? "undecided" : "in_doubt"};
+    const Decision undecided{overdue ? State::RolledBack : State::Running, overdue ? "overdue" : "undecided"};
     if (rollout.slots() == 0) {
         return {State::RolledBack, "no_upstreams"};
     }
     if (!mostHeard || static_cast<double>(rollout.slots()) < static_cast<double>(rollout.otherSlots()) * SlotsPart) {
         return undecided;
     }
-    const Evidence evidence = rollout.pooled();
-    const double needed = std::min(MaxAnswersNeeded, static_cast<double>(evidence.requests) * AnswersPart);
-    if (!rollout.returns() && (static_cast<double>(evidence.answers()) < needed || rollout.verdict() != Verdict::Sound)) {
-        return undecided;
-    }
-    return {State::Complete, "sound"};
+    return isInDoubt(rollout) ? undecided : Decision{State::Complete, "sound"};
 }
 
 }
--- a/src/rollouts/tests/evidencetests.cpp
+++ b/src/rollouts/tests/evidencetests.cpp
@@ -63,6 +63,15 @@
         addAnswers(plan.rolledOut, 60, 800);
         CHECK(verdict(evidence, 8) == Verdict::Bad);
     }
+    SECTION("a version of which a part of the answers on one rare route is slower is in doubt")
+    {
+        RouteCounts rare;
+        addAnswers(rare.before, 500, 200);
+        addAnswers(rare.rolledOut, 20, 200);
+        addAnswers(rare.rolledOut, 5, 400);
+        evidence.routes[routeNumber("rare")] = rare;
+        CHECK(verdict(evidence, 8) == Verdict::Doubtful);
+    }
     SECTION("a service that fails, or is slow, as much with the versions before shows nothing")
     {
         plan.before.failures = 500;
--- a/src/rollouts/tests/rollouttests.cpp
+++ b/src/rollouts/tests/rollouttests.cpp
@@ -171,13 +171,13 @@
         CHECK(rollout.evaluate());
         CHECK(RolloutController::decide(rollout, 1, Start + 4s).state == State::RolledBack);
     }
-    SECTION("in doubt the order runs out")
+    SECTION("in doubt the version is rolled back at the end of the order")
     {
         rollout.noteFailure("v2", "c", "plan");
         rollout.noteFailure("v2", "d", "plan");
         rollout.noteFailure("v2", "d", "plan");
         CHECK(RolloutController::decide(rollout, 1, Start + 11'700ms).state == State::Running);
-        CHECK(RolloutController::decide(rollout, 1, Start + 18s).state == State::RolledBack);
+        CHECK(RolloutController::decide(rollout, 1, Start + 12s).state == State::RolledBack);
     }
     SECTION("a version that was hardly tried is not completed")
     {
@@ -186,6 +186,7 @@
             untried.noteRequest();
         }
         CHECK(RolloutController::decide(untried, 1, Start + 11'700ms).state == State::Running);
+        CHECK(RolloutController::decide(untried, 1, Start + 12s).state == State::RolledBack);
     }
     SECTION("a holder that is cut off from most hosts does not know what they have seen, and does not complete")
     {
