--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -9,6 +9,9 @@
 /// Longest Retry-After for a caller whose request no upstream may take because of the limits that the upstreams state.
 constexpr std::chrono::milliseconds LongestLimitRetryDelay{10'000};
 
+/// Reason of a refusal for the sake of more urgent requests.
+constexpr std::string_view YieldingReason = "yields";
+
 /// Time in which upstreams that together accept @p perSecond requests per second accept one more.
 Duration limitRetryDelay(double perSecond)
 {
@@ -48,7 +51,7 @@
     if (!retryDelay) {
         return true;
     }
-    m_reason = "yields";
+    m_reason = YieldingReason;
     m_retryAfter = *retryDelay;
     m_context.metrics.count("rosemaryshift_yielding_refused_total", R"(service=")" + m_service + R"(")");
     return false;
@@ -72,7 +75,8 @@
     if (choice && versions.exposes) {
         m_context.versionGate.find(m_service)->noteExposed();
     }
-    if (!choice && versions.optional) {
+    const bool yields = !choice && m_reason == YieldingReason;
+    if (!choice && versions.optional && !yields) {
         m_retryInVain = false;
         m_retryNotEarlier = false;
         choice = chooseAmong(m_context.versionGate.filter(m_service, rolloutTraits(), false, now), now);
