--- a/src/limits/internal/workspacequotas.cpp
+++ b/src/limits/internal/workspacequotas.cpp
@@ -170,6 +170,10 @@
     }
 }
 
+void WorkspaceQuotas::updatePeerDemand(const std::string & /*hostStart*/, const std::map<std::string, double> & /*demand*/)
+{
+}
+
 void WorkspaceQuotas::forgetPeer(const std::string &hostStart)
 {
     m_peers.erase(hostStart);
@@ -239,6 +243,11 @@
     return m_used;
 }
 
+void WorkspaceQuotas::adoptUsed(std::map<std::string, std::uint64_t> used)
+{
+    m_used = std::move(used);
+}
+
 std::map<std::string, double> WorkspaceQuotas::demand(TimePoint now) const
 {
     std::map<std::string, double> all;
--- a/src/limits/workspacequotas.h
+++ b/src/limits/workspacequotas.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "base/types.h"
-#include "routing/routingtypes.h"
+#include "limits/iquotarule.h"
 
 #include <cstdint>
 #include <map>
@@ -12,25 +11,13 @@
 
 namespace rosemaryshift::limits {
 
-/// How far the usage of a workspace, summed over all hosts, may exceed its quota.
-struct QuotaTolerance {
-    double excess = 0; ///< Tolerated excess as a fraction of the quota.
-    double slack = 0;  ///< Constant tolerated in addition, in the unit of the quota.
-};
-
-/// When another host sends its usage reports. This host may handle a report late, and several at once.
-struct ReportTiming {
-    TimePoint sentAt;  ///< Sending time on the other host's clock; only differences between reports of the same start are meaningful.
-    Duration interval; ///< Time until its next report.
-};
-
 /// Enforces the quotas of all workspaces at one host with token buckets. Hosts that receive each other's usage reports keep copies of one pooled
 /// bucket: each subtracts its own callers' usage at once, the usage of other hosts when they report it, and an estimate of what those hosts have
 /// used since their last report. While the bucket is nearly empty, each host admits at random as large a part of the requests as the quota allows, so
 /// that many hosts do not use what is left at the same moment. The share of hosts that do not report is left out of the pooled bucket, so that the total stays
 /// within the quota during a network partition. A host that receives no reports is limited to its own share. A bucket may go negative by one request, so that a
 /// request larger than the bucket's capacity passes occasionally. The current time is passed to each call. Not thread-safe.
-class WorkspaceQuotas
+class WorkspaceQuotas : public IQuotaRule
 {
 public:
     /// Callers are granted a part of @p tolerance on top of the quota, because hosts learn of each other's usage late and would otherwise refuse
@@ -38,32 +25,20 @@
     /// @p seed: differs between the hosts, which choose at random which requests they admit of a quota that is nearly used up.
     explicit WorkspaceQuotas(QuotaTolerance tolerance = {}, std::uint64_t seed = 0);
 
-    /// Applies the quotas of a new configuration. Workspaces that already had a quota keep their bucket levels.
-    void configure(std::span<const routing::Workspace> workspaces, TimePoint now);
-    /// Sets this host's share of a workspace's quota, 0 to 1.
-    void setShare(const std::string &workspace, double share, TimePoint now);
-
-    /// Sets what callers of a workspace request per second at all hosts, in the unit of its quota.
-    void setTotalDemand(const std::string &workspace, double perSecond);
-
-    /// Sets whether any other host reports its usage; if so, the pooled bucket applies, otherwise this host's own share.
-    void setPooled(bool pooled, TimePoint now);
-    /// Sets the fraction of a workspace's quota, 0 to 1, that the hosts which receive each other's reports may use together.
-    void setPooledFraction(const std::string &workspace, double fraction, TimePoint now);
-    /// Applies a usage report: the total that another host has used of each workspace's quota since it started. @p hostStart identifies the host
-    /// and the start, as totals begin anew when a host restarts.
-    void updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, ReportTiming timing, TimePoint now);
-    /// Drops the usage of a host that is gone.
-    void forgetPeer(const std::string &hostStart);
-
-    /// Takes @p cost from the workspace's quota. Returns nothing when the request may proceed, otherwise the time until it may.
-    std::optional<Duration> take(const std::string &workspace, double cost, TimePoint now);
-    /// Returns @p cost to the workspace's quota after a request that did not run.
-    void refund(const std::string &workspace, double cost);
-    /// Returns what this host has used of each workspace's quota since it started, to be reported to the other hosts.
-    [[nodiscard]] const std::map<std::string, std::uint64_t> &used() const;
-    /// Returns the moving average of what callers of each workspace request per second at this host, including what was refused.
-    [[nodiscard]] std::map<std::string, double> demand(TimePoint now) const;
+    void configure(std::span<const routing::Workspace> workspaces, TimePoint now) override;
+    void setShare(const std::string &workspace, double share, TimePoint now) override;
+    void setTotalDemand(const std::string &workspace, double perSecond) override;
+    void setPooled(bool pooled, TimePoint now) override;
+    void setPooledFraction(const std::string &workspace, double fraction, TimePoint now) override;
+    void updatePeerUsage(const std::string &hostStart, const std::map<std::string, std::uint64_t> &used, ReportTiming timing, TimePoint now) override;
+    /// Has no effect: the demand of all hosts is set by setTotalDemand().
+    void updatePeerDemand(const std::string &hostStart, const std::map<std::string, double> &demand) override;
+    void forgetPeer(const std::string &hostStart) override;
+    std::optional<Duration> take(const std::string &workspace, double cost, TimePoint now) override;
+    void refund(const std::string &workspace, double cost) override;
+    [[nodiscard]] const std::map<std::string, std::uint64_t> &used() const override;
+    void adoptUsed(std::map<std::string, std::uint64_t> used) override;
+    [[nodiscard]] std::map<std::string, double> demand(TimePoint now) const override;
 
 private:
     /// A token bucket.
