Put the quota rule in force that the configuration needs

The rule of sliding windows needs quota_window_s (new in [promises], checked, from the deployment's bounds) and a service with yielding single attempts; without either the token buckets decide as before. A rule that is newly in force is told what the heard peers last reported.

Run: gateway_promise_tests "Gateway processes serve callers*", "Metrics of a gateway tell*", "A gateway that has not run*", "Gateways keep serving*" and "Requests to upstreams that fail*" passed. A trial with the rule of sliding windows forced on passed the same but "Metrics*", which it left out.

--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,8 +2,8 @@
 
 #include "eventlog/eventlog.h"
 #include "http/httptypes.h"
+#include "limits/iquotarule.h"
 #include "limits/retrybudget.h"
-#include "limits/workspacequotas.h"
 #include "settings/settingsdocument.h"
 
 #include <chrono>
--- a/src/gateway/internal/dutyrunner.cpp
+++ b/src/gateway/internal/dutyrunner.cpp
@@ -261,10 +261,6 @@
     const auto found = busy.find(service.name);
     load.busyUpstreams = found == busy.end() ? 0 : found->second;
     load.measured = load.busyUpstreams > 0;
-    const std::shared_ptr<const routing::RouteTable> table = m_context.configuration.table();
-    if (table && table->hasYieldingSingleAttempts(service.name)) {
-        load.reclaimScope = duties::ReclaimScope::AllZonesButOne;
-    }
     return load;
 }
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/internal/logrelay.h"
 #include "gateway/internal/loopsampler.h"
 #include "gateway/internal/peerheaders.h"
+#include "gateway/internal/quotareport.h"
 #include "gateway/internal/reachprober.h"
 #include "gateway/internal/requestsession.h"
 #include "gateway/internal/streamregistry.h"
@@ -185,7 +186,7 @@
     void applyConfiguration()
     {
         const routing::Configuration &configuration = m_context.configuration.table()->configuration();
-        m_context.quotas.configure(configuration.workspaces, hostNow());
+        m_quotaReport.applyConfiguration(hostNow());
         http::ServerLimits limits;
         limits.memory = m_context.heldBytes;
         limits.headerBytes = configuration.limits.headerBytes;
@@ -201,6 +202,7 @@
     {
         TimePoint reloadedAt = hostNow();
         while (true) {
+            m_quotaReport.update(hostNow());
             m_context.eventLog.flush();
             m_context.upstreamConnections->closeExpired();
             m_context.peerConnections->closeExpired();
@@ -322,6 +324,7 @@
     UpstreamFollower m_upstreamFollower;
     StreamRegistry m_streamRegistry;
     GossipEndpoint m_gossip;
+    QuotaReport m_quotaReport{m_context, m_gossip};
     DutyRunner m_dutyRunner;
     ReachProber m_reachProber;
     LoopSampler m_loopSampler;
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -20,10 +20,10 @@
 #include "gossip/statuschannels.h"
 #include "http/connectionpool.h"
 #include "http/memorybudget.h"
+#include "limits/quotaenforcement.h"
 #include "limits/retrybudget.h"
 #include "limits/upstreamlimits.h"
 #include "limits/upstreampauses.h"
-#include "limits/workspacequotas.h"
 #include "overload/admissioncontrol.h"
 #include "overload/loopdelay.h"
 #include "quarantine/crashquarantine.h"
@@ -55,7 +55,7 @@
     directory::RunContinuity runContinuity;
     directory::UpstreamReach upstreamReach;
     balancing::UpstreamBalancer balancer;
-    limits::WorkspaceQuotas quotas;
+    limits::QuotaEnforcement quotas;
     limits::RetryBudget retryBudget;
     limits::UpstreamLimits upstreamLimits;
     limits::UpstreamPauses upstreamPauses;
--- a/src/gateway/internal/gatewaysettings.cpp
+++ b/src/gateway/internal/gatewaysettings.cpp
@@ -85,6 +85,7 @@
     settings.retries.slack = promises->real("retry_slack", {}, settings.retries.slack);
     settings.quotas.excess = promises->real("quota_excess", {0, 1}, settings.quotas.excess);
     settings.quotas.slack = promises->real("quota_slack", {}, settings.quotas.slack);
+    settings.quotas.window = seconds(*promises, "quota_window_s", std::chrono::milliseconds(0));
     promises->rejectUnknownKeys();
 }
 
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -229,8 +229,7 @@
             startTask(m_socket->get_executor(), greetNewHosts());
         }
     }
-    const TimePoint sentAt{Duration(static_cast<Duration::rep>(status.sentUs))};
-    m_context.quotas.updatePeerUsage(hostStart(status.host, status.start), status.used, {sentAt, status.interval}, now);
+    applyQuotaReport(status, now);
     const Duration loadLifetime = std::chrono::duration_cast<Duration>(status.interval * LoadReportIntervals);
     m_context.balancer.setPeerOutstanding(host, status.outstanding, now, loadLifetime);
     m_context.upstreamLimits.apply(status.upstreamLimits, now);
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -35,6 +35,8 @@
     void setHoldsDuties(bool holds);
     /// Whether a peer recently reported that it holds the singleton duties.
     [[nodiscard]] bool peerHoldsDuties(TimePoint now) const;
+    /// Passes what the heard peers last reported to a quota rule that is newly in force.
+    void informQuotaRule(TimePoint now);
     [[nodiscard]] const gossip::PeerRegistry &registry() const;
     /// The load of all hosts by service: the sum of what localBusyUpstreams() gives on each of them.
     [[nodiscard]] std::map<std::string, double> totalBusyUpstreams(TimePoint now) const;
@@ -63,6 +65,8 @@
     void sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers);
     /// Addresses of all known peers, the silent ones included.
     [[nodiscard]] std::set<std::string> peerAddresses() const;
+    /// Passes the usage and demand that a peer has reported to the quotas.
+    void applyQuotaReport(const gossip::PeerStatus &status, TimePoint now);
     /// Sends this host's status to the hosts that have just started, a short time after the first of them was heard.
     boost::asio::awaitable<void> greetNewHosts();
     /// Recomputes this host's share of each workspace's quota from the demand on all hosts.
--- a/src/gateway/internal/gossipshares.cpp
+++ b/src/gateway/internal/gossipshares.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/gossipendpoint.h"
 
+#include "limits/workspacequotas.h"
+
 #include <algorithm>
 
 namespace rosemaryshift::gateway {
@@ -59,6 +61,23 @@
     }
 }
 
+void GossipEndpoint::applyQuotaReport(const gossip::PeerStatus &status, TimePoint now)
+{
+    const std::string start = hostStart(status.host, status.start);
+    const TimePoint sentAt{Duration(static_cast<Duration::rep>(status.sentUs))};
+    m_context.quotas.updatePeerUsage(start, status.used, {sentAt, status.interval}, now);
+    m_context.quotas.updatePeerDemand(start, status.demand);
+}
+
+void GossipEndpoint::informQuotaRule(TimePoint now)
+{
+    for (const auto &[host, peer] : m_registry.peers()) {
+        if (!peer.silent) {
+            applyQuotaReport(peer.status, now);
+        }
+    }
+}
+
 GossipEndpoint::DemandOfHosts GossipEndpoint::demandOfHosts(const std::map<std::string, double> &own) const
 {
     DemandOfHosts demand{own, own};
