--- a/src/limits/internal/windowquotasroom.cpp
+++ b/src/limits/internal/windowquotasroom.cpp
@@ -112,7 +112,7 @@
     const Duration horizon = toDuration(LeavingFraction * reaction);
     const double leaving = quota.used.before(at - m_tolerance.window + horizon);
     quota.room = whole - (Deviations + UncertainDeviations * quota.uncertainShares) * deviation - std::max(0.0, quota.used.total()) - quota.unheard;
-    quota.spare = quota.room + leaving + deviation;
+    quota.spare = quota.room + deviation;
     const double fastest = FastestMultiple * whole * (1 - quota.heldShares) / m_windowSeconds;
     const double leavingRate = leaving / seconds(horizon);
     const double perSecond = leavingRate + std::min(quota.room / (RoomMultiple * reaction), std::max(0.0, fastest - leavingRate));
