--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,8 +2,8 @@
 
 #include "eventlog/eventlog.h"
 #include "http/httptypes.h"
+#include "limits/iquotarule.h"
 #include "limits/retrybudget.h"
-#include "limits/workspacequotas.h"
 #include "rollouts/rollouttypes.h"
 #include "secondtries/secondtrysettings.h"
 #include "settings/settingsdocument.h"
