--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/internal/backgroundtask.h"
 #include "gateway/internal/configurationfollower.h"
 #include "gateway/internal/connectionobserver.h"
+#include "gateway/internal/contextgauges.h"
 #include "gateway/internal/dutyrunner.h"
 #include "gateway/internal/gossipendpoint.h"
 #include "gateway/internal/hostclock.h"
@@ -298,25 +299,13 @@
 
     std::string metricsText()
     {
-        const TimePoint now = hostNow();
+        updateGauges(m_context, hostNow());
         GatewayMetrics &metrics = m_context.metrics;
         metrics.set("rosemaryshift_ready", "", ready() ? 1 : 0);
         metrics.set("rosemaryshift_open_requests", "", static_cast<double>(m_openRequests.size()));
         metrics.set("rosemaryshift_caller_connections", "", static_cast<double>(m_callerServer->connections()));
-        metrics.set("rosemaryshift_quarantined_prompt_parts", "", static_cast<double>(m_context.quarantine.quarantined(quarantine::SuspectKind::PromptPart)));
-        metrics.set("rosemaryshift_quarantined_requests", "", static_cast<double>(m_context.quarantine.quarantined(quarantine::SuspectKind::Request)));
-        metrics.set("rosemaryshift_paused_upstreams", "", static_cast<double>(m_context.upstreamPauses.paused()));
-        metrics.set("rosemaryshift_limited_upstreams", "", static_cast<double>(m_context.upstreamLimits.limitedUpstreams()));
-        metrics.set("rosemaryshift_admitted_share", "", m_context.admission->admittedShare());
-        metrics.set("rosemaryshift_idle_upstream_connections", "", static_cast<double>(m_context.upstreamConnections->size()));
-        metrics.set("rosemaryshift_configuration_version", "", static_cast<double>(m_context.configuration.version()));
-        metrics.set(
-            "rosemaryshift_configuration_age_seconds", "", std::chrono::duration<double>(m_context.configuration.age(now).value_or(Duration::max())).count());
         metrics.set("rosemaryshift_usage_windows", "", static_cast<double>(m_usageCollector.windows()));
-        metrics.set("rosemaryshift_held_bytes", "", static_cast<double>(m_context.heldBytes->used()));
         metrics.set("rosemaryshift_peers", "", static_cast<double>(m_gossip.registry().peers().size()));
-        metrics.set("rosemaryshift_upstreams", "", static_cast<double>(m_context.directory.all().size()));
-        metrics.set("rosemaryshift_log_lines_dropped", "", static_cast<double>(m_context.eventLog.dropped()));
         return metrics.text();
     }
 
