--- a/src/gateway/internal/quotareport.cpp
+++ b/src/gateway/internal/quotareport.cpp
@@ -33,7 +33,7 @@
 
 void QuotaReport::applyConfiguration(TimePoint now)
 {
-    const auto table = m_context.configuration.table();
+    const std::shared_ptr<const routing::RouteTable> table = m_context.configuration.table();
     const routing::Configuration &configuration = table->configuration();
     const bool windows
         = std::ranges::any_of(configuration.services, [&table](const routing::Service &service) { return table->hasYieldingSingleAttempts(service.name); });
