Show streams that go on at servers upgraded unseen

While the store turns one gateway away, servers of a service are upgraded in place. The gateway takes the listed version of a server that was idle at its restart for true, and continues streams of the old version there.

--- a/review/support-2/lab.cpp
+++ b/review/support-2/lab.cpp
@@ -506,14 +506,23 @@
     open();
 }
 
-Platform::Platform()
-    : m_listener("127.0.0.1", 0, [this](Connection &connection) { serve(connection); })
+Platform::Platform(int listeners)
+    : m_rejecting(static_cast<std::size_t>(listeners))
 {
+    for (int number = 0; number < listeners; ++number) {
+        m_listeners.push_back(std::make_unique<Listener>("127.0.0.1", 0, [this, number](Connection &connection) { serve(connection, number); }));
+    }
+}
+
+std::string Platform::address(int listener) const
+{
+    return "127.0.0.1:" + std::to_string(m_listeners.at(static_cast<std::size_t>(listener))->port());
 }
 
-std::string Platform::address() const
+void Platform::setRejecting(int listener, bool rejecting)
 {
-    return "127.0.0.1:" + std::to_string(m_listener.port());
+    const std::lock_guard lock(m_mutex);
+    m_rejecting.at(static_cast<std::size_t>(listener)) = rejecting;
 }
 
 void Platform::put(const std::string &topic, const std::string &key, const std::optional<std::string> &value)
@@ -535,14 +544,21 @@
     return m_dutyCalls;
 }
 
-void Platform::serve(Connection &connection)
+void Platform::serve(Connection &connection, int listener)
 {
     while (const std::optional<Message> request = connection.readRequest()) {
         const std::string target = request->target();
         const std::string path = target.substr(0, target.find('?'));
         const std::string topic = queryValue(target, "topic");
         std::string answer = answerText("404 Not Found", "");
-        if (path == "/log-read") {
+        bool rejecting = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            rejecting = m_rejecting.at(static_cast<std::size_t>(listener));
+        }
+        if (rejecting) {
+            answer = answerText("503 Service Unavailable", "");
+        } else if (path == "/log-read") {
             const std::string wait = queryValue(target, "wait_ms");
             answer = read(topic, std::strtoull(queryValue(target, "from").c_str(), nullptr, 10), milliseconds(std::strtol(wait.c_str(), nullptr, 10)));
         } else if (path == "/log-newest") {
@@ -652,7 +668,7 @@
         + R"(","slots":64,"state":")" + state + R"(","warmup_left_ms":0,"sequence":)" + std::to_string(++sequence) + R"(,"born":)" + std::to_string(born) + "}";
 }
 
-Gateway::Gateway(const std::string &name, const std::string &host, const std::vector<std::string> &seeds, const Platform &platform, int ports)
+Gateway::Gateway(const std::string &name, const std::string &host, const std::vector<std::string> &seeds, const Platform &platform, int ports, int listener)
     : m_host(host)
     , m_ports(ports)
 {
@@ -664,7 +680,8 @@
     std::ofstream(settings) << "name = \"" << name << "\"\nzone = \"miskolc-a\"\naddress = \"" << host << "\"\n[listen]\ncallers = \"" << host << ":" << ports
                             << "\"\nreadiness = \"" << host << ":" << ports + 1 << "\"\npeers = \"" << host << ":" << ports + 2
                             << "\"\ngossip_port = " << ports + 3 << "\nrelay_port = " << ports + 4 << "\nmetrics_port = " << ports + 5 << "\n[peers]\nseeds = ["
-                            << seedList << "]\n[platform]\nlog = \"" << platform.address() << "\"\nfirst_start = true\nduties = \"" << platform.address()
+                            << seedList << "]\n[platform]\nlog = \"" << platform.address(listener) << "\"\nfirst_start = true\nduties = \""
+                            << platform.address(listener)
                             << "\"\n[process]\nmemory_mb = 260\n[promises]\nrenewal_ms = 1200\nleaving_ms = 2000\nstop_s = 8\nconfiguration_ms = 2000\n"
                                "revocation_ms = 5000\nretry_ratio = 0.2\nretry_slack = 56\nretry_window_s = 10\nquota_excess = 0.1\nquota_slack = 140000\n"
                                "lease_ms = 3000\nusage_window_s = 5\nusage_late_s = 10\n";
--- a/review/support-2/lab.h
+++ b/review/support-2/lab.h
@@ -118,9 +118,12 @@
 class Platform
 {
 public:
-    Platform();
+    /// Opens this number of @p listeners, so that it can turn away the hosts that use one of them.
+    explicit Platform(int listeners = 1);
 
-    [[nodiscard]] std::string address() const;
+    [[nodiscard]] std::string address(int listener = 0) const;
+    /// While set, answers the calls at a listener with 503.
+    void setRejecting(int listener, bool rejecting);
     /// Appends a record as the operator or a server does; without a value it removes the key.
     void put(const std::string &topic, const std::string &key, const std::optional<std::string> &value);
     /// The number of reads of a topic so far.
@@ -134,7 +137,7 @@
         std::optional<std::string> value;
     };
 
-    void serve(Connection &connection);
+    void serve(Connection &connection, int listener);
     std::string read(const std::string &topic, std::uint64_t from, milliseconds wait);
     std::string newest(const std::string &topic) const;
 
@@ -142,7 +145,8 @@
     std::map<std::string, std::vector<Record>> m_topics;
     std::map<std::string, int> m_reads;
     std::vector<std::string> m_dutyCalls;
-    Listener m_listener;
+    std::vector<bool> m_rejecting;
+    std::vector<std::unique_ptr<Listener>> m_listeners;
 };
 
 /// One gateway as a separate process, started with the command of the deploy file. Killed when it is destroyed.
@@ -150,7 +154,7 @@
 {
 public:
     /// @p host: address on loopback. @p seeds: addresses of others. @p ports: first of six ports, the same for all gateways of a case.
-    Gateway(const std::string &name, const std::string &host, const std::vector<std::string> &seeds, const Platform &platform, int ports);
+    Gateway(const std::string &name, const std::string &host, const std::vector<std::string> &seeds, const Platform &platform, int ports, int listener = 0);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
