--- a/review/6/versions.cpp
+++ b/review/6/versions.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr int Services = 6;
-constexpr int StreamsPerService = 30;
+constexpr int ServersPerService = 6;
+constexpr int StreamsPerService = 60;
 /// The rule: more than two streams.
 constexpr int Allowed = 2;
 
@@ -25,12 +26,11 @@
     int status = 0;
 };
 
-Outcome call(const Gateway &gateway, const std::string &target, const std::string &attempt)
+Outcome call(const Gateway &gateway, const std::string &target, const std::string &attempt, int number)
 {
     Outcome outcome;
     Connection connection(gateway.host(), gateway.port());
-    connection.send(requestHead("POST", target, attempt, 15000, "X-Rosemaryshift-Model: m\r\nX-Rosemaryshift-Token-Count: 1460,200\r\nContent-Length: 2\r\n")
-                    + "{}");
+    connection.send(requestHead("POST", target, attempt, 15000, promptHeaders(number) + "Content-Length: 2\r\n") + "{}");
     const Message answer = connection.readAnswer(Clock::now() + std::chrono::seconds(16));
     outcome.status = answer.status();
     outcome.complete = answer.complete;
@@ -65,7 +65,9 @@
         const std::string name = "model" + std::to_string(number);
         services.push_back(name);
         routes.push_back(route("plan" + std::to_string(number), "streaming", name, 2, true, 15000));
-        staying.push_back(std::make_unique<ModelServer>(platform, name + "-stays", name, "v1", shape));
+        for (int server = 1; server < ServersPerService; ++server) {
+            staying.push_back(std::make_unique<ModelServer>(platform, name + "-stays-" + std::to_string(server), name, "v1", shape));
+        }
         renewed.push_back(std::make_unique<ModelServer>(platform, name + "-renewed", name, "v1", shape));
     }
     platform.put("keyed.op", "config", configuration(2, routes, services));
@@ -99,7 +101,7 @@
                 const std::string attempt = "s" + std::to_string(number) + "-" + std::to_string(stream);
                 callers.emplace_back([&, number, attempt, stream] {
                     const Outcome outcome
-                        = call(*gateways[static_cast<std::size_t>(stream) % gateways.size()], "/plan" + std::to_string(number) + "/x", attempt);
+                        = call(*gateways[static_cast<std::size_t>(stream) % gateways.size()], "/plan" + std::to_string(number) + "/x", attempt, stream);
                     std::string versions;
                     for (const std::string &version : outcome.versions) {
                         versions += " " + version;
@@ -109,7 +111,7 @@
                     mixed += outcome.versions.size() > 1 ? 1 : 0;
                     whole += outcome.complete ? 1 : 0;
                 });
-                rest(milliseconds(33));
+                rest(milliseconds(16));
             }
             rest(milliseconds(1200));
             if (trouble) {
--- a/review/support-2/lab.cpp
+++ b/review/support-2/lab.cpp
@@ -788,6 +788,14 @@
         + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 }
 
+std::string promptHeaders(int number)
+{
+    constexpr int SharedParts = 48;
+    char prefix[64];
+    std::snprintf(prefix, sizeof prefix, "%x:5382,%x:1228", 0x5c1e0000 + number % SharedParts, 0x20000000 + number);
+    return "X-Rosemaryshift-Model: m\r\nX-Rosemaryshift-Token-Count: 6610,300\r\nX-Rosemaryshift-Prompt-Prefix: " + std::string(prefix) + "\r\n";
+}
+
 std::string requestHead(const std::string &method, const std::string &target, const std::string &attempt, int deadlineMs, const std::string &more)
 {
     return method + " " + target + " HTTP/1.1\r\nHost: yard.example\r\nX-Rosemaryshift-Attempt-Id: " + attempt
--- a/review/support-2/lab.h
+++ b/review/support-2/lab.h
@@ -227,6 +227,8 @@
 std::string route(const std::string &name, const std::string &kind, const std::string &service, int attempts, bool resumable, int timeoutMs);
 /// A configuration with these routes and services.
 std::string configuration(int version, const std::vector<std::string> &routes, const std::vector<std::string> &services);
+/// The headers that describe a prompt with a shared part, one of a few dozen, and a part of its own.
+std::string promptHeaders(int number);
 /// The head of a caller's request, up to and with the empty line.
 std::string requestHead(const std::string &method, const std::string &target, const std::string &attempt, int deadlineMs, const std::string &more = {});
 
