--- a/review/8/upgrade.cpp
+++ b/review/8/upgrade.cpp
@@ -1,4 +1,4 @@
-// Servers are upgraded in place while the store turns one entry host away: streams must not go on at a server that runs another version by now.
+// Idle servers are upgraded in place while the store turns one entry host away, and others crash: streams must not go on at a server that runs another version.
 
 #include "../support-2/lab.h"
 
@@ -11,8 +11,11 @@
 
 namespace {
 
-constexpr int Servers = 4;
-constexpr int Streams = 40;
+constexpr int Gateways = 3;
+constexpr int Servers = 12;
+constexpr int Upgraded = 5;
+constexpr int Crashed = 2;
+constexpr int Streams = 480;
 /// The rule: more than two streams.
 constexpr int Allowed = 2;
 
@@ -35,7 +38,7 @@
 {
     const bool trouble = std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
     openRecord(count > 1 ? arguments[1] : "record.txt");
-    Platform platform(2);
+    Platform platform(Gateways);
     StreamShape shape;
     shape.events = 60;
     shape.pause = milliseconds(60);
@@ -45,25 +48,29 @@
     }
     platform.put("keyed.op", "config", configuration(2, {route("plan", "streaming", "model", 2, true, 15000)}, {"model"}));
     const int ports = freePorts();
-    Gateway turnedAway("edge-1", "127.0.0.1", {"127.0.0.1"}, platform, ports, 0);
-    Gateway other("edge-2", "127.0.0.2", {"127.0.0.1"}, platform, ports, 1);
-    if (!turnedAway.awaitReady() || !other.awaitReady()) {
-        record("a gateway is not ready");
-        finish(2);
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (int number = 0; number < Gateways; ++number) {
+        const std::string host = "127.0.0." + std::to_string(number + 1);
+        gateways.push_back(std::make_unique<Gateway>("edge-" + std::to_string(number), host, std::vector<std::string>{"127.0.0.1"}, platform, ports, number));
+    }
+    for (const std::unique_ptr<Gateway> &gateway : gateways) {
+        if (!gateway->awaitReady()) {
+            record("a gateway is not ready");
+            finish(2);
+        }
     }
     rest(milliseconds(3000));
     if (trouble) {
         platform.setRejecting(0, true);
-        record("the store turns edge-1 away");
+        record("the store turns edge-0 away, at 127.0.0.1");
     }
     rest(milliseconds(300));
-    const auto upgrade = [&servers](int number) {
-        servers[static_cast<std::size_t>(number)]->crash();
-        rest(milliseconds(200));
-        servers[static_cast<std::size_t>(number)]->start("v2");
-    };
-    upgrade(0);
-    upgrade(1);
+    for (int number = 0; number < Upgraded; ++number) {
+        ModelServer &server = *servers[static_cast<std::size_t>(number)];
+        server.crash();
+        rest(milliseconds(50));
+        server.start("v2");
+    }
     rest(milliseconds(1200));
 
     std::atomic<int> mixed = 0;
@@ -71,12 +78,10 @@
     std::vector<std::thread> callers;
     for (int stream = 0; stream < Streams; ++stream) {
         callers.emplace_back([&, stream] {
-            const Gateway &gateway = stream % 2 == 0 ? turnedAway : other;
+            const Gateway &gateway = *gateways[static_cast<std::size_t>(stream % Gateways)];
             const std::string attempt = "s" + std::to_string(stream);
             Connection connection(gateway.host(), gateway.port());
-            connection.send(
-                requestHead("POST", "/plan/x", attempt, 15000, "X-Rosemaryshift-Model: m\r\nX-Rosemaryshift-Token-Count: 1460,300\r\nContent-Length: 2\r\n")
-                + "{}");
+            connection.send(requestHead("POST", "/plan/x", attempt, 15000, promptHeaders(stream) + "Content-Length: 2\r\n") + "{}");
             const Message answer = connection.readAnswer(Clock::now() + std::chrono::seconds(16));
             const std::set<std::string> versions = versionsOf(answer.body);
             std::string text;
@@ -88,16 +93,16 @@
             mixed += versions.size() > 1 ? 1 : 0;
             answered += versions.empty() ? 0 : 1;
         });
-        rest(milliseconds(20));
+        rest(milliseconds(3));
     }
     rest(milliseconds(300));
-    upgrade(2);
-    rest(milliseconds(300));
-    upgrade(3);
-    rest(milliseconds(500));
+    for (int number = Servers - Crashed; number < Servers; ++number) {
+        servers[static_cast<std::size_t>(number)]->crash();
+    }
+    rest(milliseconds(1500));
     if (trouble) {
         platform.setRejecting(0, false);
-        record("the store serves edge-1 again");
+        record("the store serves edge-0 again");
     }
     for (std::thread &caller : callers) {
         caller.join();
