--- a/review/10/deadlyparts.cpp
+++ b/review/6/deadlyparts.cpp
@@ -1,6 +1,6 @@
 // A part of prompts crashes each model server that begins to write an answer on it, while the streams of sound requests last for two seconds.
 
-#include "review/support-3/lab.h"
+#include "../support-3/lab.h"
 
 #include <cstdio>
 
@@ -9,7 +9,7 @@
 int main(int argc, char **argv)
 {
     if (argc != 2) {
-        std::fputs("usage: review-10 RECORD\n", stderr);
+        std::fputs("usage: program RECORD\n", stderr);
         return CouldNotRun;
     }
     constexpr std::size_t CrashesBefore = 5;
--- a/review/support-3/clients.cpp
+++ b/review/support-3/clients.cpp
@@ -1,4 +1,4 @@
-#include "review/support-3/clients.h"
+#include "clients.h"
 
 #include <boost/beast/core.hpp>
 
@@ -34,27 +34,42 @@
 {
     net::steady_timer timer(m_context, Clock::now());
     while (Clock::now() < until) {
-        const double gap = m_plan.clumped ? std::exponential_distribution<double>(m_plan.soundPerSecond)(m_random) : 1 / m_plan.soundPerSecond;
-        timer.expires_at(timer.expiry() + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(gap)));
-        net::co_spawn(m_context, call(0), net::detached);
+        timer.expires_at(timer.expiry() + gap(m_plan.soundPerSecond));
+        net::co_spawn(m_context, call(m_plan.path, 0), net::detached);
         co_await timer.async_wait(Token);
     }
 }
 
+net::awaitable<void> Clients::sendLookups(Clock::time_point until)
+{
+    net::steady_timer timer(m_context, Clock::now());
+    while (Clock::now() < until) {
+        timer.expires_at(timer.expiry() + gap(m_plan.lookupsPerSecond));
+        net::co_spawn(m_context, call(std::string(LookupPath), 0), net::detached);
+        co_await timer.async_wait(Token);
+    }
+}
+
+Clock::duration Clients::gap(double perSecond)
+{
+    const double seconds = m_plan.clumped ? std::exponential_distribution<double>(perSecond)(m_random) : 1 / perSecond;
+    return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+}
+
 net::awaitable<void> Clients::sendDeadly(Clock::time_point until)
 {
     net::steady_timer timer(m_context, CalmTime);
     co_await timer.async_wait(Token);
     for (int sent = 0; Clock::now() < until; ++sent) {
         timer.expires_at(timer.expiry() + m_plan.deadlyPause);
-        net::co_spawn(m_context, call(sent % m_plan.deadlyKinds + 1), net::detached);
+        net::co_spawn(m_context, call(m_plan.path, sent % m_plan.deadlyKinds + 1), net::detached);
         co_await timer.async_wait(Token);
     }
 }
 
-Clients::Request Clients::request(const std::string &attempt, int deadly) const
+Clients::Request Clients::request(const std::string &path, const std::string &attempt, int deadly) const
 {
-    Request request(bhttp::verb::post, m_plan.path + "x", 11);
+    Request request(bhttp::verb::post, path + "x", 11);
     request.set(bhttp::field::host, "users.example");
     request.set("X-Rosemaryshift-Attempt-Id", attempt);
     request.set("X-Rosemaryshift-Deadline-Ms", m_plan.stream ? "15000" : "1000");
@@ -73,13 +88,13 @@
     return request;
 }
 
-net::awaitable<void> Clients::call(int deadly)
+net::awaitable<void> Clients::call(std::string path, int deadly)
 {
     const std::size_t gateway = static_cast<std::size_t>(++m_sent) % m_gateways.size();
     const std::string attempt = (deadly > 0 ? "deadly-" : "sound-") + std::to_string(m_sent);
-    const Request message = request(attempt, deadly);
+    const Request message = request(path, attempt, deadly);
     const milliseconds sentAt = m_record.now();
-    m_record.write("client sends " + attempt + " to gateway " + std::to_string(gateway));
+    m_record.write("client sends " + attempt + " to " + path + " at gateway " + std::to_string(gateway));
     tcp::socket socket(m_context);
     beast::flat_buffer buffer;
     bhttp::response_parser<bhttp::string_body> parser;
--- a/review/support-3/clients.h
+++ b/review/support-3/clients.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "review/support-3/plan.h"
+#include "plan.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
@@ -19,15 +19,19 @@
 
     /// Sends sound requests until the traffic ends.
     boost::asio::awaitable<void> sendSound(Clock::time_point until);
+    /// Sends sound requests on the second route until the traffic ends.
+    boost::asio::awaitable<void> sendLookups(Clock::time_point until);
     /// Sends the deadly requests in turn, until the traffic ends, after a calm time.
     boost::asio::awaitable<void> sendDeadly(Clock::time_point until);
 
 private:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
-    /// Sends one request and reads its answer. @p deadly: which deadly one, counted from 1; 0 for a sound one.
-    boost::asio::awaitable<void> call(int deadly);
-    [[nodiscard]] Request request(const std::string &attempt, int deadly) const;
+    /// Sends one request to @p path and reads its answer. @p deadly: which deadly one, counted from 1; 0 for a sound one.
+    boost::asio::awaitable<void> call(std::string path, int deadly);
+    [[nodiscard]] Request request(const std::string &path, const std::string &attempt, int deadly) const;
+    /// Time until the next of @p perSecond requests.
+    [[nodiscard]] Clock::duration gap(double perSecond);
     void noteAnswer(int status, bool whole, milliseconds sentAt);
 
     boost::asio::io_context &m_context;
--- a/review/support-3/gateway.cpp
+++ b/review/support-3/gateway.cpp
@@ -1,14 +1,15 @@
-#include "review/support-3/gateway.h"
+#include "gateway.h"
 
-#include "review/support-3/plan.h"
+#include "plan.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <fcntl.h>
 #include <signal.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <array>
 #include <fstream>
@@ -27,11 +28,6 @@
 constexpr milliseconds ReadyPoll{100};
 constexpr mode_t LogMode = 0600;
 
-/// The bounds of the users' sheet, as platform/settings.toml.in fills them in.
-constexpr std::string_view Promises = "[process]\nmemory_mb = 260\n[promises]\nrenewal_ms = 1200\nleaving_ms = 2000\nstop_s = 8\nconfiguration_ms = 2000\n"
-                                      "revocation_ms = 5000\nretry_ratio = 0.2\nretry_slack = 56\nretry_window_s = 10\nquota_excess = 0.1\n"
-                                      "quota_slack = 140000\nlease_ms = 3000\nusage_window_s = 5\nusage_late_s = 10\n";
-
 /// Whether the server at @p endpoint answers with 200.
 bool isReady(const tcp::endpoint &endpoint)
 {
@@ -60,7 +56,12 @@
     return acceptor.local_endpoint().port();
 }
 
-Gateway::Gateway(const std::filesystem::path &folder, std::size_t index, const std::string &platform, std::uint16_t peersPort, std::uint16_t relayPort)
+Gateway::Gateway(const std::filesystem::path &folder,
+                 std::size_t index,
+                 const std::string &platform,
+                 std::uint16_t peersPort,
+                 std::uint16_t relayPort,
+                 std::string_view promises)
 {
     const std::string address = "127.0.0." + std::to_string(index + 1);
     const std::string name = "edge-" + std::to_string(index);
@@ -70,8 +71,8 @@
     std::ofstream(settings) << "name = \"" << name << "\"\nzone = \"zone-a\"\naddress = \"" << address << "\"\n[listen]\ncallers = \"" << m_callers
                             << "\"\nreadiness = \"" << m_readiness << "\"\npeers = \"" << address << ':' << peersPort << "\"\ngossip_port = " << peersPort
                             << "\nrelay_port = " << relayPort << "\n[peers]\nseeds = [\"127.0.0.1:" << peersPort << "\"]\n[platform]\nlog = \"" << platform
-                            << "\"\nfirst_start = true\nduties = \"" << platform << "\"\n"
-                            << Promises;
+                            << "\"\nfirst_start = true\nduties = \"" << platform << "\"\n[process]\nmemory_mb = 260\n[promises]\n"
+                            << promises;
     start(settings, (folder / (name + ".log")).string());
 }
 
@@ -89,18 +90,20 @@
     std::string option = "--settings-variable";
     std::string variable = "ROSEMARYSHIFT_BOOT";
     std::string setting = variable + "=" + settings;
-    std::array<char *, 4> arguments{program.data(), option.data(), variable.data(), nullptr};
-    std::array<char *, 2> environment{setting.data(), nullptr};
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, LogMode);
-    posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    // Otherwise the gateway would keep the ports of the stand-ins open.
-    posix_spawn_file_actions_addclosefrom_np(&actions, 3);
-    if (posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments.data(), environment.data()) != 0) {
-        m_pid = -1;
+    const std::array<char *, 4> arguments{program.data(), option.data(), variable.data(), nullptr};
+    const std::array<char *, 2> environment{setting.data(), nullptr};
+    m_pid = ::fork();
+    if (m_pid != 0) {
+        return;
     }
-    posix_spawn_file_actions_destroy(&actions);
+    // The gateway ends with this process, and must not keep the ports of the stand-ins open.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, LogMode);
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(output, STDERR_FILENO);
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execve(program.c_str(), arguments.data(), environment.data());
+    ::_exit(CouldNotRun);
 }
 
 tcp::endpoint Gateway::callers() const
--- a/review/support-3/gateway.h
+++ b/review/support-3/gateway.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <string>
+#include <string_view>
 
 namespace rosemaryshift::review {
 
@@ -18,8 +19,13 @@
 {
 public:
     /// Writes the settings and the output into @p folder. @p platform: address and port of the platform. @p peersPort and @p relayPort are the same of all
-    /// gateways.
-    Gateway(const std::filesystem::path &folder, std::size_t index, const std::string &platform, std::uint16_t peersPort, std::uint16_t relayPort);
+    /// gateways. @p promises: the table of that name in the settings.
+    Gateway(const std::filesystem::path &folder,
+            std::size_t index,
+            const std::string &platform,
+            std::uint16_t peersPort,
+            std::uint16_t relayPort,
+            std::string_view promises);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
--- a/review/support-3/lab.cpp
+++ b/review/support-3/lab.cpp
@@ -1,15 +1,18 @@
-#include "review/support-3/lab.h"
+#include "lab.h"
 
-#include "review/support-3/clients.h"
-#include "review/support-3/gateway.h"
-#include "review/support-3/server.h"
+#include "base/json.h"
+#include "clients.h"
+#include "gateway.h"
+#include "server.h"
 
+#include <json/value.h>
 #include <stdlib.h>
 
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string_view>
 
@@ -19,7 +22,17 @@
 
 namespace {
 
-constexpr std::size_t Gateways = 2;
+/// The bounds of the sheet of kovacs-gyujto, as platform/settings.toml.in fills them in.
+constexpr std::string_view Promises = "renewal_ms = 1200\nleaving_ms = 2000\nstop_s = 8\nconfiguration_ms = 2000\nrevocation_ms = 5000\nretry_ratio = 0.2\n"
+                                      "retry_slack = 56\nretry_window_s = 10\nquota_excess = 0.1\nquota_slack = 140000\nlease_ms = 3000\n"
+                                      "usage_window_s = 5\nusage_late_s = 10\n";
+/// The same of sonoteca-norte-grown, whose sheet has roll-outs.
+constexpr std::string_view RolloutPromises = "renewal_ms = 1200\nleaving_ms = 3000\nstop_s = 8\nconfiguration_ms = 3000\nrevocation_ms = 5000\n"
+                                             "retry_ratio = 0.2\nretry_slack = 218\nretry_window_s = 10\nquota_excess = 0.1\nquota_slack = 140000\n"
+                                             "exposure_share = 0.1\nexposure_slack = 50\nrollback_ms = 5000\nlease_ms = 3000\nusage_window_s = 5\n"
+                                             "usage_late_s = 10\n";
+/// Interval at which the operator reads the state of a roll-out.
+constexpr milliseconds StatePoll{100};
 /// Time after the traffic in which its last answers come.
 constexpr milliseconds EndTime{3'000};
 
@@ -61,13 +74,61 @@
     text << R"({"version":3,"routes":[{"name":"r-1","host":"users.example","path_prefix":")" << plan.path << R"(","kind":")"
          << (plan.stream ? "streaming" : "non_idempotent") << R"(","timeout_ms":)" << timeout.count() << R"(,"latency_goal_ms":)" << (plan.stream ? 800 : 100)
          << R"(,"gap_target_ms":500,"priority":1,"service":")" << plan.service << R"(","max_attempts":)" << (plan.stream ? 2 : 1) << R"(,"sticky":)"
-         << std::boolalpha << plan.stream << R"(,"resumable":)" << plan.stream << R"(}],"services":[{"name":")" << plan.service
-         << R"(","health_path":"/healthz","max_conns":370)" << (plan.stream ? R"(,"engine":{"slots":64,"kv_capacity":898864,"stride":5})" : "")
+         << std::boolalpha << plan.stream << R"(,"resumable":)" << plan.stream << "}";
+    if (plan.lookupsPerSecond > 0) {
+        text << R"(,{"name":"r-2","host":"users.example","path_prefix":")" << LookupPath
+             << R"(","kind":"idempotent","timeout_ms":1000,"latency_goal_ms":100,"priority":2,"service":")" << plan.service << R"(","max_attempts":1})";
+    }
+    text << R"(],"services":[{"name":")" << plan.service << R"(","health_path":"/healthz","max_conns":370)"
+         << (plan.stream ? R"(,"engine":{"slots":64,"kv_capacity":898864,"stride":5})" : "")
          << R"(}],"limits":{"max_header_bytes":8192,"max_body_bytes":1048576,"header_timeout_ms":5000,"idle_timeout_ms":15000},)"
          << R"("tenants":[{"name":"tenant-1","api_keys":["key-1"],"unit":"tokens","plain_tokens":200,"per_s":0,"burst":0}]})";
     return text.str();
 }
 
+using Servers = std::vector<std::unique_ptr<Server>>;
+
+/// The state of the roll-out that the operator reads; empty when there is none.
+std::string rolloutState(const adapter::testing::StandinPlatform &platform, const Plan &plan)
+{
+    std::string reason;
+    const std::optional<std::string> text = platform.newest("keyed.status", "rollout/" + plan.service);
+    const std::optional<Json::Value> value = text ? parseJson(*text, reason) : std::nullopt;
+    return value ? stringMember(*value, "state").value_or("") : std::string();
+}
+
+/// Orders the roll-out of v2, whose servers start with the order, and stops the earlier servers when it is complete. @p servers must not change meanwhile.
+net::awaitable<void>
+rollOut(net::io_context &context, adapter::testing::StandinPlatform &platform, Record &record, Seen &seen, const Plan &plan, Servers &servers)
+{
+    net::steady_timer timer(context, CalmTime);
+    co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+    seen.orderedAt = record.now();
+    const std::string seconds = std::to_string(std::chrono::duration_cast<std::chrono::seconds>(plan.rolloutTime).count());
+    platform.put("keyed.op", "rollout/" + plan.service, R"({"service":")" + plan.service + R"(","to":"v2","duration_s":)" + seconds + "}");
+    record.write("operator orders v2 within " + seconds + " s");
+    Servers newServers;
+    for (int index = 0; index < plan.servers; ++index) {
+        newServers.push_back(std::make_unique<Server>(context, platform, record, seen, plan, index, "v2"));
+    }
+    std::string state;
+    while (true) {
+        timer.expires_after(StatePoll);
+        co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+        const std::string now = rolloutState(platform, plan);
+        if (now == state) {
+            continue;
+        }
+        state = now;
+        record.writeResult("state of the roll-out " + std::to_string((record.now() - seen.orderedAt).count()) + " ms after the order: " + state);
+        if (state == "complete") {
+            for (const std::unique_ptr<Server> &server : servers) {
+                server->stop();
+            }
+        }
+    }
+}
+
 /// Tells what became of the sound requests.
 void reportSound(const Seen &seen, Record &record)
 {
@@ -123,10 +184,10 @@
     const Folder folder;
     Record record(recordFile);
     Seen seen;
-    adapter::testing::StandinPlatform platform(Gateways);
+    adapter::testing::StandinPlatform platform(plan.gateways);
     platform.put("keyed.op", "config", configuration(plan));
     net::io_context context;
-    std::vector<std::unique_ptr<Server>> servers;
+    Servers servers;
     for (int index = 0; index < plan.servers; ++index) {
         servers.push_back(std::make_unique<Server>(context, platform, record, seen, plan, index));
     }
@@ -134,8 +195,9 @@
     const std::uint16_t relayPort = freePort("127.0.0.1");
     std::vector<std::unique_ptr<Gateway>> gateways;
     std::vector<net::ip::tcp::endpoint> callers;
-    for (std::size_t index = 0; index < Gateways; ++index) {
-        gateways.push_back(std::make_unique<Gateway>(folder.path(), index, platform.endpoint(index).text(), peersPort, relayPort));
+    for (std::size_t index = 0; index < plan.gateways; ++index) {
+        gateways.push_back(std::make_unique<Gateway>(
+            folder.path(), index, platform.endpoint(index).text(), peersPort, relayPort, plan.rolloutTime.count() > 0 ? RolloutPromises : Promises));
         callers.push_back(gateways.back()->callers());
     }
     for (const std::unique_ptr<Gateway> &gateway : gateways) {
@@ -150,6 +212,12 @@
     if (plan.deadlyKinds > 0) {
         net::co_spawn(context, clients.sendDeadly(until), net::detached);
     }
+    if (plan.lookupsPerSecond > 0) {
+        net::co_spawn(context, clients.sendLookups(until), net::detached);
+    }
+    if (plan.rolloutTime.count() > 0) {
+        net::co_spawn(context, rollOut(context, platform, record, seen, plan, servers), net::detached);
+    }
     context.run_until(until + EndTime);
     const bool broken = judge(seen, record);
     reportSound(seen, record);
--- a/review/support-3/lab.h
+++ b/review/support-3/lab.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "review/support-3/plan.h"
+#include "plan.h"
 
 #include <functional>
 #include <string>
--- a/review/support-3/plan.h
+++ b/review/support-3/plan.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,10 +27,14 @@
 /// Time without trouble at the beginning of a case.
 inline constexpr milliseconds CalmTime{4'000};
 
+/// Prefix of the second route, if there is one.
+inline constexpr std::string_view LookupPath = "/lookup/";
+
 /// The deployment of a case, its traffic and its trouble.
 struct Plan {
     std::string service = "dispatch-app";
-    std::string path = "/booking/"; ///< Prefix of the only route.
+    std::size_t gateways = 2;
+    std::string path = "/booking/"; ///< Prefix of the main route.
     bool stream = false;            ///< Resumable streams of a model service; otherwise requests that may run once.
     int servers = 0;
     int slots = 0;             ///< Requests that a server runs at once.
@@ -43,6 +48,10 @@
     int deadlyKinds = 0;         ///< Different requests that crash each server that runs them; each is repeated.
     milliseconds deadlyPause{0}; ///< Between two of these requests, of whichever kind.
 
+    milliseconds rolloutTime{0}; ///< Time of an order to roll out version v2, which as many servers run as the one before; 0 when there is none.
+    double badPart = 0;          ///< Part of the requests on the main route that v2 runs and answers with a failure.
+    double lookupsPerSecond = 0; ///< Sound requests on a second route of the service, which v2 serves well.
+
     std::size_t tolerated = 0; ///< Refusals in a second that a brittle server survives; 0 when no server becomes brittle.
     int brittleQueue = 0;      ///< Requests that it lets wait, from ContactTime after it began to say that it is brittle.
 };
@@ -70,9 +79,12 @@
     std::map<std::string, std::vector<milliseconds>> deadlyArrivals; ///< At servers, by the kind of deadly request.
     std::map<std::string, std::vector<milliseconds>> falls;          ///< Of servers, by their cause.
     std::vector<std::pair<milliseconds, bool>> begun;                ///< When each sound request was sent, and whether its answer began.
-    int interrupted = 0;                                             ///< Sound requests that servers were running when they fell.
-    int refusedByServers = 0;                                        ///< For want of room.
-    int sent = 0;                                                    ///< Sound requests; the following numbers are of these.
+    std::vector<milliseconds> badAnswers;                            ///< Of version v2.
+    std::vector<std::pair<milliseconds, bool>> arrivals;             ///< At servers during a roll-out, and whether at version v2.
+    milliseconds orderedAt{0};
+    int interrupted = 0;      ///< Sound requests that servers were running when they fell.
+    int refusedByServers = 0; ///< For want of room.
+    int sent = 0;             ///< Sound requests; the following numbers are of these.
     int whole = 0;
     int brokenOff = 0;
     int failed = 0;
--- a/review/support-3/server.cpp
+++ b/review/support-3/server.cpp
@@ -1,10 +1,12 @@
-#include "review/support-3/server.h"
+#include "server.h"
 
 #include <boost/beast/core.hpp>
 
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <sstream>
+#include <utility>
 
 namespace rosemaryshift::review {
 
@@ -57,13 +59,15 @@
     return std::chrono::duration_cast<milliseconds>(Clock::now() - m_start);
 }
 
-Server::Server(net::io_context &context, adapter::testing::StandinPlatform &platform, Record &record, Seen &seen, const Plan &plan, int index)
+Server::Server(
+    net::io_context &context, adapter::testing::StandinPlatform &platform, Record &record, Seen &seen, const Plan &plan, int index, std::string version)
     : m_context(context)
     , m_platform(platform)
     , m_record(record)
     , m_seen(seen)
     , m_plan(plan)
-    , m_id("server-" + std::to_string(index))
+    , m_version(std::move(version))
+    , m_id("server-" + m_version + "-" + std::to_string(index))
     , m_acceptor(context, tcp::endpoint(net::ip::make_address("127.0.0.1"), 0))
     , m_endpoint(m_acceptor.local_endpoint())
     , m_slotFreed(context, Clock::time_point::max())
@@ -79,11 +83,24 @@
     writeEntry();
 }
 
+void Server::stop()
+{
+    m_start = 0;
+    m_running = 0;
+    m_acceptor.close();
+    for (const Socket &socket : m_open) {
+        boost::system::error_code ignored;
+        socket->close(ignored);
+    }
+    m_platform.put("keyed.servers", m_id, std::nullopt);
+    m_record.write(m_id + " has stopped");
+}
+
 void Server::writeEntry()
 {
     std::ostringstream entry;
-    entry << R"({"service":")" << m_plan.service << R"(","address":"127.0.0.1:)" << m_endpoint.port() << R"(","zone":"zone-a","version":"v1","slots":)"
-          << m_plan.slots << R"(,"state":"ready","warmup_left_ms":0,"sequence":)" << ++m_sequence << R"(,"born":)" << m_start << "}";
+    entry << R"({"service":")" << m_plan.service << R"(","address":"127.0.0.1:)" << m_endpoint.port() << R"(","zone":"zone-a","version":")" << m_version
+          << R"(","slots":)" << m_plan.slots << R"(,"state":"ready","warmup_left_ms":0,"sequence":)" << ++m_sequence << R"(,"born":)" << m_start << "}";
     m_platform.put("keyed.servers", m_id, entry.str());
 }
 
@@ -186,8 +203,13 @@
     }
     ++m_running;
     m_record.write(m_id + " runs " + attempt);
+    if (m_seen.orderedAt.count() > 0) {
+        m_seen.arrivals.emplace_back(m_record.now(), m_version != "v1");
+    }
     const std::string last(request["Last-Event-Id"]);
-    open = co_await answer(socket, attempt, last.empty() ? 1 : std::atoi(last.c_str()) + 1);
+    const bool isMain = request.target().starts_with(m_plan.path);
+    const bool bad = m_version != "v1" && isMain && std::uniform_real_distribution<double>(0, 1)(m_random) < m_plan.badPart;
+    open = bad ? co_await fail(socket, attempt) : co_await answer(socket, attempt, last.empty() ? 1 : std::atoi(last.c_str()) + 1);
     if (start != m_start) {
         co_return false; // The server fell meanwhile.
     }
@@ -196,6 +218,17 @@
     co_return open;
 }
 
+net::awaitable<bool> Server::fail(Socket socket, std::string attempt)
+{
+    co_await pause(m_plan.work);
+    m_seen.badAnswers.push_back(m_record.now());
+    m_record.write(m_id + " fails " + attempt);
+    const bool open = co_await send(socket,
+                                    identified("500 Internal Server Error", attempt) + "X-Rosemaryshift-Response-Seal: seal-of-" + attempt + "\r\n"
+                                        + statements() + "Content-Length: 0\r\n\r\n");
+    co_return open;
+}
+
 net::awaitable<bool> Server::refuse(Socket socket, std::string attempt)
 {
     const milliseconds now = m_record.now();
--- a/review/support-3/server.h
+++ b/review/support-3/server.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/tests/standinplatform.h"
-#include "review/support-3/plan.h"
+#include "../../platform/tests/standinplatform.h"
+#include "plan.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/http.hpp>
 
 #include <memory>
-#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -19,7 +19,16 @@
 class Server
 {
 public:
-    Server(boost::asio::io_context &context, adapter::testing::StandinPlatform &platform, Record &record, Seen &seen, const Plan &plan, int index);
+    Server(boost::asio::io_context &context,
+           adapter::testing::StandinPlatform &platform,
+           Record &record,
+           Seen &seen,
+           const Plan &plan,
+           int index,
+           std::string version = "v1");
+
+    /// Ends for good, and is no longer listed.
+    void stop();
 
 private:
     using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
@@ -34,6 +43,7 @@
     boost::asio::awaitable<void> serve(Socket socket);
     /// Serves one request. Returns whether the connection stays open.
     boost::asio::awaitable<bool> handle(Socket socket, Request request);
+    boost::asio::awaitable<bool> fail(Socket socket, std::string attempt);
     boost::asio::awaitable<bool> refuse(Socket socket, std::string attempt);
     /// Answers a sound request.
     boost::asio::awaitable<bool> answer(Socket socket, std::string attempt, int firstEvent);
@@ -53,14 +63,15 @@
     Record &m_record;
     Seen &m_seen;
     const Plan &m_plan;
+    const std::string m_version;
     const std::string m_id;
     boost::asio::ip::tcp::acceptor m_acceptor;
     const boost::asio::ip::tcp::endpoint m_endpoint;
     boost::asio::steady_timer m_slotFreed;
     std::set<Socket> m_open;
     std::vector<milliseconds> m_refusals; ///< Of the last second.
-    std::optional<milliseconds> m_brittleSince;
-    long m_start = 0; ///< Start of the current run, in Unix milliseconds; 0 while it is down.
+    long m_start = 0;                     ///< Start of the current run, in Unix milliseconds; 0 while it is down.
+    std::mt19937 m_random{7};
     int m_sequence = 0;
     int m_running = 0;
     int m_waiting = 0;
