Judge what crashes upstreams by how often it is in progress

Equal requests had to be at half of the service's crashes, so that three deadly ones at a time shielded each other.

A suspect is now also judged by its presence: the part of the crashes of its service that it met, against the part of the time for which it was in progress at the upstreams, by the tail of a binomial distribution divided by the number of suspects. Neither what the crashes break nor other causes touch that time. Each crash goes to the other hosts with the time for which its request had been there; hosts of an earlier version ignore the field. Where presence is known it also overrules the share of broken answers, which refused sound requests while upstreams crashed by chance. The limit of 64 crashes drops the oldest.

--- a/src/decisions/internal/suspects.cpp
+++ b/src/decisions/internal/suspects.cpp
@@ -17,10 +17,11 @@
         return;
     }
     if (ended.connectionLost) {
-        tables.quarantine.noteBroken(traitsOf(request), tables.upstream(attempt.upstream).name, now);
+        tables.quarantine.noteBroken(traitsOf(request), tables.upstream(attempt.upstream).name, attempt.startedAt, now);
     } else if (ended.outcome == AttemptOutcome::Completed || ended.outcome == AttemptOutcome::Rejected) {
         tables.quarantine.noteCompleted(traitsOf(request), now);
     }
+    tables.quarantine.notePresence(request.spec.targetName, tables.upstream(attempt.upstream).name, attempt.startedAt, now);
 }
 
 std::optional<Duration> quarantineWait(Tables &tables, const RequestRow &request, TimePoint now)
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -152,7 +152,7 @@
     }
     // Silence and bytes that are no answer come from the network or a faulty upstream, not from a crash.
     if (failure.error == http::ClientError::Closed && !m_writer.callerGone()) {
-        m_context.quarantine.noteBroken(requestTraits(), m_instance, hostNow());
+        m_context.quarantine.noteBroken(requestTraits(), m_instance, m_dispatchedAt, hostNow());
     }
 }
 
@@ -264,6 +264,9 @@
 void RequestSession::endTry(balancing::AttemptEnd how)
 {
     m_context.balancer.end(m_balancerAttempt, how, hostNow());
+    if (m_sent && !m_viaPeer) {
+        m_context.quarantine.notePresence(m_service, m_instance, m_dispatchedAt, hostNow());
+    }
     noteRolloutEnd(how);
     if (how != balancing::AttemptEnd::Succeeded && how != balancing::AttemptEnd::Inconclusive) {
         m_context.eventLog.write("offer_failed",
--- a/src/gossip/internal/compactstatus.cpp
+++ b/src/gossip/internal/compactstatus.cpp
@@ -179,7 +179,7 @@
         for (const quarantine::SuspectReport &report : status.suspects) {
             std::vector<Offset<wire::Crash>> crashes;
             for (const quarantine::CrashReport &crash : report.crashes) {
-                crashes.push_back(wire::CreateCrash(m_builder, m_builder.CreateSharedString(crash.instance), crash.ageMs));
+                crashes.push_back(wire::CreateCrash(m_builder, m_builder.CreateSharedString(crash.instance), crash.ageMs, toWire(crash.presentMs)));
             }
             const Offset<Vector<Offset<wire::Crash>>> crashList = m_builder.CreateVector(crashes);
             const Offset<String> service = m_builder.CreateSharedString(report.service);
--- a/src/gossip/internal/compactstatusdecoder.cpp
+++ b/src/gossip/internal/compactstatusdecoder.cpp
@@ -157,7 +157,9 @@
             report.service = text(suspect->service());
             report.quarantined = suspect->quarantined();
             report.completedAgeMs = fromWire(suspect->completed_age_ms());
-            forEach(suspect->crashes(), [&report](const wire::Crash *crash) { report.crashes.push_back({text(crash->instance()), crash->age_ms()}); });
+            forEach(suspect->crashes(), [&report](const wire::Crash *crash) {
+                report.crashes.push_back({text(crash->instance()), crash->age_ms(), fromWire(crash->present_ms())});
+            });
             status.suspects.push_back(std::move(report));
         });
         forEach(m_wire.versions(), [&status](const wire::Version *version) {
--- a/src/gossip/tests/gossiptests.cpp
+++ b/src/gossip/tests/gossiptests.cpp
@@ -49,7 +49,7 @@
     status.streams.add(0xabcU, {"engines", "v2"});
     status.forwardingToken = "token";
     status.unreachedServices = {"dispatch"};
-    status.suspects = {{{quarantine::SuspectKind::PromptPart, 0xdeadU}, "engines", {{"i-1", 40}, {"i-2", 0}}, true, std::nullopt},
+    status.suspects = {{{quarantine::SuspectKind::PromptPart, 0xdeadU}, "engines", {{"i-1", 40, 60}, {"i-2", 0, std::nullopt}}, true, std::nullopt},
                        {{quarantine::SuspectKind::Request, 0xa0bU}, "dispatch", {}, false, 120}};
     status.peers = {"10.0.0.1"};
     status.interval = std::chrono::milliseconds(640);
@@ -86,6 +86,12 @@
         malformed.replace(malformed.find(R"("part":"dead")"), 13, wrong);
         CHECK(!decodedPeerStatus(malformed));
     }
+    std::string earlier = encoded(status);
+    const std::string present = R"("present_ms":[60,null],)";
+    REQUIRE(earlier.find(present) != std::string::npos);
+    earlier.erase(earlier.find(present), present.size());
+    status.suspects.front().crashes.front().presentMs.reset();
+    CHECK(decodedPeerStatus(earlier) == status);
     std::string mistyped = encoded(status);
     mistyped.replace(mistyped.find("[3,12000]"), 9, "[3,\"no\"]");
     CHECK(!decodedPeerStatus(mistyped));
--- a/src/quarantine/crashquarantine.h
+++ b/src/quarantine/crashquarantine.h
@@ -3,6 +3,7 @@
 #include "base/types.h"
 #include "ports/messages.h"
 #include "quarantine/internal/answerhistory.h"
+#include "quarantine/internal/presencehistory.h"
 #include "quarantine/quarantinetypes.h"
 
 #include <deque>
@@ -16,9 +17,10 @@
 ///
 /// A crash breaks all requests in progress, so a single one does not tell which request caused it. A suspect, which is a prompt part or all requests
 /// that are equal, is quarantined when several crashes hit requests of it, none of them was answered completely in between, and this is no
-/// coincidence: the share of other requests of the service that broke in that time does not explain it. Equal requests must also have been in
-/// progress at most of the crashes of the service; when they were at nearly all of them, that suffices, since hardly any other request is answered
-/// while all upstreams of a service are down.
+/// coincidence. Either of two comparisons shows this: the share of other requests of the service that broke in that time does not explain it; or the suspect
+/// was in progress at far more of the service's crashes than the time for which it was in progress at the upstreams explains, however many answers the
+/// crashes broke and however many causes they have. For the first one, equal requests must also have been in progress at most of the crashes of the service;
+/// when they were at nearly all of them, that suffices, since hardly any other request is answered while all upstreams of a service are down.
 ///
 /// The hosts pool what they know by SuspectReport. After a time that grows with the number of failed trials, one host sends a single request as a
 /// trial; a complete answer to any request of the suspect releases it on all hosts. When several suspects came together in all crashes, a request
@@ -35,8 +37,10 @@
     void setHosts(std::string own, std::vector<std::string> others);
     /// Sets how far apart the reports of each other host are. It grows with the number of hosts, and with it the time for which evidence is gathered.
     void setReportInterval(Duration interval);
-    /// Records that the connection to @p instance broke after a request was sent to it and before its answer was complete.
-    void noteBroken(const RequestTraits &request, std::string_view instance, TimePoint now);
+    /// Records that the connection to @p instance broke after a request was sent to it, at @p since, and before its answer was complete.
+    void noteBroken(const RequestTraits &request, std::string_view instance, TimePoint since, TimePoint now);
+    /// Records that a request to @p service was in progress at @p instance from @p since until @p now, however it ended.
+    void notePresence(std::string_view service, std::string_view instance, TimePoint since, TimePoint now);
     /// Records that a request was answered completely, with whatever status: its upstream did not crash.
     void noteCompleted(const RequestTraits &request, TimePoint now);
     /// Admits a request to the upstreams, also as a trial. Returns nothing when it may be sent.
@@ -55,11 +59,13 @@
     struct Crash {
         std::string instance;
         TimePoint at;
-        bool observedHere = false; ///< This host saw it itself.
+        std::optional<Duration> present; ///< Time for which a request of the suspect had been in progress there, as far as is known.
+        bool observedHere = false;       ///< This host saw it itself.
     };
     struct Suspect {
         std::string service;        ///< Of the last request that was noted.
-        std::vector<Crash> crashes; ///< Of different upstreams or at different times, since the last complete answer; oldest first.
+        std::vector<Crash> crashes; ///< The latest ones of different upstreams or at different times, since the last complete answer; oldest first.
+        TimePoint firstCrashAt;     ///< Since the last complete answer. Only valid when there are crashes.
         std::optional<TimePoint> completedAt;
         std::optional<TimePoint> lastTrial;
         bool completedHere = false; ///< This host passed on a complete answer.
@@ -84,8 +90,15 @@
     /// Quarantines the suspect when its crashes are unlikely to be a coincidence.
     void judge(SuspectId id, Suspect &suspect, TimePoint now);
     void quarantine(SuspectId id, Suspect &suspect);
-    /// Whether the other requests of the service broke so rarely that the crashes of @p suspect are no coincidence.
+    /// Whether the other requests of the service broke so rarely that the crashes of @p suspect are no coincidence, and its presence does not contradict it.
     [[nodiscard]] bool isUnlikelyCoincidence(const Suspect &suspect, TimePoint now) const;
+    /// The crashes of the suspect's service by upstream, from its first one on, which made it a suspect and is left out. Precondition: it has crashes.
+    [[nodiscard]] std::map<std::string_view, std::size_t> laterCrashes(const Suspect &suspect) const;
+    /// Probability that a suspect which causes no crash met as many of the crashes of its service, given the time for which it had been in progress at its
+    /// upstreams; nothing when that is not known.
+    [[nodiscard]] std::optional<double> coincidence(const Suspect &suspect) const;
+    /// Whether the suspect met so many of the crashes of its service that the time for which it had been in progress there does not explain it.
+    [[nodiscard]] bool isPresentTooOften(const Suspect &suspect, TimePoint now) const;
     /// Whether equal requests were in progress at so many of the crashes of their service since their first one that they cause them.
     [[nodiscard]] bool isCauseOfCrashes(const Suspect &suspect, bool unlikelyCoincidence, Duration observed) const;
     /// Adds a crash to those of the service, unless it is known already.
@@ -104,8 +117,9 @@
     Duration m_reportInterval = ShortestReportInterval;
     std::string m_ownHost;
     std::vector<std::string> m_otherHosts;
-    std::map<std::string, AnswerHistory, std::less<>> m_answers; ///< By service.
-    std::map<std::string, std::deque<Crash>> m_crashes;          ///< The latest crashes of each service's upstreams, whichever request they hit.
+    std::map<std::string, AnswerHistory, std::less<>> m_answers;    ///< By service.
+    std::map<std::string, PresenceHistory, std::less<>> m_presence; ///< Of all requests of this host, by service.
+    std::map<std::string, std::deque<Crash>> m_crashes;             ///< The latest crashes of each service's upstreams, whichever request they hit.
     std::map<SuspectId, Suspect> m_suspects;
 };
 
--- a/src/quarantine/internal/crashquarantine.cpp
+++ b/src/quarantine/internal/crashquarantine.cpp
@@ -4,27 +4,13 @@
 #include "quarantine/internal/evidencelimits.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace rosemaryshift::quarantine {
 
 namespace {
 
-/// Crashes kept for each suspect; further ones only move the time of the last one. While most answers break, many are needed for a decision.
+/// The latest crashes kept for each suspect. While most answers break, many are needed for a decision.
 constexpr std::size_t MaxCrashes = 64;
-/// Largest probability that the crashes of a suspect are a coincidence at which it is quarantined.
-constexpr double MaxCoincidence = 0.01;
-/// Part of the crashes of a service that have to have hit equal requests for these to be quarantined. Long requests meet more crashes than short ones,
-/// so that the share of other requests that broke does not suffice.
-constexpr double MinPartOfCrashes = 0.5;
-/// The same when so many other requests broke that their share tells nothing, as while all upstreams of a service are down.
-constexpr double MinPartWithoutAnswers = 0.75;
-/// Time from the first crash of a suspect until it can be quarantined, for complete answers on other hosts to be heard of: in intervals of their reports.
-constexpr int ObservationIntervals = 2;
-/// The same when only the crashes tell: a report has to reach a host that answers such a request, and the answer to be reported back.
-constexpr int CrashObservationIntervals = 3;
-/// Two breaks at one upstream within this time are one crash, also when different hosts saw them.
-constexpr std::chrono::seconds CrashMergeTime{1};
 /// Time without requests after the last crash until the first trial, and its upper bound. Doubled with each crash beyond the first few for a
 /// prompt part, which many callers send, and with each failed trial for equal requests.
 constexpr std::chrono::seconds FirstHold{30};
@@ -81,11 +67,11 @@
     m_reportInterval = std::max(interval, ShortestReportInterval);
 }
 
-void CrashQuarantine::noteBroken(const RequestTraits &request, std::string_view instance, TimePoint now)
+void CrashQuarantine::noteBroken(const RequestTraits &request, std::string_view instance, TimePoint since, TimePoint now)
 {
     const std::string service(request.service);
     m_answers[service].note(true, now);
-    const Crash crash{std::string(instance), now, true};
+    const Crash crash{std::string(instance), now, now - since, true};
     noteServiceCrash(service, crash);
     for (const SuspectId id : suspectsOf(request)) {
         Suspect &suspect = m_suspects[id];
@@ -96,6 +82,11 @@
     limitSuspects();
 }
 
+void CrashQuarantine::notePresence(std::string_view service, std::string_view instance, TimePoint since, TimePoint now)
+{
+    m_presence[std::string(service)].note(instance, since, now);
+}
+
 void CrashQuarantine::noteCompleted(const RequestTraits &request, TimePoint now)
 {
     m_answers[std::string(request.service)].note(false, now);
@@ -164,9 +155,15 @@
 
 void CrashQuarantine::update(TimePoint now)
 {
+    for (auto &[service, presence] : m_presence) {
+        presence.expire(now);
+    }
     for (auto entry = m_suspects.begin(); entry != m_suspects.end();) {
         Suspect &suspect = entry->second;
         judge(entry->first, suspect, now);
+        if (!suspect.quarantined && isPresentTooOften(suspect, now)) {
+            quarantine(entry->first, suspect);
+        }
         const Duration lifetime = suspect.quarantined ? Duration(QuarantineLifetime) : Duration(SuspicionLifetime);
         if (!suspect.crashes.empty() && now - suspect.crashes.back().at > lifetime) {
             if (suspect.quarantined) {
@@ -203,20 +200,24 @@
     const auto known = std::ranges::find_if(suspect.crashes, [&crash](const Crash &other) { return sameCrash(crash, other); });
     if (known != suspect.crashes.end()) {
         known->observedHere = known->observedHere || crash.observedHere;
+        known->present = std::max(known->present, crash.present);
         return;
     }
-    if (suspect.crashes.size() == MaxCrashes) {
-        crash.at = std::max(crash.at, suspect.crashes.back().at);
-        suspect.crashes.pop_back();
-    }
+    suspect.firstCrashAt = suspect.crashes.empty() ? crash.at : std::min(suspect.firstCrashAt, crash.at);
     suspect.crashes.push_back(std::move(crash));
     std::ranges::sort(suspect.crashes, {}, &Crash::at);
+    if (suspect.crashes.size() > MaxCrashes) {
+        suspect.crashes.erase(suspect.crashes.begin());
+    }
 }
 
 void CrashQuarantine::complete(SuspectId id, Suspect &suspect, TimePoint at)
 {
     suspect.completedAt = std::max(suspect.completedAt.value_or(at), at);
     std::erase_if(suspect.crashes, [&suspect](const Crash &crash) { return crash.at <= *suspect.completedAt; });
+    if (!suspect.crashes.empty()) {
+        suspect.firstCrashAt = std::max(suspect.firstCrashAt, suspect.crashes.front().at);
+    }
     if (suspect.quarantined && suspect.crashes.size() < MinCrashes) {
         suspect.quarantined = false;
         suspect.lastTrial.reset();
@@ -229,7 +230,7 @@
     if (suspect.quarantined || suspect.crashes.size() < MinCrashes) {
         return;
     }
-    const Duration observed = now - suspect.crashes.front().at;
+    const Duration observed = now - suspect.firstCrashAt;
     const bool unlikely = observed >= ObservationIntervals * m_reportInterval && isUnlikelyCoincidence(suspect, now);
     if (id.kind == SuspectKind::PromptPart ? unlikely : isCauseOfCrashes(suspect, unlikely, observed)) {
         quarantine(id, suspect);
@@ -243,32 +244,13 @@
     m_listener(id, SuspectChange::Quarantined, suspect.crashes.size());
 }
 
-bool CrashQuarantine::isUnlikelyCoincidence(const Suspect &suspect, TimePoint now) const
-{
-    static const AnswerHistory None;
-    const auto found = m_answers.find(suspect.service);
-    const AnswerHistory &answers = found == m_answers.end() ? None : found->second;
-    return std::pow(answers.brokenShare(suspect.crashes.front().at, now), static_cast<double>(suspect.crashes.size())) <= MaxCoincidence;
-}
-
-bool CrashQuarantine::isCauseOfCrashes(const Suspect &suspect, bool unlikelyCoincidence, Duration observed) const
-{
-    const TimePoint since = suspect.crashes.front().at - CrashMergeTime;
-    const auto found = m_crashes.find(suspect.service);
-    if (found == m_crashes.end()) {
-        return false;
-    }
-    const std::ptrdiff_t all = std::ranges::count_if(found->second, [since](const Crash &crash) { return crash.at >= since; });
-    const double part = static_cast<double>(suspect.crashes.size()) / static_cast<double>(std::max<std::ptrdiff_t>(all, 1));
-    return (unlikelyCoincidence && part >= MinPartOfCrashes) || (observed >= CrashObservationIntervals * m_reportInterval && part >= MinPartWithoutAnswers);
-}
-
 void CrashQuarantine::noteServiceCrash(const std::string &service, const Crash &crash)
 {
     std::deque<Crash> &crashes = m_crashes[service];
     if (std::ranges::any_of(crashes, [&crash](const Crash &known) { return sameCrash(known, crash); })) {
         return;
     }
+    m_presence[service].noteCrash(crash.instance, crash.at);
     crashes.push_back(crash);
     if (crashes.size() > MaxServiceCrashes) {
         crashes.pop_front();
--- a/src/quarantine/internal/suspectjson.cpp
+++ b/src/quarantine/internal/suspectjson.cpp
@@ -27,6 +27,11 @@
         entry.append(crash.ageMs);
         value["crashes"].append(std::move(entry));
     }
+    // Beside the crashes, since hosts of an earlier version reject entries of more than two elements.
+    value["present_ms"] = Json::Value(Json::arrayValue);
+    for (const CrashReport &crash : report.crashes) {
+        value["present_ms"].append(crash.presentMs ? Json::Value(*crash.presentMs) : Json::Value());
+    }
     if (report.quarantined) {
         value["quarantined"] = true;
     }
@@ -52,7 +57,9 @@
         if (!crash.isArray() || crash.size() != 2 || !crash[0].isString() || !crash[1].isUInt64()) {
             return std::nullopt;
         }
-        report.crashes.push_back({crash[0].asString(), crash[1].asUInt64()});
+        const Json::Value &present
+            = value["present_ms"].isArray() ? value["present_ms"][static_cast<Json::ArrayIndex>(report.crashes.size())] : Json::Value::nullSingleton();
+        report.crashes.push_back({crash[0].asString(), crash[1].asUInt64(), present.isUInt64() ? std::optional(present.asUInt64()) : std::nullopt});
     }
     return report;
 }
--- a/src/quarantine/internal/suspectreports.cpp
+++ b/src/quarantine/internal/suspectreports.cpp
@@ -22,11 +22,17 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(later - earlier).count()));
 }
 
-/// The time @p ageMs before @p now; ages beyond any lifetime are taken as that lifetime.
-TimePoint timeOf(std::uint64_t ageMs, TimePoint now)
+/// Ages beyond any lifetime are taken as that lifetime.
+std::chrono::milliseconds limitedAge(std::uint64_t ageMs)
 {
     constexpr std::uint64_t MaxAgeMs = std::chrono::milliseconds(QuarantineLifetime).count();
-    return now - std::chrono::milliseconds(std::min(ageMs, MaxAgeMs));
+    return std::chrono::milliseconds(std::min(ageMs, MaxAgeMs));
+}
+
+/// The time @p ageMs before @p now.
+TimePoint timeOf(std::uint64_t ageMs, TimePoint now)
+{
+    return now - limitedAge(ageMs);
 }
 
 }
@@ -63,7 +69,10 @@
         const bool needed = suspect.quarantined && reported.size() <= MinCrashes;
         const bool own = crash->observedHere && now - crash->at <= ownAge;
         if (needed || own) {
-            reported.push_back({crash->instance, millisecondsBetween(crash->at, now)});
+            const std::optional<Duration> present = crash->present;
+            reported.push_back({crash->instance,
+                                millisecondsBetween(crash->at, now),
+                                present ? std::optional(millisecondsBetween(crash->at - *present, crash->at)) : std::nullopt});
         }
     }
     return reported;
@@ -77,15 +86,20 @@
         if (report.completedAgeMs) {
             complete(report.id, suspect, timeOf(*report.completedAgeMs, now));
         }
+        const std::size_t known = suspect.crashes.size();
         for (const CrashReport &reported : report.crashes) {
-            const Crash crash{reported.instance, timeOf(reported.ageMs, now), false};
+            const std::optional<Duration> present = reported.presentMs ? std::optional<Duration>(limitedAge(*reported.presentMs)) : std::nullopt;
+            const Crash crash{reported.instance, timeOf(reported.ageMs, now), present, false};
             noteServiceCrash(report.service, crash);
             addCrash(suspect, crash);
         }
         if (report.quarantined && !suspect.quarantined && suspect.crashes.size() >= MinCrashes) {
             quarantine(report.id, suspect);
         }
-        judge(report.id, suspect, now);
+        // What only time changes is judged by update().
+        if (suspect.crashes.size() > known) {
+            judge(report.id, suspect, now);
+        }
     }
     limitSuspects();
 }
--- a/src/quarantine/quarantinetypes.h
+++ b/src/quarantine/quarantinetypes.h
@@ -37,7 +37,8 @@
 /// Crash of an upstream while it ran a request of a suspect.
 struct CrashReport {
     std::string instance;
-    std::uint64_t ageMs = 0; ///< Time since the crash.
+    std::uint64_t ageMs = 0;                ///< Time since the crash.
+    std::optional<std::uint64_t> presentMs; ///< Time for which the request had been in progress; nothing from hosts of an earlier version.
 
     bool operator==(const CrashReport &) const = default;
 };
--- a/src/quarantine/tests/crashquarantinetests.cpp
+++ b/src/quarantine/tests/crashquarantinetests.cpp
@@ -37,7 +37,7 @@
     void breakAnswer(std::initializer_list<std::uint64_t> parts, std::string_view instance, TimePoint now)
     {
         const std::vector<PromptPart> promptParts = prompt(parts);
-        quarantine.noteBroken({"models", ++lastRequest, promptParts}, instance, now);
+        quarantine.noteBroken({"models", ++lastRequest, promptParts}, instance, now - milliseconds(100), now);
     }
 
     /// @p count requests with @p parts are answered completely, evenly spread over a second before @p now.
--- a/src/quarantine/tests/equalrequeststests.cpp
+++ b/src/quarantine/tests/equalrequeststests.cpp
@@ -31,7 +31,7 @@
 
     void breakRequest(std::uint64_t fingerprint, const std::string &instance, TimePoint now)
     {
-        quarantine.noteBroken(lookup(fingerprint), instance, now);
+        quarantine.noteBroken(lookup(fingerprint), instance, now - milliseconds(15), now);
     }
 
     [[nodiscard]] bool blocks(std::uint64_t fingerprint, TimePoint now)
--- a/src/quarantine/tests/largefleettests.cpp
+++ b/src/quarantine/tests/largefleettests.cpp
@@ -114,7 +114,8 @@
 
     void noteBroken(const Request &request, TimePoint now)
     {
-        m_hosts[request.host]->noteBroken({"models", request.fingerprint, request.parts}, "i-" + std::to_string(request.upstream), now);
+        m_hosts[request.host]->noteBroken(
+            {"models", request.fingerprint, request.parts}, "i-" + std::to_string(request.upstream), request.endsAt - AnswerTime, now);
     }
 
     void exchangeReports(milliseconds time, TimePoint now)
