Keep the error of a connection, so that a reset is no end of a body

The system reports a pending error once, to whichever call comes first. ClientConnection::unreadBytes() looks at the socket while no read is pending, for a silent upstream, for a late host and at the end of the exchange; it dropped the error, and the next read found a regular end.

--- a/src/http/internal/clientconnection.cpp
+++ b/src/http/internal/clientconnection.cpp
@@ -40,6 +40,9 @@
     if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
         return 0;
     }
+    if (count < 0 && !error) {
+        error.assign(errno, boost::system::system_category());
+    }
     boost::system::error_code ignored;
     return std::max<std::size_t>(stream.socket().available(ignored), 1);
 }
--- a/src/http/internal/clientconnection.h
+++ b/src/http/internal/clientconnection.h
@@ -19,10 +19,12 @@
 
     /// Sets the options of the socket. Precondition: it is open.
     void setOptions();
-    /// Number of bytes that have arrived and were not read from the socket; at least 1 when the connection has ended.
+    /// Number of bytes that have arrived and were not read from the socket; at least 1 when the connection has ended. Keeps the error that is pending.
     [[nodiscard]] std::size_t unreadBytes();
 
     boost::beast::tcp_stream stream;
+    /// How the connection broke, if it did. The system reports a pending error once, to whichever call comes first; further reads find a regular end.
+    boost::system::error_code error;
     boost::beast::flat_buffer buffer{MaxUnparsedBytes}; ///< Bytes read but not yet parsed.
     std::uint64_t exchanges = 0;                        ///< Number of exchanges that have sent a request on the connection.
     /// Until when the server keeps the connection open without a request, with a margin; nothing before it was in a pool.
--- a/src/http/internal/exchange.cpp
+++ b/src/http/internal/exchange.cpp
@@ -113,6 +113,10 @@
                 co_return std::nullopt;
             }
         }
+        if (m_framing == BodyFraming::Connection && m_connection->error) {
+            failure = failureOf(m_connection->error, ClientError::Closed);
+            co_return std::nullopt;
+        }
         co_return std::string();
     }
 
@@ -194,7 +198,9 @@
             const auto [error, bytes] = co_await bhttp::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, Token);
             const bool expired = stopTimer(error, bytes);
             if (!error) {
-                co_return toResponse(*m_parser);
+                Response response = toResponse(*m_parser);
+                m_framing = response.framing;
+                co_return response;
             }
             if (!expired) {
                 failure = failureOf(error, ClientError::Closed);
@@ -300,6 +306,10 @@
         if (m_cancelled) {
             return {ClientError::Cancelled, "cancelled"};
         }
+        const bool ended = error == bhttp::error::end_of_stream || error == bhttp::error::partial_message;
+        if (ended && m_connection->error) {
+            error = m_connection->error;
+        }
         // The system reports a timeout of its own when the peer does not acknowledge what was sent.
         if (error == beast::error::timeout || error == net::error::timed_out) {
             if (m_pool) {
@@ -311,8 +321,7 @@
         if (error == bhttp::error::buffer_overflow || error == bhttp::error::header_limit) {
             return {ClientError::Malformed, "a head, the size line of a chunk or a trailer is too long"};
         }
-        const bool closed = error == bhttp::error::end_of_stream || error == bhttp::error::partial_message;
-        if (!closed && error.category() == make_error_code(bhttp::error::bad_method).category()) {
+        if (!ended && error.category() == make_error_code(bhttp::error::bad_method).category()) {
             return {ClientError::Malformed, error.message()};
         }
         return {fallback, error.message()};
@@ -337,6 +346,7 @@
     std::optional<std::size_t> m_bytesAtEnd; ///< Bytes that had arrived at the end of the exchange and are not parsed yet; nothing before that.
     Endpoint m_endpoint;
     bool m_isHead = false;
+    BodyFraming m_framing = BodyFraming::Length; ///< Of the current answer.
     std::atomic<bool> m_cancelled = false;
 };
 
