Take only final statuses of HTTP for answers, and skip interim ones

The users' report on MIXED: an answer with status 000 reached its caller as an answer. So did 001 to 099 and 600 to 999; 101 and 199 were passed on as final, so that a caller goes on waiting, and a 100 or 103 before a sound answer gave the caller 502 although the server had run the request. Beast's parser takes any three digits, and what it takes was an answer.

Each head is checked between the parser and everybody who uses an answer (headFault()): requests, races of two tries, hand-overs, peers, the log, the duties and the operators' tools all read through Exchange. 000 to 099, 101 and 600 to 999 are malformed: the attempt has failed and may have run.

--- a/src/http/internal/clientmessages.cpp
+++ b/src/http/internal/clientmessages.cpp
@@ -18,6 +18,11 @@
     return parser.chunked() ? BodyFraming::Chunked : BodyFraming::Length;
 }
 
+constexpr unsigned int LowestStatus = 100;
+constexpr unsigned int LowestFinalStatus = 200;
+constexpr unsigned int HighestStatus = 599;
+constexpr unsigned int SwitchingProtocols = 101;
+
 }
 
 bhttp::request<bhttp::string_body> toMessage(const Endpoint &endpoint, Request request, bool keepAlive)
@@ -38,6 +43,23 @@
     return message;
 }
 
+std::optional<std::string_view> headFault(const ResponseParser &parser)
+{
+    const unsigned int status = parser.get().result_int();
+    if (status < LowestStatus || status > HighestStatus) {
+        return "the status is none of HTTP";
+    }
+    if (status == SwitchingProtocols) {
+        return "the server switches to a protocol that nobody asked for";
+    }
+    return std::nullopt;
+}
+
+bool isInterim(const ResponseParser &parser)
+{
+    return parser.get().result_int() < LowestFinalStatus;
+}
+
 Response toResponse(const ResponseParser &parser)
 {
     Response response;
--- /dev/null
+++ b/src/http/tests/answerheadtests.cpp
@@ -0,0 +1,92 @@
+#include "http/tests/rawserver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemaryshift::http;
+using namespace rosemaryshift::http::testing;
+namespace net = boost::asio;
+
+namespace {
+
+/// What a client makes of @p bytes, behind which the server ends the connection.
+ReceivedAnswer receive(std::string_view bytes)
+{
+    RawServer server;
+    ReceivedAnswer answer;
+    net::co_spawn(
+        server.context(),
+        [&]() -> net::awaitable<void> {
+            Request request;
+            const ClientTimeouts timeouts;
+            answer.response = co_await fetch(server.endpoint(), std::move(request), timeouts, answer.failure);
+            answer.done = true;
+        },
+        net::detached);
+    server.run(std::chrono::milliseconds(10));
+    server.accept();
+    server.send(bytes);
+    server.end();
+    server.run(std::chrono::seconds(5));
+    REQUIRE(answer.done);
+    return answer;
+}
+
+}
+
+// Guards against passing on, as an answer, a status that HTTP does not have, or an interim one as if it were final.
+TEST_CASE("An answer has a status from 200 to 599")
+{
+    const std::string rest = " Text\r\nContent-Length: 4\r\n\r\nbody";
+
+    SECTION("others are malformed")
+    {
+        const std::string status = GENERATE(as<std::string>(), "000", "001", "099", "101", "600", "700", "999", "1000", "20", "2x0", "-20", "");
+        CAPTURE(status);
+        const ReceivedAnswer answer = receive("HTTP/1.1 " + status + rest);
+        CHECK_FALSE(answer.response);
+        CHECK(answer.failure.error == ClientError::Malformed);
+    }
+    SECTION("those are passed on, known or not")
+    {
+        const int status = GENERATE(200, 299, 304, 404, 451, 500, 599);
+        const ReceivedAnswer answer = receive("HTTP/1.1 " + std::to_string(status) + rest);
+        CAPTURE(answer.failure.detail);
+        REQUIRE(answer.response);
+        CHECK(answer.response->status == status);
+    }
+}
+
+// Guards against a request that was run and answered, and failed for its caller, since interim answers came first.
+TEST_CASE("Interim answers are skipped")
+{
+    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string interim = GENERATE(
+        as<std::string>(), "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n", "HTTP/1.1 199 Unknown\r\n\r\n");
+    CAPTURE(interim);
+
+    SECTION("one or several before the final answer, whose headers alone count")
+    {
+        const ReceivedAnswer answer = receive(interim + interim + final);
+        CAPTURE(answer.failure.detail);
+        REQUIRE(answer.response);
+        CHECK(answer.response->status == 200);
+        CHECK(answer.response->body == "body");
+        CHECK_FALSE(answer.response->headers.find("Link"));
+    }
+    SECTION("without a final answer there is none")
+    {
+        const ReceivedAnswer answer = receive(interim);
+        CHECK_FALSE(answer.response);
+        CHECK(answer.failure.error == ClientError::Closed);
+    }
+    SECTION("more than a server has reason to send are malformed")
+    {
+        std::string many;
+        for (int number = 0; number < 40; ++number) {
+            many += interim;
+        }
+        const ReceivedAnswer answer = receive(many + final);
+        CHECK_FALSE(answer.response);
+        CHECK(answer.failure.error == ClientError::Malformed);
+    }
+}
