Reject answers whose body has a transfer coding that can't be decoded

An answer with "Transfer-Encoding: gzip", "chunked, gzip", "gzip, chunked", "xchunked" and the like was passed on as a sound one, without the header that names the coding: the caller got the size lines of chunks as content, or bytes that it could not read, under the server's seal. Beast's parser knows "chunked" at the end of the list alone and takes any other body by its length or up to the end of the connection.

An answer has no transfer coding, or "chunked" alone, in HTTP/1.1; others are malformed.

--- a/src/http/internal/clientmessages.cpp
+++ b/src/http/internal/clientmessages.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/clientmessages.h"
 
+#include "http/internal/transfercoding.h"
+
 #include <cstdlib>
 #include <string>
 #include <string_view>
@@ -52,6 +54,9 @@
     if (status == SwitchingProtocols) {
         return "the server switches to a protocol that nobody asked for";
     }
+    if (!isBodyReadable(parser.get(), parser.get().version())) {
+        return "the transfer coding is not \"chunked\" alone";
+    }
     return std::nullopt;
 }
 
--- a/src/http/internal/clientmessages.h
+++ b/src/http/internal/clientmessages.h
@@ -15,8 +15,8 @@
 
 /// @p request as it is sent to @p endpoint. Thread-safe.
 boost::beast::http::request<boost::beast::http::string_body> toMessage(const Endpoint &endpoint, Request request, bool keepAlive);
-/// Why the head that @p parser has read is that of no answer; nothing when it is valid. Rejects statuses beyond 100 to 599, and a switch of protocols that
-/// nobody asked for. Thread-safe.
+/// Why the head that @p parser has read is that of no answer; nothing when it is valid. Rejects statuses beyond 100 to 599, a switch of protocols that nobody
+/// asked for, and transfer codings other than "chunked". Thread-safe.
 std::optional<std::string_view> headFault(const ResponseParser &parser);
 /// Whether @p parser has read an interim answer (1xx), which the final one follows. Precondition: headFault() found nothing. Thread-safe.
 bool isInterim(const ResponseParser &parser);
--- a/src/http/tests/answerheadtests.cpp
+++ b/src/http/tests/answerheadtests.cpp
@@ -90,3 +90,47 @@
         CHECK(answer.failure.error == ClientError::Malformed);
     }
 }
+
+// Guards against a body that is not what the server meant: its coding is unknown here, and the header that names it is not passed on.
+TEST_CASE("The body of an answer comes without a transfer coding, or in chunks alone")
+{
+    const std::string chunks = "4\r\nbody\r\n0\r\n\r\n";
+
+    SECTION("chunks are read, however their coding is written")
+    {
+        const std::string coding = GENERATE(as<std::string>(), "chunked", "Chunked", " chunked ");
+        CAPTURE(coding);
+        const ReceivedAnswer answer = receive("HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding + "\r\n\r\n" + chunks);
+        CAPTURE(answer.failure.detail);
+        REQUIRE(answer.response);
+        CHECK(answer.response->body == "body");
+    }
+    SECTION("other codings are malformed")
+    {
+        const std::string fields = GENERATE(as<std::string>(),
+                                            "Transfer-Encoding: gzip\r\n",
+                                            "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+                                            "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n",
+                                            "Transfer-Encoding: chunked, gzip\r\n",
+                                            "Transfer-Encoding: gzip, chunked\r\n",
+                                            "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                                            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                                            "Transfer-Encoding: chunked, chunked\r\n",
+                                            "Transfer-Encoding: chunked;level=1\r\n",
+                                            "Transfer-Encoding: xchunked\r\n",
+                                            "Transfer-Encoding: identity\r\n",
+                                            "Transfer-Encoding:\r\n",
+                                            "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                                            "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n");
+        CAPTURE(fields);
+        const ReceivedAnswer answer = receive("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + chunks);
+        CHECK_FALSE(answer.response);
+        CHECK(answer.failure.error == ClientError::Malformed);
+    }
+    SECTION("chunks in HTTP/1.0 are malformed")
+    {
+        const ReceivedAnswer answer = receive("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+        CHECK_FALSE(answer.response);
+        CHECK(answer.failure.error == ClientError::Malformed);
+    }
+}
