Reject heads of answers with folded lines

" Content-Length: 4" behind another field became a part of that field's value, which was passed on, and the body went up to the end of the connection.

RFC 9112 lets a gateway replace a fold or reject the answer. It is rejected, since what the server meant can't be told.

--- a/src/http/internal/answerreading.cpp
+++ b/src/http/internal/answerreading.cpp
@@ -107,7 +107,7 @@
         failure = failureOf(error, ClientError::Malformed);
         co_return std::nullopt;
     }
-    const std::optional<std::string_view> fault = headFault(*m_parser);
+    const std::optional<std::string_view> fault = headFault(bytesOf(bytes).substr(0, length), *m_parser);
     m_connection->buffer.consume(length);
     noteParsed(length);
     co_return fault.value_or(std::string_view());
--- a/src/http/internal/clientmessages.cpp
+++ b/src/http/internal/clientmessages.cpp
@@ -25,6 +25,12 @@
 constexpr unsigned int HighestStatus = 599;
 constexpr unsigned int SwitchingProtocols = 101;
 
+/// Whether a line of @p head begins with white space, and so continues the one before.
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
+}
+
 }
 
 bhttp::request<bhttp::string_body> toMessage(const Endpoint &endpoint, Request request, bool keepAlive)
@@ -45,7 +51,7 @@
     return message;
 }
 
-std::optional<std::string_view> headFault(const ResponseParser &parser)
+std::optional<std::string_view> headFault(std::string_view head, const ResponseParser &parser)
 {
     const unsigned int status = parser.get().result_int();
     if (status < LowestStatus || status > HighestStatus) {
@@ -54,6 +60,9 @@
     if (status == SwitchingProtocols) {
         return "the server switches to a protocol that nobody asked for";
     }
+    if (hasFoldedLine(head)) {
+        return "a line of the head is folded";
+    }
     if (!isBodyReadable(parser.get(), parser.get().version())) {
         return "the transfer coding is not \"chunked\" alone";
     }
--- a/src/http/internal/clientmessages.h
+++ b/src/http/internal/clientmessages.h
@@ -15,9 +15,10 @@
 
 /// @p request as it is sent to @p endpoint. Thread-safe.
 boost::beast::http::request<boost::beast::http::string_body> toMessage(const Endpoint &endpoint, Request request, bool keepAlive);
-/// Why the head that @p parser has read is that of no answer; nothing when it is valid. Rejects statuses beyond 100 to 599, a switch of protocols that nobody
-/// asked for, and transfer codings other than "chunked". Thread-safe.
-std::optional<std::string_view> headFault(const ResponseParser &parser);
+/// Why the head of an answer whose bytes are @p head, as read by @p parser, is that of no answer; nothing when it is valid. Rejects what RFC 9110 and 9112 do
+/// not allow and the parser does: statuses beyond 100 to 599, a switch of protocols that nobody asked for, transfer codings other than "chunked", and folded
+/// lines. Thread-safe.
+std::optional<std::string_view> headFault(std::string_view head, const ResponseParser &parser);
 /// Whether @p parser has read an interim answer (1xx), which the final one follows. Precondition: headFault() found nothing. Thread-safe.
 bool isInterim(const ResponseParser &parser);
 /// Status, headers and framing of the answer whose head @p parser has read. Thread-safe.
--- a/src/http/tests/answerheadtests.cpp
+++ b/src/http/tests/answerheadtests.cpp
@@ -134,3 +134,50 @@
         CHECK(answer.failure.error == ClientError::Malformed);
     }
 }
+
+// Guards against a line that is no field and is passed on, or that hides the length of the body.
+TEST_CASE("A line of a head or of a trailer that is no field makes the answer malformed")
+{
+    using namespace std::string_literals;
+    const std::string line = GENERATE(as<std::string>(),
+                                      "Content-Length : 4\r\n",
+                                      "Content-Length\t: 4\r\n",
+                                      " Content-Length: 4\r\n",
+                                      "\tContent-Length: 4\r\n",
+                                      "Content Length: 4\r\n",
+                                      "Content-Length\x01: 4\r\n",
+                                      "\x7f"
+                                      "Content-Length: 4\r\n",
+                                      "Content-Length\0: 4\r\n"s,
+                                      "Content\xe4Length: 4\r\n",
+                                      " Transfer-Encoding: chunked\r\n",
+                                      "Transfer-Encoding : chunked\r\n",
+                                      "X-(Note): 4\r\n",
+                                      "X-Note\r\n",
+                                      ": 4\r\n",
+                                      "X-Note: \x01\r\n",
+                                      "X-Note: a\rb\r\n",
+                                      "X-Note: a\nb: c\r\n",
+                                      "X-Note: a\r\n folded\r\n");
+    CAPTURE(line);
+
+    SECTION("as the first line of the head")
+    {
+        const ReceivedAnswer answer = receive("HTTP/1.1 200 OK\r\n" + line + "\r\nbody");
+        CHECK_FALSE(answer.response);
+        CHECK(answer.failure.error == ClientError::Malformed);
+    }
+    SECTION("behind another line of the head")
+    {
+        const ReceivedAnswer answer = receive("HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line + "\r\nbody");
+        CHECK_FALSE(answer.response);
+        CHECK(answer.failure.error == ClientError::Malformed);
+    }
+    SECTION("in the trailer")
+    {
+        const ReceivedAnswer answer = receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-First: 1\r\n" + line + "\r\n");
+        const bool folded = line.starts_with(' ') || line.starts_with('\t') || line.find("\r\n ") != std::string::npos;
+        // Trailers are dropped, so that a folded line in one changes nothing.
+        CHECK(answer.response.has_value() == folded);
+    }
+}
