Refuse requests whose body has a transfer coding that can't be decoded

Beast's parser ignores a coding that it does not know: without a length the request has no body then, and the bytes behind its head are the next one.

Requests use the check that answers have: no transfer coding, or "chunked" alone in HTTP/1.1.

--- a/src/http/internal/requestreading.cpp
+++ b/src/http/internal/requestreading.cpp
@@ -1,6 +1,7 @@
 #include "base/text.h"
 #include "http/internal/connection.h"
 #include "http/internal/requestfaults.h"
+#include "http/internal/transfercoding.h"
 
 #include <utility>
 
@@ -61,8 +62,11 @@
     parser.header_limit(m_limits.headerBytes);
     parser.body_limit(m_limits.bodyBytes);
     startDeadline(m_limits.headerTimeout);
-    const beast::error_code error = co_await parse(parser, &Parser::is_header_done);
+    beast::error_code error = co_await parse(parser, &Parser::is_header_done);
     stopDeadline();
+    if (!error && !isBodyReadable(parser.get(), parser.get().version())) {
+        error = bhttp::error::bad_transfer_encoding;
+    }
     if (error) {
         co_await refuse(error);
         co_return std::nullopt;
