Don't excuse a suspect by a presence that a host knows too little of

In a large fleet a host sees little of the upstreams: with 77 and 295 hosts, and upstreams that each crash every 2.4 s, it estimated that a deadly part had been in progress for three to five times as long as all requests together.

Beyond three times the presence counts as unknown, and the share of broken answers has to speak for itself against all suspects. The presence of a suspect is counted from the same second on as that of all requests.

--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -19,6 +19,8 @@
 constexpr double MinPartWithoutAnswers = 0.75;
 /// The same when only the crashes tell: a report has to reach a host that answers such a request, and the answer to be reported back.
 constexpr int CrashObservationIntervals = 3;
+/// Time for which a suspect was in progress, as a multiple of that of all requests, beyond which this host has seen too little of the upstreams to judge.
+constexpr double MaxPresence = 3;
 /// Time at an upstream, in seconds, with which the presence at all of them counts beside that at this one.
 constexpr double SharedWeight = 1;
 
@@ -55,15 +57,18 @@
     const std::size_t hosts = m_otherHosts.size() + 1;
     double suspected = 0;
     std::map<std::string_view, double> suspectedAt;
+    // Times are counted in whole seconds.
+    const TimePoint since = std::chrono::floor<std::chrono::seconds>(first.at);
     for (const Crash &crash : suspect.crashes) {
         if (!crash.present) {
             return std::nullopt;
         }
-        suspected += seconds(*crash.present);
-        suspectedAt[crash.instance] += seconds(*crash.present);
+        const double present = seconds(std::min(*crash.present, crash.at - since));
+        suspected += present;
+        suspectedAt[crash.instance] += present;
     }
     const double busy = seconds(presence->second.busy(first.at, hosts));
-    if (busy <= 0) {
+    if (busy <= 0 || suspected > MaxPresence * busy) {
         return std::nullopt;
     }
     const double sharedTime = SharedWeight * suspected / busy;
@@ -97,8 +102,9 @@
     static const AnswerHistory None;
     const auto found = m_answers.find(suspect.service);
     const AnswerHistory &answers = found == m_answers.end() ? None : found->second;
-    return std::pow(answers.brokenShare(suspect.firstCrashAt, now), static_cast<double>(suspect.crashes.size())) <= MaxCoincidence
-        && coincidence(suspect).value_or(0) <= MaxCoincidence;
+    const double probability = std::pow(answers.brokenShare(suspect.firstCrashAt, now), static_cast<double>(suspect.crashes.size()));
+    const std::optional<double> byPresence = probability <= MaxCoincidence ? coincidence(suspect) : std::nullopt;
+    return byPresence ? *byPresence <= MaxCoincidence : probability <= MaxCoincidence / static_cast<double>(m_suspects.size());
 }
 
 bool CrashQuarantine::isCauseOfCrashes(const Suspect &suspect, bool unlikelyCoincidence, Duration observed) const
--- a/src/quarantine/internal/crashquarantine.cpp
+++ b/src/quarantine/internal/crashquarantine.cpp
@@ -247,7 +247,9 @@
 void CrashQuarantine::noteServiceCrash(const std::string &service, const Crash &crash)
 {
     std::deque<Crash> &crashes = m_crashes[service];
-    if (std::ranges::any_of(crashes, [&crash](const Crash &known) { return sameCrash(known, crash); })) {
+    const auto known = std::ranges::find_if(crashes, [&crash](const Crash &other) { return sameCrash(other, crash); });
+    if (known != crashes.end()) {
+        known->observedHere = known->observedHere || crash.observedHere;
         return;
     }
     m_presence[service].noteCrash(crash.instance, crash.at);
--- a/src/quarantine/tests/largefleettests.cpp
+++ b/src/quarantine/tests/largefleettests.cpp
@@ -42,8 +42,15 @@
     Fleet(std::size_t hosts, milliseconds interval)
         : m_interval(interval)
     {
+        std::vector<std::string> names;
         for (std::size_t host = 0; host < hosts; ++host) {
+            names.push_back("entry-" + std::to_string(host));
+        }
+        for (const std::string &name : names) {
             m_hosts.push_back(std::make_unique<CrashQuarantine>([](SuspectId, SuspectChange, std::size_t) {}));
+            std::vector<std::string> others = names;
+            std::erase(others, name);
+            m_hosts.back()->setHosts(name, std::move(others));
             m_hosts.back()->setReportInterval(interval);
         }
     }
@@ -94,6 +101,7 @@
                 noteBroken(ended, now);
             } else {
                 m_hosts[ended.host]->noteCompleted({"models", ended.fingerprint, ended.parts}, now);
+                notePresence(ended, now);
             }
         }
     }
@@ -116,6 +124,12 @@
     {
         m_hosts[request.host]->noteBroken(
             {"models", request.fingerprint, request.parts}, "i-" + std::to_string(request.upstream), request.endsAt - AnswerTime, now);
+        notePresence(request, now);
+    }
+
+    void notePresence(const Request &request, TimePoint now)
+    {
+        m_hosts[request.host]->notePresence("models", "i-" + std::to_string(request.upstream), request.endsAt - AnswerTime, now);
     }
 
     void exchangeReports(milliseconds time, TimePoint now)
