--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 
@@ -99,6 +100,13 @@
         return m_closed;
     });
     INFO("waiting for a log line with: " << text);
+    std::string lastLines;
+    constexpr std::size_t ShownLines = 5;
+    for (std::size_t line = m_lines.size() - std::min(m_lines.size(), ShownLines); line < m_lines.size(); ++line) {
+        lastLines += m_lines[line] + '\n';
+    }
+    const std::optional<int> exit = found.empty() ? reap(false) : std::nullopt;
+    INFO("output closed: " << m_closed << ", exit: " << exit.value_or(0) << ", last lines:\n" << lastLines);
     REQUIRE(there);
     REQUIRE_FALSE(found.empty());
     return found;
