Notice upstreams whose idle connections have all ended

Cause: ConnectionPool::take() and closeExpired() dropped connections that had ended while they were idle without a word. An upstream that had restarted under its id, with another version, while a host had only idle connections to it, counted as the run that the list shows (RunContinuity), so that streams of the version before were resumed at it.

Change: the pool tells when the other side has ended the last idle connections to an endpoint, and the upstream there counts as possibly restarted until the list would show its new run.

Measured: a test of the pool, which could not be written before.

--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -90,7 +90,7 @@
                   [this](const rollouts::Rollout &rollout, std::string_view change) { handleRolloutChange(rollout, change); })
     , usageLedger(settings.usageWindow)
     , heldBytes(std::make_shared<http::MemoryBudget>(settings.heldBytes))
-    , upstreamConnections(std::make_shared<http::ConnectionPool>())
+    , upstreamConnections(std::make_shared<http::ConnectionPool>([this](std::string_view endpoint) { handleConnectionsEnded(endpoint); }))
     , peerConnections(std::make_shared<http::ConnectionPool>())
     , upstreamSamples(balancer.speeds())
     , statusChannels([this](std::string_view channel, std::string_view hostStart) {
@@ -108,6 +108,15 @@
     statusChannels.add(upstreamSamples);
 }
 
+void GatewayContext::handleConnectionsEnded(std::string_view endpoint)
+{
+    for (const auto &[instance, upstream] : directory.all()) {
+        if (upstream.entry.endpoint.text() == endpoint) {
+            runContinuity.noteConnectionsLost(instance, hostNow());
+        }
+    }
+}
+
 void GatewayContext::handleUpstreamChange(const directory::Upstream &upstream, std::string_view change)
 {
     const directory::UpstreamEntry &entry = upstream.entry;
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -90,6 +90,8 @@
     double randomFraction();
 
 private:
+    /// Notes that an upstream at @p endpoint has ended the last idle connections to it, as it does when its process ends.
+    void handleConnectionsEnded(std::string_view endpoint);
     /// Passes a change of the list of upstreams to the components that depend on it.
     void handleUpstreamChange(const directory::Upstream &upstream, std::string_view change);
     /// Logs and counts a change of a roll-out.
--- a/src/http/internal/connectionpool.cpp
+++ b/src/http/internal/connectionpool.cpp
@@ -16,17 +16,30 @@
 /// Time before the server's idle timeout at which a connection is closed, so that no request is sent while the server closes it.
 constexpr std::chrono::milliseconds IdleMargin{500};
 
-/// True when the connection is open and has no unread bytes; bytes received without a request belong to no answer.
-bool isReusable(ClientConnection &connection)
+/// State of an idle connection.
+enum class IdleState : std::uint8_t {
+    Reusable,
+    HasBytes, ///< Bytes received without a request, which belong to no answer.
+    Ended,    ///< By the other side or by an error.
+};
+
+IdleState stateOf(ClientConnection &connection)
 {
     char byte = 0;
     const ssize_t count = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (count > 0) {
+        return IdleState::HasBytes;
+    }
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? IdleState::Reusable : IdleState::Ended;
+}
+
 }
 
+ConnectionPool::ConnectionPool(EndListener endListener)
+    : m_endListener(std::move(endListener))
+{
 }
 
-ConnectionPool::ConnectionPool() = default;
 ConnectionPool::~ConnectionPool() = default;
 
 std::unique_ptr<ClientConnection> ConnectionPool::take(const Endpoint &endpoint)
@@ -37,12 +50,18 @@
     }
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     std::vector<std::unique_ptr<ClientConnection>> &idle = found->second;
+    bool ended = false;
     while (!idle.empty()) {
         std::unique_ptr<ClientConnection> candidate = std::move(idle.back());
         idle.pop_back();
-        if (candidate->idleUntil > now && isReusable(*candidate)) {
+        const IdleState state = stateOf(*candidate);
+        if (state == IdleState::Reusable && candidate->idleUntil > now) {
             return candidate;
         }
+        ended = ended || state == IdleState::Ended;
+    }
+    if (ended && m_endListener) {
+        m_endListener(found->first);
     }
     return nullptr;
 }
@@ -76,14 +95,23 @@
 bool ConnectionPool::hasOpen(const Endpoint &endpoint) const
 {
     const auto found = m_idle.find(endpoint.text());
-    return found != m_idle.end() && std::ranges::any_of(found->second, [](const std::unique_ptr<ClientConnection> &idle) { return isReusable(*idle); });
+    return found != m_idle.end()
+        && std::ranges::any_of(found->second, [](const std::unique_ptr<ClientConnection> &idle) { return stateOf(*idle) == IdleState::Reusable; });
 }
 
 void ConnectionPool::closeExpired()
 {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     for (auto entry = m_idle.begin(); entry != m_idle.end();) {
-        std::erase_if(entry->second, [now](const std::unique_ptr<ClientConnection> &idle) { return idle->idleUntil <= now; });
+        bool ended = false;
+        std::erase_if(entry->second, [now, &ended](const std::unique_ptr<ClientConnection> &idle) {
+            const bool expired = idle->idleUntil <= now;
+            ended = ended || (expired && stateOf(*idle) == IdleState::Ended);
+            return expired;
+        });
+        if (ended && entry->second.empty() && m_endListener) {
+            m_endListener(entry->first);
+        }
         entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
     }
 }
--- a/src/http/tests/exchangetests.cpp
+++ b/src/http/tests/exchangetests.cpp
@@ -1,5 +1,6 @@
 #include "http/connectionpool.h"
 #include "http/ihttpclient.h"
+#include "http/internal/clientconnection.h"
 
 #include <boost/asio.hpp>
 
@@ -153,6 +154,46 @@
 }
 
 // Guards against requests that are sent on a decision made before the connection was opened.
+// Guards against taking an upstream that has restarted for the run before: connections that ended while they were idle were dropped without a word.
+TEST_CASE("A pool tells when the other side has ended the last idle connections to an endpoint")
+{
+    net::io_context context;
+    RawServer server(context);
+    std::vector<std::string> ended;
+    const std::shared_ptr<ConnectionPool> pool = std::make_shared<ConnectionPool>([&ended](std::string_view endpoint) { ended.emplace_back(endpoint); });
+    runScript(context, [](RawServer &listening, std::shared_ptr<ConnectionPool> connections, std::vector<std::string> &reported) -> net::awaitable<void> {
+        const net::any_io_executor executor = co_await net::this_coro::executor;
+        const Endpoint endpoint = listening.endpoint();
+        std::string body;
+        // Has one request answered, on the kept connection or a new one.
+        net::steady_timer answered(executor, net::steady_timer::time_point::max());
+        net::co_spawn(
+            executor,
+            [](Endpoint target, std::shared_ptr<ConnectionPool> used, std::string &received, net::steady_timer &done) -> net::awaitable<void> {
+                received = co_await fetchBody(target, used);
+                done.cancel();
+            }(endpoint, connections, body, answered),
+            net::detached);
+        std::optional<tcp::socket> socket(co_await listening.accept());
+        co_await readHead(*socket);
+        co_await answer(*socket, "first", "");
+        co_await answered.async_wait(Token);
+        CHECK(body == "first");
+        CHECK(connections->size() == 1);
+        CHECK(connections->hasOpen(endpoint));
+        CHECK(reported.empty());
+
+        socket.reset();
+        net::steady_timer arrival(executor, std::chrono::milliseconds(20));
+        co_await arrival.async_wait(Token);
+        CHECK(!connections->hasOpen(endpoint));
+        CHECK(connections->take(endpoint) == nullptr);
+        CHECK(reported == std::vector<std::string>{endpoint.text()});
+        CHECK(connections->take(endpoint) == nullptr);
+        CHECK(reported.size() == 1);
+    }(server, pool, ended));
+}
+
 TEST_CASE("A request that is withdrawn once the connection is open is not sent, and the connection serves the next one")
 {
     const bool pooled = GENERATE(false, true);
