Take a stream that no host has recorded for one of the default version

Cause: a host recorded its streams, and told its peers of them, only once it knew two versions of a service. For the others, the second version ended the only conclusion that they drew from silence, although no stream of the new version could be unknown to them.

Change: each service has a default version, recorded by conditional append while it is the only one known. The streams of other versions, and those at an upstream that may have restarted unnoticed, are recorded before their first event is passed on; a stream without a record is of the default version, unless the log was away, has dropped records or was restored. A take-up reads the list of upstreams while a service has several versions. VersionRecords takes the records of versions over from StreamRegistry.

Why it works: whoever began a stream without a record, and however that host ended, it was not of another version.

--- a/src/gateway/internal/requestdispatch.cpp
+++ b/src/gateway/internal/requestdispatch.cpp
@@ -193,11 +193,16 @@
         bool callerConnected = true;
         if (!m_streamStarted) {
             noteTimeToAnswer();
+            const bool mayBegin = co_await beginStream();
+            if (!mayBegin) {
+                m_exchange->cancel();
+                endDispatch(balancing::AttemptEnd::Inconclusive);
+                co_return DispatchResult::TryAnother;
+            }
             m_streamStarted = true;
             // Events are passed on as they come, so that no time has to be reserved for it.
             m_exchange->setEnd(std::chrono::steady_clock::now() + remainingTime(hostNow()));
             m_streamFormat = streamFormat(upstreamResponse);
-            noteStreamBegan();
             http::Headers headers = endToEndHeaders(upstreamResponse.headers);
             if (m_fromPeer) {
                 headers.add(PeerAnswerHeader, "1");
--- a/src/gateway/internal/requestresumption.cpp
+++ b/src/gateway/internal/requestresumption.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 namespace rosemaryshift::gateway {
 
 namespace net = boost::asio;
@@ -12,6 +14,9 @@
 /// Shortest Retry-After for a caller that resumes a stream of which this host knows nothing; others tell of their streams in their next status.
 constexpr std::chrono::milliseconds UnknownOriginRetryDelay{500};
 
+/// Time for which callers may resume the streams of a route without a timeout.
+constexpr std::chrono::seconds UnboundedStreamLifetime{60};
+
 }
 
 bool RequestSession::callerResumes() const
@@ -36,7 +41,8 @@
     if (!m_callerRequest.resumedAttempt.empty()) {
         key = streamKey(m_callerRequest.resumedAttempt);
     }
-    const std::optional<streams::Origin> origin = co_await m_streamRegistry.find(key, services);
+    const Duration longestStream = m_route->timeout.count() > 0 ? Duration(m_route->timeout) : Duration(UnboundedStreamLifetime);
+    const std::optional<streams::Origin> origin = co_await m_streamRegistry.find(key, services, longestStream);
     if (!origin) {
         m_reason = "stream_unknown";
         m_retryAfter = std::max(UnknownOriginRetryDelay, gossip::statusInterval(m_context.hostCount));
@@ -52,27 +58,57 @@
     co_return true;
 }
 
-void RequestSession::noteStreamBegan()
+net::awaitable<bool> RequestSession::beginStream()
 {
     if (!m_route->resumable || m_viaPeer) {
-        return;
+        co_return true;
     }
     const TimePoint now = hostNow();
     if (m_continuedVersion) {
         if (!m_callerRequest.resumedAttempt.empty()) {
             m_context.streamOrigins.renew(streamKey(m_callerRequest.resumedAttempt), now);
         }
-        return;
+        co_return true;
     }
     const directory::Upstream *const listed = m_context.directory.find(m_instance);
     const bool restarted = listed != nullptr && (listed->entry.startTimeMs != m_upstream.startTimeMs || !mayBeContinuedBy(*listed, m_upstream.softwareVersion));
+    const bool certain = !restarted && (listed == nullptr || m_context.runContinuity.certain(*listed));
+    if (!m_callerRequest.attemptId.empty()) {
+        const streams::StreamKey key = streamKey(m_callerRequest.attemptId);
+        const streams::Origin origin{m_service, certain ? m_upstream.softwareVersion : std::string()};
+        m_context.streamOrigins.noteBegan(key, origin, m_instance, now);
+        bool recorded = !m_streamRegistry.needsRecord(origin);
+        if (!recorded && m_streamRegistry.canRecord()) {
+            recorded = co_await m_streamRegistry.record(key);
+        }
+        const bool ofDefaultVersion = m_context.softwareVersions.defaultVersion(m_service) == m_upstream.softwareVersion;
+        if (!recorded && !ofDefaultVersion && m_streamRegistry.rejectedByLogAlone() && defaultVersionServed(hostNow())) {
+            m_reason = "stream_not_recorded";
+            m_streamNotRecorded = true;
+            co_return false;
+        }
+    }
     if (!restarted) {
         m_continuedVersion = m_upstream.softwareVersion;
     }
-    if (!m_callerRequest.attemptId.empty()) {
-        m_context.streamOrigins.noteBegan(
-            streamKey(m_callerRequest.attemptId), {m_service, restarted ? std::string() : m_upstream.softwareVersion}, m_instance, now);
+    co_return true;
+}
+
+std::optional<std::string> RequestSession::versionWithoutRecord(TimePoint now) const
+{
+    const bool begins = m_route->kind == routing::RequestKind::Streaming && m_route->resumable && !m_streamStarted && !m_continuedVersion;
+    if (!begins || !(m_streamNotRecorded || m_streamRegistry.rejectedByLogAlone())) {
+        return std::nullopt;
     }
+    return defaultVersionServed(now) ? m_context.softwareVersions.defaultVersion(m_service) : std::nullopt;
+}
+
+bool RequestSession::defaultVersionServed(TimePoint now) const
+{
+    const std::optional<std::string> version = m_context.softwareVersions.defaultVersion(m_service);
+    return version && std::ranges::any_of(m_context.directory.usable(m_service, now), [&version](const directory::Upstream *upstream) {
+               return upstream->entry.softwareVersion == *version;
+           });
 }
 
 RequestSession::StreamFormat RequestSession::streamFormat(const http::Response &answer)
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -90,6 +90,7 @@
         return std::nullopt; // No upstream can be told where, or by which version, the stream was broken off.
     }
     std::vector<balancing::Candidate> candidates;
+    const std::optional<std::string> onlyVersion = versionWithoutRecord(now);
     const routing::Service *const service = m_routeTable->service(m_service);
     const std::uint32_t maxRequests = limits::connectionShare(service != nullptr ? service->maxConnections : 0, m_context.hostCount);
     std::optional<double> limitedRate;     ///< Sum of the limits of the upstreams that are left out because of them.
@@ -99,7 +100,7 @@
         if (m_triedInstances.contains(entry.instance) || (m_continuedVersion && !mayBeContinuedBy(*upstream, *m_continuedVersion))) {
             continue;
         }
-        if (!versions.admits(entry.softwareVersion, entry.instance)) {
+        if (!versions.admits(entry.softwareVersion, entry.instance) || (onlyVersion && entry.softwareVersion != *onlyVersion)) {
             continue;
         }
         if (const std::optional<Duration> pause = m_context.upstreamPauses.remaining(entry.instance, now)) {
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -175,8 +175,13 @@
     [[nodiscard]] bool callerResumes() const;
     /// Finds out which software version began the stream that the caller resumes. Returns false, with the reason set, when no upstream may continue it.
     boost::asio::awaitable<bool> findStreamOrigin();
-    /// Records which software version began the stream, before its first event is passed on.
-    void noteStreamBegan();
+    /// Notes which software version began the stream, before its first event is passed on, and has it recorded if needed. Returns false, with the reason
+    /// set, when the event must not be passed on because other hosts would take the stream for one of another version.
+    boost::asio::awaitable<bool> beginStream();
+    /// The only software version at which a stream may begin, because this host can't record others; nothing when all may begin one.
+    [[nodiscard]] std::optional<std::string> versionWithoutRecord(TimePoint now) const;
+    /// Whether an upstream of the version whose streams need no record may be sent requests.
+    [[nodiscard]] bool defaultVersionServed(TimePoint now) const;
     [[nodiscard]] static StreamFormat streamFormat(const http::Response &answer);
     /// Whether @p answer may be the rest of the stream that was started; its status is no error then.
     [[nodiscard]] bool continuesStream(const http::Response &answer) const;
@@ -298,6 +303,7 @@
     TimePoint m_offeredAt;                      ///< Time at which the upstream of the last dispatch was chosen.
     Duration m_expected{0};                     ///< Expected time from then to the first part of its response.
     std::optional<Duration> m_upstreamFirst;    ///< That time as measured.
+    bool m_streamNotRecorded = false;           ///< A stream had begun that could not be recorded, so that it was not passed on.
     StreamPauses m_pauses;
     bool m_waitsForAnswer = false; ///< The request was admitted, and its answer has not begun.
     bool m_silenceNoted = false;   ///< The silence of the upstream of the current dispatch was recorded.
--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 namespace rosemaryshift::gateway {
 
 namespace net = boost::asio;
@@ -17,28 +19,29 @@
 constexpr std::chrono::milliseconds CallTimeout{700};
 /// Interval of each host, for each known host, at which it records streams: all hosts together append at most a hundred times per second.
 constexpr std::chrono::milliseconds WriteIntervalPerHost{10};
+/// The same while the first events of streams wait for their record, and the shortest such interval.
+constexpr std::chrono::milliseconds WaitingWriteIntervalPerHost{4};
+constexpr std::chrono::milliseconds ShortestWriteInterval{40};
+/// Timeout of an append for which a first event waits.
+constexpr std::chrono::milliseconds WaitingCallTimeout{400};
+/// Time after a failed append in which no first event waits for another one.
+constexpr std::chrono::seconds FailedAppendPause{1};
+/// Time within which a host notices by its reads of the list that the log is away.
+constexpr std::chrono::milliseconds OutageNoticeTime{1'500};
 /// Interval at which versions are checked while no streams need to be recorded.
 constexpr std::chrono::milliseconds IdleInterval{250};
 /// Maximum number of streams in one record.
 constexpr std::size_t MaxRecordedStreams = 4'000;
 
-/// The record that states that streams of @p version may be resumed. Its key has a bounded length.
-ports::Record versionRecord(const streams::ServiceVersion &version)
-{
-    constexpr std::size_t KeyDigits = 32;
-    Json::Value value;
-    value["service"] = version.service;
-    value["version"] = version.softwareVersion;
-    return {sha256Hex(version.service + '\n' + version.softwareVersion).substr(0, KeyDigits), toText(value)};
-}
+/// Separates, in the key of a record of streams, the name of the host from the time of writing in milliseconds since the Unix epoch. The topic is not kept by
+/// key.
+constexpr char KeySeparator = '@';
 
-std::optional<streams::ServiceVersion> recordedVersion(const ports::Record &record)
+std::optional<std::chrono::milliseconds> writtenAt(const ports::Record &record)
 {
-    std::string reason;
-    const std::optional<Json::Value> value = parseJson(record.value.value_or(""), reason);
-    const std::optional<std::string> service = value ? stringMember(*value, "service") : std::nullopt;
-    const std::optional<std::string> version = value ? stringMember(*value, "version") : std::nullopt;
-    return service && version ? std::optional(streams::ServiceVersion{*service, *version}) : std::nullopt;
+    const std::size_t separator = record.key.rfind(KeySeparator);
+    const std::optional<std::uint64_t> written = separator == std::string::npos ? std::nullopt : parseUnsigned(record.key.substr(separator + 1));
+    return written ? std::optional(std::chrono::milliseconds(*written)) : std::nullopt;
 }
 
 std::optional<streams::OriginReport> recordedOrigins(const ports::Record &record)
@@ -53,8 +56,9 @@
 StreamRegistry::StreamRegistry(GatewayContext &context, UpstreamFollower &upstreamFollower)
     : m_context(context)
     , m_upstreamFollower(upstreamFollower)
-    , m_versionsReader([this] { return readVersions(); })
+    , m_versionRecords(context, upstreamFollower)
     , m_originsReader([this] { return readOrigins(); })
+    , m_originsWriter([this] { return recordOrigins(); })
 {
 }
 
@@ -67,31 +71,38 @@
         }
         const TimePoint now = hostNow();
         m_context.streamOrigins.expire(now);
-        for (streams::ServiceVersion &version : m_context.softwareVersions.expire(now)) {
-            m_retired.push_back(std::move(version));
+        if (m_context.listAvailability.unreachable()) {
+            m_unreachableAt = now;
         }
-        bool succeeded = versionsRead();
-        if (!succeeded) {
-            succeeded = co_await m_versionsReader.run();
+        bool versionsRead = m_versionRecords.current();
+        if (!versionsRead) {
+            versionsRead = co_await m_versionRecords.read();
         }
         // Also after a failed read, since the topic does not exist before the first append.
-        const bool versionsRecorded = co_await recordVersions();
-        const bool originsRecorded = co_await recordOrigins();
-        const bool retiredRemoved = co_await removeRetired();
-        succeeded = succeeded && versionsRecorded && originsRecorded && retiredRemoved;
+        const bool versionsRecorded = co_await m_versionRecords.record();
+        co_await noteMixedServices();
+        const bool originsRecorded = co_await m_originsWriter.run();
+        const bool retiredRemoved = co_await m_versionRecords.removeRetired();
+        const bool succeeded = versionsRead && versionsRecorded && originsRecorded && retiredRemoved;
         co_await pause(succeeded ? writeInterval() : std::max(writeInterval(), IdleInterval));
     }
 }
 
-std::chrono::milliseconds StreamRegistry::writeInterval() const
+net::awaitable<void> StreamRegistry::noteMixedServices()
 {
-    const std::chrono::milliseconds interval = WriteIntervalPerHost * static_cast<int>(m_context.hostCount);
-    return m_context.softwareVersions.mixedServices().empty() ? std::max(interval, IdleInterval) : interval;
+    const bool mixed = !m_context.softwareVersions.mixedServices().empty();
+    if (mixed && !std::exchange(m_knewMixed, mixed)) {
+        // Only from now on there are records that matter, so that none of those which the log has dropped is missed.
+        co_await m_originsReader.run();
+        m_originsKnownSince = TimePoint();
+    }
+    m_knewMixed = mixed;
 }
 
-bool StreamRegistry::versionsRead() const
+std::chrono::milliseconds StreamRegistry::writeInterval() const
 {
-    return m_upstreamFollower.listRead() && m_versionsReadAfter == m_upstreamFollower.newestReads() && m_versionsReadRises == m_context.logEra.rises();
+    const std::chrono::milliseconds interval = WriteIntervalPerHost * static_cast<int>(m_context.hostCount);
+    return m_context.softwareVersions.mixedServices().empty() ? std::max(interval, IdleInterval) : interval;
 }
 
 bool StreamRegistry::noteRestoredLog()
@@ -101,81 +112,44 @@
     }
     m_notedRises = m_context.logEra.rises();
     m_context.streamOrigins.noteRecordsLost();
-    m_context.softwareVersions.noteRecordsLost();
     return true;
 }
 
-net::awaitable<bool> StreamRegistry::readVersions()
-{
-    if (!m_upstreamFollower.listRead()) {
-        co_return false;
-    }
-    const std::uint64_t newestReads = m_upstreamFollower.newestReads();
-    ports::LogFailure failure;
-    const std::optional<ports::NewestRecords> newest = co_await m_context.ports.platformLog->readNewest(ports::Topic::SoftwareVersions, CallTimeout, failure);
-    if (!newest) {
-        m_context.eventLog.write("versions_not_read", eventlog::Importance::Failure, {{"reason", failure.detail}});
-        co_return false;
-    }
-    noteRestoredLog(); // Before the records of the restored log are noted.
-    for (const ports::Record &record : newest->records) {
-        if (const std::optional<streams::ServiceVersion> version = recordedVersion(record)) {
-            m_context.softwareVersions.noteRecorded(*version, hostNow());
-        }
-    }
-    m_versionsReadAfter = newestReads;
-    m_versionsReadRises = m_context.logEra.rises();
-    co_return true;
-}
-
-net::awaitable<bool> StreamRegistry::recordVersions()
+net::awaitable<bool> StreamRegistry::record(streams::StreamKey key)
 {
-    for (const streams::ServiceVersion &version : m_context.softwareVersions.unrecorded()) {
-        ports::LogFailure failure;
-        ports::Record record = versionRecord(version);
-        const std::optional<ports::AppendResult> result
-            = co_await m_context.ports.platformLog->append(ports::Topic::SoftwareVersions, std::move(record), std::nullopt, CallTimeout, failure);
-        if (!result) {
-            m_context.eventLog.write("version_not_recorded",
-                                     eventlog::Importance::Failure,
-                                     {{"service", version.service}, {"version", version.softwareVersion}, {"reason", failure.detail}});
-            co_return false;
-        }
-        m_context.softwareVersions.noteRecorded(version, hostNow());
-    }
-    co_return true;
+    m_waiting.push_back(key);
+    co_await m_originsWriter.run();
+    co_return m_context.streamOrigins.isRecorded(key);
 }
 
-net::awaitable<bool> StreamRegistry::removeRetired()
+net::awaitable<bool> StreamRegistry::recordOrigins()
 {
-    while (!m_retired.empty()) {
-        ports::LogFailure failure;
-        ports::Record tombstone{versionRecord(m_retired.back()).key, std::nullopt};
-        const std::optional<ports::AppendResult> result
-            = co_await m_context.ports.platformLog->append(ports::Topic::SoftwareVersions, std::move(tombstone), std::nullopt, CallTimeout, failure);
-        if (!result) {
-            co_return false; // Tried again later; the record only makes hosts that start meanwhile more careful.
+    if (!m_waiting.empty()) {
+        const std::chrono::milliseconds interval = std::max(WaitingWriteIntervalPerHost * static_cast<int>(m_context.hostCount), ShortestWriteInterval);
+        const Duration left = m_recordedAt + interval - hostNow();
+        if (left > Duration::zero()) {
+            co_await pause(std::chrono::ceil<std::chrono::milliseconds>(left));
         }
-        m_retired.pop_back();
     }
-    co_return true;
-}
-
-net::awaitable<bool> StreamRegistry::recordOrigins()
-{
-    const streams::OriginReport report = m_context.streamOrigins.unrecorded(recordedServices(), MaxRecordedStreams);
+    const std::vector<streams::StreamKey> waiting = std::exchange(m_waiting, {});
+    streams::OriginReport report = m_context.streamOrigins.unrecorded(recordedServices(), MaxRecordedStreams);
+    report.merge(m_context.streamOrigins.report(waiting));
     if (report.size() == 0) {
         co_return true;
     }
+    m_recordedAt = hostNow();
+    const std::int64_t writtenMs = wholeMilliseconds(m_context.wallClock.sinceEpoch(m_recordedAt));
     ports::LogFailure failure;
-    ports::Record record{m_context.settings.name, toText(streams::toJson(report))};
-    const std::optional<ports::AppendResult> result
-        = co_await m_context.ports.platformLog->append(ports::Topic::StreamOrigins, std::move(record), std::nullopt, CallTimeout, failure);
+    ports::Record record{m_context.settings.name + KeySeparator + std::to_string(writtenMs), toText(streams::toJson(report))};
+    const std::optional<ports::AppendResult> result = co_await m_context.ports.platformLog->append(
+        ports::Topic::StreamOrigins, std::move(record), std::nullopt, waiting.empty() ? CallTimeout : WaitingCallTimeout, failure);
     if (!result) {
+        m_failingSince = m_failingSince.value_or(hostNow());
         m_context.eventLog.write(
             "streams_not_recorded", eventlog::Importance::Failure, {{"streams", static_cast<std::int64_t>(report.size())}, {"reason", failure.detail}});
         co_return false;
     }
+    m_failingSince.reset();
     m_context.streamOrigins.noteRecorded(report);
     co_return true;
 }
@@ -195,10 +169,16 @@
                 co_return false;
             }
             m_originsPosition = batch->next;
+            // The records before the first one that is left have expired, or were dropped early.
+            m_originsKnownSince = batch->next.offset == 0 ? TimePoint() : hostNow();
+            m_firstLeft = batch->next.offset;
             continue;
         }
         const TimePoint now = hostNow();
         for (const ports::Record &record : batch->records) {
+            if (const std::optional<std::chrono::milliseconds> written = writtenAt(record); written && record.offset == m_firstLeft) {
+                m_originsKnownSince = std::min(m_originsKnownSince, now - (m_context.wallClock.sinceEpoch(now) - *written));
+            }
             if (const std::optional<streams::OriginReport> report = recordedOrigins(record)) {
                 m_context.streamOrigins.apply(*report, now);
             } else {
@@ -234,42 +214,85 @@
 
 std::optional<streams::Origin> StreamRegistry::soleOrigin(const std::set<std::string> &services) const
 {
-    if (services.size() != 1 || !versionsRead()) {
+    if (services.size() != 1 || !m_versionRecords.current()) {
         return std::nullopt;
     }
     const std::set<std::string> versions = m_context.softwareVersions.versions(*services.begin());
     return versions.size() == 1 ? std::optional(streams::Origin{*services.begin(), *versions.begin()}) : std::nullopt;
 }
 
-net::awaitable<std::optional<streams::Origin>> StreamRegistry::find(std::optional<streams::StreamKey> key, std::set<std::string> services)
+net::awaitable<std::optional<streams::Origin>> StreamRegistry::defaultOrigin(std::set<std::string> services, Duration longestStream)
 {
-    if (std::optional<streams::Origin> known = key ? m_context.streamOrigins.find(*key) : std::nullopt) {
-        co_return known;
+    const TimePoint now = hostNow();
+    const bool outage = m_unreachableAt && now - *m_unreachableAt <= longestStream; // Hosts could not record their streams.
+    const bool dropped = now - m_originsKnownSince <= longestStream;
+    if (services.size() != 1 || outage || dropped) {
+        co_return std::nullopt;
+    }
+    const bool versionsRead = co_await m_versionRecords.read();
+    const std::string &service = *services.begin();
+    const std::optional<std::string> version = versionsRead ? m_context.softwareVersions.defaultVersion(service) : std::nullopt;
+    co_return version ? std::optional(streams::Origin{service, *version}) : std::nullopt;
+}
+
+net::awaitable<bool> StreamRegistry::refreshVersions()
+{
+    if (m_context.listAvailability.unreachable()) {
+        co_return false;
     }
-    if (!versionsRead()) {
-        co_await m_versionsReader.run();
+    const bool listRead = co_await m_upstreamFollower.refresh();
+    if (!listRead || m_versionRecords.current()) {
+        co_return listRead;
     }
-    if (soleOrigin(services)) {
-        // Another host may have begun the stream at a version that was listed after this host last read the list.
-        if (m_context.listAvailability.unreachable()) {
-            co_return std::nullopt;
-        }
-        const bool listRead = co_await m_upstreamFollower.refresh();
-        if (!listRead) {
-            co_return std::nullopt;
-        }
-        if (!versionsRead()) {
-            co_await m_versionsReader.run();
+    const bool versionsRead = co_await m_versionRecords.read();
+    co_return versionsRead;
+}
+
+net::awaitable<std::optional<streams::Origin>>
+StreamRegistry::find(std::optional<streams::StreamKey> key, std::set<std::string> services, Duration longestStream)
+{
+    std::optional<streams::Origin> known = key ? m_context.streamOrigins.find(*key) : std::nullopt;
+    if (known && known->certain()) {
+        if (m_context.softwareVersions.mixedServices().contains(known->service)) {
+            co_await refreshVersions(); // An upstream of its version may have started again with another one.
         }
+        co_return known;
     }
-    if (std::optional<streams::Origin> sole = soleOrigin(services)) {
-        co_return sole;
+    // Another host may have begun the stream at a version that was listed after this host last read the list.
+    const bool refreshed = co_await refreshVersions();
+    const std::optional<streams::Origin> sole = refreshed ? soleOrigin(services) : std::nullopt;
+    if (sole || known || !key) {
+        co_return sole ? sole : known; // An uncertain origin is one of the known versions.
     }
-    if (!key) {
-        co_return std::nullopt;
+    const bool originsRead = co_await m_originsReader.run();
+    known = m_context.streamOrigins.find(*key);
+    if (known || !originsRead) {
+        co_return known;
+    }
+    std::optional<streams::Origin> origin = co_await defaultOrigin(services, longestStream);
+    co_return origin;
+}
+
+bool StreamRegistry::needsRecord(const streams::Origin &origin) const
+{
+    const std::optional<std::string> version = m_context.softwareVersions.defaultVersion(origin.service);
+    const bool single = m_context.softwareVersions.versions(origin.service).size() == 1;
+    return !origin.certain() || (version ? *version != origin.softwareVersion : !single);
+}
+
+bool StreamRegistry::canRecord() const
+{
+    const bool failing = m_failingSince && hostNow() - m_recordedAt < FailedAppendPause;
+    return !m_context.listAvailability.unreachable() && !failing;
+}
+
+bool StreamRegistry::rejectedByLogAlone() const
+{
+    if (!m_context.listAvailability.unreachable()) {
+        // The list may be told by another host that reads the log.
+        return m_failingSince && hostNow() - *m_failingSince > OutageNoticeTime;
     }
-    co_await m_originsReader.run();
-    co_return m_context.streamOrigins.find(*key);
+    return std::ranges::any_of(m_context.peers->peers(), [](const auto &entry) { return entry.second.status.listReachableMs.has_value(); });
 }
 
 }
--- a/src/streams/internal/originreport.cpp
+++ b/src/streams/internal/originreport.cpp
@@ -2,6 +2,10 @@
 
 #include "base/text.h"
 
+#include <algorithm>
+#include <iterator>
+#include <set>
+
 namespace rosemaryshift::streams {
 
 StreamKey streamKey(std::string_view workspace, std::string_view attemptId)
@@ -16,6 +20,17 @@
     streams[origin.service][origin.softwareVersion].push_back(key);
 }
 
+void OriginReport::merge(const OriginReport &other)
+{
+    for (const auto &[service, versions] : other.streams) {
+        for (const auto &[version, keys] : versions) {
+            std::vector<StreamKey> &own = streams[service][version];
+            const std::set<StreamKey> known(own.begin(), own.end());
+            std::ranges::copy_if(keys, std::back_inserter(own), [&known](StreamKey key) { return !known.contains(key); });
+        }
+    }
+}
+
 std::size_t OriginReport::size() const
 {
     std::size_t count = 0;
--- a/src/streams/internal/streamorigins.cpp
+++ b/src/streams/internal/streamorigins.cpp
@@ -108,6 +108,12 @@
     return found == m_streams.end() ? std::nullopt : std::optional(found->second.origin);
 }
 
+bool StreamOrigins::isRecorded(StreamKey key) const
+{
+    const auto found = m_streams.find(key);
+    return found != m_streams.end() && !found->second.unrecorded;
+}
+
 bool StreamOrigins::hasUnrecorded(const std::string &service) const
 {
     const auto found = m_unrecorded.find(service);
@@ -133,6 +139,18 @@
     return report;
 }
 
+OriginReport StreamOrigins::report(std::span<const StreamKey> keys) const
+{
+    OriginReport report;
+    for (const StreamKey key : keys) {
+        const auto found = m_streams.find(key);
+        if (found != m_streams.end()) {
+            report.add(key, found->second.origin);
+        }
+    }
+    return report;
+}
+
 void StreamOrigins::noteRecorded(const OriginReport &report)
 {
     for (const auto &[service, versions] : report.streams) {
--- a/src/streams/internal/versionhistory.cpp
+++ b/src/streams/internal/versionhistory.cpp
@@ -18,7 +18,7 @@
 
 VersionHistory::Presence &VersionHistory::add(const ServiceVersion &version, TimePoint listedAt)
 {
-    const auto [entry, isNew] = m_services[version.service].try_emplace(version.softwareVersion, Presence{listedAt, false});
+    const auto [entry, isNew] = m_services[version.service].try_emplace(version.softwareVersion, Presence{listedAt, false, false});
     if (isNew && m_listener) {
         m_listener(version.service, versions(version.service));
     }
@@ -39,9 +39,16 @@
     }
 }
 
-void VersionHistory::noteRecorded(const ServiceVersion &version, TimePoint now)
+void VersionHistory::noteRecorded(const ServiceVersion &version, bool isDefault, TimePoint now)
 {
-    add(version, now).recorded = true;
+    Presence &presence = add(version, now);
+    presence.recorded = true;
+    presence.isDefault = isDefault;
+    if (isDefault) {
+        for (auto &[other, otherPresence] : m_services.at(version.service)) {
+            otherPresence.isDefault = other == version.softwareVersion;
+        }
+    }
 }
 
 void VersionHistory::noteRecordsLost()
@@ -49,6 +56,7 @@
     for (auto &[service, presences] : m_services) {
         for (auto &[version, presence] : presences) {
             presence.recorded = false;
+            presence.isDefault = false;
         }
     }
 }
@@ -106,6 +114,27 @@
     return services;
 }
 
+std::optional<std::string> VersionHistory::defaultVersion(const std::string &service) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return std::nullopt;
+    }
+    const auto version = std::ranges::find_if(found->second, [](const std::pair<const std::string, Presence> &entry) { return entry.second.isDefault; });
+    return version == found->second.end() ? std::nullopt : std::optional(version->first);
+}
+
+std::vector<ServiceVersion> VersionHistory::defaultCandidates() const
+{
+    std::vector<ServiceVersion> candidates;
+    for (const auto &[service, presences] : m_services) {
+        if (presences.size() == 1 && !presences.begin()->second.isDefault) {
+            candidates.push_back({service, presences.begin()->first});
+        }
+    }
+    return candidates;
+}
+
 std::vector<ServiceVersion> VersionHistory::unrecorded() const
 {
     std::vector<ServiceVersion> versions;
--- a/src/streams/originreport.h
+++ b/src/streams/originreport.h
@@ -17,6 +17,8 @@
 
     /// Adds a stream.
     void add(StreamKey key, const Origin &origin);
+    /// Adds the streams of @p other that the report does not have.
+    void merge(const OriginReport &other);
     /// Number of streams.
     [[nodiscard]] std::size_t size() const;
     bool operator==(const OriginReport &) const = default;
--- a/src/streams/streamorigins.h
+++ b/src/streams/streamorigins.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -31,10 +32,14 @@
 
     /// The origin of a stream; nothing when it is not known here.
     [[nodiscard]] std::optional<Origin> find(StreamKey key) const;
+    /// Whether the origin of a stream that this host has passed on is recorded as it is known here.
+    [[nodiscard]] bool isRecorded(StreamKey key) const;
     /// Whether this host has passed streams of @p service on that are not recorded yet.
     [[nodiscard]] bool hasUnrecorded(const std::string &service) const;
     /// Streams of @p services that this host has passed on and that are not recorded yet; the earliest first, at most @p most.
     [[nodiscard]] OriginReport unrecorded(const std::set<std::string> &services, std::size_t most) const;
+    /// The origins of the streams with these @p keys that are known here.
+    [[nodiscard]] OriginReport report(std::span<const StreamKey> keys) const;
     /// Notes that @p report is recorded where the other hosts find it.
     void noteRecorded(const OriginReport &report);
     /// Notes that records may be lost: the streams that this host has passed on are recorded anew.
--- a/src/streams/tests/streamoriginstests.cpp
+++ b/src/streams/tests/streamoriginstests.cpp
@@ -46,6 +46,19 @@
         REQUIRE(origins.find(3));
         CHECK(!origins.find(3)->certain());
     }
+    SECTION("a stream whose first event waits for its record is added once to those that are recorded behind")
+    {
+        origins.noteBegan(2, Second, "model-b", Start);
+        OriginReport report = origins.unrecorded(Models, 1);
+        const std::vector<StreamKey> waiting{1, 2, 3};
+        report.merge(origins.report(waiting));
+        CHECK(report.size() == 2);
+        CHECK(!origins.isRecorded(2));
+        origins.noteRecorded(report);
+        CHECK(origins.isRecorded(1));
+        CHECK(origins.isRecorded(2));
+        CHECK(!origins.isRecorded(3));
+    }
     SECTION("an origin is uncertain when reports contradict each other")
     {
         OriginReport report;
--- a/src/streams/tests/versionhistorytests.cpp
+++ b/src/streams/tests/versionhistorytests.cpp
@@ -33,7 +33,7 @@
     }
     SECTION("its record is to be removed then")
     {
-        history.noteRecorded(First, Start + 5s);
+        history.noteRecorded(First, false, Start + 5s);
         history.noteListed(Second, Start + 61s);
         CHECK(history.expire(Start + 61s) == std::vector<ServiceVersion>{First});
         CHECK(history.expire(Start + 62s).empty());
@@ -44,10 +44,10 @@
 {
     VersionHistory history;
     history.noteListed(Second, Start);
-    history.noteRecorded(First, Start);
+    history.noteRecorded(First, false, Start);
     CHECK(history.versions("models") == std::set<std::string>{"v1", "v2"});
     CHECK(history.unrecorded() == std::vector<ServiceVersion>{Second});
-    history.noteRecorded(Second, Start);
+    history.noteRecorded(Second, false, Start);
     CHECK(history.unrecorded().empty());
 
     SECTION("for the time that its own observation takes to show that they are gone")
@@ -111,11 +111,51 @@
     VersionHistory history;
     history.noteListed(First, Start);
     history.noteListed(Second, Start);
-    history.noteRecorded(First, Start);
-    history.noteRecorded(Second, Start);
+    history.noteRecorded(First, false, Start);
+    history.noteRecorded(Second, false, Start);
     REQUIRE(history.unrecorded().empty());
     history.noteRecordsLost();
     CHECK(history.unrecorded().size() == 2);
-    history.noteRecorded(First, Start + 1s);
+    history.noteRecorded(First, false, Start + 1s);
     CHECK(history.unrecorded() == std::vector<ServiceVersion>{Second});
 }
+
+// Guards against hosts that take different versions for the one whose streams need no record.
+TEST_CASE("A service has a default version only while its record says so")
+{
+    VersionHistory history;
+    history.noteListed(First, Start);
+    CHECK(!history.defaultVersion("models"));
+    CHECK(history.defaultCandidates() == std::vector<ServiceVersion>{First});
+    history.noteRecorded(First, true, Start);
+    CHECK(history.defaultVersion("models") == "v1");
+    CHECK(history.defaultCandidates().empty());
+
+    SECTION("a version that joins does not change it, and is no candidate")
+    {
+        history.noteListed(Second, Start + 1s);
+        history.noteRecorded(Second, false, Start + 1s);
+        CHECK(history.defaultVersion("models") == "v1");
+        CHECK(history.defaultCandidates().empty());
+
+        SECTION("until streams of the one before can no longer be resumed")
+        {
+            history.noteListed(Second, Start + 61s);
+            history.expire(Start + 61s);
+            CHECK(!history.defaultVersion("models"));
+            CHECK(history.defaultCandidates() == std::vector<ServiceVersion>{Second});
+        }
+        SECTION("or another host has recorded it as the default since")
+        {
+            history.noteRecorded(Second, true, Start + 2s);
+            CHECK(history.defaultVersion("models") == "v2");
+        }
+    }
+    SECTION("the record is lost with the log, and while two versions are there none becomes the default")
+    {
+        history.noteRecordsLost();
+        CHECK(!history.defaultVersion("models"));
+        history.noteListed(Second, Start + 1s);
+        CHECK(history.defaultCandidates().empty());
+    }
+}
--- a/src/streams/versionhistory.h
+++ b/src/streams/versionhistory.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,9 +43,9 @@
     /// Notes that upstreams may have been listed unseen until @p now: the known versions count as listed until then.
     void noteUnobserved(TimePoint now);
     /// Notes that @p version is recorded, by this host or by another one. When it is not known here it counts as listed until now, since the record
-    /// does not tell how long ago its last upstream left.
-    void noteRecorded(const ServiceVersion &version, TimePoint now);
-    /// Notes that records may be lost: all versions count as not recorded.
+    /// does not tell how long ago its last upstream left. @p isDefault: the record states that it is the default version of its service.
+    void noteRecorded(const ServiceVersion &version, bool isDefault, TimePoint now);
+    /// Notes that records may be lost: all versions count as not recorded, and no service has a default version.
     void noteRecordsLost();
     /// Applies the report of another host.
     void apply(const VersionReport &report, TimePoint now);
@@ -55,6 +56,10 @@
     [[nodiscard]] std::set<std::string> versions(const std::string &service) const;
     /// Services that have several versions. Only the origins of their streams need to be recorded.
     [[nodiscard]] std::set<std::string> mixedServices() const;
+    /// The version of @p service whose streams need no record: a stream that is not recorded is of it. Nothing when none is recorded as such.
+    [[nodiscard]] std::optional<std::string> defaultVersion(const std::string &service) const;
+    /// The only versions of services that have no default version yet, so that no stream of another version can be under way.
+    [[nodiscard]] std::vector<ServiceVersion> defaultCandidates() const;
     /// Versions that are not recorded yet.
     [[nodiscard]] std::vector<ServiceVersion> unrecorded() const;
     /// The versions of the services that have several, for the other hosts.
@@ -64,6 +69,7 @@
     struct Presence {
         TimePoint listedAt; ///< When an upstream of the version was last listed.
         bool recorded = false;
+        bool isDefault = false;
     };
 
     Presence &add(const ServiceVersion &version, TimePoint listedAt);
