Keep what is known of requests that crash upstreams in the platform's log

Cause: verdicts, the crashes before a verdict, and trials stood in memory and in the statuses of peers only. A host that has just started hears of no peer, and ranked itself first for making a trial.

Change: SuspectRecorder keeps a record for each suspect in quarantine and one for each host with its evidence against others, which a host reads before it serves, and records a trial by conditional append before it is sent. A trial of unknown outcome counts as failed. Restored evidence leads to a verdict only after the time in which complete answers would have cleared it. Second tries and successors of silent upstreams are no trials.

Why it works: whatever end the hosts meet, what they had judged and tried is in the log before it can matter again.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -16,6 +16,7 @@
 #include "gateway/internal/rolloutrunner.h"
 #include "gateway/internal/streammoves.h"
 #include "gateway/internal/streamregistry.h"
+#include "gateway/internal/suspectrecorder.h"
 #include "gateway/internal/upstreamfollower.h"
 
 #include <boost/asio.hpp>
@@ -34,7 +35,6 @@
 constexpr std::chrono::seconds SettingsReloadInterval{5};
 /// Interval at which a stopping process checks whether all requests and connections have ended.
 constexpr std::chrono::milliseconds DrainPollInterval{50};
-
 /// Allowance for the headers that a peer adds to a request that it forwards.
 constexpr std::uint32_t PeerHeaderBytes = 512;
 
@@ -78,10 +78,12 @@
         , m_reachProber(m_context)
         , m_loopSampler(m_context)
         , m_streamMoves(m_context, m_io.get_executor())
+        , m_suspectRecorder(m_context, m_io.get_executor())
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
         m_context.peers = &m_gossip.registry();
         m_context.streamMoves = &m_streamMoves;
+        m_context.suspectRecorder = &m_suspectRecorder;
         m_gossip.setSeeds(seedAddresses(settings.seeds));
     }
 
@@ -134,6 +136,7 @@
         startTask(m_io.get_executor(), m_configurationFollower.run());
         startTask(m_io.get_executor(), m_upstreamFollower.run());
         startTask(m_io.get_executor(), m_streamRegistry.run());
+        startTask(m_io.get_executor(), m_suspectRecorder.run());
         startTask(m_io.get_executor(), m_reachProber.run());
         startTask(m_io.get_executor(), m_loopSampler.run());
         startTask(m_io.get_executor(), m_gossip.send());
@@ -186,8 +189,8 @@
     {
         const TimePoint now = hostNow();
         const std::optional<Duration> age = m_context.configuration.age(now);
-        return !m_context.stop.begun() && m_upstreamFollower.listRead() && age && *age < m_context.settings.maxRevocationDelay
-            && !m_context.configuration.outdated(now, m_context.settings.maxConfigurationDelay);
+        return !m_context.stop.begun() && m_upstreamFollower.listRead() && m_suspectRecorder.recordsRead() && age
+            && *age < m_context.settings.maxRevocationDelay && !m_context.configuration.outdated(now, m_context.settings.maxConfigurationDelay);
     }
 
     void applyConfiguration()
@@ -325,6 +328,7 @@
     ReachProber m_reachProber;
     LoopSampler m_loopSampler;
     StreamMoves m_streamMoves;
+    SuspectRecorder m_suspectRecorder;
     net::signal_set m_signals;
     std::unique_ptr<http::IHttpServer> m_callerServer;
     std::unique_ptr<http::IHttpServer> m_readinessServer;
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -4,6 +4,7 @@
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/measuredlog.h"
 #include "gateway/internal/streammoves.h"
+#include "gateway/internal/suspectrecorder.h"
 
 namespace rosemaryshift::gateway {
 
@@ -80,6 +81,9 @@
         eventLog.write(isRequest ? "equal_requests" : "prompt_part",
                        eventlog::Importance::StateChange,
                        {{isRequest ? "fingerprint" : "part", number}, {"change", quarantine::name(change)}, {"crashes", static_cast<std::int64_t>(crashes)}});
+        if (suspectRecorder != nullptr && change != quarantine::SuspectChange::Trial) {
+            suspectRecorder->noteVerdict(suspect);
+        }
     })
     , softwareVersions([this](const std::string &service, const std::set<std::string> &versions) {
         eventLog.write("software_versions", eventlog::Importance::StateChange, {{"service", service}, {"versions", commaSeparated(versions)}});
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -40,6 +40,7 @@
 namespace rosemaryshift::gateway {
 
 class StreamMoves;
+class SuspectRecorder;
 
 /// State that the components of one gateway share. Used from the gateway's only thread.
 struct GatewayContext {
@@ -79,6 +80,7 @@
     const std::string forwardingToken;           ///< Random; peers present it with the requests that they forward to this process.
     const gossip::PeerRegistry *peers = nullptr; ///< The known peers; set before requests are served.
     StreamMoves *streamMoves = nullptr;          ///< Set before requests are served.
+    SuspectRecorder *suspectRecorder = nullptr;  ///< Set before requests are served.
     std::mt19937_64 randomEngine;
     std::set<std::string> silentZones; ///< Availability zones whose known gateways are all silent.
     std::size_t hostCount = 1;         ///< Number of gateways: this one and its known peers.
--- a/src/gateway/internal/measuredlog.cpp
+++ b/src/gateway/internal/measuredlog.cpp
@@ -23,6 +23,8 @@
         return "software_versions";
     case ports::Topic::StreamOrigins:
         return "stream_origins";
+    case ports::Topic::Suspects:
+        return "suspects";
     case ports::Topic::RolloutStates:
         return "rollout_states";
     }
--- a/src/gateway/internal/requesthandover.cpp
+++ b/src/gateway/internal/requesthandover.cpp
@@ -65,7 +65,7 @@
         }
         if (connected.contains(choice->instance)) {
             // Nothing may wait between here and the sending, so that what was checked still holds.
-            if (!admitByQuarantine(now) || !mayRetry(now)) {
+            if (isQuarantined() || !mayRetry(now)) {
                 co_return false;
             }
             m_successor = std::move(choice);
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -1,6 +1,7 @@
 #include "base/text.h"
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/requestsession.h"
+#include "gateway/internal/suspectrecorder.h"
 
 namespace rosemaryshift::gateway {
 
@@ -153,6 +154,7 @@
     // Silence and bytes that are no answer come from the network or a faulty upstream, not from a crash.
     if (failure.error == http::ClientError::Closed && !m_writer.callerGone()) {
         m_context.quarantine.noteBroken(requestTraits(), m_instance, m_dispatchedAt, hostNow());
+        m_context.suspectRecorder->noteCrash();
     }
 }
 
--- a/src/gateway/internal/requestsecondtry.cpp
+++ b/src/gateway/internal/requestsecondtry.cpp
@@ -82,7 +82,7 @@
     slow.timeLeft = remainingTime(now) - ResponseMargin;
     slow.expected = choice ? std::optional<Duration>(choice->expected) : std::nullopt;
     std::optional<NotSentReason> refusal = m_endedByStop ? NotSentReason::Stopping : m_context.secondTries.refusal(requestClass(), slow, now);
-    if (!refusal && !admitByQuarantine(now)) {
+    if (!refusal && isQuarantined()) {
         refusal = NotSentReason::Quarantined;
     }
     m_reason = std::move(rejectionReason);
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -3,6 +3,7 @@
 #include "gateway/internal/endtoendheaders.h"
 #include "gateway/internal/hostclock.h"
 #include "gateway/internal/peerheaders.h"
+#include "gateway/internal/suspectrecorder.h"
 #include "quarantine/requestfingerprint.h"
 
 #include <boost/asio.hpp>
@@ -23,6 +24,8 @@
 constexpr double CurrentConfigurationFactor = 1.5;
 /// Retry-After for a caller of a host whose configuration is missing, too old or lacks a service for the route.
 constexpr std::chrono::milliseconds ConfigurationRetryDelay{500};
+/// Retry-After for a caller whose request is kept from the upstreams because its trial could not be recorded.
+constexpr std::chrono::seconds TrialRetryDelay{1};
 /// Retry-After is randomized by up to this part, to spread the retries: in both directions, or upwards when an earlier retry would be in vain.
 constexpr double RetryJitter = 0.5;
 
@@ -75,8 +78,11 @@
     while (true) {
         const TimePoint now = hostNow();
         std::optional<balancing::Choice> choice = std::exchange(m_successor, std::nullopt);
-        if (!choice && !admitByQuarantine(now)) {
-            break;
+        if (!choice) {
+            const bool admitted = co_await admitByQuarantine();
+            if (!admitted) {
+                break;
+            }
         }
         if (!choice && !endsBeforeStop(Duration::zero(), now)) {
             break;
@@ -199,14 +205,44 @@
     return true;
 }
 
-bool RequestSession::admitByQuarantine(TimePoint now)
+net::awaitable<bool> RequestSession::admitByQuarantine()
+{
+    const bool recordsRead = co_await m_context.suspectRecorder->awaitRecords();
+    if (!recordsRead) {
+        m_reason = "suspects_unknown";
+        m_retryAfter = ConfigurationRetryDelay;
+        co_return false;
+    }
+    const quarantine::RequestTraits traits = requestTraits();
+    if (const std::optional<quarantine::Rejection> rejection = m_context.quarantine.admit(traits, hostNow())) {
+        noteQuarantined(*rejection);
+        co_return false;
+    }
+    std::vector<quarantine::SuspectId> tried = m_context.quarantine.suspectsInQuarantine(traits);
+    if (tried.empty()) {
+        co_return true;
+    }
+    const quarantine::Rejection rejection{tried.front().kind, TrialRetryDelay};
+    const bool recorded = co_await m_context.suspectRecorder->recordTrial(std::move(tried));
+    if (!recorded) {
+        noteQuarantined(rejection);
+    }
+    co_return recorded;
+}
+
+bool RequestSession::isQuarantined()
 {
-    const std::optional<quarantine::Rejection> rejection = m_context.quarantine.admit(requestTraits(), now);
-    if (rejection) {
-        m_reason = rejection->kind == quarantine::SuspectKind::Request ? "request_quarantined" : "prompt_quarantined";
-        m_retryAfter = rejection->wait;
+    const std::vector<quarantine::SuspectId> suspects = m_context.quarantine.suspectsInQuarantine(requestTraits());
+    if (!suspects.empty()) {
+        noteQuarantined({suspects.front().kind, TrialRetryDelay});
     }
-    return !rejection;
+    return !suspects.empty();
+}
+
+void RequestSession::noteQuarantined(const quarantine::Rejection &rejection)
+{
+    m_reason = rejection.kind == quarantine::SuspectKind::Request ? "request_quarantined" : "prompt_quarantined";
+    m_retryAfter = rejection.wait;
 }
 
 net::awaitable<bool> RequestSession::prepareDispatch()
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -84,8 +84,11 @@
     /// Takes the cost from the workspace's quota, once. Returns false, with the rejection set, when the quota is used up.
     bool chargeQuota();
     void refundQuota();
-    /// Whether no suspect in quarantine keeps the request from the upstreams; sets the reason if one does.
-    bool admitByQuarantine(TimePoint now);
+    /// Whether no suspect in quarantine keeps the request from the upstreams; sets the reason if one does. A request that is sent as a trial is recorded.
+    boost::asio::awaitable<bool> admitByQuarantine();
+    /// Whether a suspect in quarantine keeps further tries of the request from the upstreams; sets the reason if so.
+    [[nodiscard]] bool isQuarantined();
+    void noteQuarantined(const quarantine::Rejection &rejection);
     /// Does what has to precede the first dispatch to an upstream. Returns false when it has rejected the request.
     boost::asio::awaitable<bool> prepareDispatch();
     /// The peer to forward the request to because this host reaches no upstream; null when there is none, or no need.
--- a/src/ports/iplatformlog.h
+++ b/src/ports/iplatformlog.h
@@ -19,6 +19,7 @@
     Duties,           ///< Lease on the singleton duties, written by gateways.
     SoftwareVersions, ///< Software versions of services whose streams may still be resumed, written by gateways.
     StreamOrigins,    ///< Software versions that began streams, written by gateways. Its records are not kept by key and expire.
+    Suspects,         ///< Requests that crash upstreams, and evidence of them, written by gateways.
     RolloutStates,    ///< What has come of operators' orders to roll out a version, written by gateways for the operators.
 };
 
--- a/src/quarantine/crashquarantine.h
+++ b/src/quarantine/crashquarantine.h
@@ -5,6 +5,7 @@
 #include "quarantine/internal/answerhistory.h"
 #include "quarantine/internal/presencehistory.h"
 #include "quarantine/quarantinetypes.h"
+#include "quarantine/suspectrecords.h"
 
 #include <deque>
 #include <functional>
@@ -52,6 +53,21 @@
     [[nodiscard]] std::vector<SuspectReport> reports(TimePoint now) const;
     /// Merges what another host has sent.
     void apply(std::span<const SuspectReport> reports, TimePoint now);
+
+    /// The suspects in quarantine.
+    [[nodiscard]] std::vector<SuspectId> suspectsInQuarantine() const;
+    /// Those of them that @p request belongs to.
+    [[nodiscard]] std::vector<SuspectId> suspectsInQuarantine(const RequestTraits &request) const;
+    /// What has to outlive this host of a suspect in quarantine; nothing when it is not in quarantine.
+    [[nodiscard]] std::optional<VerdictRecord> verdict(SuspectId id, TimePoint now) const;
+    /// Whether this host saw one of the known crashes of a suspect itself.
+    [[nodiscard]] bool observedCrash(SuspectId id) const;
+    /// What has to outlive this host of the suspects that are not in quarantine, for crashes that it saw itself; bounded in size.
+    [[nodiscard]] EvidenceRecord evidence(TimePoint now) const;
+    /// Merges a record that was written @p age ago, by an earlier process or by another host. A verdict is in force at once; evidence counts towards one only
+    /// after the time for which this host has observed the answers itself. What running hosts hear of each other comes by apply().
+    void restore(const VerdictRecord &record, Duration age, TimePoint now);
+    void restore(const EvidenceRecord &record, Duration age, TimePoint now);
     /// Number of suspects of this @p kind in quarantine.
     [[nodiscard]] std::size_t quarantined(SuspectKind kind) const;
 
@@ -61,6 +77,7 @@
         TimePoint at;
         std::optional<Duration> present; ///< Time for which a request of the suspect had been in progress there, as far as is known.
         bool observedHere = false;       ///< This host saw it itself.
+        bool restored = false;           ///< Known by a record alone, whose time may be wrong by seconds.
     };
     struct Suspect {
         std::string service;        ///< Of the last request that was noted.
@@ -68,6 +85,7 @@
         TimePoint firstCrashAt;     ///< Since the last complete answer. Only valid when there are crashes.
         std::optional<TimePoint> completedAt;
         std::optional<TimePoint> lastTrial;
+        bool trialUntold = false;   ///< The last trial stands in a record that does not tell what came of it; it counts as failed.
         bool completedHere = false; ///< This host passed on a complete answer.
         bool quarantined = false;
         std::size_t crashesWhenQuarantined = 0;
@@ -79,6 +97,12 @@
     static void addCrash(Suspect &suspect, Crash crash);
     /// The crashes of a suspect to send to the other hosts, latest first.
     [[nodiscard]] std::vector<CrashReport> reportedCrashes(const Suspect &suspect, TimePoint now) const;
+    /// The latest crashes of a suspect, for its record.
+    static std::vector<CrashReport> latestCrashes(const Suspect &suspect, TimePoint now);
+    /// Adds the crashes of a suspect in a record that was written @p age ago.
+    void restoreCrashes(Suspect &suspect, const SuspectReport &report, Duration age, TimePoint now);
+    /// Time for which complete answers to requests of a suspect would have been seen, since its first crash.
+    [[nodiscard]] Duration observedTime(const Suspect &suspect, TimePoint now) const;
     /// Time for which a complete answer is reported, and clears crashes that are reported later.
     [[nodiscard]] Duration completionLifetime() const;
     /// The suspects that a request belongs to, whether they are known or not.
@@ -115,6 +139,7 @@
 
     const Listener m_listener;
     Duration m_reportInterval = ShortestReportInterval;
+    TimePoint m_restoredAt; ///< When evidence was last restored.
     std::string m_ownHost;
     std::vector<std::string> m_otherHosts;
     std::map<std::string, AnswerHistory, std::less<>> m_answers;    ///< By service.
--- a/src/quarantine/internal/answerhistory.h
+++ b/src/quarantine/internal/answerhistory.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <utility>
 
 namespace rosemaryshift::quarantine {
 
@@ -12,6 +13,10 @@
 {
 public:
     void note(bool broken, TimePoint now);
+    /// Adds answers that another process counted until @p at.
+    void add(std::uint64_t broken, std::uint64_t complete, TimePoint at);
+    /// Number of broken and of complete answers since @p since.
+    [[nodiscard]] std::pair<std::uint64_t, std::uint64_t> counts(TimePoint since, TimePoint now) const;
     /// Share of the answers since @p since that broke, between 0 and 1 exclusively; a half when there were none (Laplace's rule of succession).
     [[nodiscard]] double brokenShare(TimePoint since, TimePoint now) const;
 
@@ -24,6 +29,9 @@
         std::uint32_t broken = 0;
     };
 
+    /// The bucket of the second of @p time; null when a later second has taken its place.
+    Bucket *bucketOf(TimePoint time);
+
     std::array<Bucket, Seconds> m_buckets;
 };
 
--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -91,7 +91,7 @@
 
 bool CrashQuarantine::isPresentTooOften(const Suspect &suspect, TimePoint now) const
 {
-    if (suspect.crashes.size() < MinCrashes || now - suspect.firstCrashAt < ObservationIntervals * m_reportInterval) {
+    if (suspect.crashes.size() < MinCrashes || observedTime(suspect, now) < ObservationIntervals * m_reportInterval) {
         return false;
     }
     return coincidence(suspect).value_or(1) <= MaxCoincidence / static_cast<double>(m_suspects.size());
--- a/src/quarantine/internal/crashquarantine.cpp
+++ b/src/quarantine/internal/crashquarantine.cpp
@@ -19,8 +19,6 @@
 constexpr std::chrono::seconds TrialInterval{15};
 /// Least time for which a caller is told to wait while a suspect is in quarantine.
 constexpr std::chrono::seconds MinWait{1};
-/// Time after its last crash at which a suspect that is not in quarantine is no longer suspected.
-constexpr std::chrono::seconds SuspicionLifetime{60};
 /// Upper bounds on the suspects that are kept, and on the crashes that are kept of each service.
 constexpr std::size_t MaxSuspects = 512;
 constexpr std::size_t MaxServiceCrashes = 128;
@@ -38,6 +36,8 @@
         return "released";
     case SuspectChange::Expired:
         return "expired";
+    case SuspectChange::Restored:
+        return "restored";
     }
     return "unknown";
 }
@@ -71,7 +71,7 @@
 {
     const std::string service(request.service);
     m_answers[service].note(true, now);
-    const Crash crash{std::string(instance), now, now - since, true};
+    const Crash crash{std::string(instance), now, now - since, true, false};
     noteServiceCrash(service, crash);
     for (const SuspectId id : suspectsOf(request)) {
         Suspect &suspect = m_suspects[id];
@@ -120,7 +120,7 @@
             wait = std::max(wait, suspect->crashes.back().at + holdTime(id, *suspect) - now);
         }
         if (suspect->lastTrial) {
-            wait = std::max<Duration>(wait, *suspect->lastTrial + TrialInterval - now);
+            wait = std::max<Duration>(wait, *suspect->lastTrial + (suspect->trialUntold ? holdTime(id, *suspect) : Duration(TrialInterval)) - now);
         }
     }
     const SuspectId first = quarantined.front().first;
@@ -130,6 +130,7 @@
     }
     for (const auto &[id, suspect] : quarantined) {
         suspect->lastTrial = now;
+        suspect->trialUntold = false;
         m_listener(id, SuspectChange::Trial, suspect->crashes.size());
     }
     return std::nullopt;
@@ -149,7 +150,8 @@
 {
     constexpr std::size_t MaxDoublings = 5; // Enough to reach the longest hold.
     const std::size_t first = id.kind == SuspectKind::PromptPart ? MinCrashes : suspect.crashesWhenQuarantined;
-    const std::size_t doublings = std::min(suspect.crashes.size() - std::min(suspect.crashes.size(), first), MaxDoublings);
+    const std::size_t failures = suspect.crashes.size() - std::min(suspect.crashes.size(), first) + (suspect.trialUntold ? 1 : 0);
+    const std::size_t doublings = std::min(failures, MaxDoublings);
     return std::min<Duration>(FirstHold * (1U << doublings), LongestHold);
 }
 
@@ -184,7 +186,7 @@
 
 bool CrashQuarantine::sameCrash(const Crash &a, const Crash &b)
 {
-    return a.instance == b.instance && std::chrono::abs(a.at - b.at) < CrashMergeTime;
+    return a.instance == b.instance && std::chrono::abs(a.at - b.at) < (a.restored || b.restored ? RestoredMergeTime : CrashMergeTime);
 }
 
 Duration CrashQuarantine::completionLifetime() const
@@ -201,8 +203,10 @@
     if (known != suspect.crashes.end()) {
         known->observedHere = known->observedHere || crash.observedHere;
         known->present = std::max(known->present, crash.present);
+        known->restored = known->restored && crash.restored;
         return;
     }
+    suspect.trialUntold = false;
     suspect.firstCrashAt = suspect.crashes.empty() ? crash.at : std::min(suspect.firstCrashAt, crash.at);
     suspect.crashes.push_back(std::move(crash));
     std::ranges::sort(suspect.crashes, {}, &Crash::at);
@@ -221,6 +225,7 @@
     if (suspect.quarantined && suspect.crashes.size() < MinCrashes) {
         suspect.quarantined = false;
         suspect.lastTrial.reset();
+        suspect.trialUntold = false;
         m_listener(id, SuspectChange::Released, suspect.crashes.size());
     }
 }
@@ -230,13 +235,18 @@
     if (suspect.quarantined || suspect.crashes.size() < MinCrashes) {
         return;
     }
-    const Duration observed = now - suspect.firstCrashAt;
+    const Duration observed = observedTime(suspect, now);
     const bool unlikely = observed >= ObservationIntervals * m_reportInterval && isUnlikelyCoincidence(suspect, now);
     if (id.kind == SuspectKind::PromptPart ? unlikely : isCauseOfCrashes(suspect, unlikely, observed)) {
         quarantine(id, suspect);
     }
 }
 
+Duration CrashQuarantine::observedTime(const Suspect &suspect, TimePoint now) const
+{
+    return now - std::max(suspect.firstCrashAt, m_restoredAt);
+}
+
 void CrashQuarantine::quarantine(SuspectId id, Suspect &suspect)
 {
     suspect.quarantined = true;
@@ -250,6 +260,7 @@
     const auto known = std::ranges::find_if(crashes, [&crash](const Crash &other) { return sameCrash(other, crash); });
     if (known != crashes.end()) {
         known->observedHere = known->observedHere || crash.observedHere;
+        known->restored = known->restored && crash.restored;
         return;
     }
     m_presence[service].noteCrash(crash.instance, crash.at);
--- a/src/quarantine/internal/suspectreports.cpp
+++ b/src/quarantine/internal/suspectreports.cpp
@@ -1,5 +1,6 @@
 #include "quarantine/crashquarantine.h"
 #include "quarantine/internal/evidencelimits.h"
+#include "quarantine/internal/reportages.h"
 
 #include <algorithm>
 #include <iterator>
@@ -17,24 +18,6 @@
 constexpr std::size_t MaxReports = 12;
 constexpr std::size_t MaxCompletionReports = 12;
 
-std::uint64_t millisecondsBetween(TimePoint earlier, TimePoint later)
-{
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(later - earlier).count()));
-}
-
-/// Ages beyond any lifetime are taken as that lifetime.
-std::chrono::milliseconds limitedAge(std::uint64_t ageMs)
-{
-    constexpr std::uint64_t MaxAgeMs = std::chrono::milliseconds(QuarantineLifetime).count();
-    return std::chrono::milliseconds(std::min(ageMs, MaxAgeMs));
-}
-
-/// The time @p ageMs before @p now.
-TimePoint timeOf(std::uint64_t ageMs, TimePoint now)
-{
-    return now - limitedAge(ageMs);
-}
-
 }
 
 std::vector<SuspectReport> CrashQuarantine::reports(TimePoint now) const
--- a/src/quarantine/quarantinetypes.h
+++ b/src/quarantine/quarantinetypes.h
@@ -68,6 +68,7 @@
     Trial,    ///< One request of the suspect is sent to an upstream, to find out whether it still causes crashes.
     Released, ///< A request of the suspect was answered completely.
     Expired,  ///< The crashes are too long ago.
+    Restored, ///< An earlier process, or another host, has recorded that it is in quarantine.
 };
 
 /// Name of @p change in log lines. Thread-safe.
