Tell peers first of the suspects that were there for the shortest time

Cause: hosts tell each other of 12 suspects at most. A crash of an upstream with dozens of streams leaves more with one crash each, and among equals they were told in the order of their ids.

Change: among suspects with as many crashes, those whose request had been in progress for the shortest time come first; a deadly one is there until it begins to run, or to write its answer.

--- a/src/quarantine/internal/suspectreports.cpp
+++ b/src/quarantine/internal/suspectreports.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
+#include <tuple>
 
 namespace rosemaryshift::quarantine {
 
@@ -35,7 +37,11 @@
             completions.push_back(std::move(report));
         }
     }
-    std::ranges::stable_sort(reports, std::ranges::greater(), [](const SuspectReport &report) { return std::pair(report.quarantined, report.crashes.size()); });
+    // Among equals, a request that crashes its upstream is hardly ever there for longer than until it begins to run.
+    std::ranges::stable_sort(reports, std::ranges::greater(), [](const SuspectReport &report) {
+        const std::int64_t presentMs = static_cast<std::int64_t>(report.crashes.front().presentMs.value_or(std::numeric_limits<std::int32_t>::max()));
+        return std::tuple(report.quarantined, report.crashes.size(), -presentMs);
+    });
     reports.resize(std::min(reports.size(), MaxReports));
     std::ranges::stable_sort(completions, {}, &SuspectReport::completedAgeMs);
     completions.resize(std::min(completions.size(), MaxCompletionReports));
--- a/src/quarantine/tests/crashquarantinetests.cpp
+++ b/src/quarantine/tests/crashquarantinetests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 using namespace rosemaryshift;
@@ -329,3 +330,26 @@
         CHECK(first.blocks({Deadly}, Start + seconds(3)));
     }
 }
+
+// Guards against a deadly part that other hosts don't hear of: a crash breaks more sound requests than a report holds, and they came first (review/14).
+TEST_CASE("Hosts tell each other first of the suspects that were there for the shortest time before their crash")
+{
+    constexpr int SoundStreams = 30;
+    const auto reportsDeadly = [](const CrashQuarantine &quarantine, TimePoint now) {
+        return std::ranges::any_of(quarantine.reports(now), [](const SuspectReport &report) {
+            return report.id == SuspectId{SuspectKind::PromptPart, Deadly};
+        });
+    };
+    Host host("a", {"b"});
+    std::uint64_t number = 0;
+    const auto breakStream = [&](std::uint64_t part, seconds present) {
+        const std::vector<PromptPart> parts = prompt({part});
+        host.quarantine.noteBroken({"models", ++number, parts}, "model-a", Start - present, Start);
+    };
+    for (int stream = 0; stream < SoundStreams; ++stream) {
+        breakStream(0x100U + static_cast<std::uint64_t>(stream), seconds(3));
+    }
+    const std::vector<PromptPart> deadly = prompt({Deadly});
+    host.quarantine.noteBroken({"models", ++number, deadly}, "model-a", Start - milliseconds(200), Start);
+    CHECK(reportsDeadly(host.quarantine, Start));
+}
