Restore the evidence against suspects once

Cause: requests that arrive while the records are read for the first time can cause a second read, which added the answers that earlier processes had counted once more, and made the share of broken answers look like that of twice as many.

Change: records are restored by the first read only. Found by reading; no run has shown it.

--- a/src/gateway/internal/suspectrecorder.cpp
+++ b/src/gateway/internal/suspectrecorder.cpp
@@ -224,6 +224,9 @@
 
 net::awaitable<bool> SuspectRecorder::readAll()
 {
+    if (m_recordsRead) {
+        co_return true; // Evidence must not be added twice.
+    }
     const std::optional<SuspectLog::Contents> contents = co_await m_log.read();
     if (!contents) {
         co_return false;
