Keep the crashes in one record of a suspect apart

Cause: crashes of one upstream within five seconds counted as one in records, since the clocks of two processes may differ. In a service with a single upstream that is back four seconds after each crash, a verdict with three crashes was restored with two, and was void.

Measured: the new test with a single upstream fails before and passes after.

--- a/src/quarantine/crashquarantine.h
+++ b/src/quarantine/crashquarantine.h
@@ -95,6 +95,7 @@
     static bool sameCrash(const Crash &a, const Crash &b);
     /// Adds a crash unless it is known already or came before a complete answer.
     static void addCrash(Suspect &suspect, Crash crash);
+    static void insertCrash(Suspect &suspect, Crash crash);
     /// The crashes of a suspect to send to the other hosts, latest first.
     [[nodiscard]] std::vector<CrashReport> reportedCrashes(const Suspect &suspect, TimePoint now) const;
     /// The latest crashes of a suspect, for its record.
--- a/src/quarantine/internal/crashquarantine.cpp
+++ b/src/quarantine/internal/crashquarantine.cpp
@@ -206,6 +206,11 @@
         known->restored = known->restored && crash.restored;
         return;
     }
+    insertCrash(suspect, std::move(crash));
+}
+
+void CrashQuarantine::insertCrash(Suspect &suspect, Crash crash)
+{
     suspect.trialUntold = false;
     suspect.firstCrashAt = suspect.crashes.empty() ? crash.at : std::min(suspect.firstCrashAt, crash.at);
     suspect.crashes.push_back(std::move(crash));
--- a/src/quarantine/internal/lastingevidence.cpp
+++ b/src/quarantine/internal/lastingevidence.cpp
@@ -102,6 +102,9 @@
             std::tie(evidence.broken, evidence.complete) = answers->second.counts(since, now);
         }
         const auto crashes = m_crashes.find(service);
+        if (crashes == m_crashes.end()) {
+            continue;
+        }
         for (auto crash = crashes->second.rbegin(); crash != crashes->second.rend() && evidence.crashes.size() < MaxRecordedServiceCrashes; ++crash) {
             if (crash->at >= since - CrashMergeTime) {
                 evidence.crashes.push_back({crash->instance, millisecondsBetween(crash->at, now), std::nullopt});
@@ -154,11 +157,16 @@
 
 void CrashQuarantine::restoreCrashes(Suspect &suspect, const SuspectReport &report, Duration age, TimePoint now)
 {
+    // The crashes in one record are told apart by one clock.
+    const std::vector<Crash> known = suspect.crashes;
     for (const CrashReport &reported : report.crashes) {
         const std::optional<Duration> present = reported.presentMs ? std::optional<Duration>(limitedAge(*reported.presentMs)) : std::nullopt;
         const Crash crash{reported.instance, timeOf(reported.ageMs, now) - age, present, false, true};
         noteServiceCrash(report.service, crash);
-        addCrash(suspect, crash);
+        const bool isKnown = std::ranges::any_of(known, [&crash](const Crash &other) { return sameCrash(crash, other); });
+        if (!isKnown && (!suspect.completedAt || crash.at > *suspect.completedAt)) {
+            insertCrash(suspect, crash);
+        }
     }
 }
 
--- a/src/quarantine/tests/suspectrecordstests.cpp
+++ b/src/quarantine/tests/suspectrecordstests.cpp
@@ -107,6 +107,19 @@
     }
 }
 
+TEST_CASE("The crashes in a record of a service with a single upstream, which is back seconds after each of them, stay apart")
+{
+    Host before;
+    for (int crash = 0; crash < 3; ++crash) {
+        before.crash(0, Start + seconds(4) * crash);
+    }
+    const TimePoint judged = Start + seconds(8) + VerdictTime;
+    before.quarantine.update(judged);
+    Host after;
+    after.quarantine.restore(before.verdict(judged), seconds(1), judged + seconds(1));
+    CHECK(after.blocks(judged + seconds(1)));
+}
+
 TEST_CASE("A host that starts goes on with the recorded evidence against suspects that are not in quarantine")
 {
     Host before;
