Let only the list of upstreams show that the log turns a host away alone

Cause: a host whose appends had failed for 1.5 s while it could read the list counted as turned away alone, and began resumable streams at the default version only. A log that is slow for all hosts looks the same to each of them, so that during a release all would have sent their streams to the few upstreams of the version that leaves.

Change: a failed append alone decides nothing; streams go on unrecorded then, and peers are told of them, as while the log is away.

Measured: the tests of streams and software versions pass (529 assertions).

--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -26,8 +26,6 @@
 constexpr std::chrono::milliseconds WaitingCallTimeout{400};
 /// Time after a failed append in which no first event waits for another one.
 constexpr std::chrono::seconds FailedAppendPause{1};
-/// Time within which a host notices by its reads of the list that the log is away.
-constexpr std::chrono::milliseconds OutageNoticeTime{1'500};
 /// Interval at which versions are checked while no streams need to be recorded.
 constexpr std::chrono::milliseconds IdleInterval{250};
 /// Maximum number of streams in one record.
@@ -144,12 +142,12 @@
     const std::optional<ports::AppendResult> result = co_await m_context.ports.platformLog->append(
         ports::Topic::StreamOrigins, std::move(record), std::nullopt, waiting.empty() ? CallTimeout : WaitingCallTimeout, failure);
     if (!result) {
-        m_failingSince = m_failingSince.value_or(hostNow());
+        m_appendFailed = true;
         m_context.eventLog.write(
             "streams_not_recorded", eventlog::Importance::Failure, {{"streams", static_cast<std::int64_t>(report.size())}, {"reason", failure.detail}});
         co_return false;
     }
-    m_failingSince.reset();
+    m_appendFailed = false;
     m_context.streamOrigins.noteRecorded(report);
     co_return true;
 }
@@ -282,17 +280,14 @@
 
 bool StreamRegistry::canRecord() const
 {
-    const bool failing = m_failingSince && hostNow() - m_recordedAt < FailedAppendPause;
+    const bool failing = m_appendFailed && hostNow() - m_recordedAt < FailedAppendPause;
     return !m_context.listAvailability.unreachable() && !failing;
 }
 
 bool StreamRegistry::rejectedByLogAlone() const
 {
-    if (!m_context.listAvailability.unreachable()) {
-        // The list may be told by another host that reads the log.
-        return m_failingSince && hostNow() - *m_failingSince > OutageNoticeTime;
-    }
-    return std::ranges::any_of(m_context.peers->peers(), [](const auto &entry) { return entry.second.status.listReachableMs.has_value(); });
+    return m_context.listAvailability.unreachable()
+        && std::ranges::any_of(m_context.peers->peers(), [](const auto &entry) { return entry.second.status.listReachableMs.has_value(); });
 }
 
 }
--- a/src/gateway/internal/streamregistry.h
+++ b/src/gateway/internal/streamregistry.h
@@ -66,7 +66,7 @@
     TimePoint m_recordedAt;                    ///< When the last append of streams began.
     TimePoint m_originsKnownSince;             ///< All streams that were recorded since then can be read, as far as is known.
     std::optional<std::uint64_t> m_firstLeft;  ///< Offset of the first record that was left when earlier ones had been dropped.
-    std::optional<TimePoint> m_failingSince;   ///< When the first of the appends failed since the last one that succeeded.
+    bool m_appendFailed = false;               ///< The last append of streams has failed.
     std::optional<TimePoint> m_unreachableAt;  ///< When the log was last found unreachable.
     bool m_knewMixed = true;                   ///< Some service may have had several versions when that was last looked at.
     ports::LogPosition m_originsPosition;      ///< Position of the next read of origins.
--- a/src/gateway/internal/suspectrecorder.cpp
+++ b/src/gateway/internal/suspectrecorder.cpp
@@ -32,6 +32,7 @@
 constexpr std::chrono::seconds TrialSpacing{15};
 /// Times that a trial is recorded anew after another record was appended meanwhile.
 constexpr int MaxTrialAppends = 3;
+
 /// Rises with each crash of a suspect in quarantine, so that records of several hosts can be compared.
 std::uint64_t progressOf(const quarantine::VerdictRecord &verdict)
 {
