Record less evidence against suspects, and uncertain streams behind their first event

Each crash, and each cut that broke connections, had a host write up to 32 suspects, and each host that started read those of all hosts. After a cut of a zone each stream at its upstreams waited for a record.

A stream at an upstream that may have restarted waits for its record only while its service has several versions; else it is recorded behind its first event.

--- a/src/gateway/internal/requestresumption.cpp
+++ b/src/gateway/internal/requestresumption.cpp
@@ -78,6 +78,13 @@
         const streams::Origin origin{m_service, certain ? m_upstream.softwareVersion : std::string()};
         m_context.streamOrigins.noteBegan(key, origin, m_instance, now);
         bool recorded = !m_streamRegistry.needsRecord(origin);
+        if (!recorded && m_streamRegistry.mayBeRecordedBehind(origin)) {
+            if (m_streamRegistry.canRecord()) {
+                const net::any_io_executor executor = co_await net::this_coro::executor;
+                m_streamRegistry.recordBehind(key, executor);
+            }
+            recorded = true;
+        }
         if (!recorded && m_streamRegistry.canRecord()) {
             recorded = co_await m_streamRegistry.record(key);
         }
--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -120,6 +120,17 @@
     co_return m_context.streamOrigins.isRecorded(key);
 }
 
+void StreamRegistry::recordBehind(streams::StreamKey key, const net::any_io_executor &executor)
+{
+    m_waiting.push_back(key);
+    startTask(executor, recordWaiting());
+}
+
+net::awaitable<void> StreamRegistry::recordWaiting()
+{
+    co_await m_originsWriter.run();
+}
+
 net::awaitable<bool> StreamRegistry::recordOrigins()
 {
     if (!m_waiting.empty()) {
@@ -278,6 +289,11 @@
     return !origin.certain() || (version ? *version != origin.softwareVersion : !single);
 }
 
+bool StreamRegistry::mayBeRecordedBehind(const streams::Origin &origin) const
+{
+    return m_context.softwareVersions.versions(origin.service).size() == 1;
+}
+
 bool StreamRegistry::canRecord() const
 {
     const bool failing = m_appendFailed && hostNow() - m_recordedAt < FailedAppendPause;
--- a/src/gateway/internal/streamregistry.h
+++ b/src/gateway/internal/streamregistry.h
@@ -32,6 +32,10 @@
     boost::asio::awaitable<std::optional<streams::Origin>> find(std::optional<streams::StreamKey> key, std::set<std::string> services, Duration longestStream);
     /// Whether a stream of this @p origin, which is about to begin here, would be taken for one of another version if this host ended.
     [[nodiscard]] bool needsRecord(const streams::Origin &origin) const;
+    /// Whether it need not wait for its record: it would be taken so only if its upstream has restarted with a version that this host has not heard of.
+    [[nodiscard]] bool mayBeRecordedBehind(const streams::Origin &origin) const;
+    /// Has the stream with this @p key, which this host has noted, recorded while its events are passed on.
+    void recordBehind(streams::StreamKey key, const boost::asio::any_io_executor &executor);
     /// Whether an append is likely to succeed now, so that a first event may wait for it.
     [[nodiscard]] bool canRecord() const;
     /// Records the stream with this @p key, which this host has noted. Returns whether it is recorded.
@@ -42,6 +46,7 @@
 private:
     /// Has what this host knows recorded anew if the log was restored from a copy since the last call. Returns whether it was.
     bool noteRestoredLog();
+    boost::asio::awaitable<void> recordWaiting();
     boost::asio::awaitable<bool> readOrigins();
     /// Appends the streams that wait for their record, and those of the services whose streams are recorded behind.
     boost::asio::awaitable<bool> recordOrigins();
@@ -62,7 +67,7 @@
     VersionRecords m_versionRecords;
     SharedRead m_originsReader;
     SharedRead m_originsWriter;
-    std::vector<streams::StreamKey> m_waiting; ///< Streams whose first event waits for their record.
+    std::vector<streams::StreamKey> m_waiting; ///< Streams that are to be recorded next, as for first events that wait.
     TimePoint m_recordedAt;                    ///< When the last append of streams began.
     TimePoint m_originsKnownSince;             ///< All streams that were recorded since then can be read, as far as is known.
     std::optional<std::uint64_t> m_firstLeft;  ///< Offset of the first record that was left when earlier ones had been dropped.
--- a/src/quarantine/internal/lastingevidence.cpp
+++ b/src/quarantine/internal/lastingevidence.cpp
@@ -3,15 +3,18 @@
 #include "quarantine/internal/reportages.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace rosemaryshift::quarantine {
 
 namespace {
 
-/// Upper bounds on what one record holds.
+/// Upper bounds on what one record holds. A host that starts reads the records of all.
 constexpr std::size_t MaxRecordedCrashes = 8;
-constexpr std::size_t MaxRecordedSuspects = 32;
-constexpr std::size_t MaxRecordedServiceCrashes = 32;
+constexpr std::size_t MaxRecordedSuspects = 8;
+constexpr std::size_t MaxRecordedServiceCrashes = 16;
+/// Longest time for which a request that crashes its upstream is there before: until it begins to run, or to write its answer.
+constexpr std::chrono::seconds LongestPresence{2};
 
 std::optional<std::uint64_t> presentMs(std::optional<Duration> present)
 {
@@ -77,11 +80,12 @@
     std::vector<const std::pair<const SuspectId, Suspect> *> suspected;
     for (const std::pair<const SuspectId, Suspect> &entry : m_suspects) {
         const std::vector<Crash> &crashes = entry.second.crashes;
-        if (!entry.second.quarantined && std::ranges::any_of(crashes, &Crash::observedHere) && now - crashes.back().at <= SuspicionLifetime) {
+        const auto isEarly = [](const Crash &crash) { return crash.present.value_or(Duration::max()) <= LongestPresence; };
+        const bool observed = std::ranges::any_of(crashes, &Crash::observedHere) && now - crashes.back().at <= SuspicionLifetime;
+        if (!entry.second.quarantined && observed && std::ranges::all_of(crashes, isEarly)) {
             suspected.push_back(&entry);
         }
     }
-    // A request that crashes its upstream is hardly ever there for longer than until it begins to run.
     std::ranges::stable_sort(suspected, {}, [](const std::pair<const SuspectId, Suspect> *entry) {
         const std::vector<Crash> &crashes = entry->second.crashes;
         return std::pair(-static_cast<std::int64_t>(crashes.size()), crashes.back().present.value_or(Duration::max()));
