Write evidence against suspects up to ten times a second again

Cause: with half a second between two records of a host, the second crash of a request that was repeated at once at another upstream was not written when all hosts were killed 100 ms later.

Change: the interval is 100 ms again, 10 ms for each known host in larger fleets.

--- a/src/gateway/internal/suspectrecorder.cpp
+++ b/src/gateway/internal/suspectrecorder.cpp
@@ -24,7 +24,7 @@
 /// Time after which evidence that complete answers have cleared is removed from the record.
 constexpr std::chrono::seconds ClearingDelay{5};
 /// Least interval between two records of a host's evidence, and for each known host.
-constexpr std::chrono::milliseconds ShortestWriteInterval{500};
+constexpr std::chrono::milliseconds ShortestWriteInterval{100};
 constexpr std::chrono::milliseconds WriteIntervalPerHost{10};
 /// Time after which a host that has not seen the crashes of a suspect itself writes its verdict, if none has.
 constexpr std::chrono::seconds BystanderDelay{1};
