Let a host that can't record streams fall back to all versions, and believe only fresh statuses

Suspected, not shown by a trace: what a peer had said of the log before the outage, or before it was restarted, counted as a sign that the log serves others, so that in an outage for all, hosts began resumable streams only at the few upstreams of the version that leaves.

Change: only statuses that were heard two seconds after this host lost the log count; and when the upstreams of the default version have no room, a stream goes on unrecorded at another version.

--- a/src/gateway/internal/requestresumption.cpp
+++ b/src/gateway/internal/requestresumption.cpp
@@ -89,7 +89,7 @@
             recorded = co_await m_streamRegistry.record(key);
         }
         const bool ofDefaultVersion = m_context.softwareVersions.defaultVersion(m_service) == m_upstream.softwareVersion;
-        if (!recorded && !ofDefaultVersion && m_streamRegistry.rejectedByLogAlone() && defaultVersionServed(hostNow())) {
+        if (!recorded && !m_recordWaived && !ofDefaultVersion && m_streamRegistry.rejectedByLogAlone() && defaultVersionServed(hostNow())) {
             m_reason = "stream_not_recorded";
             m_streamNotRecorded = true;
             co_return false;
@@ -104,7 +104,7 @@
 std::optional<std::string> RequestSession::versionWithoutRecord(TimePoint now) const
 {
     const bool begins = m_route->kind == routing::RequestKind::Streaming && m_route->resumable && !m_streamStarted && !m_continuedVersion;
-    if (!begins || !(m_streamNotRecorded || m_streamRegistry.rejectedByLogAlone())) {
+    if (!begins || m_recordWaived || !(m_streamNotRecorded || m_streamRegistry.rejectedByLogAlone())) {
         return std::nullopt;
     }
     return defaultVersionServed(now) ? m_context.softwareVersions.defaultVersion(m_service) : std::nullopt;
--- a/src/gateway/internal/requestrouting.cpp
+++ b/src/gateway/internal/requestrouting.cpp
@@ -72,6 +72,11 @@
 {
     const rollouts::VersionFilter versions = m_context.versionGate.filter(m_service, rolloutTraits(), true, now);
     std::optional<balancing::Choice> choice = chooseAmong(versions, now);
+    if (!choice && versionWithoutRecord(now)) {
+        // Upstreams of that version have no room: a stream that goes on unrecorded is better than none.
+        m_recordWaived = true;
+        choice = chooseAmong(versions, now);
+    }
     if (choice && versions.exposes) {
         m_context.versionGate.find(m_service)->noteExposed();
     }
--- a/src/gateway/internal/requestsession.h
+++ b/src/gateway/internal/requestsession.h
@@ -307,6 +307,7 @@
     Duration m_expected{0};                     ///< Expected time from then to the first part of its response.
     std::optional<Duration> m_upstreamFirst;    ///< That time as measured.
     bool m_streamNotRecorded = false;           ///< A stream had begun that could not be recorded, so that it was not passed on.
+    bool m_recordWaived = false;                ///< The stream may begin at any version although this host can't record it.
     StreamPauses m_pauses;
     bool m_waitsForAnswer = false; ///< The request was admitted, and its answer has not begun.
     bool m_silenceNoted = false;   ///< The silence of the upstream of the current dispatch was recorded.
--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds WaitingCallTimeout{400};
 /// Time after a failed append in which no first event waits for another one.
 constexpr std::chrono::seconds FailedAppendPause{1};
+/// Time within which all hosts notice by their reads of the list that the log is away for all.
+constexpr std::chrono::seconds OutageNoticeTime{2};
 /// Interval at which versions are checked while no streams need to be recorded.
 constexpr std::chrono::milliseconds IdleInterval{250};
 /// Maximum number of streams in one record.
@@ -69,9 +71,7 @@
         }
         const TimePoint now = hostNow();
         m_context.streamOrigins.expire(now);
-        if (m_context.listAvailability.unreachable()) {
-            m_unreachableAt = now;
-        }
+        noteAvailability(now);
         bool versionsRead = m_versionRecords.current();
         if (!versionsRead) {
             versionsRead = co_await m_versionRecords.read();
@@ -86,6 +86,16 @@
     }
 }
 
+void StreamRegistry::noteAvailability(TimePoint now)
+{
+    if (!m_context.listAvailability.unreachable()) {
+        m_unreachableSince.reset();
+        return;
+    }
+    m_unreachableSince = m_unreachableSince.value_or(now);
+    m_unreachableAt = now;
+}
+
 net::awaitable<void> StreamRegistry::noteMixedServices()
 {
     const bool mixed = !m_context.softwareVersions.mixedServices().empty();
@@ -302,8 +312,13 @@
 
 bool StreamRegistry::rejectedByLogAlone() const
 {
-    return m_context.listAvailability.unreachable()
-        && std::ranges::any_of(m_context.peers->peers(), [](const auto &entry) { return entry.second.status.listReachableMs.has_value(); });
+    if (!m_unreachableSince) {
+        return false;
+    }
+    // What peers said before the outage, or shortly after it began, says nothing of it.
+    const TimePoint noticed = *m_unreachableSince + OutageNoticeTime;
+    return std::ranges::any_of(m_context.peers->peers(),
+                               [noticed](const auto &entry) { return entry.second.heard > noticed && entry.second.status.listReachableMs.has_value(); });
 }
 
 }
--- a/src/gateway/internal/streamregistry.h
+++ b/src/gateway/internal/streamregistry.h
@@ -56,6 +56,8 @@
     [[nodiscard]] std::optional<streams::Origin> soleOrigin(const std::set<std::string> &services) const;
     /// Returns whether the list and the versions are known as they were after this call began.
     boost::asio::awaitable<bool> refreshVersions();
+    /// Follows whether the log can be reached.
+    void noteAvailability(TimePoint now);
     /// Follows whether some service has several versions.
     boost::asio::awaitable<void> noteMixedServices();
     /// The origin of a stream of @p services that the log, read to its end, has no record of; nothing when records may have been lost.
@@ -67,16 +69,17 @@
     VersionRecords m_versionRecords;
     SharedRead m_originsReader;
     SharedRead m_originsWriter;
-    std::vector<streams::StreamKey> m_waiting; ///< Streams that are to be recorded next, as for first events that wait.
-    TimePoint m_recordedAt;                    ///< When the last append of streams began.
-    TimePoint m_originsKnownSince;             ///< All streams that were recorded since then can be read, as far as is known.
-    std::optional<std::uint64_t> m_firstLeft;  ///< Offset of the first record that was left when earlier ones had been dropped.
-    bool m_appendFailed = false;               ///< The last append of streams has failed.
-    std::optional<TimePoint> m_unreachableAt;  ///< When the log was last found unreachable.
-    bool m_knewMixed = true;                   ///< Some service may have had several versions when that was last looked at.
-    ports::LogPosition m_originsPosition;      ///< Position of the next read of origins.
-    std::uint64_t m_notedRises = 0;            ///< LogEraTracker::rises() at the last noteRestoredLog().
-    std::set<std::string> m_splitServices;     ///< Services of resumable routes that have several, in the configuration with m_configurationVersion.
+    std::vector<streams::StreamKey> m_waiting;   ///< Streams that are to be recorded next, as for first events that wait.
+    TimePoint m_recordedAt;                      ///< When the last append of streams began.
+    TimePoint m_originsKnownSince;               ///< All streams that were recorded since then can be read, as far as is known.
+    std::optional<std::uint64_t> m_firstLeft;    ///< Offset of the first record that was left when earlier ones had been dropped.
+    bool m_appendFailed = false;                 ///< The last append of streams has failed.
+    std::optional<TimePoint> m_unreachableSince; ///< When the log was first found unreachable; nothing while it is reachable.
+    std::optional<TimePoint> m_unreachableAt;    ///< When the log was last found unreachable.
+    bool m_knewMixed = true;                     ///< Some service may have had several versions when that was last looked at.
+    ports::LogPosition m_originsPosition;        ///< Position of the next read of origins.
+    std::uint64_t m_notedRises = 0;              ///< LogEraTracker::rises() at the last noteRestoredLog().
+    std::set<std::string> m_splitServices;       ///< Services of resumable routes that have several, in the configuration with m_configurationVersion.
     std::uint64_t m_configurationVersion = 0;
 };
 
