--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -50,12 +50,35 @@
             succeeded = co_await readNewest(failure);
         }
         updateReachable(succeeded, failure.detail);
+        m_lastFailure = succeeded ? std::string() : failure.detail;
         if (!succeeded) {
             co_await pause(RetryDelay);
         }
     }
 }
 
+void ConfigurationFollower::logConfirmation(TimePoint now)
+{
+    const std::optional<Duration> age = m_context.configuration.age(now);
+    const bool unconfirmed = age && *age > m_context.settings.maxConfigurationDelay;
+    if (unconfirmed == m_unconfirmedLogged) {
+        return;
+    }
+    m_unconfirmedLogged = unconfirmed;
+    if (!unconfirmed) {
+        m_context.eventLog.write("configuration_confirmed", eventlog::Importance::StateChange, {{"age_ms", wholeMilliseconds(*age)}});
+        return;
+    }
+    m_context.eventLog.write("configuration_unconfirmed",
+                             eventlog::Importance::StateChange,
+                             {{"version", static_cast<std::int64_t>(m_context.configuration.version())},
+                              {"known", static_cast<std::int64_t>(m_context.configuration.knownVersion())},
+                              {"age_ms", wholeMilliseconds(*age)},
+                              {"last_read", m_lastFailure.empty() ? std::string_view("ok") : std::string_view(m_lastFailure)},
+                              {"list_in_reach", m_context.listAvailability.reachableFor(now).has_value()},
+                              {"loop_delay_ms", wholeMilliseconds(m_context.loopDelay.estimate(now))}});
+}
+
 net::awaitable<void> ConfigurationFollower::waitWhileConfirmed() const
 {
     const Duration longestAge = std::chrono::duration_cast<Duration>(m_context.settings.maxRevocationDelay * ConfirmedPart);
@@ -121,6 +144,13 @@
         co_return true;
     }
     m_readEndedAt = hostNow();
+    if (batch->next.offset < batch->endOffset) {
+        m_context.eventLog.write("configuration_read_in_part",
+                                 eventlog::Importance::StateChange,
+                                 {{"records", static_cast<std::int64_t>(batch->records.size())},
+                                  {"next", static_cast<std::int64_t>(batch->next.offset)},
+                                  {"end", static_cast<std::int64_t>(batch->endOffset)}});
+    }
     const std::optional<Duration> age = continues ? std::optional<Duration>(Duration::zero()) : std::nullopt;
     applyRecords(batch->records, startedAt, batch->next.era, age);
     m_position = batch->next;
@@ -167,11 +197,15 @@
     }
     const std::uint64_t version = configuration->version;
     const std::int64_t routes = static_cast<std::int64_t>(configuration->routes.size());
+    const std::int64_t bytes = static_cast<std::int64_t>(text.size());
     if (m_context.configuration.accept(std::move(*configuration), text)) {
-        m_context.eventLog.write(
-            "configuration_in_force",
-            eventlog::Importance::StateChange,
-            {{"source", source}, {"version", static_cast<std::int64_t>(version)}, {"routes", routes}, {"read_ms", wholeMilliseconds(hostNow() - readAt)}});
+        m_context.eventLog.write("configuration_in_force",
+                                 eventlog::Importance::StateChange,
+                                 {{"source", source},
+                                  {"version", static_cast<std::int64_t>(version)},
+                                  {"routes", routes},
+                                  {"bytes", bytes},
+                                  {"read_ms", wholeMilliseconds(hostNow() - readAt)}});
         m_onConfigurationChanged();
     }
     return version;
--- a/src/gateway/internal/configurationfollower.h
+++ b/src/gateway/internal/configurationfollower.h
@@ -21,6 +21,9 @@
     /// Parses a configuration and puts it in force; one that is malformed or not newer changes nothing. @p source, "log" or "peer", goes into the event
     /// log with the time since @p readAt, when reading it began. Returns the version in @p text, or 0 when it is malformed.
     std::uint64_t applyText(const std::string &text, std::string_view source, TimePoint readAt);
+    /// Writes to the event log when the configuration in force has not been confirmed for the bound on configurations, with what tells a late host from an
+    /// outage of the log, and when it is confirmed again.
+    void logConfirmation(TimePoint now);
 
 private:
     boost::asio::awaitable<bool> readNewest(ports::LogFailure &failure);
@@ -41,6 +44,8 @@
     std::optional<TimePoint> m_readEndedAt;       ///< When that read, if it succeeded, was answered.
     std::uint64_t m_newestVersion = 0;            ///< Newest version read from the log.
     bool m_reachable = true;
+    std::string m_lastFailure; ///< Of the last read of the log; empty when it succeeded.
+    bool m_unconfirmedLogged = false;
 };
 
 }
--- a/src/gateway/internal/contextgauges.cpp
+++ b/src/gateway/internal/contextgauges.cpp
@@ -12,6 +12,7 @@
     metrics.set("rosemaryshift_admitted_share", "", context.admission->admittedShare());
     metrics.set("rosemaryshift_idle_upstream_connections", "", static_cast<double>(context.upstreamConnections->size()));
     metrics.set("rosemaryshift_configuration_version", "", static_cast<double>(context.configuration.version()));
+    metrics.set("rosemaryshift_configuration_known_version", "", static_cast<double>(context.configuration.knownVersion()));
     metrics.set("rosemaryshift_configuration_age_seconds", "", std::chrono::duration<double>(context.configuration.age(now).value_or(Duration::max())).count());
     metrics.set("rosemaryshift_held_bytes", "", static_cast<double>(context.heldBytes->used()));
     metrics.set("rosemaryshift_upstreams", "", static_cast<double>(context.directory.all().size()));
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -213,6 +213,7 @@
         TimePoint reloadedAt = hostNow();
         while (true) {
             m_quotaReport.update(hostNow());
+            m_configurationFollower.logConfirmation(hostNow());
             m_context.eventLog.flush();
             m_context.upstreamConnections->closeExpired();
             m_context.peerConnections->closeExpired();
--- a/src/gateway/internal/requestobservations.cpp
+++ b/src/gateway/internal/requestobservations.cpp
@@ -307,6 +307,7 @@
                                         {"route", m_route != nullptr ? std::string_view(m_route->name) : std::string_view()},
                                         {"workspace", m_workspace != nullptr ? std::string_view(m_workspace->name) : std::string_view()},
                                         {"configuration", static_cast<std::int64_t>(m_routeTable ? m_routeTable->configuration().version : 0)},
+                                        {"known_configuration", static_cast<std::int64_t>(m_context.configuration.knownVersion())},
                                         {"configuration_age_ms", wholeMilliseconds(m_context.configuration.age(now).value_or(Duration::zero()))},
                                         {"outcome", outcome},
                                         {"status", static_cast<std::int64_t>(status)},
