--- a/src/gateway/internal/streamregistry.cpp
+++ b/src/gateway/internal/streamregistry.cpp
@@ -218,9 +218,9 @@
     if (table && table->configuration().version != m_configurationVersion) {
         m_configurationVersion = table->configuration().version;
         m_splitServices.clear();
-        for (const routing::Route &route : table->configuration().routes) {
-            if (route.kind == routing::RequestKind::Streaming && route.resumable && route.services.size() > 1) {
-                for (const routing::WeightedService &service : route.services) {
+        for (const std::shared_ptr<const routing::Route> &route : table->configuration().routes) {
+            if (route->kind == routing::RequestKind::Streaming && route->resumable && route->services.size() > 1) {
+                for (const routing::WeightedService &service : route->services) {
                     m_splitServices.insert(service.service);
                 }
             }
--- a/src/ports/iplatformlog.h
+++ b/src/ports/iplatformlog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ports/logposition.h"
+
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
@@ -23,18 +25,6 @@
     RolloutStates,    ///< What has come of operators' orders to roll out a version, written by gateways for the operators.
 };
 
-/// The era of the log: rises by one each time that the log goes on from an earlier copy of itself and loses what it has accepted since. Nothing when
-/// the log does not state it.
-using LogEra = std::optional<std::uint64_t>;
-
-/// A place in a topic. The log gives offsets out again after it was restored from a copy, so that offsets of two eras cannot be compared.
-struct LogPosition {
-    std::uint64_t offset = 0;
-    LogEra era = std::nullopt;
-
-    bool operator==(const LogPosition &) const = default;
-};
-
 /// One record of a topic. A record without a value is a tombstone: it deletes the key.
 struct Record {
     std::string key;
@@ -85,8 +75,8 @@
     std::string detail;
 };
 
-/// Client of the platform's log of keyed records. A call that fails returns nothing and sets its LogFailure. Not thread-safe, but several
-/// calls may be pending at a time.
+/// Client of the platform's log of keyed records. The timeout of a read is that until its answer begins, or goes on; an answer that goes on may take a few
+/// times as long. A call that fails returns nothing and sets its LogFailure. Not thread-safe, but several calls may be pending at a time.
 class IPlatformLog
 {
 public:
--- a/src/routing/internal/routetable.cpp
+++ b/src/routing/internal/routetable.cpp
@@ -17,12 +17,12 @@
 
 /// Calls @p visit with each route of streams and each service that has traffic on it.
 template <typename Visitor>
-void forEachStream(std::span<const Route> routes, Visitor visit)
+void forEachStream(std::span<const std::shared_ptr<const Route>> routes, Visitor visit)
 {
-    for (const Route &route : routes) {
-        for (const WeightedService &service : route.services) {
-            if (route.kind == RequestKind::Streaming && service.weight > 0) {
-                visit(route, service.service);
+    for (const std::shared_ptr<const Route> &route : routes) {
+        for (const WeightedService &service : route->services) {
+            if (route->kind == RequestKind::Streaming && service.weight > 0) {
+                visit(*route, service.service);
             }
         }
     }
@@ -33,8 +33,8 @@
 RouteTable::RouteTable(Configuration configuration)
     : m_configuration(std::move(configuration))
 {
-    for (const Route &route : m_configuration.routes) {
-        m_routes[lowerCase(route.host)].emplace(route.pathPrefix, &route);
+    for (const std::shared_ptr<const Route> &route : m_configuration.routes) {
+        m_routes[lowerCase(route->host)].emplace(route->pathPrefix, route.get());
     }
     for (const Workspace &workspace : m_configuration.workspaces) {
         for (const std::string &key : workspace.keys) {
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -103,7 +104,7 @@
 /// One accepted version of the configuration that the operators publish. Versions only increase.
 struct Configuration {
     std::uint64_t version = 0;
-    std::vector<Route> routes;
+    std::vector<std::shared_ptr<const Route>> routes; ///< None is null. Versions share the routes that they have in common.
     std::vector<Service> services;
     std::vector<Workspace> workspaces;
     CallerLimits limits;
--- a/src/routing/tests/routetabletests.cpp
+++ b/src/routing/tests/routetabletests.cpp
@@ -16,6 +16,15 @@
     return route;
 }
 
+std::vector<std::shared_ptr<const Route>> shared(const std::vector<Route> &routes)
+{
+    std::vector<std::shared_ptr<const Route>> result;
+    for (const Route &route : routes) {
+        result.push_back(std::make_shared<const Route>(route));
+    }
+    return result;
+}
+
 std::string nameOf(const Route *route)
 {
     return route == nullptr ? "none" : route->name;
@@ -26,10 +35,10 @@
 TEST_CASE("A request is routed by its host and the longest matching path prefix")
 {
     Configuration configuration;
-    configuration.routes = {makeRoute("short", "yard.example", "/a/"),
-                            makeRoute("long", "yard.example", "/a/b/"),
-                            makeRoute("other", "office.example", "/a/"),
-                            makeRoute("everything", "all.example", "/")};
+    configuration.routes = shared({makeRoute("short", "yard.example", "/a/"),
+                                   makeRoute("long", "yard.example", "/a/b/"),
+                                   makeRoute("other", "office.example", "/a/"),
+                                   makeRoute("everything", "all.example", "/")});
     const RouteTable table(configuration);
 
     SECTION("of several matching prefixes, the longest is used")
@@ -106,26 +115,26 @@
 
     SECTION("a plan that may not be repeated yields to questions")
     {
-        configuration.routes = {plan, question};
+        configuration.routes = shared({plan, question});
         CHECK(RouteTable(configuration).hasYieldingSingleAttempts("engines"));
         CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("dispatch"));
     }
     SECTION("a plan that may be resumed is not at stake")
     {
         plan.resumable = true;
-        configuration.routes = {plan, question};
+        configuration.routes = shared({plan, question});
         CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("engines"));
     }
     SECTION("the most urgent streams yield to none")
     {
         plan.priority = 0;
-        configuration.routes = {plan, question};
+        configuration.routes = shared({plan, question});
         CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("engines"));
     }
     SECTION("a service without traffic on the route is not concerned")
     {
         plan.services = {{"engines", 0}, {"other", 1}};
-        configuration.routes = {plan, question};
+        configuration.routes = shared({plan, question});
         CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("engines"));
         CHECK_FALSE(RouteTable(configuration).hasYieldingSingleAttempts("other"));
     }
