Take only a read up to the end of the log for one of the list of upstreams

Cause: an answer of the log is bounded in size, and an answer of a reader, too. UpstreamFollower counted any of them as a read of the list, for the reader's peers and for the continuity of runs. Change: reads go on until the end, and are noted behind the last one.

--- a/src/gateway/internal/upstreamfollower.cpp
+++ b/src/gateway/internal/upstreamfollower.cpp
@@ -90,9 +90,6 @@
         if (content.confirmedAge) {
             m_context.configuration.confirm(content.configuration, answer->askedAt - *content.confirmedAge);
         }
-        if (content.configuration > m_context.configuration.knownVersion()) {
-            m_context.configuration.setKnownVersion(content.configuration);
-        }
         updateReachable(true, {});
         for (const relay::Change &change : content.changes.changes) {
             applyRecord({change.key, change.value, change.offset}, now);
@@ -102,9 +99,9 @@
         m_relay.changes().advance(*m_position);
         dropMissingEntries();
         noteVersions(now);
-        m_context.runContinuity.noteListRead(answer->askedAt - *content.listAge);
         m_context.metrics.count("rosemaryshift_relay_total", R"(event="told")");
         if (!content.changes.more) {
+            m_context.runContinuity.noteListRead(answer->askedAt - *content.listAge);
             co_return true;
         }
     }
@@ -179,27 +176,33 @@
 
 net::awaitable<bool> UpstreamFollower::readNext(ports::LogFailure &failure)
 {
-    const std::optional<ports::RecordBatch> batch
-        = co_await m_context.ports.platformLog->readFrom(ports::Topic::Upstreams, *m_position, std::chrono::milliseconds::zero(), ResponseTimeout, failure);
-    if (!batch) {
-        co_return false;
-    }
-    updateReachable(true, {});
-    if (batch->historyLost) {
-        m_context.eventLog.write(
-            "history_lost", eventlog::Importance::StateChange, {{"topic", "upstreams"}, {"offset", static_cast<std::int64_t>(m_position->offset)}});
-        m_position.reset();
-        co_return true;
-    }
-    const TimePoint now = hostNow();
-    for (const ports::Record &record : batch->records) {
-        if (applyRecord(record, now)) {
-            m_relay.changes().note({record.key, record.value, record.offset});
+    while (true) {
+        const std::optional<ports::RecordBatch> batch
+            = co_await m_context.ports.platformLog->readFrom(ports::Topic::Upstreams, *m_position, std::chrono::milliseconds::zero(), ResponseTimeout, failure);
+        if (!batch) {
+            co_return false;
+        }
+        updateReachable(true, {});
+        if (batch->historyLost) {
+            m_context.eventLog.write(
+                "history_lost", eventlog::Importance::StateChange, {{"topic", "upstreams"}, {"offset", static_cast<std::int64_t>(m_position->offset)}});
+            m_position.reset();
+            co_return true;
+        }
+        const TimePoint now = hostNow();
+        for (const ports::Record &record : batch->records) {
+            if (applyRecord(record, now)) {
+                m_relay.changes().note({record.key, record.value, record.offset});
+            }
+        }
+        const bool progressed = batch->next.offset > m_position->offset;
+        m_position = batch->next;
+        m_relay.changes().advance(batch->next);
+        // Only a read up to the end of the log shows which upstreams are listed now.
+        if (batch->next.offset >= batch->endOffset || !progressed) {
+            co_return true;
         }
     }
-    m_position = batch->next;
-    m_relay.changes().advance(batch->next);
-    co_return true;
 }
 
 bool UpstreamFollower::applyRecord(const ports::Record &record, TimePoint now)
