Send hosts what changes of the configuration, and believe only whole reads of the log

Causes: a read that ends before the log does confirmed the version that it found; each host got each version in full, with fixed time-outs after which all was asked for again; a host forgot a newer version when the peers that had told of it fell silent. Change: only a read up to the end of the log confirms, and a host that is behind reads the newest record alone. Readers tell their zone of a new version at once; the others fetch what differs from their own, from a host that serves four at a time and otherwise names those that it has served. Position in the log included, so that a later read of their own returns only what is newer. Routes are parsed once, 32 in a turn of the event loop. Reads and fetches end by lack of progress, and the time-out of reads adapts to a slow log. A newer version that was told is forgotten only by a later read of the log, or when the log is away and no host that is heard has it. A host that nobody confirms counts as late rather than the log as away when peers were confirmed much later than it. A section of activeconfigurationtests.cpp said that a newer version is forgotten once no peer is heard that has it; that is one of the faults. Four sections replace it.

--- a/src/gateway/internal/activeconfiguration.cpp
+++ b/src/gateway/internal/activeconfiguration.cpp
@@ -4,13 +4,21 @@
 
 namespace rosemaryshift::gateway {
 
-bool ActiveConfiguration::accept(routing::Configuration configuration, std::string text)
+bool ActiveConfiguration::accept(routing::Configuration configuration, configurations::LoggedText text)
 {
     if (configuration.version <= version()) {
         return false;
     }
+    m_decodedRoutes.clear();
+    std::size_t route = 0;
+    for (const std::shared_ptr<const configurations::Section> &section : text.text.sections()) {
+        if (section->isRoute && route < configuration.routes.size()) {
+            m_decodedRoutes.emplace(section.get(), configuration.routes[route]);
+            ++route;
+        }
+    }
     m_table = std::make_shared<const routing::RouteTable>(std::move(configuration));
-    m_text = std::move(text);
+    m_texts.add(std::move(text));
     return true;
 }
 
@@ -22,9 +30,25 @@
     }
 }
 
-void ActiveConfiguration::setKnownVersion(std::uint64_t version)
+void ActiveConfiguration::confirmByLog(std::uint64_t version, TimePoint at)
+{
+    confirm(version, at);
+    if (m_knownVersion > version && at > m_knownAt) {
+        m_knownVersion = version;
+    }
+}
+
+void ActiveConfiguration::noteKnown(std::uint64_t version, TimePoint at)
 {
-    m_knownVersion = version;
+    if (version > knownVersion()) {
+        m_knownVersion = version;
+        m_knownAt = at;
+    }
+}
+
+void ActiveConfiguration::forgetKnown()
+{
+    m_knownVersion = 0;
 }
 
 const std::shared_ptr<const routing::RouteTable> &ActiveConfiguration::table() const
@@ -42,9 +66,20 @@
     return std::max(m_knownVersion, version());
 }
 
-const std::string &ActiveConfiguration::text() const
+configurations::ChangeSource &ActiveConfiguration::texts()
+{
+    return m_texts;
+}
+
+const configurations::ChangeSource &ActiveConfiguration::texts() const
+{
+    return m_texts;
+}
+
+std::shared_ptr<const routing::Route> ActiveConfiguration::decodedRoute(const configurations::Section &section) const
 {
-    return m_text;
+    const auto found = m_decodedRoutes.find(&section);
+    return found == m_decodedRoutes.end() ? nullptr : found->second;
 }
 
 std::optional<Duration> ActiveConfiguration::age(TimePoint now) const
--- a/src/gateway/internal/configurationfetcher.cpp
+++ b/src/gateway/internal/configurationfetcher.cpp
@@ -1,9 +1,14 @@
 #include "gateway/internal/configurationfetcher.h"
 
+#include "base/text.h"
 #include "gateway/internal/backgroundtask.h"
+#include "gateway/internal/configurationtransfer.h"
 #include "gateway/internal/hostclock.h"
 #include "http/ihttpclient.h"
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+
 #include <algorithm>
 
 namespace rosemaryshift::gateway {
@@ -16,7 +21,11 @@
 constexpr std::chrono::milliseconds PeerFetchDelay{250};
 /// Longest delay after a failed fetch, without jitter.
 constexpr std::chrono::milliseconds MaxFetchDelay{1'600};
-/// Timeout of fetching a configuration from a peer.
+/// Longest delay where readers of the log tell of a newer configuration, which does not arrive from the log then.
+constexpr std::chrono::milliseconds MaxToldDelay{60};
+/// Longest delay after a busy peer.
+constexpr std::chrono::milliseconds MaxBusyDelay{150};
+/// Timeout of connecting to a peer, and of the answer until it begins or goes on. The whole fetch may take as long as the bound on configurations.
 constexpr std::chrono::milliseconds FetchTimeout{800};
 
 }
@@ -38,9 +47,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(delay * (0.5 + fraction));
 }
 
-ConfigurationFetcher::ConfigurationFetcher(GatewayContext &context, ConfigurationFollower &configurationFollower, const gossip::PeerRegistry &registry)
+ConfigurationFetcher::ConfigurationFetcher(GatewayContext &context,
+                                           ConfigurationFollower &configurationFollower,
+                                           const LogRelay &relay,
+                                           const gossip::PeerRegistry &registry)
     : m_context(context)
     , m_configurationFollower(configurationFollower)
+    , m_relay(relay)
     , m_registry(registry)
 {
 }
@@ -53,52 +66,103 @@
     }
 }
 
+void ConfigurationFetcher::noteHolder(const std::string &address, std::uint64_t version)
+{
+    if (version > m_context.configuration.version()) {
+        m_holders[address] = version;
+    }
+}
+
 net::awaitable<void> ConfigurationFetcher::fetchNewer()
 {
     std::string lastFailed;
-    for (unsigned int failures = 0;; ++failures) {
-        if (failures > 0 || m_context.configuration.version() > 0) {
+    unsigned int failures = 0;
+    bool isBusy = false;
+    while (true) {
+        if (isBusy) {
+            co_await pause(std::chrono::duration_cast<std::chrono::milliseconds>(MaxBusyDelay * m_context.randomFraction()));
+        } else if (failures == 0 && m_relay.hasReader(hostNow())) {
+            co_await pause(std::chrono::duration_cast<std::chrono::milliseconds>(MaxToldDelay * m_context.randomFraction()));
+        } else if (failures > 0 || m_context.configuration.version() > 0) {
             co_await pause(fetchDelay(failures, m_context.randomFraction()));
         }
+        std::erase_if(m_holders, [this](const auto &holder) { return holder.second <= m_context.configuration.version(); });
         const std::vector<std::string> candidates = sources();
         if (candidates.empty()) {
             break;
         }
         const std::string source = chooseFetchSource(candidates, lastFailed, m_context.randomFraction());
-        const bool fetched = co_await fetchFrom(source);
-        if (fetched) {
+        const Outcome outcome = co_await fetchFrom(source);
+        if (outcome == Outcome::Fetched) {
             break;
         }
+        isBusy = outcome == Outcome::Busy;
+        failures += isBusy ? 0 : 1;
         lastFailed = source;
+        m_holders.erase(source);
     }
     m_fetching = false;
 }
 
-net::awaitable<bool> ConfigurationFetcher::fetchFrom(std::string address)
+net::awaitable<ConfigurationFetcher::Outcome> ConfigurationFetcher::fetchFrom(std::string address)
 {
     const TimePoint startedAt = hostNow();
+    configurations::SectionedText base = m_context.configuration.texts().current();
     http::Request request;
-    request.target = "/configuration";
+    request.target = std::string(ConfigurationPath) + "?" + std::string(BaseParameter) + "=" + configurations::hexadecimal(base.digest()) + "&"
+        + std::string(PeerParameter) + "=" + m_context.settings.address;
     http::ClientTimeouts timeouts;
     timeouts.connect = FetchTimeout;
-    timeouts.end = std::chrono::steady_clock::now() + FetchTimeout;
+    timeouts.header = FetchTimeout;
+    timeouts.body = FetchTimeout;
+    timeouts.end = std::chrono::steady_clock::now() + std::max(m_context.settings.maxConfigurationDelay, FetchTimeout);
     http::ClientFailure failure;
     const http::Endpoint endpoint{address, m_context.settings.peerListener.port};
-    const std::optional<http::Response> response = co_await http::fetch(endpoint, std::move(request), timeouts, failure);
+    std::optional<http::Response> response = co_await http::fetch(endpoint, std::move(request), timeouts, failure);
     if (response && response->status == 200) {
-        co_return m_configurationFollower.applyText(response->body, "peer", startedAt) > 0;
+        const bool applied = co_await apply(std::move(*response), std::move(base), startedAt);
+        co_return applied ? Outcome::Fetched : Outcome::Failed;
+    }
+    const std::optional<std::string_view> holders = response ? response->headers.find(HoldersHeader) : std::nullopt;
+    if (holders) {
+        std::vector<std::string> addresses;
+        boost::algorithm::split(addresses, *holders, boost::algorithm::is_any_of(","));
+        for (const std::string &holder : addresses) {
+            if (!holder.empty() && holder != m_context.settings.address) {
+                noteHolder(holder, m_context.configuration.knownVersion());
+            }
+        }
+        co_return Outcome::Busy;
     }
     const std::string reason = response ? "status " + std::to_string(response->status) : failure.detail;
     m_context.eventLog.write("configuration_not_fetched", eventlog::Importance::StateChange, {{"from", address}, {"reason", reason}});
-    co_return false;
+    co_return Outcome::Failed;
+}
+
+net::awaitable<bool> ConfigurationFetcher::apply(http::Response response, configurations::SectionedText base, TimePoint readAt)
+{
+    m_context.metrics.count("rosemaryshift_configuration_bytes_total", R"(direction="received")", response.body.size());
+    std::uint64_t version = 0;
+    if (response.headers.find("Content-Type") == ChangeContentType) {
+        std::optional<configurations::LoggedText> text = configurations::textOfBody(base, response.body);
+        if (text) {
+            version = co_await m_configurationFollower.apply(std::move(*text), "peer", readAt);
+        }
+    } else {
+        version = co_await m_configurationFollower.applyText(std::move(response.body), std::nullopt, "peer", readAt);
+    }
+    co_return version > 0;
 }
 
 std::vector<std::string> ConfigurationFetcher::sources() const
 {
     std::vector<std::string> ofOwnZone;
     std::vector<std::string> ofOtherZones;
+    for (const auto &[address, version] : m_holders) {
+        ofOwnZone.push_back(address);
+    }
     for (const auto &[host, peer] : m_registry.peers()) {
-        if (!peer.silent && peer.status.configuration > m_context.configuration.version()) {
+        if (!peer.silent && peer.status.configuration > m_context.configuration.version() && !m_holders.contains(peer.status.address)) {
             (peer.status.zone == m_context.settings.zone ? ofOwnZone : ofOtherZones).push_back(peer.status.address);
         }
     }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -2,6 +2,7 @@
 #include "gateway/igateway.h"
 #include "gateway/internal/backgroundtask.h"
 #include "gateway/internal/configurationfollower.h"
+#include "gateway/internal/configurationserver.h"
 #include "gateway/internal/connectionobserver.h"
 #include "gateway/internal/contextgauges.h"
 #include "gateway/internal/dutyrunner.h"
@@ -72,7 +73,7 @@
         , m_configurationFollower(m_context, m_logRelay, [this] { applyConfiguration(); })
         , m_upstreamFollower(m_context, m_logRelay)
         , m_streamRegistry(m_context, m_upstreamFollower)
-        , m_gossip(m_context, m_configurationFollower, m_usageCollector)
+        , m_gossip(m_context, m_configurationFollower, m_logRelay, m_usageCollector)
         , m_dutyRunner(m_context, m_gossip, m_usageCollector)
         , m_rolloutRunner(m_context, m_dutyRunner, m_gossip)
         , m_reachProber(m_context)
@@ -84,6 +85,7 @@
         m_context.peers = &m_gossip.registry();
         m_context.streamMoves = &m_streamMoves;
         m_context.suspectRecorder = &m_suspectRecorder;
+        m_logRelay.setAnnouncementHandler([this](std::uint64_t version, const std::string &address) { m_gossip.noteConfigurationAt(address, version); });
         m_gossip.setSeeds(seedAddresses(settings.seeds));
     }
 
@@ -159,8 +161,7 @@
     {
         const std::optional<std::string_view> token = request.headers.find(PeerTokenHeader);
         if (!token) {
-            http::Response response = textResponse(m_context.configuration.version() > 0 ? 200 : 503, m_context.configuration.text());
-            co_await writer.respond(std::move(response));
+            co_await m_configurationServer.serve(request, writer);
             co_return;
         }
         if (!equalSecrets(*token, m_context.forwardingToken)) {
@@ -190,7 +191,7 @@
         const TimePoint now = hostNow();
         const std::optional<Duration> age = m_context.configuration.age(now);
         return !m_context.stop.begun() && m_upstreamFollower.listRead() && m_suspectRecorder.recordsRead() && age
-            && *age < m_context.settings.maxRevocationDelay && !m_context.configuration.outdated(now, m_context.settings.maxConfigurationDelay);
+            && *age < m_context.settings.maxRevocationDelay && !m_context.configurationOutdated(now);
     }
 
     void applyConfiguration()
@@ -320,6 +321,7 @@
     duties::UsageCollector m_usageCollector;
     LogRelay m_logRelay;
     ConfigurationFollower m_configurationFollower;
+    ConfigurationServer m_configurationServer{m_context};
     UpstreamFollower m_upstreamFollower;
     StreamRegistry m_streamRegistry;
     GossipEndpoint m_gossip;
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -33,7 +33,10 @@
 
 }
 
-GossipEndpoint::GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurationFollower, duties::UsageCollector &usageCollector)
+GossipEndpoint::GossipEndpoint(GatewayContext &context,
+                               ConfigurationFollower &configurationFollower,
+                               const LogRelay &relay,
+                               duties::UsageCollector &usageCollector)
     : m_context(context)
     , m_usageCollector(usageCollector)
     , m_registry(context.settings.address,
@@ -48,7 +51,7 @@
                          context.wallClock.forgetPeer(peer.status.host);
                      }
                  })
-    , m_configurationFetcher(context, configurationFollower, m_registry)
+    , m_configurationFetcher(context, configurationFollower, relay, m_registry)
     , m_usageRelay(hostStart(context.settings.name, context.startId))
 {
 }
@@ -91,7 +94,7 @@
         const TimePoint begin = hostNow();
         // Statuses that wait for a late host are no silence of the peers.
         m_registry.expire(begin - m_context.loopDelay.estimate(begin));
-        noteHeardVersions();
+        forgetLostVersion(begin);
         m_context.silentZones = m_registry.silentZones();
         m_context.quarantine.setHosts(m_context.settings.name, m_registry.heardHosts());
         m_context.quarantine.update(begin);
@@ -251,9 +254,7 @@
         }
     }
     noteConfirmation(status, now);
-    if (status.configuration > m_context.configuration.knownVersion()) {
-        m_context.configuration.setKnownVersion(status.configuration);
-    }
+    m_context.configuration.noteKnown(status.configuration, now);
     m_configurationFetcher.update(m_socket->get_executor());
 }
 
@@ -272,19 +273,33 @@
     }
 }
 
-void GossipEndpoint::noteHeardVersions()
+void GossipEndpoint::forgetLostVersion(TimePoint now)
 {
-    std::optional<std::uint64_t> newest;
+    const ActiveConfiguration &configuration = m_context.configuration;
+    m_context.peersConfirmedAt.reset();
+    bool isHeld = false;
     for (const auto &[host, peer] : m_registry.peers()) {
-        if (!peer.silent) {
-            newest = std::max(newest.value_or(0), peer.status.configuration);
+        if (peer.silent) {
+            continue;
+        }
+        isHeld = isHeld || peer.status.configuration >= configuration.knownVersion();
+        if (peer.status.confirmedAgeMs && *peer.status.confirmedAgeMs < MaxConfirmedAgeMs) {
+            const TimePoint confirmedAt = peer.heard - std::chrono::milliseconds(*peer.status.confirmedAgeMs);
+            m_context.peersConfirmedAt = std::max(m_context.peersConfirmedAt.value_or(confirmedAt), confirmedAt);
         }
     }
-    if (newest) {
-        m_context.configuration.setKnownVersion(*newest);
+    if (!isHeld && m_context.logAway(now)) {
+        m_context.configuration.forgetKnown();
     }
 }
 
+void GossipEndpoint::noteConfigurationAt(const std::string &address, std::uint64_t version)
+{
+    m_context.configuration.noteKnown(version, hostNow());
+    m_configurationFetcher.noteHolder(address, version);
+    m_configurationFetcher.update(m_socket->get_executor());
+}
+
 net::awaitable<void> GossipEndpoint::greetNewHosts()
 {
     co_await pause(NewHostDelay);
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -17,7 +17,7 @@
 class GossipEndpoint
 {
 public:
-    GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurationFollower, duties::UsageCollector &usageCollector);
+    GossipEndpoint(GatewayContext &context, ConfigurationFollower &configurationFollower, const LogRelay &relay, duties::UsageCollector &usageCollector);
 
     /// Binds the socket. Returns false, and sets @p reason, when that fails.
     bool open(boost::asio::io_context &ioContext, std::string &reason);
@@ -37,6 +37,8 @@
     [[nodiscard]] bool peerHoldsDuties(TimePoint now) const;
     /// Passes what the heard peers last reported to a quota rule that is newly in force.
     void informQuotaRule(TimePoint now);
+    /// Notes that the host at @p address has the @p version of the configuration, and fetches it there or elsewhere if it is newer than this host's.
+    void noteConfigurationAt(const std::string &address, std::uint64_t version);
     [[nodiscard]] const gossip::PeerRegistry &registry() const;
     /// The load of all hosts by service: the sum of what localBusyUpstreams() gives on each of them.
     [[nodiscard]] std::map<std::string, double> totalBusyUpstreams(TimePoint now) const;
@@ -59,8 +61,8 @@
     void handleStatus(gossip::PeerStatus received);
     /// Applies what a peer tells of the age of its configuration.
     void noteConfirmation(const gossip::PeerStatus &status, TimePoint now);
-    /// Notes the newest version of the configuration that is in force at the peers that are heard, if there are any. Takes time with each of them.
-    void noteHeardVersions();
+    /// Forgets the newest known version of the configuration while the log is away for all hosts that are heard, and none of these has it.
+    void forgetLostVersion(TimePoint now);
     /// Sends @p status to all @p destinations, to each in the form that it reads.
     void sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers);
     /// Addresses of all known peers, the silent ones included.
--- a/src/gateway/internal/logrelay.cpp
+++ b/src/gateway/internal/logrelay.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds AnswerTimeout{300};
 /// A reader that has failed is not asked for this time.
 constexpr std::chrono::seconds AvoidanceTime{10};
+/// Number of answers to no query. Hosts of earlier versions ignore them, as queries have random numbers.
+constexpr std::uint64_t Unasked = 0;
 /// Time for which the choice of the readers is kept, as the hosts of the zone rarely change.
 constexpr std::chrono::milliseconds ReadersLifetime{500};
 
@@ -67,7 +69,11 @@
         m_context.eventLog.write("relay_unreadable", eventlog::Importance::Failure, {{"from", from.address().to_string()}});
         return;
     }
-    if (received->number == m_number) { // Others are answers to earlier queries, which have been given up.
+    if (received->number == Unasked) {
+        if (m_announcementHandler) {
+            m_announcementHandler(received->configuration, from.address().to_string());
+        }
+    } else if (received->number == m_number) { // Others are answers to earlier queries, which have been given up.
         m_answer = std::move(*received);
         m_answerTimer->cancel();
     }
@@ -139,9 +145,29 @@
     return m_isReader;
 }
 
-std::uint64_t LogRelay::newestConfiguration() const
+void LogRelay::announceConfiguration()
+{
+    if (!m_socket || m_context.peers == nullptr || (!isReader() && !hasReader(hostNow()))) {
+        return;
+    }
+    relay::Answer announcement;
+    announcement.number = Unasked;
+    announcement.configuration = m_context.configuration.version();
+    announcement.era = m_context.logEra.current();
+    const std::string datagram = relay::encoded(announcement);
+    for (const auto &[host, peer] : m_context.peers->peers()) {
+        boost::system::error_code error;
+        const net::ip::address address = net::ip::make_address(peer.status.address, error);
+        if (!error && !peer.silent && peer.status.zone == m_context.settings.zone && peer.status.configuration < announcement.configuration) {
+            // A failed send is not repeated: the host also asks a reader periodically.
+            m_socket->send_to(net::buffer(datagram), udp::endpoint(address, m_context.settings.relayPort), 0, error);
+        }
+    }
+}
+
+void LogRelay::setAnnouncementHandler(std::function<void(std::uint64_t version, const std::string &address)> handler)
 {
-    return m_newestConfiguration;
+    m_announcementHandler = std::move(handler);
 }
 
 net::awaitable<std::optional<LogRelay::Answer>> LogRelay::ask(ports::LogPosition position)
@@ -178,7 +204,9 @@
                                                            : "it cannot tell"}});
         co_return std::nullopt;
     }
-    m_newestConfiguration = std::max(m_newestConfiguration, m_answer->configuration);
+    if (m_announcementHandler) {
+        m_announcementHandler(m_answer->configuration, asked.address);
+    }
     co_return Answer{std::move(*m_answer), askedAt};
 }
 
--- a/src/gateway/internal/logrelay.h
+++ b/src/gateway/internal/logrelay.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 
 namespace rosemaryshift::gateway {
@@ -37,8 +38,11 @@
     /// no other call is pending.
     boost::asio::awaitable<std::optional<Answer>> ask(ports::LogPosition position);
 
-    /// Newest version of the configuration that a reader has told; 0 when none has.
-    [[nodiscard]] std::uint64_t newestConfiguration() const;
+    /// Tells the hosts of this availability zone which version of the configuration is in force here, without being asked. Does nothing in a small zone, where
+    /// each host reads the log.
+    void announceConfiguration();
+    /// Sets what is called with the version of the configuration that is in force at another host of the zone, and its address.
+    void setAnnouncementHandler(std::function<void(std::uint64_t version, const std::string &address)> handler);
 
     /// The changes that this host knows.
     [[nodiscard]] relay::ChangeLog &changes();
@@ -65,7 +69,7 @@
     std::optional<TimePoint> m_listReadAt; ///< Beginning of the last read of the list by this host itself.
     std::uint64_t m_number = 0;            ///< Of the last query.
     std::optional<relay::Answer> m_answer; ///< To the last query.
-    std::uint64_t m_newestConfiguration = 0;
+    std::function<void(std::uint64_t version, const std::string &address)> m_announcementHandler;
     mutable std::vector<Reader> m_readers; ///< That this host may ask, the preferred one first.
     mutable bool m_isReader = false;
     mutable std::optional<TimePoint> m_readersChosenAt;
--- a/src/gateway/tests/activeconfigurationtests.cpp
+++ b/src/gateway/tests/activeconfigurationtests.cpp
@@ -23,9 +23,9 @@
 TEST_CASE("A configuration is outdated when a newer one is known and it was confirmed longer ago than the bound")
 {
     ActiveConfiguration active;
-    active.setKnownVersion(4);
+    active.noteKnown(4, Start);
     CHECK_FALSE(active.outdated(Start, Bound)); // There is none yet.
-    REQUIRE(active.accept(configuration(4), "v4"));
+    REQUIRE(active.accept(configuration(4), {}));
     active.confirm(4, Start);
 
     SECTION("not while no newer version is known, however long ago it was confirmed")
@@ -34,7 +34,7 @@
     }
     SECTION("a newer version is known")
     {
-        active.setKnownVersion(7);
+        active.noteKnown(7, Start);
         CHECK_FALSE(active.outdated(Start + Bound, Bound));
         CHECK(active.outdated(Start + Bound + milliseconds(1), Bound));
 
@@ -44,19 +44,37 @@
             CHECK(active.age(Start + Bound) == Duration(Bound));
             CHECK(active.outdated(Start + Bound + milliseconds(1), Bound));
         }
-        SECTION("it is current again when no peer is heard any more that has a newer one, as after a damaged report")
+        SECTION("a confirmation by another host, or a read that began before the newer version was known, does not make it current")
         {
-            active.setKnownVersion(4);
+            active.confirm(4, Start + Bound);
+            active.confirmByLog(4, Start);
+            CHECK(active.knownVersion() == 7);
+            CHECK(active.outdated(Start + 2 * Bound + milliseconds(1), Bound));
+        }
+        SECTION("it is current again when a read of the log that began later shows no newer one, as after a damaged report")
+        {
+            active.confirmByLog(4, Start + milliseconds(1));
+            CHECK(active.knownVersion() == 4);
+            CHECK_FALSE(active.outdated(Start + 2 * Bound, Bound));
+        }
+        SECTION("peers that have an older one don't make it current")
+        {
+            active.noteKnown(4, Start + Bound);
+            CHECK(active.outdated(Start + Bound + milliseconds(1), Bound));
+        }
+        SECTION("it is current again when nobody can get the newer one, in an outage of the log")
+        {
+            active.forgetKnown();
             CHECK_FALSE(active.outdated(Start + Bound + milliseconds(1), Bound));
         }
         SECTION("a version between the two does not make it current")
         {
-            REQUIRE(active.accept(configuration(5), "v5"));
+            REQUIRE(active.accept(configuration(5), {}));
             CHECK(active.outdated(Start + Bound + milliseconds(1), Bound));
         }
         SECTION("the newer version does, even before it is confirmed")
         {
-            REQUIRE(active.accept(configuration(7), "v7"));
+            REQUIRE(active.accept(configuration(7), {}));
             CHECK_FALSE(active.outdated(Start + Bound + milliseconds(1), Bound));
         }
     }
