--- a/src/quarantine/tests/busyservicetests.cpp
+++ b/src/quarantine/tests/busyservicetests.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds End{40'000};
 /// Time without crashes at the beginning.
 constexpr milliseconds CalmTime{4'000};
+/// Time for which answers are reset, after the calm.
+constexpr milliseconds ResetTime{4'000};
 /// Time after which an upstream that crashed is back.
 constexpr milliseconds DownTime{3'000};
 /// Time for which an upstream runs a deadly request before it crashes.
@@ -38,6 +40,7 @@
     std::size_t deadlyKinds = 0;     ///< Different deadly prompt parts, or different deadly requests, which come by turns.
     bool deadlyParts = true;         ///< No two deadly requests are equal but for their part; otherwise those of a kind are equal and share no part.
     milliseconds deadlyPause{1'000}; ///< Between two deadly requests.
+    double resetShare = 0;           ///< Part of the answers to sound requests that are reset in ResetTime, while their upstreams go on.
     milliseconds crashPause{0};      ///< Average time between two crashes that no request causes; 0 for none.
     std::uint32_t seed = 1;
 };
@@ -178,8 +181,15 @@
                 crash(ended->upstream);
                 continue;
             }
-            const Request request = std::move(*ended);
+            Request request = std::move(*ended);
             m_running.erase(ended);
+            const bool mayBeReset = m_now >= Start + CalmTime && m_now < Start + CalmTime + ResetTime;
+            if (mayBeReset && chance(m_scenario.resetShare)) {
+                m_hosts[request.host]->noteBroken(traits(request), nameOf(request.upstream), request.sentAt, m_now);
+                m_hosts[request.host]->notePresence("models", nameOf(request.upstream), request.sentAt, m_now);
+                send(std::move(request));
+                continue;
+            }
             m_hosts[request.host]->noteCompleted(traits(request), m_now);
             m_hosts[request.host]->notePresence("models", nameOf(request.upstream), request.sentAt, m_now);
             m_result.lateAnswered += request.late ? 1 : 0;
@@ -318,3 +328,19 @@
     const Result result = Service(scenario).play();
     CHECK(result.soundRefused <= result.sound / 100);
 }
+
+// Guards against sound prompt parts that are refused for minutes because answers were reset for a few seconds, while their upstreams went on.
+TEST_CASE("Answers that are reset by a network fault bring no sound prompt into quarantine")
+{
+    Scenario scenario;
+    scenario.seed = GENERATE(range(1U, 11U));
+    scenario.hosts = GENERATE(2, 9);
+    scenario.upstreams = GENERATE(9, 40);
+    scenario.callers = GENERATE(40U, 400U);
+    scenario.soundPerSecond = 60;
+    scenario.soundTime = milliseconds(300);
+    scenario.resetShare = GENERATE(0.1, 0.3, 0.6);
+    CAPTURE(scenario.seed, scenario.hosts, scenario.upstreams, scenario.callers, scenario.resetShare);
+    const Result result = Service(scenario).play();
+    CHECK(result.soundRefused == 0);
+}
