Don't forget a newer configuration while the log is in reach

Beside it: a fetch from a named holder that does not have the version yet is repeated elsewhere at once; of several records in a batch, the last one that is not malformed is applied; the count of transfers can't stay raised.

--- a/src/gateway/internal/configurationfetcher.cpp
+++ b/src/gateway/internal/configurationfetcher.cpp
@@ -96,10 +96,10 @@
         if (outcome == Outcome::Fetched) {
             break;
         }
-        isBusy = outcome == Outcome::Busy;
+        const bool wasNamed = m_holders.erase(source) > 0;
+        isBusy = outcome == Outcome::Busy || (outcome == Outcome::NotNewer && wasNamed);
         failures += isBusy ? 0 : 1;
         lastFailed = source;
-        m_holders.erase(source);
     }
     m_fetching = false;
 }
@@ -120,8 +120,8 @@
     const http::Endpoint endpoint{address, m_context.settings.peerListener.port};
     std::optional<http::Response> response = co_await http::fetch(endpoint, std::move(request), timeouts, failure);
     if (response && response->status == 200) {
-        const bool applied = co_await apply(std::move(*response), std::move(base), startedAt);
-        co_return applied ? Outcome::Fetched : Outcome::Failed;
+        const Outcome outcome = co_await apply(std::move(*response), std::move(base), startedAt);
+        co_return outcome;
     }
     const std::optional<std::string_view> holders = response ? response->headers.find(HoldersHeader) : std::nullopt;
     if (holders) {
@@ -139,8 +139,9 @@
     co_return Outcome::Failed;
 }
 
-net::awaitable<bool> ConfigurationFetcher::apply(http::Response response, configurations::SectionedText base, TimePoint readAt)
+net::awaitable<ConfigurationFetcher::Outcome> ConfigurationFetcher::apply(http::Response response, configurations::SectionedText base, TimePoint readAt)
 {
+    const std::uint64_t versionBefore = m_context.configuration.version();
     m_context.metrics.count("rosemaryshift_configuration_bytes_total", R"(direction="received")", response.body.size());
     std::uint64_t version = 0;
     if (response.headers.find("Content-Type") == ChangeContentType) {
@@ -151,7 +152,11 @@
     } else {
         version = co_await m_configurationFollower.applyText(std::move(response.body), std::nullopt, "peer", readAt);
     }
-    co_return version > 0;
+    if (version == 0) {
+        m_context.eventLog.write("configuration_not_fetched", eventlog::Importance::StateChange, {{"reason", "the answer is malformed"}});
+        co_return Outcome::Failed;
+    }
+    co_return version > versionBefore ? Outcome::Fetched : Outcome::NotNewer;
 }
 
 std::vector<std::string> ConfigurationFetcher::sources() const
--- a/src/gateway/internal/configurationfetcher.h
+++ b/src/gateway/internal/configurationfetcher.h
@@ -35,14 +35,15 @@
     enum class Outcome : std::uint8_t {
         Fetched,
         Failed,
-        Busy, ///< The peer serves others, and may have named peers that have the configuration, too.
+        Busy,     ///< The peer serves others, and may have named peers that have the configuration, too.
+        NotNewer, ///< The peer does not have it itself, or not yet.
     };
 
     boost::asio::awaitable<void> fetchNewer();
     /// Fetches the configuration from the peer at @p address and puts it in force.
     boost::asio::awaitable<Outcome> fetchFrom(std::string address);
-    /// Puts the configuration that a peer has answered with in force; @p base is the text that this host told it to have. Returns false when it is malformed.
-    boost::asio::awaitable<bool> apply(http::Response response, configurations::SectionedText base, TimePoint readAt);
+    /// Puts the configuration that a peer has answered with in force; @p base is the text that this host told it to have.
+    boost::asio::awaitable<Outcome> apply(http::Response response, configurations::SectionedText base, TimePoint readAt);
     /// Addresses of the peers that have a newer configuration than this host: those that were named as holders, and those that are heard; of these those of its
     /// own availability zone if there are any.
     [[nodiscard]] std::vector<std::string> sources() const;
--- a/src/gateway/internal/configurationfollower.cpp
+++ b/src/gateway/internal/configurationfollower.cpp
@@ -186,18 +186,22 @@
 
 net::awaitable<void> ConfigurationFollower::applyRecords(std::vector<ports::Record> records, TimePoint readAt, ports::LogEra era, std::optional<Duration> age)
 {
-    std::optional<ports::Record> newest;
+    std::vector<ports::Record> configurations;
     for (ports::Record &record : records) {
         if (m_context.ports.platformCodec->isConfiguration(record) && record.value) {
-            newest = std::move(record); // Each one replaces those before it.
+            configurations.push_back(std::move(record));
         } else if (m_context.versionGate.enabled() && m_context.ports.platformCodec->isRolloutOrder(record)) {
             applyRolloutOrder(record, era, age);
         }
     }
     m_context.versionGate.noteOrdersRead(readAt);
-    if (newest) {
-        const std::uint64_t version = co_await applyText(std::move(*newest->value), ports::LogPosition{newest->offset + 1, era}, "log", readAt);
+    // Each configuration replaces those before it, so that only the last one is applied, or the last one that is not malformed.
+    for (auto record = configurations.rbegin(); record != configurations.rend(); ++record) {
+        const std::uint64_t version = co_await applyText(std::move(*record->value), ports::LogPosition{record->offset + 1, era}, "log", readAt);
         m_newestVersion = std::max(m_newestVersion, version);
+        if (version > 0) {
+            break;
+        }
     }
 }
 
--- a/src/gateway/internal/configurationserver.cpp
+++ b/src/gateway/internal/configurationserver.cpp
@@ -71,9 +71,12 @@
         co_await writer.respond(std::move(busy));
         co_return;
     }
-    m_transfers += isLarge ? 1 : 0;
+    std::optional<Transfer> transfer;
+    if (isLarge) {
+        transfer.emplace(m_transfers);
+    }
     co_await writer.respond(std::move(response));
-    m_transfers -= isLarge ? 1 : 0;
+    transfer.reset();
     m_context.metrics.count("rosemaryshift_configuration_served_total", R"(outcome="sent")");
     m_context.metrics.count("rosemaryshift_configuration_bytes_total", R"(direction="sent")", bytes);
     const std::optional<std::string> peer = http::queryValue(request.target, PeerParameter);
--- a/src/gateway/internal/configurationserver.h
+++ b/src/gateway/internal/configurationserver.h
@@ -21,6 +21,26 @@
     boost::asio::awaitable<void> serve(const http::Request &request, http::IResponseWriter &writer);
 
 private:
+    /// Counts one large answer while it is being sent.
+    class Transfer
+    {
+    public:
+        explicit Transfer(std::size_t &transfers)
+            : m_transfers(transfers)
+        {
+            ++m_transfers;
+        }
+        ~Transfer()
+        {
+            --m_transfers;
+        }
+        Transfer(const Transfer &) = delete;
+        Transfer &operator=(const Transfer &) = delete;
+
+    private:
+        std::size_t &m_transfers;
+    };
+
     /// A peer that has been sent a version.
     struct Holder {
         std::string address;
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -288,7 +288,9 @@
             m_context.peersConfirmedAt = std::max(m_context.peersConfirmedAt.value_or(confirmedAt), confirmedAt);
         }
     }
-    if (!isHeld && m_context.logAway(now)) {
+    const std::optional<Duration> age = configuration.age(now);
+    const bool isUnconfirmed = age && *age > m_context.settings.maxConfigurationDelay;
+    if (!isHeld && isUnconfirmed && m_context.logAway(now)) {
         m_context.configuration.forgetKnown();
     }
 }
