Correct the comparison by presence for the number of suspects

Cause: where the share of broken answers and the presence of a suspect were both known, the latter was compared with the bound of a single comparison, though hundreds of suspects are compared at a time; rare prompt parts that met three resets in a row were quarantined. Change: that comparison is divided by the number of suspects, as the others are.

--- a/src/quarantine/internal/crashevidence.cpp
+++ b/src/quarantine/internal/crashevidence.cpp
@@ -104,7 +104,7 @@
     const AnswerHistory &answers = found == m_answers.end() ? None : found->second;
     const double probability = std::pow(answers.brokenShare(suspect.firstCrashAt, now), static_cast<double>(suspect.crashes.size()));
     const std::optional<double> byPresence = probability <= MaxCoincidence ? coincidence(suspect) : std::nullopt;
-    return byPresence ? *byPresence <= MaxCoincidence : probability <= MaxCoincidence / static_cast<double>(m_suspects.size());
+    return byPresence.value_or(probability) <= MaxCoincidence / static_cast<double>(m_suspects.size());
 }
 
 bool CrashQuarantine::isCauseOfCrashes(const Suspect &suspect, bool unlikelyCoincidence, Duration observed) const
--- a/src/quarantine/tests/busyservicetests.cpp
+++ b/src/quarantine/tests/busyservicetests.cpp
@@ -183,7 +183,7 @@
             }
             Request request = std::move(*ended);
             m_running.erase(ended);
-            const bool mayBeReset = m_now >= Start + CalmTime && m_now < Start + CalmTime + ResetTime;
+            const bool mayBeReset = m_scenario.resetShare > 0 && m_now >= Start + CalmTime && m_now < Start + CalmTime + ResetTime;
             if (mayBeReset && chance(m_scenario.resetShare)) {
                 m_hosts[request.host]->noteBroken(traits(request), nameOf(request.upstream), request.sentAt, m_now);
                 m_hosts[request.host]->notePresence("models", nameOf(request.upstream), request.sentAt, m_now);
