Let only a newer version that is known make a configuration outdated

A trace of the rule shows that it can say nothing else: a peer that was confirmed at the same version confirms this host, and one with a newer version tells of it. Change: the comparison with the confirmations of peers is gone; a newer version is forgotten when nobody has confirmed this host for the bound and no host that is heard has it.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -191,7 +191,7 @@
         const TimePoint now = hostNow();
         const std::optional<Duration> age = m_context.configuration.age(now);
         return !m_context.stop.begun() && m_upstreamFollower.listRead() && m_suspectRecorder.recordsRead() && age
-            && *age < m_context.settings.maxRevocationDelay && !m_context.configurationOutdated(now);
+            && *age < m_context.settings.maxRevocationDelay && !m_context.configuration.outdated(now, m_context.settings.maxConfigurationDelay);
     }
 
     void applyConfiguration()
--- a/src/gateway/internal/gatewaycontext.cpp
+++ b/src/gateway/internal/gatewaycontext.cpp
@@ -13,9 +13,6 @@
 /// Number of renewals of its entry after which an upstream that has started is in the list for certain.
 constexpr int ListingRenewals = 2;
 
-/// When the log goes away, the last reads of the hosts that others have told of lie within this part of the bound on configurations.
-constexpr double LaterReadPart = 0.5;
-
 /// A seed from the system's entropy source.
 std::uint64_t randomSeed()
 {
@@ -176,21 +173,6 @@
                     {"failures", static_cast<std::int64_t>(seen.failures())}});
 }
 
-bool GatewayContext::configurationOutdated(TimePoint now) const
-{
-    const std::optional<Duration> age = configuration.age(now);
-    if (!age || *age <= settings.maxConfigurationDelay) {
-        return false;
-    }
-    return configuration.knownVersion() > configuration.version() || !logAway(now);
-}
-
-bool GatewayContext::logAway(TimePoint now) const
-{
-    const std::optional<Duration> age = configuration.age(now);
-    return !age || !peersConfirmedAt || *peersConfirmedAt - (now - *age) <= settings.maxConfigurationDelay * LaterReadPart;
-}
-
 double GatewayContext::randomFraction()
 {
     return std::uniform_real_distribution<double>(0, 1)(randomEngine);
--- a/src/gateway/internal/gatewaycontext.h
+++ b/src/gateway/internal/gatewaycontext.h
@@ -83,7 +83,6 @@
     const gossip::PeerRegistry *peers = nullptr; ///< The known peers; set before requests are served.
     StreamMoves *streamMoves = nullptr;          ///< Set before requests are served.
     SuspectRecorder *suspectRecorder = nullptr;  ///< Set before requests are served.
-    std::optional<TimePoint> peersConfirmedAt;   ///< Latest time at which a peer that is heard has had its configuration confirmed.
     std::mt19937_64 randomEngine;
     std::set<std::string> silentZones; ///< Availability zones whose known gateways are all silent.
     std::size_t hostCount = 1;         ///< Number of gateways: this one and its known peers.
@@ -91,13 +90,6 @@
     AnswerTimes answerTimes;
     EndedByStop endedByStop;
 
-    /// Whether the configuration must not be used at @p now: nobody has confirmed it for the bound on configurations, and a newer one is known or the log is
-    /// not away, so that there may be one.
-    [[nodiscard]] bool configurationOutdated(TimePoint now) const;
-    /// Whether the log seems to be away at @p now, rather than this host late, when nobody has confirmed the configuration for long: none of the peers that are
-    /// heard has had its configuration confirmed much later than this host.
-    [[nodiscard]] bool logAway(TimePoint now) const;
-
     /// A random number, uniformly distributed in [0, 1).
     double randomFraction();
 
--- a/src/gateway/internal/gossipendpoint.cpp
+++ b/src/gateway/internal/gossipendpoint.cpp
@@ -6,6 +6,8 @@
 #include "gateway/internal/hostclock.h"
 #include "gossip/statuspacing.h"
 
+#include <algorithm>
+
 namespace rosemaryshift::gateway {
 
 namespace net = boost::asio;
@@ -275,23 +277,16 @@
 
 void GossipEndpoint::forgetLostVersion(TimePoint now)
 {
-    const ActiveConfiguration &configuration = m_context.configuration;
-    m_context.peersConfirmedAt.reset();
-    bool isHeld = false;
-    for (const auto &[host, peer] : m_registry.peers()) {
-        if (peer.silent) {
-            continue;
-        }
-        isHeld = isHeld || peer.status.configuration >= configuration.knownVersion();
-        if (peer.status.confirmedAgeMs && *peer.status.confirmedAgeMs < MaxConfirmedAgeMs) {
-            const TimePoint confirmedAt = peer.heard - std::chrono::milliseconds(*peer.status.confirmedAgeMs);
-            m_context.peersConfirmedAt = std::max(m_context.peersConfirmedAt.value_or(confirmedAt), confirmedAt);
-        }
-    }
+    ActiveConfiguration &configuration = m_context.configuration;
     const std::optional<Duration> age = configuration.age(now);
-    const bool isUnconfirmed = age && *age > m_context.settings.maxConfigurationDelay;
-    if (!isHeld && isUnconfirmed && m_context.logAway(now)) {
-        m_context.configuration.forgetKnown();
+    if (!age || *age <= m_context.settings.maxConfigurationDelay) {
+        return;
+    }
+    const bool isHeld = std::ranges::any_of(m_registry.peers(), [&configuration](const auto &peer) {
+        return !peer.second.silent && peer.second.status.configuration >= configuration.knownVersion();
+    });
+    if (!isHeld) {
+        configuration.forgetKnown();
     }
 }
 
--- a/src/gateway/internal/gossipendpoint.h
+++ b/src/gateway/internal/gossipendpoint.h
@@ -59,7 +59,7 @@
     void handleStatus(gossip::PeerStatus received);
     /// Applies what a peer tells of the age of its configuration.
     void noteConfirmation(const gossip::PeerStatus &status, TimePoint now);
-    /// Forgets the newest known version of the configuration while the log is away for all hosts that are heard, and none of these has it.
+    /// Forgets the newest known version of the configuration when nobody has confirmed this host's for the bound, and no host that is heard has a newer one.
     void forgetLostVersion(TimePoint now);
     /// Sends @p status to all @p destinations, to each in the form that it reads.
     void sendStatus(const gossip::PeerStatus &status, std::span<const gossip::Destination> destinations, bool withPeers);
--- a/src/gateway/internal/requestsession.cpp
+++ b/src/gateway/internal/requestsession.cpp
@@ -140,7 +140,7 @@
         m_rejectionStatus = 400;
         return false;
     }
-    if (m_context.configurationOutdated(m_handledAt)) {
+    if (m_context.configuration.outdated(m_handledAt, m_context.settings.maxConfigurationDelay)) {
         m_rejectionStatus = 503;
         m_reason = "stale_configuration";
         m_retryAfter = ConfigurationRetryDelay;
